Add the design page, the protocols and the workspace

Cause: an empty repository. Change: design page, four Go modules, protobuf protocols with generated code, shared types, and the interfaces between the caller side, the holder, the database group and the platform. make check runs gofmt, vet, staticcheck and the tests. Conclusion: the parts can now be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Targets: dev, check, build, generate, measure. `make check` is what CI runs.
+MODULES := . ./cmd ./standin ./test
+PACKAGES := $(foreach m,$(MODULES),$(m)/...)
+BIN := bin
+
+.PHONY: build dev check format vet lint test generate
+
+build:
+	go build -o $(BIN)/ ./cmd/chervilhatchd ./cmd/chervilhatchctl
+
+dev: build
+	$(BIN)/chervilhatchd dev
+
+check: format vet lint test
+
+format:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	go tool staticcheck $(PACKAGES)
+
+test:
+	go test -count=1 $(PACKAGES)
+
+# Needs Debian's protobuf-compiler; the plug-ins are tools of the test module.
+# The generated code is committed, so that the build does not need them.
+GO_OUT := --go_opt=module=github.com/chervilhatch/chervilhatch --go-grpc_opt=module=github.com/chervilhatch/chervilhatch
+
+generate:
+	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	for p in platform peer operator; do \
+	  PATH="$(CURDIR)/$(BIN):$$PATH" protoc -I proto --go_out=. --go-grpc_out=. $(GO_OUT) proto/$$p/v1/$$p.proto || exit 1; \
+	done
--- /dev/null
+++ b/cmd/chervilhatchd/main.go
@@ -0,0 +1,4 @@
+// Command chervilhatchd is the proxy daemon; it is the same on every VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/holder/core.go
@@ -0,0 +1,67 @@
+// Package holder runs batches on the upstreams whose connections this VM
+// holds: it queues them, chooses an upstream, runs them and waits until a
+// write is held by a majority.
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Request asks for a slot on an upstream.
+type Request struct {
+	Workspace model.Workspace
+	KeyID     model.KeyID
+	Job       model.Job
+	Database  model.Database
+	Class     model.Class
+	Floor     model.Position
+	HasFloor  bool
+	MaxAge    time.Duration
+	Deadline  time.Time
+	// Exclude names upstreams that already failed this request.
+	Exclude []model.UpstreamID
+}
+
+// Assignment is a slot on an upstream. It must be given back by Done.
+type Assignment struct {
+	ID       uint64
+	Upstream model.UpstreamID
+	Address  string
+	// Term is the term in which Upstream is the primary, for a write.
+	Term model.Term
+	// Floor is the request's floor, or the confirmed position of the primary
+	// that stands in for a missing floor.
+	Floor model.Position
+}
+
+// Outcome tells how a batch on an assignment ended.
+type Outcome uint8
+
+// Outcomes of a batch.
+const (
+	// Completed means that the upstream answered completely.
+	Completed Outcome = iota
+	// Unreachable means that the connection failed.
+	Unreachable
+	// TimedOut means that the upstream did not answer in time.
+	TimedOut
+)
+
+// Decider makes the holder's decisions. node implements it over the reducer;
+// tests use a fake. Errors are *sqlstate.Error.
+type Decider interface {
+	// Schedule waits in the workspace's queue until a slot is free on an
+	// upstream that satisfies the request.
+	Schedule(ctx context.Context, r *Request) (Assignment, error)
+	// Done gives the slot back.
+	Done(a Assignment, outcome Outcome)
+	// AwaitMajority returns nil once a majority of the group holds p in p's
+	// term, and an OutcomeUnknown error when that fails or ctx ends.
+	AwaitMajority(ctx context.Context, db model.Database, p model.Position) error
+	// KeyValid reports whether the key may still be used for the job, and is
+	// asked again before each statement runs. An error says why not.
+	KeyValid(w model.Workspace, k model.KeyID, j model.Job) error
+}
--- /dev/null
+++ b/sqlstate/sqlstate.go
@@ -0,0 +1,56 @@
+// Package sqlstate lists the SQLSTATEs that chervilhatch itself returns and
+// the error that carries them. docs/errors.md documents each for users.
+package sqlstate
+
+// Code is a five-character SQLSTATE.
+type Code string
+
+// Codes that chervilhatch returns. Codes with R in the third place are
+// specific to chervilhatch; the request was certainly not run.
+const (
+	RateExceeded       Code = "53R01"
+	QueueFull          Code = "53R02"
+	DeadlineTooClose   Code = "53R03"
+	NoPrimary          Code = "57R01"
+	NoFreshReplica     Code = "57R02"
+	NoMajority         Code = "57R03"
+	ConfigUnconfirmed  Code = "57R04"
+	ZoneDrained        Code = "57R05"
+	UpstreamUnavail    Code = "57R06"
+	KeyWithdrawn       Code = "28R01"
+	WorkspaceForbidden Code = "28000"
+	WrongKey           Code = "28P01"
+	UnknownJob         Code = "3D000"
+	NotSupported       Code = "0A000"
+	// OutcomeUnknown tells that a write may or may not have been committed.
+	OutcomeUnknown    Code = "08007"
+	ConnectionFailure Code = "08006"
+	ProtocolViolation Code = "08P01"
+	TooLarge          Code = "54000"
+	AdminShutdown     Code = "57P01"
+	QueryCanceled     Code = "57014"
+	ReadOnly          Code = "25006"
+)
+
+// Error is an error of chervilhatch that is sent to a caller.
+type Error struct {
+	Code    Code
+	Message string
+	// NotRun is true when it is certain that the request did not run.
+	NotRun bool
+	// Fatal is true when the caller's connection is closed.
+	Fatal bool
+}
+
+// Error returns the SQLSTATE and the message.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// Refuse returns an error for a request that was certainly not run.
+func Refuse(code Code, message string) *Error {
+	return &Error{Code: code, Message: message + " (not run)", NotRun: true}
+}
+
+// Unknown returns an error for a request whose outcome is not known.
+func Unknown(message string) *Error {
+	return &Error{Code: OutcomeUnknown, Message: message + " (outcome unknown)"}
+}
--- /dev/null
+++ b/test/property/doc.go
@@ -0,0 +1,3 @@
+// Package property has the properties of the reducer, checked with random
+// events.
+package property
