Place an upstream's connections with a main and a standby holder

Cause: with 3 slots and about 20 connections per upstream, dividing both over 8 seats (4 zones x 2) leaves less than one slot per holder, and no queue sees all work for an upstream, so fair shares cannot hold over all VMs. Change: a main and a standby holder in the upstream's own zone; reads are checked by the holder; the choice of upstream moves to the caller side. Conclusion: one queue per upstream, and the hop to the holder adds no network distance.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -55,6 +55,12 @@
 	TxStatus byte
 	// Replica is true when a replica served the batch.
 	Replica bool
+	// Applied is the applied position of the upstream that was asked. It and
+	// Primary are set also when Run returns an error, if they are known.
+	Applied model.Position
+	// Primary is the primary known to the holder, in term PrimaryTerm.
+	Primary     model.UpstreamID
+	PrimaryTerm model.Term
 }
 
 // Sink receives encoded backend messages in order. It must not keep the slice.
@@ -73,7 +79,15 @@
 	Close() error
 }
 
-// Executor opens streams.
+// Executor opens streams to a database; the router implements it.
 type Executor interface {
 	Open(ctx context.Context, h Hello) (Stream, error)
 }
+
+// Holders opens streams to one upstream, on this VM or on the peer that holds
+// its connections. holder and peer implement it. A Stream from Holders answers a write that
+// a replica refused, a read that the upstream cannot satisfy in time, and a
+// batch for an upstream that it does not hold with an error that has NotRun set.
+type Holders interface {
+	Open(ctx context.Context, h Hello, u model.UpstreamID) (Stream, error)
+}
--- a/holder/core.go
+++ b/holder/core.go
@@ -16,22 +16,22 @@
 	KeyID     model.KeyID
 	Job       model.Job
 	Database  model.Database
+	Upstream  model.UpstreamID
 	Class     model.Class
 	Floor     model.Position
 	HasFloor  bool
 	MaxAge    time.Duration
 	Deadline  time.Time
-	// Exclude names upstreams that already failed this request.
-	Exclude []model.UpstreamID
 }
 
 // Assignment is a slot on an upstream. It must be given back by Done.
 type Assignment struct {
-	ID       uint64
-	Upstream model.UpstreamID
-	Address  string
-	// Term is the term in which Upstream is the primary, for a write.
-	Term model.Term
+	ID uint64
+	// Address is the upstream's host:port.
+	Address string
+	// Primary is true when the upstream is the primary of Term.
+	Primary bool
+	Term    model.Term
 	// Floor is the request's floor, or the confirmed position of the primary
 	// that stands in for a missing floor.
 	Floor model.Position
@@ -53,14 +53,17 @@
 // Decider makes the holder's decisions. node implements it over the reducer;
 // tests use a fake. Errors are *sqlstate.Error.
 type Decider interface {
-	// Schedule waits in the workspace's queue until a slot is free on an
-	// upstream that satisfies the request.
+	// Schedule waits until the upstream satisfies the request and a slot is
+	// free in the workspace's turn. It refuses as not run otherwise.
 	Schedule(ctx context.Context, r *Request) (Assignment, error)
 	// Done gives the slot back.
 	Done(a Assignment, outcome Outcome)
 	// AwaitMajority returns nil once a majority of the group holds p in p's
 	// term, and an OutcomeUnknown error when that fails or ctx ends.
 	AwaitMajority(ctx context.Context, db model.Database, p model.Position) error
+	// Hint returns what is known of the upstream and its group, for
+	// executor.Result.
+	Hint(db model.Database, u model.UpstreamID) (applied model.Position, primary model.UpstreamID, term model.Term)
 	// KeyValid reports whether the key may still be used for the job, and is
 	// asked again before each statement runs. An error says why not.
 	KeyValid(w model.Workspace, k model.KeyID, j model.Job) error
