--- /dev/null
+++ b/peer/clients.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// maxReconnectDelay bounds how long a peer that has returned stays unused.
+const maxReconnectDelay = time.Second
+
+// connectParams let a peer that does not answer fail within a second.
+var connectParams = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay:  50 * time.Millisecond,
+		Multiplier: 1.6,
+		Jitter:     0.2,
+		MaxDelay:   maxReconnectDelay,
+	},
+	MinConnectTimeout: time.Second,
+}
+
+// keepaliveParams find a peer that vanished without closing its connection;
+// 10 s is the least that gRPC allows.
+var keepaliveParams = keepalive.ClientParameters{
+	Time:    10 * time.Second,
+	Timeout: 2 * time.Second,
+}
+
+// ErrUnknownVM means that no peer address of the VM is known.
+var ErrUnknownVM = errors.New("no address known for VM")
+
+// Clients keeps one gRPC connection to each peer that was asked for.
+type Clients struct {
+	resolve func(model.VMID) (address string, ok bool)
+	creds   credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[model.VMID]peerConn
+}
+
+type peerConn struct {
+	address string
+	conn    *grpc.ClientConn
+}
+
+// NewClients returns an empty set. resolve gives a VM's peer address.
+func NewClients(resolve func(model.VMID) (string, bool), creds credentials.TransportCredentials) *Clients {
+	return &Clients{resolve: resolve, creds: creds, conns: map[model.VMID]peerConn{}}
+}
+
+// client returns the client of vm, dialing again when its address changed.
+func (c *Clients) client(vm model.VMID) (peerv1.PeerClient, error) {
+	address, ok := c.resolve(vm)
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", ErrUnknownVM, vm)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.conns[vm]
+	if ok && known.address == address {
+		return peerv1.NewPeerClient(known.conn), nil
+	}
+	if ok {
+		_ = known.conn.Close()
+	}
+	conn, err := grpc.NewClient(address,
+		grpc.WithTransportCredentials(c.creds),
+		grpc.WithConnectParams(connectParams),
+		grpc.WithKeepaliveParams(keepaliveParams),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", vm, err)
+	}
+	c.conns[vm] = peerConn{address: address, conn: conn}
+	return peerv1.NewPeerClient(conn), nil
+}
+
+// Close closes all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for vm, p := range c.conns {
+		_ = p.conn.Close()
+		delete(c.conns, vm)
+	}
+}
--- /dev/null
+++ b/peer/execute_client.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// OpenOn opens a stream to upstream u on the VM that holds its connections.
+func (c *Clients) OpenOn(ctx context.Context, vm model.VMID, h executor.Hello, u model.UpstreamID) (executor.Stream, error) {
+	client, err := c.client(vm)
+	if err != nil {
+		return nil, sqlstate.Refuse(sqlstate.UpstreamUnavail, err.Error())
+	}
+	// The stream outlives ctx, which bounds only the opening.
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	rpc, err := client.Execute(streamCtx)
+	if err != nil {
+		cancel()
+		return nil, sqlstate.Refuse(sqlstate.UpstreamUnavail, fmt.Sprintf("cannot reach VM %s", vm))
+	}
+	hello := &peerv1.ExecuteRequest{Message: &peerv1.ExecuteRequest_Hello{Hello: helloToProto(h, u)}}
+	if err := rpc.Send(hello); err != nil {
+		cancel()
+		return nil, sqlstate.Refuse(sqlstate.UpstreamUnavail, fmt.Sprintf("cannot reach VM %s", vm))
+	}
+	return &remoteStream{rpc: rpc, cancel: cancel, vm: vm}, nil
+}
+
+// remoteStream runs batches on a peer.
+type remoteStream struct {
+	rpc    peerv1.Peer_ExecuteClient
+	cancel context.CancelFunc
+	vm     model.VMID
+
+	mu      sync.Mutex
+	running uint64
+	broken  bool
+}
+
+// Run implements executor.Stream.
+func (s *remoteStream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	s.setRunning(b.ID)
+	defer s.setRunning(0)
+	stop := context.AfterFunc(ctx, s.cancel)
+	defer stop()
+	m := &peerv1.ExecuteRequest{Message: &peerv1.ExecuteRequest_Batch{Batch: batchToProto(b, time.Now())}}
+	if err := s.send(m); err != nil {
+		// gRPC may have sent a part of the message before it failed.
+		return executor.Result{}, s.lost(b)
+	}
+	return s.receive(b, sink)
+}
+
+func (s *remoteStream) receive(b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	for {
+		m, err := s.rpc.Recv()
+		if err != nil {
+			return executor.Result{}, s.lost(b)
+		}
+		if m.GetLast() && m.GetError() != nil && m.GetId() == 0 {
+			// The peer refused the stream, so the batch was never read.
+			s.broken = true
+			return resultFromProto(m), errorFromProto(m.GetError())
+		}
+		if m.GetId() != b.ID {
+			continue
+		}
+		if m.GetLast() {
+			return resultFromProto(m), errorFromProto(m.GetError())
+		}
+		if err := sink(m.GetMessages()); err != nil {
+			s.cancel()
+			return executor.Result{}, sqlstate.Unknown("the caller's connection failed")
+		}
+	}
+}
+
+// lost is the error of a batch whose stream broke after it may have been sent.
+func (s *remoteStream) lost(b *executor.Batch) error {
+	s.broken = true
+	message := fmt.Sprintf("the connection to VM %s failed", s.vm)
+	if b.Class == model.Read {
+		return &sqlstate.Error{Code: sqlstate.ConnectionFailure, Message: message}
+	}
+	return sqlstate.Unknown(message)
+}
+
+// Cancel implements executor.Stream.
+func (s *remoteStream) Cancel() {
+	s.mu.Lock()
+	running := s.running
+	s.mu.Unlock()
+	if running == 0 {
+		return
+	}
+	m := &peerv1.ExecuteRequest{Message: &peerv1.ExecuteRequest_Cancel{Cancel: &peerv1.ExecuteCancel{Id: running}}}
+	// A failed send means that the stream broke, which ends the batch as well.
+	_ = s.send(m)
+}
+
+// Close implements executor.Stream.
+func (s *remoteStream) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.rpc.CloseSend()
+	s.cancel()
+	return err
+}
+
+func (s *remoteStream) setRunning(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = id
+}
+
+func (s *remoteStream) send(m *peerv1.ExecuteRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rpc.Send(m)
+}
--- /dev/null
+++ b/telemetry/trace.go
@@ -0,0 +1,116 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Exporter is where traces go.
+type Exporter string
+
+// Exporters of traces.
+const (
+	ExportNone   Exporter = "none"
+	ExportStdout Exporter = "stdout"
+	ExportFile   Exporter = "file"
+	ExportOTLP   Exporter = "otlp"
+)
+
+// TraceOptions configure the trace exporter.
+type TraceOptions struct {
+	Exporter Exporter
+	// File is the path for ExportFile.
+	File string
+	// Endpoint is the host:port for ExportOTLP.
+	Endpoint string
+	// Ratio is the share of requests without a trace context that start a trace.
+	Ratio float64
+	// VM names this VM in the traces.
+	VM string
+}
+
+// StartTraces installs the trace provider and returns a function that flushes
+// and stops it.
+func StartTraces(ctx context.Context, o TraceOptions) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if o.Exporter == ExportNone || o.Exporter == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	exporter, closer, err := newExporter(ctx, o)
+	if err != nil {
+		return nil, fmt.Errorf("trace exporter: %w", err)
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.Ratio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "chervilhatchd"),
+			attribute.String("service.instance.id", o.VM),
+		)),
+	)
+	otel.SetTracerProvider(provider)
+	stop := func(ctx context.Context) error {
+		err := provider.Shutdown(ctx)
+		if closer != nil {
+			_ = closer.Close()
+		}
+		return err
+	}
+	return stop, nil
+}
+
+func newExporter(ctx context.Context, o TraceOptions) (sdktrace.SpanExporter, io.Closer, error) {
+	switch o.Exporter {
+	case ExportStdout:
+		e, err := stdouttrace.New()
+		return e, nil, err
+	case ExportFile:
+		f, err := os.OpenFile(o.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+		if err != nil {
+			return nil, nil, err
+		}
+		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		return e, f, err
+	case ExportOTLP:
+		e, err := otlptracegrpc.New(ctx, otlptracegrpc.WithEndpoint(o.Endpoint), otlptracegrpc.WithInsecure())
+		return e, nil, err
+	}
+	return nil, nil, fmt.Errorf("unknown exporter %q", o.Exporter)
+}
+
+// traceParent is the W3C header that carries a trace context.
+const traceParent = "traceparent"
+
+// Inject returns the trace context of ctx as a W3C traceparent, or "".
+func Inject(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[traceParent]
+}
+
+// Extract returns ctx with the trace context of a W3C traceparent.
+func Extract(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParent: parent})
+}
+
+// Span starts the span of one hop, for example "upstream".
+func Span(ctx context.Context, hop string) (context.Context, trace.Span) {
+	return otel.Tracer("chervilhatch").Start(ctx, hop)
+}
