--- /dev/null
+++ b/peer/exchanger.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// exchangeRetry is the pause before a broken Exchange stream is opened again.
+const exchangeRetry = 200 * time.Millisecond
+
+// Exchanger keeps the Exchange streams of this VM: those that it opens to its
+// targets, and those that peers opened.
+type Exchanger struct {
+	handler StateHandler
+	clients *Clients
+
+	mu      sync.Mutex
+	ctx     context.Context
+	targets map[model.VMID]context.CancelFunc
+	links   map[*Link]struct{}
+	wg      sync.WaitGroup
+}
+
+// NewExchanger returns an exchanger without streams. Streams end with ctx.
+func NewExchanger(ctx context.Context, h StateHandler, c *Clients) *Exchanger {
+	return &Exchanger{
+		handler: h,
+		clients: c,
+		ctx:     ctx,
+		targets: map[model.VMID]context.CancelFunc{},
+		links:   map[*Link]struct{}{},
+	}
+}
+
+// SetTargets opens streams to the given VMs and closes those to others.
+func (e *Exchanger) SetTargets(vms []model.VMID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wanted := make(map[model.VMID]bool, len(vms))
+	for _, vm := range vms {
+		wanted[vm] = true
+		if e.targets[vm] == nil {
+			e.open(vm)
+		}
+	}
+	for vm, cancel := range e.targets {
+		if !wanted[vm] {
+			cancel()
+			delete(e.targets, vm)
+		}
+	}
+}
+
+func (e *Exchanger) open(vm model.VMID) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.targets[vm] = cancel
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		for ctx.Err() == nil {
+			e.connect(ctx, vm)
+			sleep(ctx, exchangeRetry)
+		}
+	}()
+}
+
+func (e *Exchanger) connect(ctx context.Context, vm model.VMID) {
+	client, err := e.clients.client(vm)
+	if err != nil {
+		return
+	}
+	rpc, err := client.Exchange(ctx)
+	if err != nil {
+		return
+	}
+	e.serve(ctx, newLink(e.handler, vm, rpc.Send, rpc.Recv))
+}
+
+// serve runs a link and lists it meanwhile. The error of a broken stream
+// needs no handling: the opening side connects again.
+func (e *Exchanger) serve(ctx context.Context, l *Link) {
+	e.mu.Lock()
+	e.links[l] = struct{}{}
+	e.mu.Unlock()
+	_ = l.run(ctx)
+	e.mu.Lock()
+	delete(e.links, l)
+	e.mu.Unlock()
+}
+
+// Links returns the streams that are open now.
+func (e *Exchanger) Links() []*Link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	links := make([]*Link, 0, len(e.links))
+	for l := range e.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// KickAll sends a message on every stream soon.
+func (e *Exchanger) KickAll() {
+	for _, l := range e.Links() {
+		l.Kick()
+	}
+}
+
+// Exchange implements peerv1.PeerServer.
+func (s *Server) Exchange(rpc peerv1.Peer_ExchangeServer) error {
+	s.exchanger.serve(rpc.Context(), newLink(s.exchanger.handler, "", rpc.Send, rpc.Recv))
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/chervilhatch/chervilhatch/executor"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// TokenHandler answers requests for tokens and takes in releases.
+type TokenHandler interface {
+	Tokens(ctx context.Context, r *peerv1.TokensRequest) (*peerv1.TokensResponse, error)
+	Release(ctx context.Context, r *peerv1.ReleaseRequest) error
+}
+
+// Server implements peerv1.PeerServer.
+type Server struct {
+	peerv1.UnimplementedPeerServer
+
+	local     executor.Holders
+	exchanger *Exchanger
+	tokens    TokenHandler
+}
+
+// NewServer returns a server that runs batches on local.
+func NewServer(local executor.Holders, e *Exchanger, t TokenHandler) *Server {
+	return &Server{local: local, exchanger: e, tokens: t}
+}
+
+// Tokens implements peerv1.PeerServer.
+func (s *Server) Tokens(ctx context.Context, r *peerv1.TokensRequest) (*peerv1.TokensResponse, error) {
+	return s.tokens.Tokens(ctx, r)
+}
+
+// Release implements peerv1.PeerServer.
+func (s *Server) Release(ctx context.Context, r *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
+	if err := s.tokens.Release(ctx, r); err != nil {
+		return nil, err
+	}
+	return &peerv1.ReleaseResponse{}, nil
+}
