--- /dev/null
+++ b/core/config/diff.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// ChangeKind tells how an item differs.
+type ChangeKind string
+
+// Kinds of change.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+)
+
+// Change is one difference between two documents.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Path names items by their name, for example "jobs[entries].freshness".
+	Path string `json:"path"`
+	// Old and New are JSON; empty when the item was added or removed.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+// nameFields identify the items of a list, so that reordering is no change.
+var nameFields = []string{"name", "id"}
+
+// Diff lists what must change for before to become after, in path order. Either
+// may be nil for an empty document.
+func Diff(before, after *Document) []Change {
+	old, current := map[string]string{}, map[string]string{}
+	flatten(old, "", plain(before))
+	flatten(current, "", plain(after))
+	var changes []Change
+	for path, value := range old {
+		replaced, found := current[path]
+		switch {
+		case !found:
+			changes = append(changes, Change{Kind: Removed, Path: path, Old: value})
+		case replaced != value:
+			changes = append(changes, Change{Kind: Changed, Path: path, Old: value, New: replaced})
+		}
+	}
+	for path, value := range current {
+		if _, found := old[path]; !found {
+			changes = append(changes, Change{Kind: Added, Path: path, New: value})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Path, b.Path) })
+	return withoutNested(changes)
+}
+
+// plain returns the document as maps, slices and scalars.
+func plain(d *Document) any {
+	if d == nil {
+		return nil
+	}
+	var value any
+	if err := json.Unmarshal(Encode(d), &value); err != nil {
+		panic("decode canonical configuration: " + err.Error())
+	}
+	return value
+}
+
+// flatten records every scalar at its path, and every named item as a whole.
+func flatten(out map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case nil:
+	case map[string]any:
+		for name, member := range v {
+			flatten(out, strings.TrimPrefix(path+"."+name, "."), member)
+		}
+	case []any:
+		for _, item := range v {
+			flattenItem(out, path, item)
+		}
+	default:
+		out[path] = encodeValue(v)
+	}
+}
+
+// flattenItem records an item of a list. A named item also gets an entry of its
+// own with a constant value, which differs only when the item comes or goes.
+func flattenItem(out map[string]string, path string, item any) {
+	name := itemName(item)
+	path = fmt.Sprintf("%s[%s]", path, name)
+	out[path] = name
+	if members, ok := item.(map[string]any); ok {
+		flatten(out, path, members)
+	}
+}
+
+func itemName(item any) string {
+	members, ok := item.(map[string]any)
+	if !ok {
+		return fmt.Sprint(item)
+	}
+	for _, field := range nameFields {
+		if name, ok := members[field].(string); ok {
+			return name
+		}
+	}
+	return encodeValue(item)
+}
+
+func encodeValue(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("encode configuration value: " + err.Error())
+	}
+	return string(data)
+}
+
+// withoutNested drops the members of items that were added or removed as a whole.
+// Changes are in path order, so an item directly precedes its members.
+func withoutNested(changes []Change) []Change {
+	var kept []Change
+	parent := ""
+	for _, c := range changes {
+		if parent != "" && (strings.HasPrefix(c.Path, parent+".") || strings.HasPrefix(c.Path, parent+"[")) {
+			continue
+		}
+		kept = append(kept, c)
+		parent = ""
+		if c.Kind != Changed && strings.HasSuffix(c.Path, "]") {
+			parent = c.Path
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/config/parse.go
@@ -0,0 +1,38 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/chervilhatch/chervilhatch/findings"
+	"github.com/chervilhatch/chervilhatch/findings/jsondoc"
+)
+
+// Parse decodes and checks a document. It returns all findings at once, each
+// with its place in file; the document may be used only if there are none.
+func Parse(file string, data []byte) (*Document, findings.List) {
+	doc := &Document{}
+	source := jsondoc.Decode(file, data, doc)
+	if len(source.Findings()) == 0 {
+		checkDocument(doc, source)
+	}
+	if list := source.Findings(); len(list) > 0 {
+		return nil, list
+	}
+	doc.index = newIndex(doc)
+	return doc, nil
+}
+
+// Encode returns the canonical form of a document: every field in a fixed
+// order, without comments. Equal documents have equal forms.
+func Encode(d *Document) []byte {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(d); err != nil {
+		// Only NaN and infinities cannot be encoded, and Parse accepts neither.
+		panic("encode configuration: " + err.Error())
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/core/config/record.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/chervilhatch/chervilhatch/findings"
+)
+
+// Keys of the store.
+const (
+	// CurrentKey has the newest record.
+	CurrentKey    = "config/current"
+	historyPrefix = "config/history/"
+)
+
+// HistoryKey returns the store's key for the record of a version. The number
+// has a fixed width, so that key order is version order.
+func HistoryKey(version uint64) string {
+	return fmt.Sprintf("%s%020d", historyPrefix, version)
+}
+
+// Record is an accepted change, as the store and the daemons pass it on.
+type Record struct {
+	// Version counts from 1.
+	Version uint64 `json:"version"`
+	// RequestID is the id of the request that made the change.
+	RequestID      string `json:"request_id"`
+	Author         string `json:"author"`
+	Summary        string `json:"summary"`
+	AcceptedUnixMS int64  `json:"accepted_unix_ms"`
+	// Document is the text that the operator submitted, with its comments.
+	Document string `json:"document"`
+}
+
+// ErrRecord reports stored bytes that are not a record.
+var ErrRecord = errors.New("malformed configuration record")
+
+// EncodeRecord returns the stored form of r.
+func EncodeRecord(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration record: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeRecord parses the stored form of a record.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	if r.Version == 0 {
+		return Record{}, fmt.Errorf("%w: no version", ErrRecord)
+	}
+	return r, nil
+}
+
+// Parse decodes and checks the record's document.
+func (r Record) Parse() (*Document, findings.List) {
+	return Parse(fmt.Sprintf("configuration version %d", r.Version), []byte(r.Document))
+}
--- a/findings/findings.go
+++ b/findings/findings.go
@@ -3,24 +3,41 @@
 package findings
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
 // Finding is one error in a document.
 type Finding struct {
 	File string
-	// Line and Column count from 1; 0 when the place is not known.
+	// Line and Column count from 1; 0 when the place is not known. Column
+	// counts characters, not bytes.
 	Line   int
 	Column int
-	// Path names the member, for example "jobs[2].database".
+	// Path names the member, for example "jobs[2].database"; it is empty for
+	// the document as a whole.
 	Path    string
 	Message string
 }
 
-// String returns "file:line:column: path: message".
+// String returns "file:line:column: path: message", without the parts that are
+// not known.
 func (f Finding) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Message)
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d:%d", f.Line, f.Column)
+	}
+	if b.Len() > 0 {
+		b.WriteString(": ")
+	}
+	if f.Path != "" {
+		b.WriteString(f.Path + ": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
 }
 
 // List is a set of findings in the order of their places. A non-empty List is
@@ -43,3 +60,14 @@
 	}
 	return l
 }
+
+// Sort orders l by file, line and column; findings of one place keep their order.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(
+			strings.Compare(a.File, b.File),
+			cmp.Compare(a.Line, b.Line),
+			cmp.Compare(a.Column, b.Column),
+		)
+	})
+}
--- /dev/null
+++ b/findings/jsondoc/source.go
@@ -0,0 +1,144 @@
+package jsondoc
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/chervilhatch/chervilhatch/findings"
+)
+
+// Source is one document: its bytes, the places of its members and the
+// findings so far.
+type Source struct {
+	file string
+	data []byte
+	// lineStarts has the byte offset of each line.
+	lineStarts []int
+	// offsets has the byte offset of each member's value by path.
+	offsets  map[string]int
+	findings findings.List
+}
+
+func newSource(file string, data []byte) *Source {
+	s := &Source{file: file, data: data, offsets: map[string]int{}, lineStarts: []int{0}}
+	for i, b := range data {
+		if b == '\n' {
+			s.lineStarts = append(s.lineStarts, i+1)
+		}
+	}
+	return s
+}
+
+// Add records a finding at the member with the given path. If the document
+// does not have the member, the place is that of the nearest enclosing one.
+func (s *Source) Add(path, format string, args ...any) {
+	s.addAt(s.offsetOf(path), path, format, args...)
+}
+
+// Has reports whether the document has a member with the given path.
+func (s *Source) Has(path string) bool {
+	_, found := s.offsets[path]
+	return found
+}
+
+// Findings returns the findings in the order of their places.
+func (s *Source) Findings() findings.List {
+	s.findings.Sort()
+	return s.findings
+}
+
+func (s *Source) addAt(offset int, path, format string, args ...any) {
+	line, column := s.place(offset)
+	s.findings = append(s.findings, findings.Finding{
+		File:    s.file,
+		Line:    line,
+		Column:  column,
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// offsetOf returns the offset of the member, or of the nearest enclosing one.
+func (s *Source) offsetOf(path string) int {
+	for path != "" {
+		if offset, found := s.offsets[path]; found {
+			return offset
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return s.offsets[""]
+}
+
+// place converts a byte offset to a line and a column in characters, both from 1.
+func (s *Source) place(offset int) (line, column int) {
+	offset = min(offset, len(s.data))
+	line = sort.SearchInts(s.lineStarts, offset+1)
+	start := s.lineStarts[line-1]
+	column = 1 + utf8.RuneCount(s.data[start:offset])
+	return line, column
+}
+
+// offsetAt returns the byte offset of a line and a column in bytes, both from 1.
+func (s *Source) offsetAt(line, column int) int {
+	if line < 1 || line > len(s.lineStarts) {
+		return 0
+	}
+	return s.lineStarts[line-1] + column - 1
+}
+
+// tooDeep returns the offset at which the nesting exceeds limit, or -1. The
+// parser is recursive, so an unlimited depth would exhaust the stack.
+func tooDeep(data []byte, limit int) int {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '{', '[':
+			depth++
+			if depth > limit {
+				return i
+			}
+		case '}', ']':
+			depth--
+		case '"':
+			i = skipString(data, i)
+		case '/':
+			i = skipComment(data, i)
+		}
+	}
+	return -1
+}
+
+// skipString returns the offset of the closing quote of the string at i.
+func skipString(data []byte, i int) int {
+	for i++; i < len(data) && data[i] != '"'; i++ {
+		if data[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+// skipComment returns the offset of the last byte of the comment at i, or i if
+// there is none.
+func skipComment(data []byte, i int) int {
+	rest := data[i:]
+	var end int
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		end = bytes.IndexByte(rest, '\n')
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end = bytes.Index(rest[2:], []byte("*/")) + 3
+		if end < 3 {
+			end = -1
+		}
+	default:
+		return i
+	}
+	if end < 0 {
+		return len(data)
+	}
+	return i + end
+}
