Add core/confsync: newest configuration, its evidence and who has it

Cause: a VM must know whether its configuration is current without asking the store for each request. Conclusion: the age of the evidence needs an echo in the peers' exchange; without one a delayed message would count as fresh.

--- /dev/null
+++ b/core/confsync/query.go
@@ -0,0 +1,73 @@
+package confsync
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Version returns the version in force on this VM; 0 means none.
+func (s *State) Version() uint64 { return s.version }
+
+// Document returns the stored bytes of the version in force.
+func (s *State) Document() []byte { return s.document }
+
+// Config returns the parsed version in force, or nil.
+func (s *State) Config() *config.Document { return s.config }
+
+// ConfirmedAge returns how long ago the version in force was certainly the
+// newest; ok is false without any evidence. It is also the age that this VM
+// reports to its peers.
+func (s *State) ConfirmedAge(now model.Time) (age time.Duration, ok bool) {
+	if !s.confirmed {
+		return 0, false
+	}
+	return now.Sub(s.confirmedAt), true
+}
+
+// LastHeard returns the version that a VM last reported and when.
+func (s *State) LastHeard(vm model.VMID) (version uint64, at model.Time, ok bool) {
+	p := s.peers[vm]
+	if p == nil {
+		return 0, 0, false
+	}
+	return p.version, p.heard, true
+}
+
+// Progress divides the live VMs, in name order, into those on which the version
+// or a higher one is in force and those that have not confirmed it.
+func (s *State) Progress(version uint64) (confirmed, missing []model.VMID) {
+	for _, m := range s.members {
+		if s.reported(m.VM) >= version {
+			confirmed = append(confirmed, m.VM)
+			continue
+		}
+		missing = append(missing, m.VM)
+	}
+	slices.Sort(confirmed)
+	slices.Sort(missing)
+	return confirmed, missing
+}
+
+// InForce reports whether every live VM has the version or a higher one in force.
+func (s *State) InForce(version uint64) bool {
+	for _, m := range s.members {
+		if s.reported(m.VM) < version {
+			return false
+		}
+	}
+	return len(s.members) > 0
+}
+
+// reported returns the version that a VM last reported.
+func (s *State) reported(vm model.VMID) uint64 {
+	if vm == s.self {
+		return s.version
+	}
+	if p := s.peers[vm]; p != nil {
+		return p.version
+	}
+	return 0
+}
