Add connections to upstreams and the holder's batches

Cause: the router needs an implementation of executor.Holders over real connections. Change: backend opens, pools and rewrites for connections; holder queues, runs and acknowledges batches.

--- /dev/null
+++ b/backend/conn.go
@@ -0,0 +1,190 @@
+// Package backend keeps connections to upstreams: it opens and authenticates
+// them with the proxy's own credentials, pools them, and tracks which
+// statements each has prepared.
+package backend
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+)
+
+const (
+	// readBuffer holds several rows of an answer.
+	readBuffer = 16 << 10
+	// maxMessage is the largest message of an upstream, as PostgreSQL's own limit.
+	maxMessage = 1<<30 - 1
+	// cancelTimeout bounds the separate connection of a cancel request.
+	cancelTimeout = 2 * time.Second
+)
+
+// ErrUnexpected reports a message of an upstream that does not fit the
+// protocol's state.
+var ErrUnexpected = errors.New("unexpected message from the upstream")
+
+// Config says how connections to an upstream are opened.
+type Config struct {
+	Address     string
+	Database    string
+	Credentials *Credentials
+	// TLS is nil for connections without TLS.
+	TLS *tls.Config
+	// MaxStatements bounds the prepared statements of one connection.
+	MaxStatements int
+	// ConnectTimeout bounds opening and authentication.
+	ConnectTimeout time.Duration
+}
+
+// Conn is one connection to an upstream. One goroutine uses it at a time;
+// Cancel and Close may be called from others.
+type Conn struct {
+	config     Config
+	net        net.Conn
+	socket     net.Conn
+	reader     *wire.Reader
+	processID  uint32
+	secret     []byte
+	statements *statements
+	batches    uint64
+	status     byte
+	readOnly   bool
+	uncertain  string
+	idleSince  time.Time
+}
+
+// Discard marks the connection as not reusable for the stated reason.
+func (c *Conn) Discard(reason string) {
+	if c.uncertain == "" {
+		c.uncertain = reason
+	}
+}
+
+// Status returns the transaction status of the last ReadyForQuery.
+func (c *Conn) Status() byte { return c.status }
+
+// SetStatus records the transaction status of a ReadyForQuery.
+func (c *Conn) SetStatus(status byte) { c.status = status }
+
+// Watch ends reads and writes of the connection when ctx ends. The returned
+// function stops the watch; if ctx ended before, the connection is no longer usable.
+func (c *Conn) Watch(ctx context.Context) (stop func()) {
+	end := context.AfterFunc(ctx, func() {
+		_ = c.net.SetDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !end() {
+			c.Discard("context ended")
+		}
+	}
+}
+
+// Write sends p. It returns the number of bytes that may have left.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.WriteOnly(p)
+	if err != nil {
+		c.Discard("write failed")
+	}
+	return n, err
+}
+
+// WriteOnly is Write for a goroutine other than the one that reads. The caller
+// has to call Discard after an error.
+func (c *Conn) WriteOnly(p []byte) (int, error) {
+	n, err := c.net.Write(p)
+	if err != nil && c.config.TLS != nil {
+		// A TLS record may have left although Write counts none of it.
+		n = len(p)
+	}
+	return n, err
+}
+
+// Next returns the next message, valid until the next call.
+func (c *Conn) Next() (wire.Frame, error) {
+	frame, err := c.reader.Next()
+	if err != nil {
+		c.Discard("read failed")
+	}
+	return frame, err
+}
+
+// HasFrame reports whether Next returns without waiting.
+func (c *Conn) HasFrame() bool { return c.reader.HasFrame() }
+
+// Close closes the connection; the upstream rolls back an open transaction.
+func (c *Conn) Close() {
+	_ = c.net.Close()
+}
+
+// Cancel asks the upstream to cancel the running statement. The connection is
+// not reused afterwards, since the request may arrive late; the caller has to
+// call Discard from the goroutine that uses the connection.
+func (c *Conn) Cancel() error {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	conn, err := dialSocket(ctx, &c.config)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return sendCancel(conn, c.processID, c.secret)
+}
+
+// Simple runs one simple query and returns the columns of its only row as
+// text. It fails on an error of the upstream.
+func (c *Conn) Simple(ctx context.Context, query string) ([]string, error) {
+	stop := c.Watch(ctx)
+	defer stop()
+	if _, err := c.Write(AppendQuery(nil, query)); err != nil {
+		return nil, err
+	}
+	return c.ReadRow()
+}
+
+// ReadRow reads the answer to a simple query up to ReadyForQuery.
+func (c *Conn) ReadRow() ([]string, error) {
+	var row []string
+	var failure error
+	for {
+		frame, err := c.Next()
+		if err != nil {
+			return nil, err
+		}
+		switch frame.Type() {
+		case wire.DataRow:
+			row, err = TextColumns(frame)
+			if err != nil {
+				return nil, err
+			}
+		case wire.ErrorResponse:
+			failure = fmt.Errorf("upstream error %s", ErrorCode(frame))
+		case wire.ReadyForQuery:
+			c.status = frame.Body()[0]
+			return row, failure
+		}
+	}
+}
+
+// SetReadOnly makes the transactions of this connection read-only or
+// read-write. An error means that the upstream did not accept it.
+func (c *Conn) SetReadOnly(ctx context.Context, readOnly bool) error {
+	if c.readOnly == readOnly {
+		return nil
+	}
+	value := "off"
+	if readOnly {
+		value = "on"
+	}
+	if _, err := c.Simple(ctx, "SET default_transaction_read_only TO "+value); err != nil {
+		return err
+	}
+	c.readOnly = readOnly
+	return nil
+}
+
+// Usable reports whether the connection's state is certain.
+func (c *Conn) Usable() bool { return c.uncertain == "" }
--- /dev/null
+++ b/backend/rewrite.go
@@ -0,0 +1,266 @@
+package backend
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/executor"
+)
+
+const (
+	// statementPrefix starts the server-side names of prepared statements.
+	statementPrefix = "ch_"
+	// statementHashLen is the number of hash bytes in a server-side name.
+	statementHashLen = 16
+	// missingStatement names a statement that no connection ever prepares. To
+	// close it is not an error in the protocol, so its CloseComplete stands in
+	// for an answer at the right place in the stream.
+	missingStatement = "ch_missing"
+)
+
+// reply is an expected ParseComplete or CloseComplete.
+type reply struct {
+	// emit is the type that the caller gets instead, 0 for none.
+	emit byte
+	// prepared is the statement that the reply confirms, "" for none.
+	prepared string
+}
+
+// Batch is a caller's batch rewritten for one connection.
+type Batch struct {
+	// Messages are the bytes to send.
+	Messages []byte
+	conn     *Conn
+	id       uint64
+	closes   []byte
+	replies  []reply
+	// names maps the caller's statement names to server-side names.
+	names    map[string]string
+	prepared []executor.Prepared
+	// pending are the statements parsed by this batch.
+	pending map[string]bool
+	// extended is true after an extended message that no Sync followed.
+	extended bool
+	reused   bool
+}
+
+// Rewrite prepares a caller's batch for this connection: statement names
+// become server-side names that are derived from the statement's content, and
+// statements that the connection lacks are parsed first.
+func (c *Conn) Rewrite(messages []byte, prepared []executor.Prepared) (*Batch, error) {
+	c.batches++
+	b := &Batch{conn: c, id: c.batches, prepared: prepared}
+	for len(messages) > 0 {
+		frame, rest, err := wire.Split(messages)
+		if err != nil {
+			return nil, err
+		}
+		if err := b.rewrite(frame); err != nil {
+			return nil, err
+		}
+		messages = rest
+	}
+	if len(b.closes) > 0 {
+		// Evictions go first, where no error of the batch can skip them.
+		b.Messages = append(b.closes, b.Messages...)
+	}
+	return b, nil
+}
+
+// ReusedStatements reports whether the batch relied on statements that the
+// connection had prepared before.
+func (b *Batch) ReusedStatements() bool { return b.reused }
+
+// Reply takes the next ParseComplete or CloseComplete of the upstream and
+// returns the type of the message that the caller gets instead, 0 for none.
+func (b *Batch) Reply() (emit byte, err error) {
+	if len(b.replies) == 0 {
+		return 0, ErrUnexpected
+	}
+	next := b.replies[0]
+	b.replies = b.replies[1:]
+	if next.prepared != "" {
+		b.conn.statements.add(next.prepared, b.id)
+	}
+	return next.emit, nil
+}
+
+// Failed tells that the upstream skips the rest of the batch.
+func (b *Batch) Failed() { b.replies = nil }
+
+func (b *Batch) rewrite(frame wire.Frame) error {
+	switch frame.Type() {
+	case wire.Parse:
+		return b.parse(frame)
+	case wire.Bind:
+		return b.bind(frame)
+	case wire.Describe:
+		return b.describe(frame)
+	case wire.Close:
+		return b.close(frame)
+	case wire.Execute:
+		b.extended = true
+	case wire.Sync:
+		b.extended = false
+	case wire.Query:
+		if b.extended {
+			return fmt.Errorf("%w: simple query inside an extended query", wire.ErrMalformed)
+		}
+		b.setName("", missingStatement)
+	default:
+		return fmt.Errorf("%w: type %q in a batch", wire.ErrMalformed, frame.Type())
+	}
+	b.Messages = append(b.Messages, frame...)
+	return nil
+}
+
+func (b *Batch) parse(frame wire.Frame) error {
+	b.extended = true
+	name, content, err := wire.CString(frame.Body())
+	if err != nil {
+		return err
+	}
+	if len(name) == 0 {
+		b.setName("", "")
+		b.Messages = append(b.Messages, frame...)
+		b.replies = append(b.replies, reply{emit: wire.ParseComplete})
+		return nil
+	}
+	b.setName(string(name), b.ensure(content, wire.ParseComplete))
+	return nil
+}
+
+// ensure makes the statement available on the connection and returns its
+// server-side name. The caller gets a message of type emit for it, 0 for none.
+func (b *Batch) ensure(content []byte, emit byte) string {
+	server := serverName(content)
+	if b.conn.statements.use(server, b.id) || b.pending[server] {
+		b.reused = true
+		if emit != 0 {
+			b.appendClose(missingStatement, emit)
+		}
+		return server
+	}
+	if victim, ok := b.conn.statements.evict(len(b.pending)+1, b.id); ok {
+		b.closes = wire.AppendMessage(b.closes, wire.Close, []byte{'S'}, []byte(victim), []byte{0})
+		b.replies = append([]reply{{}}, b.replies...)
+	}
+	if b.pending == nil {
+		b.pending = map[string]bool{}
+	}
+	b.pending[server] = true
+	b.Messages = wire.AppendMessage(b.Messages, wire.Parse, []byte(server), []byte{0}, content)
+	b.replies = append(b.replies, reply{emit: emit, prepared: server})
+	return server
+}
+
+func (b *Batch) bind(frame wire.Frame) error {
+	b.extended = true
+	portal, rest, err := wire.CString(frame.Body())
+	if err != nil {
+		return err
+	}
+	name, rest, err := wire.CString(rest)
+	if err != nil {
+		return err
+	}
+	server, err := b.resolve(string(name))
+	if err != nil {
+		return err
+	}
+	b.Messages = wire.AppendMessage(b.Messages, wire.Bind, portal, []byte{0}, []byte(server), []byte{0}, rest)
+	return nil
+}
+
+func (b *Batch) describe(frame wire.Frame) error {
+	b.extended = true
+	body := frame.Body()
+	if len(body) == 0 || body[0] != 'S' {
+		b.Messages = append(b.Messages, frame...)
+		return nil
+	}
+	name, _, err := wire.CString(body[1:])
+	if err != nil {
+		return err
+	}
+	server, err := b.resolve(string(name))
+	if err != nil {
+		return err
+	}
+	b.Messages = wire.AppendMessage(b.Messages, wire.Describe, body[:1], []byte(server), []byte{0})
+	return nil
+}
+
+// close answers the caller's Close. A statement stays prepared on the
+// connection, since other callers may use the same content.
+func (b *Batch) close(frame wire.Frame) error {
+	b.extended = true
+	body := frame.Body()
+	if len(body) == 0 || body[0] != 'S' {
+		b.Messages = append(b.Messages, frame...)
+		b.replies = append(b.replies, reply{emit: wire.CloseComplete})
+		return nil
+	}
+	name, _, err := wire.CString(body[1:])
+	if err != nil {
+		return err
+	}
+	b.setName(string(name), missingStatement)
+	b.appendClose(missingStatement, wire.CloseComplete)
+	return nil
+}
+
+func (b *Batch) appendClose(name string, emit byte) {
+	b.Messages = wire.AppendMessage(b.Messages, wire.Close, []byte{'S'}, []byte(name), []byte{0})
+	b.replies = append(b.replies, reply{emit: emit})
+}
+
+// resolve returns the server-side name of a statement that the batch uses. A
+// statement that is not known never resolves to one of another caller.
+func (b *Batch) resolve(name string) (string, error) {
+	if server, ok := b.names[name]; ok {
+		return server, nil
+	}
+	for _, p := range b.prepared {
+		if p.Name != name {
+			continue
+		}
+		content, err := parseContent(p.Parse)
+		if err != nil {
+			return "", err
+		}
+		server := b.ensure(content, 0)
+		b.setName(name, server)
+		return server, nil
+	}
+	return missingStatement, nil
+}
+
+func (b *Batch) setName(name, server string) {
+	if b.names == nil {
+		b.names = map[string]string{}
+	}
+	b.names[name] = server
+}
+
+// parseContent returns the part of a Parse message behind the name.
+func parseContent(encoded []byte) ([]byte, error) {
+	frame, rest, err := wire.Split(encoded)
+	if err != nil || len(rest) > 0 || frame.Type() != wire.Parse {
+		return nil, fmt.Errorf("%w: prepared statement", wire.ErrMalformed)
+	}
+	_, content, err := wire.CString(frame.Body())
+	return content, err
+}
+
+// serverName derives the server-side name from the query and the parameter types.
+func serverName(content []byte) string {
+	sum := sha256.Sum256(content)
+	var name bytes.Buffer
+	name.WriteString(statementPrefix)
+	name.WriteString(hex.EncodeToString(sum[:statementHashLen]))
+	return name.String()
+}
--- /dev/null
+++ b/holder/exchange.go
@@ -0,0 +1,254 @@
+package holder
+
+import (
+	"context"
+	"errors"
+
+	"github.com/chervilhatch/chervilhatch/backend"
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	// inlineWrite is the size up to which a batch is written before the answer
+	// is read. A larger batch could fill the socket's buffers while the
+	// upstream waits for its answer to be read.
+	inlineWrite = 16 << 10
+	// flushSize is how much of an answer is collected for one call of the sink.
+	flushSize = 32 << 10
+	// maxHeld bounds the part of an answer that waits for the majority.
+	maxHeld = 16 << 20
+	// maxPreamble bounds the start of an answer that is kept until it is clear
+	// whether a replica refuses the statement.
+	maxPreamble = 64 << 10
+)
+
+var (
+	errSink     = errors.New("the caller does not take the answer")
+	errHeld     = errors.New("the answer that waits for a majority is too large")
+	errCopyIn   = errors.New("COPY FROM STDIN is not supported")
+	errPosition = errors.New("the upstream did not tell its position")
+)
+
+// exchange is one batch and its answer on one connection.
+type exchange struct {
+	stream *stream
+	seat   *seat
+	conn   *backend.Conn
+	batch  *executor.Batch
+	sink   executor.Sink
+	plan   *backend.Batch
+
+	// write is true when a success must wait for a majority.
+	write bool
+	// inTx is true when a transaction was open before the batch.
+	inTx bool
+	// asked is true when the position query is under way.
+	asked bool
+	// sent is the number of bytes that may have left.
+	sent    int
+	written chan writeResult
+
+	out     []byte
+	held    []byte
+	holding bool
+	// preamble is true until a message shows that the statement runs.
+	preamble bool
+	// refused is true after the first error told that only the primary can run the batch.
+	refused     bool
+	completions int
+	rollback    bool
+	status      byte
+	position    model.Position
+	// broken is true when the connection cannot be used further.
+	broken  bool
+	outcome Outcome
+}
+
+type writeResult struct {
+	n   int
+	err error
+}
+
+func newExchange(s *stream, t *seat, b *executor.Batch, sink executor.Sink) *exchange {
+	return &exchange{
+		stream:   s,
+		seat:     t,
+		conn:     t.conn,
+		batch:    b,
+		sink:     sink,
+		write:    t.assignment.Primary && !t.guarded,
+		inTx:     s.tx != txIdle,
+		preamble: true,
+	}
+}
+
+// run sends the batch and reads the answer; for a write it also reads the
+// position after the commit.
+func (x *exchange) run(ctx context.Context) *sqlstate.Error {
+	plan, err := x.conn.Rewrite(x.batch.Messages, x.batch.Prepared)
+	if err != nil {
+		return x.malformed(err)
+	}
+	x.plan = plan
+	stop := x.conn.Watch(ctx)
+	err = x.talk()
+	stop()
+	if err == nil && x.written != nil {
+		err = x.joinWriter()
+	}
+	if err != nil {
+		return x.broke(ctx, err)
+	}
+	if x.refused {
+		return &sqlstate.Error{Code: sqlstate.ReadOnly, Message: "the statement needs the primary (not run)", NotRun: true}
+	}
+	return nil
+}
+
+func (x *exchange) talk() error {
+	messages := x.plan.Messages
+	if x.write && likelyCommits(x.batch.Messages, x.inTx) {
+		messages = backend.AppendQuery(messages, positionQuery)
+		x.asked = true
+	}
+	if err := x.send(messages); err != nil {
+		return err
+	}
+	if err := x.readAnswer(); err != nil {
+		return err
+	}
+	return x.readPosition()
+}
+
+// send writes the batch; a large one is written by another goroutine while
+// the answer is read.
+func (x *exchange) send(messages []byte) error {
+	if len(messages) <= inlineWrite {
+		n, err := x.conn.Write(messages)
+		x.sent = n
+		return err
+	}
+	x.sent = len(messages)
+	x.written = make(chan writeResult, 1)
+	go func() {
+		n, err := x.conn.WriteOnly(messages)
+		x.written <- writeResult{n: n, err: err}
+	}()
+	return nil
+}
+
+func (x *exchange) joinWriter() error {
+	result := <-x.written
+	x.written = nil
+	x.sent = result.n
+	return result.err
+}
+
+// readAnswer reads up to the batch's ReadyForQuery and passes it on.
+func (x *exchange) readAnswer() error {
+	for {
+		frame, err := x.conn.Next()
+		if err != nil {
+			return err
+		}
+		if err := x.take(frame); err != nil {
+			return err
+		}
+		if frame.Type() == wire.ReadyForQuery {
+			return x.flush()
+		}
+		if len(x.out) > flushSize || !x.conn.HasFrame() {
+			if err := x.flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// take handles one message of the answer.
+func (x *exchange) take(frame wire.Frame) error {
+	switch frame.Type() {
+	case wire.ParseComplete, wire.CloseComplete:
+		emit, err := x.plan.Reply()
+		if err != nil || emit == 0 {
+			return err
+		}
+		return x.emit(wire.AppendMessage(nil, emit))
+	case wire.ParameterStatus, wire.NotificationResponse:
+		// They concern the shared connection, not this caller.
+		return nil
+	case wire.CopyInResponse, wire.CopyBothResponse:
+		return errCopyIn
+	case wire.ErrorResponse:
+		x.takeError(frame)
+	case wire.CommandComplete:
+		x.takeCompletion(frame)
+	case wire.ReadyForQuery:
+		x.status = frame.Body()[0]
+		x.conn.SetStatus(x.status)
+		x.preamble = false
+	case wire.BindComplete, wire.RowDescription, wire.ParameterDescription, wire.NoData, wire.NoticeResponse:
+	default:
+		x.preamble = false
+	}
+	return x.emit(frame)
+}
+
+func (x *exchange) takeError(frame wire.Frame) {
+	x.plan.Failed()
+	code := backend.ErrorCode(frame)
+	if x.preamble && !x.inTx && !x.write && code == string(sqlstate.ReadOnly) {
+		x.refused = true
+	}
+	stale := code == string(sqlstate.NotSupported) || code == string(sqlstate.UnknownStatement)
+	if stale && x.plan.ReusedStatements() {
+		// A plan that no longer fits its table would fail for every later caller.
+		x.conn.Discard("prepared statement out of date")
+	}
+	x.preamble = false
+}
+
+// takeCompletion holds back everything from the first CommandComplete of a
+// write on, since it tells success.
+func (x *exchange) takeCompletion(frame wire.Frame) {
+	x.preamble = false
+	x.completions++
+	tag, _, _ := wire.CString(frame.Body())
+	x.rollback = string(tag) == "ROLLBACK"
+	if x.write {
+		x.holding = true
+	}
+}
+
+// emit adds a message to the answer.
+func (x *exchange) emit(frame []byte) error {
+	if x.refused {
+		return nil
+	}
+	if !x.holding {
+		x.out = append(x.out, frame...)
+		return nil
+	}
+	if len(x.held)+len(frame) > maxHeld {
+		return errHeld
+	}
+	x.held = append(x.held, frame...)
+	return nil
+}
+
+// flush passes the collected messages to the sink.
+func (x *exchange) flush() error {
+	waits := x.preamble && len(x.out) < maxPreamble
+	if len(x.out) == 0 || waits || x.refused {
+		return nil
+	}
+	err := x.sink(x.out)
+	x.out = x.out[:0]
+	if err != nil {
+		return errSink
+	}
+	return nil
+}
--- /dev/null
+++ b/holder/holder.go
@@ -0,0 +1,43 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+)
+
+// defaultIdleInTransaction bounds how long an idle transaction keeps its slot.
+const defaultIdleInTransaction = 10 * time.Second
+
+// Options configures a Holder.
+type Options struct {
+	Decider Decider
+	Pools   *Pools
+	// IdleInTransaction is how long a transaction may be idle before it is
+	// rolled back.
+	IdleInTransaction time.Duration
+}
+
+// Holder implements executor.Holders for the upstreams whose connections this
+// VM holds.
+type Holder struct {
+	options Options
+}
+
+var _ executor.Holders = (*Holder)(nil)
+
+// New returns a Holder.
+func New(options Options) *Holder {
+	if options.IdleInTransaction <= 0 {
+		options.IdleInTransaction = defaultIdleInTransaction
+	}
+	return &Holder{options: options}
+}
+
+// Open returns a stream for one caller session on upstream u. The upstream is
+// contacted only when a batch runs.
+func (h *Holder) Open(_ context.Context, hello executor.Hello, u model.UpstreamID) (executor.Stream, error) {
+	return &stream{holder: h, hello: hello, upstream: u, tx: txIdle}, nil
+}
--- /dev/null
+++ b/holder/stream.go
@@ -0,0 +1,185 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/backend"
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	txIdle   = wire.Idle
+	txFailed = wire.FailedTransaction
+	// rollbackTimeout bounds the rollback of a transaction that its caller left.
+	rollbackTimeout = time.Second
+)
+
+// errCanceled is the cause when the caller cancels a queued batch.
+var errCanceled = errors.New("canceled by the caller")
+
+// stream runs the batches of one caller session on one upstream.
+type stream struct {
+	holder   *Holder
+	hello    executor.Hello
+	upstream model.UpstreamID
+
+	mu sync.Mutex
+	// seat is set while a batch runs and while a transaction is open.
+	seat *seat
+	tx   byte
+	// lost tells why an open transaction ended between two batches.
+	lost *sqlstate.Error
+	// stopQueue ends the wait of a batch that has no connection yet.
+	stopQueue context.CancelCauseFunc
+	running   bool
+	canceled  bool
+	idle      *time.Timer
+}
+
+// seat is a slot on an upstream and a connection to it.
+type seat struct {
+	assignment Assignment
+	pool       *backend.Pool
+	conn       *backend.Conn
+	// guarded is true when the primary enforces that reads do not write.
+	guarded bool
+}
+
+// Run implements executor.Stream.
+func (s *stream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	if !b.Deadline.IsZero() {
+		var done context.CancelFunc
+		ctx, done = context.WithDeadline(ctx, b.Deadline)
+		defer done()
+	}
+	result, err := s.run(ctx, b, sink)
+	decider := s.holder.options.Decider
+	result.Applied, result.Primary, result.PrimaryTerm = decider.Hint(s.hello.Database, s.upstream)
+	if err != nil {
+		return result, err
+	}
+	return result, nil
+}
+
+func (s *stream) run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	queueCtx, seat, err := s.begin(ctx)
+	if err != nil {
+		return executor.Result{TxStatus: txFailed}, err
+	}
+	if err := s.keyValid(); err != nil {
+		return executor.Result{TxStatus: s.abandon()}, err
+	}
+	if seat == nil {
+		seat, err = s.acquire(queueCtx, b)
+		if err != nil {
+			return executor.Result{TxStatus: s.abandon()}, err
+		}
+	}
+	x := newExchange(s, seat, b, sink)
+	failure := x.run(ctx)
+	status := s.finish(x, failure)
+	if failure != nil {
+		return executor.Result{TxStatus: status}, failure
+	}
+	return x.acknowledge(ctx, status)
+}
+
+// begin marks the stream as running and returns the seat of an open transaction.
+func (s *stream) begin(ctx context.Context) (context.Context, *seat, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle != nil {
+		s.idle.Stop()
+		s.idle = nil
+	}
+	if lost := s.lost; lost != nil {
+		s.lost = nil
+		return nil, nil, lost
+	}
+	queueCtx, stop := context.WithCancelCause(ctx)
+	s.stopQueue = stop
+	s.running = true
+	s.canceled = false
+	return queueCtx, s.seat, nil
+}
+
+func (s *stream) keyValid() error {
+	decider := s.holder.options.Decider
+	return decider.KeyValid(s.hello.Workspace, s.hello.KeyID, s.hello.Job)
+}
+
+// acquire waits for a slot and a connection.
+func (s *stream) acquire(ctx context.Context, b *executor.Batch) (*seat, error) {
+	decider := s.holder.options.Decider
+	assignment, err := decider.Schedule(ctx, s.request(b))
+	if err != nil {
+		return nil, refusal(ctx, err)
+	}
+	next := &seat{assignment: assignment}
+	outcome, err := s.connect(ctx, next, b)
+	if err != nil {
+		next.giveBack(decider, outcome)
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seat = next
+	return next, nil
+}
+
+// connect checks the key again, because the batch may have waited, and gets a
+// connection.
+func (s *stream) connect(ctx context.Context, next *seat, b *executor.Batch) (Outcome, error) {
+	if err := s.keyValid(); err != nil {
+		return Completed, err
+	}
+	next.pool = s.holder.options.Pools.Get(s.upstream)
+	if next.pool == nil {
+		return Completed, sqlstate.Refuse(sqlstate.UpstreamUnavail, "upstream "+string(s.upstream)+" is not held by this VM")
+	}
+	conn, err := next.pool.Get(ctx)
+	if err != nil && ctx.Err() != nil {
+		return Completed, refusal(ctx, err)
+	}
+	if err != nil {
+		return Unreachable, sqlstate.Refuse(sqlstate.UpstreamUnavail, "no connection to upstream "+string(s.upstream))
+	}
+	next.conn = conn
+	if err := next.guard(ctx, b.Class); err != nil {
+		return Unreachable, sqlstate.Refuse(sqlstate.UpstreamUnavail, "connection to upstream "+string(s.upstream)+" failed")
+	}
+	return Completed, nil
+}
+
+func (s *stream) request(b *executor.Batch) *Request {
+	return &Request{
+		Workspace: s.hello.Workspace,
+		KeyID:     s.hello.KeyID,
+		Job:       s.hello.Job,
+		Database:  s.hello.Database,
+		Upstream:  s.upstream,
+		Class:     b.Class,
+		Floor:     b.Floor,
+		HasFloor:  b.HasFloor,
+		MaxAge:    b.MaxAge,
+		Deadline:  b.Deadline,
+	}
+}
+
+// refusal returns the error of a batch that did not leave the queue.
+func refusal(ctx context.Context, err error) *sqlstate.Error {
+	var own *sqlstate.Error
+	if errors.As(err, &own) {
+		return own
+	}
+	if errors.Is(context.Cause(ctx), errCanceled) {
+		return sqlstate.Refuse(sqlstate.QueryCanceled, "canceled by the caller while queued")
+	}
+	return sqlstate.Refuse(sqlstate.DeadlineTooClose, "the deadline passed while queued")
+}
--- /dev/null
+++ b/holder/write.go
@@ -0,0 +1,199 @@
+package holder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/chervilhatch/chervilhatch/backend"
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// positionQuery returns one row of two text columns: term and log position.
+const positionQuery = "SELECT chervilhatch_position()"
+
+// likelyCommits tells whether the position query can be sent right behind the
+// batch. It only saves a round trip: if the guess is wrong, the query is sent
+// later or its answer is ignored.
+func likelyCommits(messages []byte, inTx bool) bool {
+	for len(messages) > 0 {
+		frame, rest, err := wire.Split(messages)
+		if err != nil {
+			return false
+		}
+		messages = rest
+		word := firstWord(frame)
+		if inTx && (bytes.EqualFold(word, []byte("COMMIT")) || bytes.EqualFold(word, []byte("END"))) {
+			return true
+		}
+		if !inTx && (bytes.EqualFold(word, []byte("BEGIN")) || bytes.EqualFold(word, []byte("START"))) {
+			return false
+		}
+	}
+	return !inTx
+}
+
+// firstWord returns the first word of a Query or Parse, nil for other messages.
+func firstWord(frame wire.Frame) []byte {
+	text := frame.Body()
+	switch frame.Type() {
+	case wire.Query:
+	case wire.Parse:
+		_, rest, err := wire.CString(text)
+		if err != nil {
+			return nil
+		}
+		text = rest
+	default:
+		return nil
+	}
+	text = bytes.TrimLeft(text, " \t\r\n")
+	end := bytes.IndexFunc(text, func(r rune) bool { return (r|0x20) < 'a' || (r|0x20) > 'z' })
+	if end < 0 {
+		return text
+	}
+	return text[:end]
+}
+
+// readPosition reads the position after the commit, if the batch needs it.
+func (x *exchange) readPosition() error {
+	needed := x.needsMajority()
+	if !needed && !x.asked {
+		return nil
+	}
+	if !x.asked {
+		if _, err := x.conn.Write(backend.AppendQuery(nil, positionQuery)); err != nil {
+			return err
+		}
+	}
+	row, err := x.conn.ReadRow()
+	if x.conn.Status() != x.status {
+		return fmt.Errorf("%w: transaction status changed", backend.ErrUnexpected)
+	}
+	if !needed {
+		if x.conn.Usable() {
+			return nil
+		}
+		return err
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errPosition, err)
+	}
+	x.position, err = parsePosition(row)
+	return err
+}
+
+// needsMajority reports whether the batch may have committed a change.
+func (x *exchange) needsMajority() bool {
+	rolledBack := x.completions == 1 && x.rollback
+	return x.write && x.status == txIdle && x.completions > 0 && !rolledBack
+}
+
+func parsePosition(row []string) (model.Position, error) {
+	if len(row) != 2 {
+		return model.Position{}, fmt.Errorf("%w: %d columns", errPosition, len(row))
+	}
+	term, err := model.ParseTerm(row[0])
+	if err != nil {
+		return model.Position{}, fmt.Errorf("%w: %w", errPosition, err)
+	}
+	pos, err := strconv.ParseUint(row[1], 10, 64)
+	if err != nil {
+		return model.Position{}, fmt.Errorf("%w: %w", errPosition, err)
+	}
+	return model.Position{Term: term, Pos: model.LogPos(pos)}, nil
+}
+
+// acknowledge waits for the majority of a write and passes on the rest of the
+// answer. The connection and the slot were already given back.
+func (x *exchange) acknowledge(ctx context.Context, status byte) (executor.Result, error) {
+	result := executor.Result{TxStatus: status, Replica: !x.seat.assignment.Primary}
+	if !x.write {
+		// The floor covers what the session has written and asked to see. The
+		// replica may have applied more; a later read of another replica may
+		// see less than this one, but never less than the floor.
+		result.Position = x.seat.assignment.Floor
+		return result, nil
+	}
+	if x.needsMajority() {
+		decider := x.stream.holder.options.Decider
+		if err := decider.AwaitMajority(ctx, x.stream.hello.Database, x.position); err != nil {
+			return result, unknownOutcome(err)
+		}
+		result.Position = x.position
+	}
+	if len(x.held) == 0 {
+		return result, nil
+	}
+	if err := x.sink(x.held); err != nil {
+		return result, &sqlstate.Error{Code: sqlstate.ConnectionFailure, Message: errSink.Error()}
+	}
+	return result, nil
+}
+
+// unknownOutcome returns the error of a write that no majority confirmed.
+func unknownOutcome(err error) *sqlstate.Error {
+	var own *sqlstate.Error
+	if errors.As(err, &own) && own.Code == sqlstate.OutcomeUnknown {
+		return own
+	}
+	return sqlstate.Unknown("no majority of the database's upstreams confirmed the write")
+}
+
+// malformed refuses a batch that cannot be sent.
+func (x *exchange) malformed(err error) *sqlstate.Error {
+	x.broken = true
+	x.outcome = Completed
+	return sqlstate.Refuse(sqlstate.ProtocolViolation, err.Error())
+}
+
+// broke closes the connection after a failure in the middle of an exchange and
+// returns what is known of the batch.
+func (x *exchange) broke(ctx context.Context, err error) *sqlstate.Error {
+	x.broken = true
+	x.conn.Close()
+	if x.written != nil {
+		_ = x.joinWriter()
+	}
+	x.outcome = brokenOutcome(ctx, err)
+	switch {
+	case x.sent == 0:
+		return sqlstate.Refuse(sqlstate.UpstreamUnavail, "the connection to the upstream failed before the statement was sent")
+	case errors.Is(err, errCopyIn):
+		return &sqlstate.Error{Code: sqlstate.NotSupported, Message: err.Error()}
+	case x.write || x.batch.Class == model.Write:
+		return sqlstate.Unknown("the write was interrupted: " + reason(ctx, err))
+	case ctx.Err() != nil:
+		return &sqlstate.Error{Code: sqlstate.QueryCanceled, Message: "the statement was interrupted: " + reason(ctx, err)}
+	}
+	return &sqlstate.Error{Code: sqlstate.ConnectionFailure, Message: "the read was interrupted: " + reason(ctx, err)}
+}
+
+// brokenOutcome tells whose fault a failed exchange is.
+func brokenOutcome(ctx context.Context, err error) Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return TimedOut
+	case ctx.Err() != nil, errors.Is(err, errSink), errors.Is(err, errHeld), errors.Is(err, errCopyIn):
+		return Completed
+	}
+	return Unreachable
+}
+
+// reason describes a failure without addresses of the upstream.
+func reason(ctx context.Context, err error) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "the deadline passed"
+	case ctx.Err() != nil:
+		return "canceled"
+	case errors.Is(err, errSink), errors.Is(err, errHeld), errors.Is(err, errPosition):
+		return err.Error()
+	}
+	return "the connection to the upstream failed"
+}
--- /dev/null
+++ b/sqlstate/session.go
@@ -0,0 +1,11 @@
+package sqlstate
+
+// Codes for the state of a caller's session, as PostgreSQL uses them.
+const (
+	TooManyConnections Code = "53300"
+	FailedTransaction  Code = "25P02"
+	IdleInTransaction  Code = "25P03"
+	UnknownStatement   Code = "26000"
+	DuplicateStatement Code = "42P05"
+	InvalidParameter   Code = "22023"
+)
