--- /dev/null
+++ b/core/failover/group.go
@@ -0,0 +1,264 @@
+package failover
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// group is what a watcher knows of one database group.
+type group struct {
+	database   model.Database
+	members    []member
+	peers      []peer
+	detect     time.Duration
+	backoffMin time.Duration
+	backoffMax time.Duration
+
+	// primary is the primary of term, the highest one known.
+	primary model.UpstreamID
+	term    model.Term
+	// highest is the highest term seen anywhere.
+	highest model.Term
+
+	health     health
+	stall      stall
+	proposal   proposal
+	switchover switchover
+	handover   handover
+
+	// baseline is when this VM began to watch, last resumed after a pause, or
+	// learned of the primary. Silence counts from there at the earliest.
+	baseline   model.Time
+	lastTick   model.Time
+	nextStatus model.Time
+	nextReport model.Time
+
+	// proposeAt is when a suspicion becomes a proposal, 0 without a suspicion.
+	proposeAt model.Time
+	// notBefore delays proposals after one that did not succeed.
+	notBefore model.Time
+	backoff   time.Duration
+}
+
+// member is what is known of one upstream.
+type member struct {
+	Upstream
+	known    bool
+	status   dbgroup.Status
+	sentAt   model.Time
+	followAt model.Time
+}
+
+// peer is the last report of another watcher.
+type peer struct {
+	id         model.VMID
+	heard      bool
+	heardAt    model.Time
+	term       model.Term
+	never      bool
+	lastAnswer model.Time
+}
+
+func (g *group) configure(t *turn, ev *Event) {
+	if !sameMembers(g.members, ev.Upstreams) {
+		g.abort(t, ReasonNotPromoted)
+	}
+	g.detect = orDefault(ev.Detect, DefaultDetect)
+	g.backoffMin = orDefault(ev.BackoffMin, DefaultBackoffMin)
+	g.backoffMax = orDefault(ev.BackoffMax, DefaultBackoffMax)
+	old := g.members
+	g.members = make([]member, len(ev.Upstreams))
+	for i, u := range ev.Upstreams {
+		if j := find(old, u.ID); j >= 0 {
+			g.members[i] = old[j]
+		}
+		g.members[i].Upstream = u
+	}
+	g.configurePeers(ev.Peers)
+}
+
+func (g *group) configurePeers(ids []model.VMID) {
+	old := g.peers
+	g.peers = make([]peer, len(ids))
+	for i, id := range ids {
+		g.peers[i].id = id
+		if j := slices.IndexFunc(old, func(p peer) bool { return p.id == id }); j >= 0 {
+			g.peers[i] = old[j]
+		}
+	}
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d <= 0 {
+		return fallback
+	}
+	return d
+}
+
+func sameMembers(members []member, upstreams []Upstream) bool {
+	return slices.EqualFunc(members, upstreams, func(m member, u Upstream) bool { return m.ID == u.ID })
+}
+
+func find(members []member, u model.UpstreamID) int {
+	return slices.IndexFunc(members, func(m member) bool { return m.ID == u })
+}
+
+func (g *group) majority() int { return len(g.members)/2 + 1 }
+
+// apply processes an event that concerns one group.
+func (g *group) apply(t *turn, ev *Event) {
+	i := find(g.members, ev.Upstream)
+	switch ev.Kind {
+	case PeerHealth:
+		g.peerHealth(t, ev)
+	case SwitchoverRequested:
+		g.requestSwitchover(t, ev.Target)
+	case WritesDrained:
+		g.writesDrained(t)
+	}
+	if i >= 0 {
+		g.applyAnswer(t, ev, i)
+	}
+	g.step(t)
+}
+
+// applyAnswer processes an answer of member i.
+func (g *group) applyAnswer(t *turn, ev *Event, i int) {
+	switch ev.Kind {
+	case StatusAnswered:
+		if g.observe(t, i, &ev.Status, ev.SentAt) {
+			g.repair(t, i)
+		}
+	case FenceAnswered:
+		g.observe(t, i, &ev.Status, g.members[i].sentAt)
+		g.fenceAnswered(t, ev, i)
+	case FenceFailed:
+		g.fenceFailed(ev, i)
+	case PromoteAnswered, FollowAnswered:
+		g.observe(t, i, &ev.Status, g.members[i].sentAt)
+	}
+}
+
+// observe takes over a status unless a newer one is known: Promised never
+// decreases, and of two polls the one sent later counts. It returns whether
+// the status was taken over.
+func (g *group) observe(t *turn, i int, st *dbgroup.Status, sentAt model.Time) bool {
+	m := &g.members[i]
+	if m.known && (sentAt < m.sentAt || st.Promised.Less(m.status.Promised)) {
+		return false
+	}
+	m.known = true
+	m.sentAt = sentAt
+	m.status = *st
+	g.noteTerm(t, st.Promised)
+	g.noteTerm(t, st.LastTerm)
+	g.proposal.observe(i, st)
+	if st.Role == dbgroup.Primary && st.LastTerm == st.Promised {
+		g.primaryAnswered(t, i, sentAt)
+	}
+	return true
+}
+
+// noteTerm records a term. A higher one than known is the work of another
+// proposer, which gets time to finish.
+func (g *group) noteTerm(t *turn, term model.Term) {
+	if term.Compare(g.highest) <= 0 {
+		return
+	}
+	g.highest = term
+	if g.proposal.phase != idle && g.proposal.term.Less(term) {
+		g.proposal.superseded = true
+	}
+	if term.Proposer != t.state.proposer {
+		g.notBefore = max(g.notBefore, t.now.Add(g.detect/2+t.jitter(g.detect/2)))
+	}
+}
+
+// primaryAnswered processes the answer of a member that is the primary of its
+// promised term.
+func (g *group) primaryAnswered(t *turn, i int, sentAt model.Time) {
+	m := &g.members[i]
+	term := m.status.LastTerm
+	if g.term.Less(term) {
+		g.setPrimary(t, m.ID, term)
+	}
+	if term == g.term && !g.deposed() {
+		g.health.answered = true
+		g.health.lastAnswer = max(g.health.lastAnswer, sentAt)
+	}
+	if term == g.term {
+		g.stall.primaryAt(m.status.Received, t.now)
+	}
+}
+
+// deposed reports whether a majority has accepted a fence above the known
+// term, so that its primary cannot have a write acknowledged.
+func (g *group) deposed() bool {
+	return g.countPromisedAbove() >= g.majority()
+}
+
+func (g *group) countPromisedAbove() int {
+	n := 0
+	for i := range g.members {
+		if g.members[i].known && g.term.Less(g.members[i].status.Promised) {
+			n++
+		}
+	}
+	return n
+}
+
+// setPrimary takes over the primary of a higher term.
+func (g *group) setPrimary(t *turn, u model.UpstreamID, term model.Term) {
+	g.health.changed(t.now, g)
+	g.primary = u
+	g.term = term
+	g.baseline = t.now
+	g.stall = stall{}
+	g.proposeAt = 0
+	g.backoff = 0
+	if g.highest.Less(term) {
+		g.highest = term
+	}
+	t.emit(Effect{Kind: PrimaryChanged, Database: g.database, Primary: u, Term: term})
+	g.publish(t)
+	if term.Proposer == t.state.proposer {
+		g.followAll(t)
+	}
+}
+
+// followAll tells all other members to follow a primary that this VM promoted.
+// Other watchers leave this to the proposer, and repair what it misses.
+func (g *group) followAll(t *turn) {
+	for i := range g.members {
+		if g.members[i].ID != g.primary {
+			g.follow(t, i)
+		}
+	}
+}
+
+func (g *group) follow(t *turn, i int) {
+	m := &g.members[i]
+	m.followAt = t.now
+	t.emit(Effect{Kind: SendFollow, Database: g.database, Upstream: m.ID, Primary: g.primary, Term: g.term})
+}
+
+// followInterval is the time between two Follow requests to one upstream.
+const followInterval = 200 * time.Millisecond
+
+// repair tells a member to follow the primary if its status shows that it
+// does not: it missed the request, or is an old primary that has returned.
+func (g *group) repair(t *turn, i int) {
+	m := &g.members[i]
+	if g.primary == "" || m.ID == g.primary || g.proposal.phase != idle {
+		return
+	}
+	c := m.status.Promised.Compare(g.term)
+	follows := c == 0 && m.status.Role == dbgroup.Replica
+	if c > 0 || follows || t.now.Sub(m.followAt) < followInterval {
+		return
+	}
+	g.follow(t, i)
+}
--- /dev/null
+++ b/core/failover/health.go
@@ -0,0 +1,167 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// Limits of the hysteresis against a flapping primary.
+const (
+	// stableTime is how long a primary must last for the next loss to be
+	// detected at the normal speed.
+	stableTime = 30 * time.Second
+	// maxFlaps bounds the detection time to Detect << maxFlaps, so that the
+	// bound of 7 s on a failover is kept.
+	maxFlaps = 2
+)
+
+// health is the knowledge about the primary's answers.
+type health struct {
+	answered bool
+	// lastAnswer is when the last poll that the primary answered was sent.
+	lastAnswer model.Time
+	changedAt  model.Time
+	// flaps counts losses of a primary that had not become stable.
+	flaps uint
+}
+
+// changed records a change of the primary. It counts as a flap if the old
+// primary was lost, rather than handed over, and was not yet stable.
+func (h *health) changed(now model.Time, g *group) {
+	lost := g.primary != "" && g.silence(now) >= g.detect/2
+	switch {
+	case now.Sub(h.changedAt) >= stableTime:
+		h.flaps = 0
+	case lost && h.flaps < maxFlaps:
+		h.flaps++
+	}
+	h.changedAt = now
+	h.answered = false
+	h.lastAnswer = 0
+}
+
+// silence returns how long the primary has not done its work: it did not
+// answer, or the group has received nothing from it.
+func (g *group) silence(now model.Time) time.Duration {
+	since := g.baseline
+	if g.health.answered {
+		since = max(since, g.health.lastAnswer)
+	}
+	d := now.Sub(since)
+	if s := g.stall.duration(now); s >= g.detect/2 {
+		d = max(d, s)
+	}
+	return d
+}
+
+// detectTime is the silence after which the primary counts as lost.
+func (g *group) detectTime(now model.Time) time.Duration {
+	if now.Sub(g.health.changedAt) >= stableTime {
+		return g.detect
+	}
+	return g.detect << g.health.flaps
+}
+
+// peerHealth records another watcher's report.
+func (g *group) peerHealth(t *turn, ev *Event) {
+	g.noteTerm(t, ev.Term)
+	if g.term.Less(ev.Term) && find(g.members, ev.Primary) >= 0 {
+		g.setPrimary(t, ev.Primary, ev.Term)
+	}
+	for i := range g.peers {
+		p := &g.peers[i]
+		if p.id != ev.From {
+			continue
+		}
+		p.heard = true
+		p.heardAt = t.now
+		p.term = ev.Term
+		p.never = ev.Age < 0
+		p.lastAnswer = t.now.Add(-ev.Age)
+	}
+}
+
+// isLost reports whether the primary is silent for this watcher and for a
+// majority of the watchers that it can reach.
+func (g *group) isLost(now model.Time) bool {
+	limit := g.detectTime(now)
+	if g.silence(now) < limit {
+		return false
+	}
+	reachable, silent := 1, 1
+	for i := range g.peers {
+		p := &g.peers[i]
+		// A report older than this could claim silence only because it is old.
+		if !p.heard || now.Sub(p.heardAt) > g.detect*3/4 {
+			continue
+		}
+		reachable++
+		if p.term == g.term && (p.never || now.Sub(p.lastAnswer) >= limit) {
+			silent++
+		}
+	}
+	return silent > reachable/2
+}
+
+// publish reports the primary's health to the other watchers.
+func (g *group) publish(t *turn) {
+	age := g.silence(t.now)
+	if !g.health.answered {
+		age = -1
+	}
+	t.emit(Effect{Kind: PublishHealth, Database: g.database, Primary: g.primary, Term: g.term, Age: age})
+	g.nextReport = t.now.Add(g.detect / 4)
+}
+
+// stall detects a primary that answers its watchers but is cut off from its
+// group: a majority lacks a position of the primary, and no replica receives
+// anything.
+type stall struct {
+	behind bool
+	since  model.Time
+	// position is the primary's position at since.
+	position model.LogPos
+	received uint64
+}
+
+// primaryAt starts to wait for the primary's position to reach a majority.
+func (s *stall) primaryAt(pos model.LogPos, now model.Time) {
+	if !s.behind {
+		*s = stall{behind: true, since: now, position: pos}
+	}
+}
+
+func (s *stall) duration(now model.Time) time.Duration {
+	if !s.behind {
+		return 0
+	}
+	return now.Sub(s.since)
+}
+
+// watchStall updates the stall from the members' last statuses.
+func (g *group) watchStall(now model.Time) {
+	s := &g.stall
+	if !s.behind {
+		return
+	}
+	holders := 0
+	var received uint64
+	for i := range g.members {
+		m := &g.members[i]
+		if m.known && m.status.LastTerm == g.term && m.status.Received >= s.position {
+			holders++
+		}
+		if m.known && m.ID != g.primary && m.status.Role == dbgroup.Replica {
+			received += uint64(m.status.Received) + m.status.LastTerm.Counter
+		}
+	}
+	switch {
+	case holders >= g.majority():
+		s.behind = false
+	case received != s.received:
+		s.received = received
+		s.since = now
+	}
+}
--- /dev/null
+++ b/core/failover/state.go
@@ -0,0 +1,135 @@
+package failover
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Defaults of a group's times.
+const (
+	DefaultDetect     = 600 * time.Millisecond
+	DefaultBackoffMin = 100 * time.Millisecond
+	DefaultBackoffMax = 2 * time.Second
+)
+
+// State is the failover state of one VM. The zero value is not usable; see New.
+type State struct {
+	self model.VMID
+	// proposer names this VM's terms. It includes the incarnation, because a
+	// VM that restarts has forgotten which terms it has proposed.
+	proposer string
+	// groups is sorted by database, so that a tick visits them in a fixed order.
+	groups []*group
+	byName map[model.Database]*group
+	random uint64
+}
+
+// New returns a state without groups for the VM self. incarnation must differ
+// between restarts of the VM.
+func New(self model.VMID, incarnation uint64) *State {
+	return &State{
+		self:     self,
+		proposer: string(self) + "#" + strconv.FormatUint(incarnation, 10),
+		byName:   make(map[model.Database]*group),
+	}
+}
+
+// turn is the processing of one event.
+type turn struct {
+	now   model.Time
+	state *State
+	out   []Effect
+}
+
+func (t *turn) emit(e Effect) { t.out = append(t.out, e) }
+
+// jitter returns a random duration below limit, by one step of splitmix64.
+func (t *turn) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	t.state.random += 0x9e3779b97f4a7c15
+	x := t.state.random
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	return time.Duration(x % uint64(limit))
+}
+
+// Apply processes one event and appends its effects to out.
+func (s *State) Apply(now model.Time, ev *Event, out []Effect) []Effect {
+	t := turn{now: now, state: s, out: out}
+	g := s.byName[ev.Database]
+	switch {
+	case ev.Kind == Tick:
+		s.random ^= ev.Seed
+		for _, g := range s.groups {
+			g.tick(&t)
+		}
+	case ev.Kind == GroupConfigured:
+		s.configure(&t, ev)
+	case g == nil:
+		if ev.Kind == SwitchoverRequested {
+			t.emit(Effect{Kind: SwitchoverFailed, Database: ev.Database, Reason: ReasonNotWatcher})
+		}
+	case ev.Kind == GroupRemoved:
+		s.remove(&t, g)
+	default:
+		g.apply(&t, ev)
+	}
+	return t.out
+}
+
+// configure adds or replaces a group. A group that this VM does not watch is
+// not kept.
+func (s *State) configure(t *turn, ev *Event) {
+	g := s.byName[ev.Database]
+	if !ev.Watcher {
+		if g != nil {
+			s.remove(t, g)
+		}
+		return
+	}
+	if g == nil {
+		g = &group{database: ev.Database, baseline: t.now, lastTick: t.now}
+		s.byName[ev.Database] = g
+		at, _ := slices.BinarySearchFunc(s.groups, ev.Database, compareDatabase)
+		s.groups = slices.Insert(s.groups, at, g)
+	}
+	g.configure(t, ev)
+}
+
+func (s *State) remove(t *turn, g *group) {
+	g.abort(t, ReasonNotWatcher)
+	delete(s.byName, g.database)
+	if at, found := slices.BinarySearchFunc(s.groups, g.database, compareDatabase); found {
+		s.groups = slices.Delete(s.groups, at, at+1)
+	}
+}
+
+func compareDatabase(g *group, db model.Database) int {
+	return cmp.Compare(g.database, db)
+}
+
+// NextTick returns when the next Tick is due; an earlier one does no harm.
+// Ticks that are late by half of a group's Detect count as a pause of the VM.
+func (s *State) NextTick(now model.Time) model.Time {
+	next := model.Time(math.MaxInt64)
+	for _, g := range s.groups {
+		next = min(next, g.nextTick())
+	}
+	return max(next, now)
+}
+
+// Primary returns the known primary of a database; empty if none is known.
+func (s *State) Primary(db model.Database) (model.UpstreamID, model.Term) {
+	if g := s.byName[db]; g != nil {
+		return g.primary, g.term
+	}
+	return "", model.Term{}
+}
--- /dev/null
+++ b/core/failover/switchover.go
@@ -0,0 +1,211 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// Times of a planned switchover.
+const (
+	// drainTimeout bounds how long writes are held back.
+	drainTimeout = time.Second
+	// drainPoll is the time between status polls while the candidate catches up.
+	drainPoll = 10 * time.Millisecond
+	// handoverRetry is the time after a failed handover until the next one.
+	handoverRetry = 3 * time.Second
+)
+
+// switchoverPhase is the stage of a planned switchover.
+type switchoverPhase uint8
+
+const (
+	noSwitchover switchoverPhase = iota
+	draining
+	proposing
+)
+
+// switchover is a planned change of the primary.
+type switchover struct {
+	phase    switchoverPhase
+	target   model.UpstreamID
+	term     model.Term
+	deadline model.Time
+	pollAt   model.Time
+	// drainedAt is when no write was in progress any more, 0 before.
+	drainedAt model.Time
+}
+
+// handover decides about switchovers that nobody requested.
+type handover struct {
+	// due is when this VM acts on the reason for a handover, 0 without one.
+	due       model.Time
+	notBefore model.Time
+}
+
+// requestSwitchover starts a switchover to target, or to the best candidate.
+func (g *group) requestSwitchover(t *turn, target model.UpstreamID) {
+	if reason, refused := g.switchoverRefused(t.now); refused {
+		t.emit(Effect{Kind: SwitchoverFailed, Database: g.database, Reason: reason})
+		return
+	}
+	if target == "" {
+		target = g.bestTarget(t.now)
+	}
+	if target == "" || target == g.primary || find(g.members, target) < 0 {
+		t.emit(Effect{Kind: SwitchoverFailed, Database: g.database, Reason: ReasonNoCandidate})
+		return
+	}
+	g.beginSwitchover(t, target)
+}
+
+func (g *group) switchoverRefused(now model.Time) (Reason, bool) {
+	switch {
+	case g.proposal.phase != idle || g.switchover.phase != noSwitchover:
+		return ReasonBusy, true
+	case g.primary == "" || g.silence(now) >= g.detect:
+		return ReasonNoPrimary, true
+	}
+	return 0, false
+}
+
+func (g *group) beginSwitchover(t *turn, target model.UpstreamID) {
+	g.switchover = switchover{
+		phase: draining, target: target, term: g.term,
+		deadline: t.now.Add(drainTimeout),
+	}
+	t.emit(Effect{Kind: SwitchoverBegun, Database: g.database, Primary: g.primary, Upstream: target})
+	t.emit(Effect{Kind: CloseGate, Database: g.database})
+}
+
+// bestTarget returns the replica to hand over to: caught up in the primary's
+// term, neither drained nor leaving, preferably in the primary's zone.
+func (g *group) bestTarget(now model.Time) model.UpstreamID {
+	best := -1
+	for i := range g.members {
+		m := &g.members[i]
+		fit := m.ID != g.primary && !m.Drained && !m.Leaving && m.known &&
+			now.Sub(m.sentAt) < g.detect && m.status.Role == dbgroup.Replica && m.status.LastTerm == g.term
+		if fit && (best < 0 || g.betterTarget(i, best)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return g.members[best].ID
+}
+
+func (g *group) betterTarget(i, j int) bool {
+	if a, b := g.inPrimaryZone(i), g.inPrimaryZone(j); a != b {
+		return a
+	}
+	return g.members[i].status.Received > g.members[j].status.Received
+}
+
+func (g *group) writesDrained(t *turn) {
+	if g.switchover.phase == draining && g.switchover.drainedAt == 0 {
+		g.switchover.drainedAt = t.now
+	}
+}
+
+// stepSwitchover advances a switchover that drains writes.
+func (g *group) stepSwitchover(t *turn) {
+	s := &g.switchover
+	switch {
+	case g.term != s.term:
+		g.switchoverFailed(t, ReasonOtherPrimary)
+	case g.silence(t.now) >= g.detect:
+		g.switchoverFailed(t, ReasonNoPrimary)
+	case t.now >= s.deadline:
+		g.switchoverFailed(t, ReasonNotDrained)
+	case s.drainedAt != 0 && g.caughtUp():
+		s.phase = proposing
+		g.propose(t, s.target, "")
+	case t.now >= s.pollAt:
+		s.pollAt = t.now.Add(drainPoll)
+		g.sendStatus(t, g.primary)
+		if s.target != g.primary {
+			g.sendStatus(t, s.target)
+		}
+	}
+}
+
+// caughtUp reports whether the target has all that the primary had after the
+// last write.
+func (g *group) caughtUp() bool {
+	i := find(g.members, g.primary)
+	j := find(g.members, g.switchover.target)
+	if i < 0 || j < 0 || g.members[i].sentAt < g.switchover.drainedAt {
+		return false
+	}
+	p, c := &g.members[i].status, &g.members[j].status
+	return p.LastTerm == g.term && c.LastTerm == g.term && c.Received >= p.Received
+}
+
+// switchoverFailed ends a switchover, if there is one, and opens the gate.
+func (g *group) switchoverFailed(t *turn, r Reason) {
+	if g.switchover.phase == noSwitchover {
+		return
+	}
+	g.switchover = switchover{}
+	g.handover.notBefore = t.now.Add(handoverRetry)
+	t.emit(Effect{Kind: SwitchoverFailed, Database: g.database, Reason: r})
+	t.emit(Effect{Kind: OpenGate, Database: g.database})
+}
+
+// abort ends a proposal and a switchover.
+func (g *group) abort(t *turn, r Reason) {
+	g.proposal = proposal{}
+	g.switchoverFailed(t, r)
+}
+
+// considerHandover starts a switchover when the primary is drained or leaving,
+// or when an upstream has accepted a fence of a proposal that came to nothing
+// and so cannot follow the primary: then the primary is promoted again in a
+// new term. The watcher that holds the primary acts first.
+func (g *group) considerHandover(t *turn) {
+	target := g.handoverTarget(t.now)
+	if target == "" {
+		g.handover.due = 0
+		return
+	}
+	if g.handover.due == 0 {
+		g.handover.due = t.now.Add(g.handoverDelay(t, target))
+	}
+	if t.now >= max(g.handover.due, g.handover.notBefore) {
+		g.beginSwitchover(t, target)
+	}
+}
+
+func (g *group) handoverTarget(now model.Time) model.UpstreamID {
+	i := find(g.members, g.primary)
+	if i < 0 || g.silence(now) >= g.detect {
+		return ""
+	}
+	if g.members[i].Drained || g.members[i].Leaving {
+		if target := g.bestTarget(now); target != "" {
+			return target
+		}
+	}
+	if g.countPromisedAbove() > 0 {
+		return g.primary
+	}
+	return ""
+}
+
+// handoverDelay is how long to wait before a handover: the holder of a drained
+// primary acts at once, others give it time, and a fence that came to nothing
+// may still belong to a proposal in progress.
+func (g *group) handoverDelay(t *turn, target model.UpstreamID) time.Duration {
+	i := find(g.members, g.primary)
+	delay := time.Duration(0)
+	if target == g.primary {
+		delay = 2 * g.detect
+	}
+	if g.members[i].Holder != t.state.self {
+		delay += 3*g.detect + t.jitter(g.detect)
+	}
+	return delay
+}
--- /dev/null
+++ b/core/failover/tick.go
@@ -0,0 +1,93 @@
+package failover
+
+import "github.com/chervilhatch/chervilhatch/core/model"
+
+// statusesPerDetect is how many polls fit into the detection time, so that
+// one lost answer does not delay the detection noticeably.
+const statusesPerDetect = 5
+
+// tick lets time pass for one group.
+func (g *group) tick(t *turn) {
+	if t.now.Sub(g.lastTick) > g.detect/2 {
+		g.resume(t.now)
+	}
+	g.lastTick = t.now
+	if t.now >= g.nextStatus {
+		g.nextStatus = t.now.Add(g.detect / statusesPerDetect)
+		for i := range g.members {
+			g.sendStatus(t, g.members[i].ID)
+		}
+	}
+	if t.now >= g.nextReport {
+		g.publish(t)
+	}
+	g.step(t)
+	if g.proposal.phase == idle && g.switchover.phase == noSwitchover {
+		g.considerProposal(t)
+	}
+	if g.proposal.phase == idle && g.switchover.phase == noSwitchover {
+		g.considerHandover(t)
+	}
+}
+
+// resume restarts the detection after a pause of this VM, during which it
+// polled nothing and heard nobody.
+func (g *group) resume(now model.Time) {
+	g.baseline = now
+	g.proposeAt = 0
+	g.stall = stall{}
+	for i := range g.peers {
+		g.peers[i].heard = false
+	}
+}
+
+func (g *group) sendStatus(t *turn, u model.UpstreamID) {
+	t.emit(Effect{Kind: SendStatus, Database: g.database, Upstream: u})
+}
+
+// step advances a proposal or switchover after an event.
+func (g *group) step(t *turn) {
+	g.watchStall(t.now)
+	if g.proposal.phase != idle {
+		g.stepProposal(t)
+		return
+	}
+	if g.switchover.phase == draining {
+		g.stepSwitchover(t)
+	}
+}
+
+// considerProposal starts a proposal when the primary is lost, after a random
+// delay in which another watcher may act first.
+func (g *group) considerProposal(t *turn) {
+	if !g.isLost(t.now) {
+		g.proposeAt = 0
+		return
+	}
+	if g.proposeAt == 0 {
+		g.proposeAt = t.now.Add(t.jitter(g.detect / 4))
+	}
+	if t.now >= max(g.proposeAt, g.notBefore) {
+		isolated := g.stall.duration(t.now) >= g.detect
+		g.propose(t, "", g.primary)
+		g.proposal.isolated = isolated
+	}
+}
+
+// nextTick returns when the group needs a tick.
+func (g *group) nextTick() model.Time {
+	next := min(g.nextStatus, g.nextReport)
+	if g.proposeAt != 0 {
+		next = min(next, max(g.proposeAt, g.notBefore))
+	}
+	if p := &g.proposal; p.phase != idle {
+		next = min(next, p.deadline, p.resendAt)
+		if p.phase == fencing && p.majorityAt != 0 {
+			next = min(next, p.majorityAt.Add(fenceGrace))
+		}
+	}
+	if s := &g.switchover; s.phase == draining {
+		next = min(next, s.deadline, s.pollAt)
+	}
+	return next
+}
--- /dev/null
+++ b/core/replication/poll.go
@@ -0,0 +1,74 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Times between the starts of two rounds of a group.
+const (
+	// roundGap bounds the polls of back-to-back rounds where the network is
+	// faster than that.
+	roundGap = 500 * time.Microsecond
+	// lagPause applies while what waits needs an upstream to catch up rather
+	// than a newer round, or while rounds fail.
+	lagPause = 3 * time.Millisecond
+	// roundPatience is how long a round without confirmation keeps the next
+	// one from starting. Late answers still confirm it.
+	roundPatience = 20 * time.Millisecond
+	// refreshPause applies while nothing waits, but checks that the last round
+	// satisfied will soon need a newer one.
+	refreshPause = 20 * time.Millisecond
+	// idlePause applies while nothing waits.
+	idlePause = time.Second
+)
+
+// pollIfDue starts a round if one is due.
+func (g *group) pollIfDue(s *State, now model.Time, out []Effect) []Effect {
+	if now < g.nextPoll() {
+		return out
+	}
+	s.lastRound++
+	g.rounds.begin(s.lastRound, now)
+	g.refreshWanted = false
+	return append(out, Effect{Kind: PollRound, Database: g.database, Round: s.lastRound})
+}
+
+// nextPoll returns when the next round is due.
+func (g *group) nextPoll() model.Time {
+	t := g.rounds.current()
+	if len(g.members) == 0 {
+		return never
+	}
+	if t.number == 0 {
+		return 0
+	}
+	return t.start.Add(g.pause(t))
+}
+
+// pause returns the time between the start of the current round and the next.
+func (g *group) pause(t *tally) time.Duration {
+	switch {
+	case len(g.checks) == 0 && len(g.writes) == 0:
+		if g.refreshWanted {
+			return refreshPause
+		}
+		return idlePause
+	case !t.confirmed && t.pending > 0:
+		return roundPatience
+	case t.confirmed && g.newRoundWanted(t.number):
+		return roundGap
+	}
+	return lagPause
+}
+
+// newRoundWanted reports whether something arrived after the round started.
+// The last arrivals are at the end of the lists.
+func (g *group) newRoundWanted(number uint64) bool {
+	if n := len(g.checks); n > 0 && g.checks[n-1].after >= number {
+		return true
+	}
+	n := len(g.writes)
+	return n > 0 && g.writes[n-1].after >= number
+}
--- /dev/null
+++ b/core/replication/round.go
@@ -0,0 +1,173 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// keptRounds is how many rounds may still be confirmed by late answers. At one
+// round each roundPatience that covers answers that take 320 ms.
+const keptRounds = 16
+
+// recentRounds confirmed rounds are all kept for lagging replicas; older ones
+// are kept historySpacing apart, at most olderRounds of them, about 6 s.
+const (
+	recentRounds   = 32
+	olderRounds    = 128
+	historySpacing = 50 * time.Millisecond
+)
+
+// confirmedRound is a round that started at start and proved that position
+// covers every write acknowledged before.
+type confirmedRound struct {
+	number   uint64
+	start    model.Time
+	primary  model.UpstreamID
+	position model.Position
+}
+
+// tally collects the answers of one round.
+type tally struct {
+	number    uint64
+	start     model.Time
+	answers   []answer
+	pending   int
+	confirmed bool
+}
+
+// answer is what a tally needs of one upstream's status.
+type answer struct {
+	received bool
+	done     bool
+	promised model.Term
+	// primary is true when the upstream is the primary of its promised term.
+	primary  bool
+	position model.Position
+}
+
+// answer records a member's status. Only the first answer counts.
+func (t *tally) answer(i int, st *dbgroup.Status) {
+	a := &t.answers[i]
+	if a.received {
+		return
+	}
+	t.finish(a)
+	a.received = true
+	a.promised = st.Promised
+	a.primary = st.Role == dbgroup.Primary && st.LastTerm == st.Promised
+	a.position = model.Position{Term: st.LastTerm, Pos: st.Received}
+}
+
+func (t *tally) fail(i int) { t.finish(&t.answers[i]) }
+
+func (t *tally) finish(a *answer) {
+	if !a.done {
+		a.done = true
+		t.pending--
+	}
+}
+
+// confirmedPrimary returns the member that is the primary of a term above
+// which a majority, the primary included, has accepted no fence; -1 if none.
+func (t *tally) confirmedPrimary(majority int) int {
+	for i := range t.answers {
+		if t.answers[i].primary && t.countPromisedUpTo(t.answers[i].promised) >= majority {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *tally) countPromisedUpTo(term model.Term) int {
+	n := 0
+	for i := range t.answers {
+		if t.answers[i].received && t.answers[i].promised.Compare(term) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// rounds has the last rounds of a group in a ring.
+type rounds struct {
+	kept   [keptRounds]tally
+	newest int
+}
+
+func (r *rounds) reset(members int) {
+	for i := range r.kept {
+		r.kept[i] = tally{answers: make([]answer, members)}
+	}
+}
+
+// begin replaces the oldest round by a new one.
+func (r *rounds) begin(number uint64, now model.Time) {
+	r.newest = (r.newest + 1) % keptRounds
+	t := &r.kept[r.newest]
+	clear(t.answers)
+	t.number = number
+	t.start = now
+	t.pending = len(t.answers)
+	t.confirmed = false
+}
+
+func (r *rounds) current() *tally { return &r.kept[r.newest] }
+
+func (r *rounds) find(number uint64) *tally {
+	if number == 0 {
+		return nil
+	}
+	for i := range r.kept {
+		if r.kept[i].number == number {
+			return &r.kept[i]
+		}
+	}
+	return nil
+}
+
+// history has confirmed rounds, oldest first.
+type history struct {
+	older  []confirmedRound
+	recent []confirmedRound
+}
+
+func (h *history) add(r confirmedRound) {
+	if len(h.recent) == recentRounds {
+		h.addOlder(h.recent[0])
+		h.recent = shift(h.recent)
+	}
+	h.recent = append(h.recent, r)
+}
+
+func (h *history) addOlder(r confirmedRound) {
+	if n := len(h.older); n > 0 && r.start.Sub(h.older[n-1].start) < historySpacing {
+		return
+	}
+	if len(h.older) == olderRounds {
+		h.older = shift(h.older)
+	}
+	h.older = append(h.older, r)
+}
+
+// shift drops the first element and keeps the backing array.
+func shift(s []confirmedRound) []confirmedRound {
+	copy(s, s[1:])
+	return s[:len(s)-1]
+}
+
+// covered returns the latest round whose position is not above applied.
+func (h *history) covered(applied model.Position) *confirmedRound {
+	for i := len(h.recent) - 1; i >= 0; i-- {
+		if h.recent[i].position.Compare(applied) <= 0 {
+			return &h.recent[i]
+		}
+	}
+	for i := len(h.older) - 1; i >= 0; i-- {
+		if h.older[i].position.Compare(applied) <= 0 {
+			return &h.older[i]
+		}
+	}
+	return nil
+}
