Add the operators' service and the way to the store through the relay

Cause: operators change the configuration through any daemon, while only the zone's relay talks to the store. Change: operator makes a change by compare-and-swap on current and history in one transaction. After a lost answer it reads the history back and sends the change again only if the version is free. operator/relay passes Get and Txn of the configuration's keys to the relay, once. Conclusion: a request id makes a repeated request safe; the store keeps 1000 versions.

--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,252 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/platform"
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+)
+
+const (
+	// historyKept is how many versions the store keeps, so that its size is bounded.
+	historyKept = 1000
+	// readBackPause is the time between two attempts to read a lost answer back.
+	readBackPause = 200 * time.Millisecond
+	maxTextBytes  = 1000
+	// maxRecordBytes leaves room for the other fields within the store's limit
+	// of 1 MB for a value.
+	maxRecordBytes = 1_000_000
+)
+
+// errRecordChanged reports that the store refused a change although the
+// configuration is still the expected one.
+var errRecordChanged = errors.New("the history has the next version, but the current configuration is older")
+
+// change is one request on its way into the store.
+type change struct {
+	server   *Server
+	request  *operatorv1.ApplyConfigRequest
+	expected uint64
+	record   config.Record
+	encoded  []byte
+}
+
+// current is the content of the store's current key; its record is zero
+// before the first configuration.
+type current struct {
+	record   config.Record
+	revision int64
+}
+
+// ApplyConfig replaces the configuration if its version is the expected one.
+// Repeating a request with the same id has no further effect.
+func (s *Server) ApplyConfig(ctx context.Context, r *operatorv1.ApplyConfigRequest) (*operatorv1.ApplyConfigResponse, error) {
+	if err := checkRequest(r); err != nil {
+		return nil, err
+	}
+	if _, list := config.Parse("configuration", r.GetDocument()); len(list) > 0 {
+		return &operatorv1.ApplyConfigResponse{
+			Outcome:  operatorv1.ApplyConfigResponse_OUTCOME_INVALID,
+			Findings: toFindings(list),
+		}, nil
+	}
+	c, err := s.newChange(r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.resolve)
+	defer cancel()
+	return c.run(ctx)
+}
+
+func checkRequest(r *operatorv1.ApplyConfigRequest) error {
+	if r.GetRequestId() == "" || r.GetAuthor() == "" {
+		return status.Error(codes.InvalidArgument, "request_id and author must not be empty")
+	}
+	if len(r.GetRequestId()) > maxTextBytes || len(r.GetAuthor()) > maxTextBytes || len(r.GetSummary()) > maxTextBytes {
+		return status.Errorf(codes.InvalidArgument, "request_id, author and summary must have at most %d bytes each", maxTextBytes)
+	}
+	return nil
+}
+
+func (s *Server) newChange(r *operatorv1.ApplyConfigRequest) (*change, error) {
+	c := &change{server: s, request: r, expected: r.GetExpectedVersion()}
+	c.record = config.Record{
+		Version:        c.expected + 1,
+		RequestID:      r.GetRequestId(),
+		Author:         r.GetAuthor(),
+		Summary:        r.GetSummary(),
+		AcceptedUnixMS: s.now().UnixMilli(),
+		Document:       string(r.GetDocument()),
+	}
+	var err error
+	c.encoded, err = config.EncodeRecord(c.record)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if len(c.encoded) > maxRecordBytes {
+		return nil, status.Errorf(codes.InvalidArgument,
+			"the configuration has %d bytes as stored; the limit is %d", len(c.encoded), maxRecordBytes)
+	}
+	return c, nil
+}
+
+// run makes the change. Nothing has been sent while it reads the current version.
+func (c *change) run(ctx context.Context) (*operatorv1.ApplyConfigResponse, error) {
+	now, err := c.readCurrent(ctx)
+	if errors.Is(err, platform.ErrUnavailable) {
+		return outcome(operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE), nil
+	}
+	if err != nil {
+		return nil, storeError(err)
+	}
+	if now.record.Version != c.expected {
+		return c.superseded(ctx, now.record)
+	}
+	return c.swap(ctx, now)
+}
+
+func (c *change) readCurrent(ctx context.Context) (current, error) {
+	kv, err := c.server.store.Get(ctx, config.CurrentKey)
+	if err != nil || kv.ModRevision == 0 {
+		return current{}, err
+	}
+	record, err := config.DecodeRecord(kv.Value)
+	return current{record: record, revision: kv.ModRevision}, err
+}
+
+// swap sends the change. If the answer is lost, it reads the history back, and
+// sends the change again only if the history lacks the version: the conditions
+// hold for at most one of the two.
+func (c *change) swap(ctx context.Context, now current) (*operatorv1.ApplyConfigResponse, error) {
+	for {
+		result, err := c.server.store.Txn(ctx, c.conditions(now), c.writes())
+		switch {
+		case err == nil && result.Succeeded:
+			return accepted(c.record.Version), nil
+		case err == nil:
+			return c.refused(ctx)
+		case !errors.Is(err, platform.ErrUnavailable):
+			return nil, storeError(err)
+		}
+		winner, found, err := c.readBack(ctx)
+		if err != nil {
+			return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
+		}
+		if found {
+			return c.decided(winner, winner.Version), nil
+		}
+		if !pause(ctx) {
+			return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
+		}
+	}
+}
+
+func (c *change) conditions(now current) []platform.Condition {
+	return []platform.Condition{
+		{Key: config.CurrentKey, ModRevision: now.revision},
+		{Key: config.HistoryKey(c.record.Version), ModRevision: 0},
+	}
+}
+
+func (c *change) writes() []platform.Write {
+	writes := []platform.Write{
+		{Key: config.CurrentKey, Value: c.encoded},
+		{Key: config.HistoryKey(c.record.Version), Value: c.encoded},
+	}
+	if c.record.Version > historyKept {
+		oldest := config.HistoryKey(c.record.Version - historyKept)
+		writes = append(writes, platform.Write{Key: oldest, Delete: true})
+	}
+	return writes
+}
+
+// readBack reads which change became the version. It tries until ctx ends.
+func (c *change) readBack(ctx context.Context) (config.Record, bool, error) {
+	for {
+		record, found, err := c.server.readRecord(ctx, config.HistoryKey(c.record.Version))
+		if !errors.Is(err, platform.ErrUnavailable) || !pause(ctx) {
+			return record, found, err
+		}
+	}
+}
+
+// refused handles a swap whose conditions did not hold: another change, or an
+// earlier attempt of this one, has become the version.
+func (c *change) refused(ctx context.Context) (*operatorv1.ApplyConfigResponse, error) {
+	winner, found, err := c.readBack(ctx)
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
+	case err != nil:
+		return nil, storeError(err)
+	case found:
+		return c.decided(winner, winner.Version), nil
+	}
+	now, err := c.readCurrent(ctx)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	if now.record.Version == c.expected {
+		return nil, status.Error(codes.FailedPrecondition, errRecordChanged.Error())
+	}
+	return c.superseded(ctx, now.record)
+}
+
+// superseded answers a request whose expected version is not the newest one.
+// The change that took the next version may be this request's own.
+func (c *change) superseded(ctx context.Context, newest config.Record) (*operatorv1.ApplyConfigResponse, error) {
+	winner := newest
+	if newest.Version > c.record.Version {
+		record, found, err := c.readBack(ctx)
+		if errors.Is(err, platform.ErrUnavailable) {
+			return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
+		}
+		if err != nil {
+			return nil, storeError(err)
+		}
+		if found {
+			winner = record
+		}
+	}
+	return c.decided(winner, newest.Version), nil
+}
+
+// decided answers with the change that became the version.
+func (c *change) decided(winner config.Record, newest uint64) *operatorv1.ApplyConfigResponse {
+	if winner.RequestID == c.request.GetRequestId() {
+		return accepted(winner.Version)
+	}
+	answer := outcome(operatorv1.ApplyConfigResponse_OUTCOME_CONFLICT)
+	answer.Version = newest
+	answer.Winner = toResponse(winner)
+	return answer
+}
+
+func accepted(version uint64) *operatorv1.ApplyConfigResponse {
+	answer := outcome(operatorv1.ApplyConfigResponse_OUTCOME_ACCEPTED)
+	answer.Version = version
+	return answer
+}
+
+func outcome(o operatorv1.ApplyConfigResponse_Outcome) *operatorv1.ApplyConfigResponse {
+	return &operatorv1.ApplyConfigResponse{Outcome: o}
+}
+
+// pause waits before the next attempt; it returns false when ctx has ended.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(readBackPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/operator/relay/relay.go
@@ -0,0 +1,117 @@
+// Package relay lets any daemon read and change the configuration although only
+// its zone's relay talks to the platform's store. The relay serves Get and Txn
+// of proto/platform/v1 to its peers, for the configuration's keys only.
+package relay
+
+import (
+	"context"
+	"strings"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
+	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+)
+
+// keyPrefix is that of all keys that peers may use through the relay.
+const keyPrefix = "config/"
+
+// Route returns the connection to the zone's relay, or nil if this VM is the relay.
+type Route func() grpc.ClientConnInterface
+
+// Store implements operator.Store on the local store or on the relay's.
+type Store struct {
+	local   platform.Store
+	route   Route
+	options grpcstore.Options
+}
+
+// NewStore returns a store. Of the options it uses the timeout and the counters.
+func NewStore(local platform.Store, route Route, o grpcstore.Options) *Store {
+	return &Store{local: local, route: route, options: o}
+}
+
+// Get reads one key.
+func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	if conn := s.route(); conn != nil {
+		return grpcstore.Over(conn, s.options).Get(ctx, key)
+	}
+	return s.local.Get(ctx, key)
+}
+
+// Txn applies the writes if all conditions hold.
+func (s *Store) Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+	if conn := s.route(); conn != nil {
+		return grpcstore.Over(conn, s.options).Txn(ctx, conditions, writes)
+	}
+	return s.local.Txn(ctx, conditions, writes)
+}
+
+// Server serves the peers of a relay.
+type Server struct {
+	platformv1.UnimplementedPlatformServer
+	local platform.Store
+	route Route
+}
+
+// NewServer returns a server on the local store. It refuses calls while route
+// says that another VM is the relay, so that a call is passed on at most once.
+func NewServer(local platform.Store, route Route) *Server {
+	return &Server{local: local, route: route}
+}
+
+// Get reads one key of the configuration.
+func (s *Server) Get(ctx context.Context, r *platformv1.GetRequest) (*platformv1.GetResponse, error) {
+	if err := s.check(r.GetKey()); err != nil {
+		return nil, err
+	}
+	kv, err := s.local.Get(ctx, r.GetKey())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &platformv1.GetResponse{Kv: toKeyValue(kv)}, nil
+}
+
+// Txn changes keys of the configuration.
+func (s *Server) Txn(ctx context.Context, r *platformv1.TxnRequest) (*platformv1.TxnResponse, error) {
+	conditions := make([]platform.Condition, len(r.GetConditions()))
+	for i, c := range r.GetConditions() {
+		conditions[i] = platform.Condition{Key: c.GetKey(), ModRevision: c.GetModRevision()}
+		if err := s.check(c.GetKey()); err != nil {
+			return nil, err
+		}
+	}
+	writes := make([]platform.Write, len(r.GetWrites()))
+	for i, w := range r.GetWrites() {
+		writes[i] = platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete(), Lease: w.GetLeaseId()}
+		if err := s.check(w.GetKey()); err != nil {
+			return nil, err
+		}
+	}
+	result, err := s.local.Txn(ctx, conditions, writes)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	answer := &platformv1.TxnResponse{Succeeded: result.Succeeded, Revision: result.Revision}
+	for _, kv := range result.Current {
+		answer.Current = append(answer.Current, toKeyValue(kv))
+	}
+	return answer, nil
+}
+
+func (s *Server) check(key string) error {
+	if !strings.HasPrefix(key, keyPrefix) {
+		return status.Errorf(codes.PermissionDenied, "peers may use keys with the prefix %q only", keyPrefix)
+	}
+	if s.route() != nil {
+		return status.Error(codes.Unavailable, "this VM is not the relay of its zone")
+	}
+	return nil
+}
+
+func toKeyValue(kv platform.KeyValue) *platformv1.KeyValue {
+	return &platformv1.KeyValue{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision}
+}
--- /dev/null
+++ b/operator/relay/relay_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
+	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+)
+
+// countingStore answers every call and counts the changes.
+type countingStore struct {
+	platform.Store
+	txns int
+}
+
+func (c *countingStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	return platform.KeyValue{Key: key, Value: []byte("v"), ModRevision: 5}, nil
+}
+
+func (c *countingStore) Txn(_ context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+	c.txns++
+	holds := conditions[0].ModRevision == 5 && string(writes[0].Value) == "new"
+	return platform.TxnResult{Succeeded: holds, Revision: 6}, nil
+}
+
+func local() grpc.ClientConnInterface { return nil }
+
+// connect serves s and returns a connection to it.
+func connect(t *testing.T, s *Server) *grpc.ClientConn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	platformv1.RegisterPlatformServer(server, s)
+	go server.Serve(listener)
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient("passthrough:///"+listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// Guards against a VM that is not the relay using the store itself, against
+// calls that are passed on in a circle, and against peers that reach other keys.
+func TestCallsGoThroughTheRelay(t *testing.T) {
+	options := grpcstore.Options{Timeout: 10 * time.Second, Metrics: metrics.NewRegistry()}
+	store := &countingStore{}
+	conn := connect(t, NewServer(store, local))
+	toRelay := func() grpc.ClientConnInterface { return conn }
+	unused := &countingStore{}
+	forwarding := NewStore(unused, toRelay, options)
+
+	if kv, err := forwarding.Get(t.Context(), "config/current"); err != nil || kv.ModRevision != 5 {
+		t.Errorf("Get = %+v, %v", kv, err)
+	}
+	conditions := []platform.Condition{{Key: "config/current", ModRevision: 5}}
+	writes := []platform.Write{{Key: "config/current", Value: []byte("new")}}
+	if r, err := forwarding.Txn(t.Context(), conditions, writes); err != nil || !r.Succeeded || r.Revision != 6 {
+		t.Errorf("Txn = %+v, %v", r, err)
+	}
+	if store.txns != 1 || unused.txns != 0 {
+		t.Errorf("the relay made %d changes and the forwarding VM %d", store.txns, unused.txns)
+	}
+	writes[0].Key = "zones/a"
+	if _, err := forwarding.Txn(t.Context(), conditions, writes); err == nil || store.txns != 1 {
+		t.Error("a peer changed a key outside the configuration")
+	}
+
+	notRelay := connect(t, NewServer(store, toRelay))
+	circle := NewStore(unused, func() grpc.ClientConnInterface { return notRelay }, options)
+	if _, err := circle.Get(t.Context(), "config/current"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("Get through a VM that is not the relay = %v", err)
+	}
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,166 @@
+// Package operator serves proto/operator/v1: reading, changing and following
+// the configuration. A change is a compare-and-swap in the platform's store.
+package operator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/platform"
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+)
+
+// Limits of the answers.
+const (
+	defaultHistory = 20
+	maxHistory     = 100
+	// progressInterval is how often WaitInForce looks for progress.
+	progressInterval = 50 * time.Millisecond
+	maxWait          = 10 * time.Minute
+)
+
+// Backend is what the service needs from the daemon.
+type Backend interface {
+	// Config returns the record in force on this VM; ok is false if there is none.
+	Config() (record config.Record, ok bool)
+	// Progress divides the live VMs into those that have confirmed the version
+	// and those that have not.
+	Progress(version uint64) (confirmed, missing []model.VMID)
+	Status() *operatorv1.StatusResponse
+}
+
+// Store is the part of platform.Store that the service uses. The daemon may
+// forward its calls to the zone's relay, see package operator/relay.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.KeyValue, error)
+	Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error)
+}
+
+// Server implements operatorv1.OperatorServer.
+type Server struct {
+	operatorv1.UnimplementedOperatorServer
+	backend Backend
+	store   Store
+	// resolve limits how long a lost answer is read back.
+	resolve time.Duration
+	now     func() time.Time
+}
+
+// DefaultResolve is how long a lost answer is read back before the outcome is
+// reported as unknown.
+const DefaultResolve = 10 * time.Second
+
+// New returns a server. resolve limits how long a lost answer is read back.
+func New(backend Backend, store Store, resolve time.Duration) *Server {
+	return &Server{backend: backend, store: store, resolve: resolve, now: time.Now}
+}
+
+// GetConfig returns the version in force on this VM, or an older one from the store.
+func (s *Server) GetConfig(ctx context.Context, r *operatorv1.GetConfigRequest) (*operatorv1.GetConfigResponse, error) {
+	record, ok := s.backend.Config()
+	switch {
+	case r.GetVersion() == 0 && !ok:
+		return &operatorv1.GetConfigResponse{}, nil
+	case r.GetVersion() == 0, ok && r.GetVersion() == record.Version:
+		return toResponse(record), nil
+	}
+	record, found, err := s.readRecord(ctx, config.HistoryKey(r.GetVersion()))
+	if err != nil {
+		return nil, storeError(err)
+	}
+	if !found {
+		return nil, status.Errorf(codes.NotFound, "the store has no version %d", r.GetVersion())
+	}
+	return toResponse(record), nil
+}
+
+// History returns the newest changes, newest first.
+func (s *Server) History(ctx context.Context, r *operatorv1.HistoryRequest) (*operatorv1.HistoryResponse, error) {
+	limit := int(r.GetLimit())
+	if limit <= 0 {
+		limit = defaultHistory
+	}
+	record, found, err := s.readRecord(ctx, config.CurrentKey)
+	answer := &operatorv1.HistoryResponse{}
+	for found && err == nil && len(answer.Changes) < min(limit, maxHistory) {
+		change := toResponse(record)
+		change.Document = nil
+		answer.Changes = append(answer.Changes, change)
+		if record.Version == 1 {
+			break
+		}
+		record, found, err = s.readRecord(ctx, config.HistoryKey(record.Version-1))
+	}
+	if err != nil {
+		return nil, storeError(err)
+	}
+	return answer, nil
+}
+
+// Status returns what this VM knows of the others and of the databases.
+func (s *Server) Status(context.Context, *operatorv1.StatusRequest) (*operatorv1.StatusResponse, error) {
+	return s.backend.Status(), nil
+}
+
+// WaitInForce sends the progress of a version when it changes, until every live
+// VM has confirmed it or the time is over.
+func (s *Server) WaitInForce(r *operatorv1.WaitInForceRequest, stream grpc.ServerStreamingServer[operatorv1.WaitInForceResponse]) error {
+	timeout := min(time.Duration(r.GetTimeoutMs())*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(stream.Context(), timeout)
+	defer cancel()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+
+	last := s.progress(r.GetVersion())
+	for sendErr := stream.Send(last); ; {
+		if sendErr != nil || last.Done {
+			return sendErr
+		}
+		select {
+		case <-ctx.Done():
+			return stream.Context().Err()
+		case <-ticker.C:
+		}
+		next := s.progress(r.GetVersion())
+		if next.Done || !slices.Equal(next.Missing, last.Missing) || !slices.Equal(next.Confirmed, last.Confirmed) {
+			sendErr = stream.Send(next)
+		}
+		last = next
+	}
+}
+
+func (s *Server) progress(version uint64) *operatorv1.WaitInForceResponse {
+	confirmed, missing := s.backend.Progress(version)
+	return &operatorv1.WaitInForceResponse{
+		Version:   version,
+		Confirmed: vmNames(confirmed),
+		Missing:   vmNames(missing),
+		Done:      len(missing) == 0 && len(confirmed) > 0,
+	}
+}
+
+// readRecord reads the record at a key.
+func (s *Server) readRecord(ctx context.Context, key string) (config.Record, bool, error) {
+	kv, err := s.store.Get(ctx, key)
+	if err != nil || kv.ModRevision == 0 {
+		return config.Record{}, false, err
+	}
+	record, err := config.DecodeRecord(kv.Value)
+	return record, err == nil, err
+}
+
+// storeError converts an error of the store to a gRPC status.
+func storeError(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return status.Error(codes.Internal, err.Error())
+}
