--- /dev/null
+++ b/core/ownership.go
@@ -0,0 +1,81 @@
+package core
+
+import (
+	"github.com/chervilhatch/chervilhatch/core/connshare"
+	"github.com/chervilhatch/chervilhatch/core/fairness"
+	"github.com/chervilhatch/chervilhatch/core/limits"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// seatOf returns the seat that an item stands for.
+func seatOf(item membership.Item) connshare.Seat {
+	if item.Kind == membership.StandbySeat {
+		return connshare.Standby
+	}
+	return connshare.Main
+}
+
+// gained lets the part that uses an item start to use it.
+func (s *State) gained(now model.Time, e *membership.Effect, out *Effects) {
+	if e.Item.Kind == membership.Tokens {
+		ev := limits.Event{
+			Kind: limits.EventGained, Workspace: model.Workspace(e.Item.Name),
+			Zone: e.Item.Zone, Epoch: e.Epoch, Balance: e.Balance, Until: e.Until,
+		}
+		out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+		return
+	}
+	s.wiring.seats[e.Item] = true
+	u := model.UpstreamID(e.Item.Name)
+	ev := connshare.Event{
+		Kind: connshare.EventGained, Upstream: u, Seat: seatOf(e.Item),
+		Zone: e.Zone, Epoch: e.Epoch, Until: e.Until,
+	}
+	out.ConnShare = s.ConnShare.Apply(now, &ev, out.ConnShare)
+	s.setSlots(now, u, out)
+}
+
+// lost lets the part that uses an item stop; it releases the item when its
+// use has ended.
+func (s *State) lost(now model.Time, e *membership.Effect, out *Effects) {
+	if e.Item.Kind == membership.Tokens {
+		ev := limits.Event{
+			Kind: limits.EventLost, Workspace: model.Workspace(e.Item.Name),
+			Zone: e.Item.Zone, Epoch: e.Epoch, VM: e.To,
+		}
+		out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+		return
+	}
+	delete(s.wiring.seats, e.Item)
+	u := model.UpstreamID(e.Item.Name)
+	ev := connshare.Event{
+		Kind: connshare.EventLost, Upstream: u, Seat: seatOf(e.Item),
+		Zone: e.Zone, Epoch: e.Epoch, VM: e.To,
+	}
+	out.ConnShare = s.ConnShare.Apply(now, &ev, out.ConnShare)
+	s.setSlots(now, u, out)
+}
+
+// confirmed extends all ownership.
+func (s *State) confirmed(now model.Time, e *membership.Effect, out *Effects) {
+	lev := limits.Event{Kind: limits.EventConfirmed, Until: e.Until}
+	out.Limits = s.Limits.Apply(now, &lev, out.Limits)
+	cev := connshare.Event{Kind: connshare.EventConfirmed, Until: e.Until}
+	out.ConnShare = s.ConnShare.Apply(now, &cev, out.ConnShare)
+}
+
+// setSlots gives the fair queue of an upstream its slots while this VM owns a
+// seat of it, and removes the queue otherwise.
+func (s *State) setSlots(now model.Time, u model.UpstreamID, out *Effects) {
+	ev := fairness.Event{Kind: fairness.EventUpstreamRemoved, Upstream: u}
+	if configured, db := s.document().Upstream(u); configured != nil && s.ownsSeat(u, configured.Zone) {
+		ev = fairness.Event{Kind: fairness.EventUpstreamSet, Upstream: u, Slots: db.Slots}
+	}
+	out.Fairness = s.Fairness.Apply(now, &ev, out.Fairness)
+}
+
+func (s *State) ownsSeat(u model.UpstreamID, zone model.Zone) bool {
+	return s.wiring.seats[membership.Item{Kind: membership.MainSeat, Zone: zone, Name: string(u)}] ||
+		s.wiring.seats[membership.Item{Kind: membership.StandbySeat, Zone: zone, Name: string(u)}]
+}
--- /dev/null
+++ b/core/wiring.go
@@ -0,0 +1,343 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/connshare"
+	"github.com/chervilhatch/chervilhatch/core/failover"
+	"github.com/chervilhatch/chervilhatch/core/fairness"
+	"github.com/chervilhatch/chervilhatch/core/limits"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replication"
+	"github.com/chervilhatch/chervilhatch/core/routing"
+)
+
+// wiring is what the dispatcher remembers between events.
+type wiring struct {
+	document *config.Document
+	version  uint64
+	settled  uint64
+	// tracked are the items that membership reports about.
+	tracked map[membership.Item]bool
+	// seats are the seats that this VM owns.
+	seats map[membership.Item]bool
+	// groups are the databases configured in replication and failover.
+	groups map[model.Database]bool
+}
+
+func newWiring() wiring {
+	return wiring{
+		tracked: map[membership.Item]bool{},
+		seats:   map[membership.Item]bool{},
+		groups:  map[model.Database]bool{},
+	}
+}
+
+// document returns the document in force; an empty one before the first.
+func (s *State) document() *config.Document {
+	if s.wiring.document == nil {
+		return &config.Document{}
+	}
+	return s.wiring.document
+}
+
+// configure puts a document into force. The document's order gives the order
+// of all events, so that the effects do not depend on map order.
+func (s *State) configure(now model.Time, version uint64, d *config.Document, out *Effects) {
+	old := s.wiring.document
+	s.wiring.document = d
+	s.wiring.version = version
+	s.configureZones(now, out)
+	s.configureTracking(now, old, out)
+	s.configureLimits(now, old, out)
+	s.withdrawKeys(now, old, out)
+	s.configureUpstreams(now, old, out)
+	s.placementChanged(now, out)
+}
+
+func (s *State) configureZones(now model.Time, out *Effects) {
+	ev := membership.Event{Kind: membership.EventDrained}
+	for i := range s.wiring.document.Zones {
+		if s.wiring.document.Zones[i].Drained {
+			ev.Zones = append(ev.Zones, s.wiring.document.Zones[i].Name)
+		}
+	}
+	s.applyMembership(now, &ev, out)
+}
+
+// zonesInService returns the zones that are not drained.
+func zonesInService(d *config.Document) []model.Zone {
+	var zones []model.Zone
+	for i := range d.Zones {
+		if !d.Zones[i].Drained {
+			zones = append(zones, d.Zones[i].Name)
+		}
+	}
+	return zones
+}
+
+// configureTracking starts and ends the tracking of seats and token shares.
+func (s *State) configureTracking(now model.Time, old *config.Document, out *Effects) {
+	wanted := s.items(s.wiring.document)
+	inForce := make(map[membership.Item]bool, len(wanted))
+	for _, item := range wanted {
+		inForce[item] = true
+	}
+	if old != nil {
+		for _, item := range s.items(old) {
+			if !inForce[item] {
+				s.applyMembership(now, &membership.Event{Kind: membership.EventUntrack, Item: item}, out)
+			}
+		}
+	}
+	for _, item := range wanted {
+		if !s.wiring.tracked[item] {
+			s.applyMembership(now, &membership.Event{Kind: membership.EventTrack, Item: item}, out)
+		}
+	}
+	s.wiring.tracked = inForce
+}
+
+// items returns the items that this VM may own under a document.
+func (s *State) items(d *config.Document) []membership.Item {
+	var items []membership.Item
+	for i := range d.Databases {
+		for _, u := range d.Databases[i].Upstreams {
+			items = append(items, seatItem(u, membership.MainSeat), seatItem(u, membership.StandbySeat))
+		}
+	}
+	for i := range d.Workspaces {
+		items = append(items, tokensItem(d.Workspaces[i].Name, s.config.Zone))
+	}
+	return items
+}
+
+func seatItem(u config.Upstream, kind membership.ItemKind) membership.Item {
+	return membership.Item{Kind: kind, Zone: u.Zone, Name: string(u.ID)}
+}
+
+func tokensItem(w model.Workspace, zone model.Zone) membership.Item {
+	return membership.Item{Kind: membership.Tokens, Zone: zone, Name: string(w)}
+}
+
+func (s *State) configureLimits(now model.Time, old *config.Document, out *Effects) {
+	d := s.wiring.document
+	zones := zonesInService(d)
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		rate, burst := d.Rate(w)
+		ev := limits.Event{
+			Kind:      limits.EventConfigure,
+			Workspace: w.Name,
+			Zones:     zones,
+			Version:   s.wiring.version,
+			Rate:      int64(rate * limits.Milli),
+			Burst:     int64(burst * limits.Milli),
+		}
+		out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+	}
+	if old == nil {
+		return
+	}
+	for i := range old.Workspaces {
+		if name := old.Workspaces[i].Name; d.Workspace(name) == nil {
+			ev := limits.Event{Kind: limits.EventRemove, Workspace: name}
+			out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+		}
+	}
+}
+
+// withdrawKeys removes queued requests of keys that the new document lacks.
+func (s *State) withdrawKeys(now model.Time, old *config.Document, out *Effects) {
+	for _, gone := range Withdrawn(old, s.wiring.document) {
+		ev := fairness.Event{Kind: fairness.EventWithdraw, Workspace: gone.Workspace, Key: gone.Key}
+		out.Fairness = s.Fairness.Apply(now, &ev, out.Fairness)
+	}
+}
+
+// WorkspaceKey names one key.
+type WorkspaceKey struct {
+	Workspace model.Workspace
+	Key       model.KeyID
+}
+
+// Withdrawn returns the keys of old that are not in next, or have another
+// verifier there.
+func Withdrawn(old, next *config.Document) []WorkspaceKey {
+	if old == nil {
+		return nil
+	}
+	var gone []WorkspaceKey
+	for i := range old.Workspaces {
+		w := &old.Workspaces[i]
+		for _, k := range w.Keys {
+			kept := next.Key(w.Name, k.ID)
+			if kept == nil || kept.Verifier != k.Verifier {
+				gone = append(gone, WorkspaceKey{w.Name, k.ID})
+			}
+		}
+	}
+	return gone
+}
+
+func (s *State) configureUpstreams(now model.Time, old *config.Document, out *Effects) {
+	d := s.wiring.document
+	if old != nil {
+		s.removeUpstreams(now, old, out)
+	}
+	for i := range d.Databases {
+		db := &d.Databases[i]
+		s.configureRouting(now, db, out)
+		for _, u := range db.Upstreams {
+			ev := connshare.Event{Kind: connshare.EventUpstreamSet, Upstream: u.ID, Limit: db.Connections, Slots: db.Slots}
+			out.ConnShare = s.ConnShare.Apply(now, &ev, out.ConnShare)
+		}
+	}
+}
+
+func (s *State) removeUpstreams(now model.Time, old *config.Document, out *Effects) {
+	for i := range old.Databases {
+		db := &old.Databases[i]
+		for _, u := range db.Upstreams {
+			if kept, _ := s.wiring.document.Upstream(u.ID); kept != nil {
+				continue
+			}
+			ev := connshare.Event{Kind: connshare.EventUpstreamRemoved, Upstream: u.ID}
+			out.ConnShare = s.ConnShare.Apply(now, &ev, out.ConnShare)
+		}
+		if s.wiring.document.Database(db.Name) == nil {
+			ev := routing.Event{Kind: routing.GroupRemoved, Database: db.Name}
+			out.Routing = s.Routing.Apply(now, &ev, out.Routing)
+		}
+	}
+}
+
+func (s *State) configureRouting(now model.Time, db *config.Database, out *Effects) {
+	ev := routing.Event{Kind: routing.GroupConfigured, Database: db.Name}
+	for _, u := range db.Upstreams {
+		ev.Upstreams = append(ev.Upstreams, routing.Upstream{
+			ID: u.ID, Zone: u.Zone, Drained: s.drained(u.Zone), Leaving: u.Leaving,
+		})
+	}
+	out.Routing = s.Routing.Apply(now, &ev, out.Routing)
+}
+
+func (s *State) drained(zone model.Zone) bool {
+	z := s.wiring.document.Zone(zone)
+	return z != nil && z.Drained
+}
+
+// placementChanged passes on who owns what after a new record or document.
+func (s *State) placementChanged(now model.Time, out *Effects) {
+	d := s.wiring.document
+	if d == nil {
+		return
+	}
+	s.placeTokens(now, d, out)
+	for i := range d.Databases {
+		s.placeGroup(now, &d.Databases[i], out)
+	}
+	s.removeGroups(now, d, out)
+}
+
+func (s *State) placeTokens(now model.Time, d *config.Document, out *Effects) {
+	for i := range d.Workspaces {
+		for j := range d.Zones {
+			item := tokensItem(d.Workspaces[i].Name, d.Zones[j].Name)
+			owner, epoch, ok := s.Membership.Owner(item)
+			if !ok {
+				continue
+			}
+			ev := limits.Event{
+				Kind: limits.EventOwner, Workspace: d.Workspaces[i].Name,
+				Zone: d.Zones[j].Name, VM: owner, Epoch: epoch,
+			}
+			out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+		}
+	}
+}
+
+// placeGroup configures a database in replication and failover on the VMs that
+// hold one of its upstreams.
+func (s *State) placeGroup(now model.Time, db *config.Database, out *Effects) {
+	members := make([]replication.Upstream, 0, len(db.Upstreams))
+	watched := failover.Event{Kind: failover.GroupConfigured, Database: db.Name, Detect: s.wiring.document.Timing.Detect.Std()}
+	holds := false
+	for _, u := range db.Upstreams {
+		main, _, _ := s.Membership.Owner(seatItem(u, membership.MainSeat))
+		standby, _, _ := s.Membership.Owner(seatItem(u, membership.StandbySeat))
+		holds = holds || main == s.config.Self || standby == s.config.Self
+		members = append(members, replication.Upstream{ID: u.ID, Zone: u.Zone})
+		watched.Upstreams = append(watched.Upstreams, failover.Upstream{
+			ID: u.ID, Zone: u.Zone, Holder: main, Drained: s.drained(u.Zone), Leaving: u.Leaving,
+		})
+		addWatcher(&watched, s.config.Self, main)
+	}
+	if !holds {
+		return
+	}
+	s.wiring.groups[db.Name] = true
+	ev := replication.Event{
+		Kind: replication.GroupConfigured, Database: db.Name, Upstreams: members,
+		ConfirmationTimeout: s.wiring.document.Timing.ConfirmationTimeout.Std(),
+	}
+	s.applyReplication(now, &ev, out)
+	s.applyFailover(now, &watched, out)
+}
+
+// addWatcher records the main holder of an upstream as a watcher of the group.
+func addWatcher(ev *failover.Event, self, holder model.VMID) {
+	switch {
+	case holder == "":
+	case holder == self:
+		ev.Watcher = true
+	case !slices.Contains(ev.Peers, holder):
+		ev.Peers = append(ev.Peers, holder)
+	}
+}
+
+// removeGroups removes the databases of which this VM holds no upstream any more.
+func (s *State) removeGroups(now model.Time, d *config.Document, out *Effects) {
+	for _, name := range sortedGroups(s.wiring.groups) {
+		if db := d.Database(name); db != nil && s.holdsAny(db) {
+			continue
+		}
+		delete(s.wiring.groups, name)
+		s.applyReplication(now, &replication.Event{Kind: replication.GroupRemoved, Database: name}, out)
+		s.applyFailover(now, &failover.Event{Kind: failover.GroupRemoved, Database: name}, out)
+	}
+}
+
+func sortedGroups(groups map[model.Database]bool) []model.Database {
+	names := make([]model.Database, 0, len(groups))
+	for name := range groups {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) holdsAny(db *config.Database) bool {
+	for _, u := range db.Upstreams {
+		for _, kind := range []membership.ItemKind{membership.MainSeat, membership.StandbySeat} {
+			owner, _, _ := s.Membership.Owner(seatItem(u, kind))
+			if owner == s.config.Self {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// settle tells the limits that a version is in force on every VM.
+func (s *State) settle(now model.Time, out *Effects) {
+	version := s.Confsync.Version()
+	if version == s.wiring.settled || !s.Confsync.InForce(version) {
+		return
+	}
+	s.wiring.settled = version
+	ev := limits.Event{Kind: limits.EventSettled, Version: version}
+	out.Limits = s.Limits.Apply(now, &ev, out.Limits)
+}
--- /dev/null
+++ b/node/access.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// weightScale turns the configuration's weights into integers for the fair
+// queues.
+const weightScale = 1000
+
+// access answers questions about the configuration in force without taking
+// the reducer's mutex.
+type access struct {
+	loop     *loop
+	document atomic.Pointer[config.Document]
+}
+
+// current returns the document in force, or nil before the first one.
+func (a *access) current() *config.Document { return a.document.Load() }
+
+// set puts a document into force.
+func (a *access) set(d *config.Document) { a.document.Store(d) }
+
+// check returns nil when the key may be used for the job now.
+func (a *access) check(w model.Workspace, k model.KeyID, j model.Job) error {
+	d := a.current()
+	if d == nil {
+		return sqlstate.Refuse(sqlstate.ConfigUnconfirmed, "no configuration is in force")
+	}
+	job := d.Job(j)
+	if job == nil {
+		return sqlstate.Refuse(sqlstate.UnknownJob, fmt.Sprintf("job %q does not exist", j))
+	}
+	if job.Open {
+		return nil
+	}
+	workspace := d.Workspace(w)
+	if workspace == nil || d.Key(w, k) == nil {
+		e := sqlstate.Refuse(sqlstate.KeyWithdrawn, "the key was withdrawn")
+		e.Fatal = true
+		return e
+	}
+	if !job.Allows(w) {
+		return sqlstate.Refuse(sqlstate.WorkspaceForbidden, fmt.Sprintf("workspace %q may not use job %q", w, j))
+	}
+	return a.confirmed(workspace)
+}
+
+// confirmed returns an error when the configuration has not been confirmed
+// within the workspace's key_grace.
+func (a *access) confirmed(w *config.Workspace) error {
+	age, ok := a.confirmedAge()
+	if ok && age <= w.KeyGrace.Std() {
+		return nil
+	}
+	return sqlstate.Refuse(sqlstate.ConfigUnconfirmed, "this VM cannot confirm that the key is still valid")
+}
+
+func (a *access) confirmedAge() (age time.Duration, ok bool) {
+	a.loop.view(func(now model.Time, s *core.State) {
+		age, ok = s.Confsync.ConfirmedAge(now)
+	})
+	return age, ok
+}
+
+// weight returns a workspace's weight for the fair queues.
+func (a *access) weight(w model.Workspace) int64 {
+	d := a.current()
+	if d == nil || d.Workspace(w) == nil {
+		return weightScale
+	}
+	return max(1, int64(d.Workspace(w).Weight*weightScale))
+}
+
+// upstreamAddress returns host:port of an upstream.
+func (a *access) upstreamAddress(u model.UpstreamID) (string, bool) {
+	d := a.current()
+	if d == nil {
+		return "", false
+	}
+	upstream, _ := d.Upstream(u)
+	if upstream == nil {
+		return "", false
+	}
+	return upstream.Address, true
+}
--- /dev/null
+++ b/node/directory.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/platform"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// directory is the newest known list of VMs: their zones and peer addresses.
+type directory struct {
+	loop *loop
+	// changed is called without the lock after a newer list was learned.
+	changed func()
+
+	mu     sync.Mutex
+	newest *peerv1.VMList
+	byID   map[model.VMID]*peerv1.VMEntry
+}
+
+func newDirectory(l *loop, changed func()) *directory {
+	return &directory{loop: l, changed: changed, newest: &peerv1.VMList{}, byID: map[model.VMID]*peerv1.VMEntry{}}
+}
+
+// read takes in the platform's list as a relay read it. version must grow with
+// each read over all relays.
+func (d *directory) read(version uint64, vms []platform.VM) {
+	list := &peerv1.VMList{Version: version}
+	for _, vm := range vms {
+		list.Vms = append(list.Vms, &peerv1.VMEntry{
+			Id: string(vm.ID), Zone: string(vm.Zone), PeerAddress: vm.PeerAddress, Leaving: vm.Leaving,
+		})
+	}
+	if sameVMs(d.list().GetVms(), list.GetVms()) {
+		return
+	}
+	d.learn(list)
+}
+
+func sameVMs(a, b []*peerv1.VMEntry) bool {
+	return slices.EqualFunc(a, b, func(x, y *peerv1.VMEntry) bool {
+		return x.GetId() == y.GetId() && x.GetZone() == y.GetZone() &&
+			x.GetPeerAddress() == y.GetPeerAddress() && x.GetLeaving() == y.GetLeaving()
+	})
+}
+
+// learn takes in a list if it is newer than the known one.
+func (d *directory) learn(list *peerv1.VMList) {
+	d.mu.Lock()
+	if list.GetVersion() <= d.newest.GetVersion() {
+		d.mu.Unlock()
+		return
+	}
+	d.newest = list
+	clear(d.byID)
+	for _, vm := range list.GetVms() {
+		d.byID[model.VMID(vm.GetId())] = vm
+	}
+	d.mu.Unlock()
+	d.tellReducer(list)
+	d.changed()
+}
+
+func (d *directory) tellReducer(list *peerv1.VMList) {
+	known := membership.Event{Kind: membership.EventVMList, Version: list.GetVersion()}
+	live := confsync.Event{Kind: confsync.Members}
+	for _, vm := range list.GetVms() {
+		id, zone := model.VMID(vm.GetId()), model.Zone(vm.GetZone())
+		known.VMs = append(known.VMs, membership.VM{ID: id, Zone: zone, Leaving: vm.GetLeaving()})
+		if !vm.GetLeaving() {
+			live.Members = append(live.Members, confsync.Member{VM: id, Zone: zone})
+		}
+	}
+	d.loop.apply(&core.Event{Membership: &known})
+	d.loop.apply(&core.Event{Confsync: &live})
+}
+
+// list returns the newest known list; it must not be changed.
+func (d *directory) list() *peerv1.VMList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newest
+}
+
+// address returns a VM's peer address.
+func (d *directory) address(vm model.VMID) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry := d.byID[vm]
+	return entry.GetPeerAddress(), entry != nil
+}
+
+// zoneOf returns a VM's zone, or "".
+func (d *directory) zoneOf(vm model.VMID) model.Zone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return model.Zone(d.byID[vm].GetZone())
+}
+
+// vmsOf returns the VMs of a zone.
+func (d *directory) vmsOf(zone model.Zone) []model.VMID {
+	var out []model.VMID
+	for _, vm := range d.list().GetVms() {
+		if vm.GetZone() == string(zone) {
+			out = append(out, model.VMID(vm.GetId()))
+		}
+	}
+	return out
+}
+
+// zones returns the zones of the listed VMs, in the list's order.
+func (d *directory) zones() []model.Zone {
+	var out []model.Zone
+	for _, vm := range d.list().GetVms() {
+		if zone := model.Zone(vm.GetZone()); !slices.Contains(out, zone) {
+			out = append(out, zone)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/exchange.go
@@ -0,0 +1,289 @@
+package node
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
+	"github.com/chervilhatch/chervilhatch/core/failover"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/peer"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// maxPassedAge bounds how old a report may be that a relay passes on.
+const maxPassedAge = 5 * time.Second
+
+// exchange implements peer.StateHandler: it tells peers what this VM knows and
+// takes in what they know. A relay passes reports on between its zone and the
+// other zones.
+type exchange struct {
+	node *Node
+	heard
+}
+
+var _ peer.StateHandler = (*exchange)(nil)
+
+// Now implements peer.StateHandler.
+func (x *exchange) Now() model.Time { return x.node.loop.clock.Now() }
+
+// Compose implements peer.StateHandler.
+func (x *exchange) Compose(vm model.VMID, l *peer.Link) *peerv1.ExchangeMessage {
+	n := x.node
+	m := &peerv1.ExchangeMessage{Vm: string(n.self), Zone: string(n.zone)}
+	n.loop.view(func(now model.Time, s *core.State) {
+		m.Config = append(m.Config, x.ownConfig(now, s))
+		x.composeRecords(now, s, l, m)
+		if s.Membership.Relay() {
+			m.Summary = x.summary(s)
+		}
+		if l.TakeDocumentRequest() {
+			m.ConfigVersion = s.Confsync.Version()
+			m.ConfigDocument = s.Confsync.Document()
+		}
+	})
+	if n.relay.active() {
+		x.passOn(vm, m)
+	}
+	m.Health = x.healthFrom(n.self, x.Now())
+	if list := n.directory.list(); l.SendsFirst("vms", list.GetVersion()) {
+		m.Vms = list
+	}
+	return m
+}
+
+func (x *exchange) ownConfig(now model.Time, s *core.State) *peerv1.ConfigReport {
+	r := &peerv1.ConfigReport{Vm: string(x.node.self), Zone: string(x.node.zone), Version: s.Confsync.Version()}
+	if age, ok := s.Confsync.ConfirmedAge(now); ok {
+		r.HasEvidence = true
+		r.AgeUs = age.Microseconds()
+	}
+	if at, down := x.node.relay.unreachableSince(); down {
+		r.StoreUnreachable = true
+		r.UnreachableAgeUs = now.Sub(at).Microseconds()
+	}
+	return r
+}
+
+// composeRecords reports the own zone's record, and those of all zones when
+// this VM is the relay.
+func (x *exchange) composeRecords(now model.Time, s *core.State, l *peer.Link, m *peerv1.ExchangeMessage) {
+	zones := []model.Zone{x.node.zone}
+	if s.Membership.Relay() {
+		zones = x.node.zones()
+	}
+	for _, zone := range zones {
+		r := s.Membership.Report(now, zone)
+		m.Records = append(m.Records, recordReport(r, l.SendsFirst("record "+string(zone), r.Record.Epoch)))
+	}
+}
+
+func recordReport(r membership.Report, withMembers bool) *peerv1.RecordReport {
+	record := &peerv1.ZoneRecord{Zone: string(r.Record.Zone), Epoch: r.Record.Epoch}
+	if withMembers {
+		for _, member := range r.Record.Members {
+			record.Members = append(record.Members, &peerv1.Member{Vm: string(member.VM), Incarnation: member.Incarnation})
+		}
+	}
+	return &peerv1.RecordReport{
+		Vm:            string(r.From),
+		VmZone:        string(r.FromZone),
+		Zone:          string(r.Record.Zone),
+		Incarnation:   r.Incarnation,
+		Record:        record,
+		Confirmed:     r.Confirmed,
+		RecordAgeUs:   r.RecordAge.Microseconds(),
+		Steady:        r.Steady,
+		SteadyAgeUs:   r.SteadyAge.Microseconds(),
+		ReleasedEpoch: r.ReleasedEpoch,
+	}
+}
+
+// summary tells other relays which versions the VMs of this zone have.
+func (x *exchange) summary(s *core.State) *peerv1.ZoneSummary {
+	out := &peerv1.ZoneSummary{Zone: string(x.node.zone), MinVersion: s.Confsync.Version()}
+	_, missing := s.Confsync.Progress(out.MinVersion)
+	for _, vm := range missing {
+		if x.node.directory.zoneOf(vm) == x.node.zone {
+			out.Lagging = append(out.Lagging, string(vm))
+		}
+	}
+	return out
+}
+
+// passOn adds the reports that a relay passes on: to a VM of its zone those of
+// the other relays and of the zone's members.
+func (x *exchange) passOn(vm model.VMID, m *peerv1.ExchangeMessage) {
+	if x.node.directory.zoneOf(vm) != x.node.zone {
+		return
+	}
+	now := x.Now()
+	for _, h := range x.recentConfigs(now) {
+		if h.report.GetVm() == string(vm) {
+			continue
+		}
+		r := copyConfigReport(h.report)
+		age := now.Sub(h.at)
+		r.AgeUs += age.Microseconds()
+		r.UnreachableAgeUs += age.Microseconds()
+		m.Config = append(m.Config, r)
+	}
+	for _, h := range x.recentRecords(now) {
+		if h.report.GetVm() == string(vm) || h.report.GetVmZone() != string(x.node.zone) {
+			continue
+		}
+		r := copyRecordReport(h.report)
+		r.ReportAgeUs += now.Sub(h.at).Microseconds()
+		m.Records = append(m.Records, r)
+	}
+}
+
+// Received implements peer.StateHandler.
+func (x *exchange) Received(m *peerv1.ExchangeMessage, sentAt model.Time, ok bool) {
+	n := x.node
+	if list := m.GetVms(); list != nil {
+		n.directory.learn(list)
+	}
+	if len(m.GetConfigDocument()) > 0 {
+		x.receivedDocument(m)
+	}
+	for _, r := range m.GetConfig() {
+		x.receivedConfig(r, sentAt, ok)
+	}
+	for _, r := range m.GetRecords() {
+		x.receivedRecord(r, sentAt, ok)
+	}
+	for _, r := range m.GetHealth() {
+		x.receivedHealth(r)
+	}
+	if s := m.GetSummary(); s != nil {
+		x.receivedSummary(s)
+	}
+}
+
+func (x *exchange) receivedDocument(m *peerv1.ExchangeMessage) {
+	record, err := config.DecodeRecord(m.GetConfigDocument())
+	if err != nil {
+		countMetric(x.node.metrics, "config.malformed")
+		return
+	}
+	document, list := record.Parse()
+	if len(list) > 0 {
+		countMetric(x.node.metrics, "config.malformed")
+		return
+	}
+	x.node.loop.apply(&core.Event{Confsync: &confsync.Event{
+		Kind:     confsync.PeerDocument,
+		VM:       model.VMID(m.GetVm()),
+		Version:  record.Version,
+		Document: m.GetConfigDocument(),
+		Config:   document,
+	}})
+}
+
+func (x *exchange) receivedConfig(r *peerv1.ConfigReport, sentAt model.Time, ok bool) {
+	if r.GetVm() == string(x.node.self) {
+		return
+	}
+	ev := confsync.Event{
+		Kind:    confsync.PeerReport,
+		VM:      model.VMID(r.GetVm()),
+		Zone:    model.Zone(r.GetZone()),
+		Version: r.GetVersion(),
+	}
+	if ok {
+		ev.HasEvidence = r.GetHasEvidence()
+		ev.At = sentAt.Add(-microseconds(r.GetAgeUs()))
+		ev.StoreUnreachable = r.GetStoreUnreachable()
+		ev.UnreachableAt = sentAt.Add(-microseconds(r.GetUnreachableAgeUs()))
+		x.rememberConfig(r, sentAt)
+	}
+	x.node.loop.apply(&core.Event{Confsync: &ev})
+}
+
+func (x *exchange) receivedRecord(r *peerv1.RecordReport, sentAt model.Time, ok bool) {
+	if r.GetVm() == string(x.node.self) {
+		return
+	}
+	record := recordFromProto(r.GetRecord())
+	if len(record.Members) > 0 {
+		x.node.loop.apply(&core.Event{Membership: &membership.Event{Kind: membership.EventRecordSeen, Record: record}})
+	}
+	if !ok {
+		return
+	}
+	x.rememberRecord(r, sentAt)
+	ev := membership.Event{
+		Kind:   membership.EventReport,
+		SentAt: sentAt.Add(-microseconds(r.GetReportAgeUs())),
+		Report: membership.Report{
+			From:          model.VMID(r.GetVm()),
+			FromZone:      model.Zone(r.GetVmZone()),
+			Incarnation:   r.GetIncarnation(),
+			Record:        x.fillMembers(record),
+			Confirmed:     r.GetConfirmed(),
+			RecordAge:     microseconds(r.GetRecordAgeUs()),
+			Steady:        r.GetSteady(),
+			SteadyAge:     microseconds(r.GetSteadyAgeUs()),
+			ReleasedEpoch: r.GetReleasedEpoch(),
+		},
+	}
+	x.node.loop.apply(&core.Event{Membership: &ev})
+}
+
+// fillMembers completes a record whose members were sent before on the stream.
+func (x *exchange) fillMembers(r membership.Record) membership.Record {
+	if len(r.Members) > 0 {
+		return r
+	}
+	x.node.loop.view(func(_ model.Time, s *core.State) {
+		if known := s.Membership.Record(r.Zone); known.Epoch == r.Epoch {
+			r = known
+		}
+	})
+	return r
+}
+
+func recordFromProto(m *peerv1.ZoneRecord) membership.Record {
+	r := membership.Record{Zone: model.Zone(m.GetZone()), Epoch: m.GetEpoch()}
+	for _, member := range m.GetMembers() {
+		r.Members = append(r.Members, membership.Member{VM: model.VMID(member.GetVm()), Incarnation: member.GetIncarnation()})
+	}
+	return r
+}
+
+func (x *exchange) receivedHealth(r *peerv1.HealthReport) {
+	term := r.GetTerm()
+	ev := failover.Event{
+		Kind:     failover.PeerHealth,
+		Database: model.Database(r.GetDatabase()),
+		From:     model.VMID(r.GetVm()),
+		Primary:  model.UpstreamID(r.GetPrimary()),
+		Term:     model.Term{Counter: term.GetCounter(), Proposer: term.GetProposer()},
+		Age:      microseconds(r.GetLastAnswerUs()),
+	}
+	x.node.loop.apply(&core.Event{Failover: &ev})
+}
+
+// receivedSummary turns a zone's summary into a report for each of its VMs.
+func (x *exchange) receivedSummary(m *peerv1.ZoneSummary) {
+	zone := model.Zone(m.GetZone())
+	if zone == x.node.zone {
+		return
+	}
+	lagging := map[string]bool{}
+	for _, vm := range m.GetLagging() {
+		lagging[vm] = true
+	}
+	for _, vm := range x.node.directory.vmsOf(zone) {
+		if lagging[string(vm)] {
+			continue
+		}
+		ev := confsync.Event{Kind: confsync.PeerReport, VM: vm, Zone: zone, Version: m.GetMinVersion()}
+		x.node.loop.apply(&core.Event{Confsync: &ev})
+	}
+}
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/node/gates.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// gates hold back new writes of a database while a planned switchover drains
+// those in progress.
+type gates struct {
+	mu    sync.Mutex
+	gates map[model.Database]*gate
+	// holders maps the assignment of a write to its database.
+	holders map[uint64]model.Database
+	// drained is called without the lock when a closed gate has no writes left.
+	drained func(model.Database)
+}
+
+type gate struct {
+	writes int
+	// opened is not nil while the gate is closed.
+	opened chan struct{}
+}
+
+func newGates(drained func(model.Database)) *gates {
+	return &gates{
+		gates:   map[model.Database]*gate{},
+		holders: map[uint64]model.Database{},
+		drained: drained,
+	}
+}
+
+func (g *gates) get(db model.Database) *gate {
+	if g.gates[db] == nil {
+		g.gates[db] = &gate{}
+	}
+	return g.gates[db]
+}
+
+// enter waits until the gate is open and counts a write.
+func (g *gates) enter(ctx context.Context, db model.Database) error {
+	for {
+		g.mu.Lock()
+		known := g.get(db)
+		opened := known.opened
+		if opened == nil {
+			known.writes++
+			g.mu.Unlock()
+			return nil
+		}
+		g.mu.Unlock()
+		select {
+		case <-opened:
+		case <-ctx.Done():
+			return sqlstate.Refuse(sqlstate.NoPrimary, "the primary is being handed over")
+		}
+	}
+}
+
+// leave ends a write.
+func (g *gates) leave(db model.Database) {
+	g.mu.Lock()
+	known := g.get(db)
+	known.writes--
+	done := known.writes == 0 && known.opened != nil
+	g.mu.Unlock()
+	if done {
+		g.drained(db)
+	}
+}
+
+// holdFor ties a write to its assignment.
+func (g *gates) holdFor(assignment uint64, db model.Database) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holders[assignment] = db
+}
+
+// release ends the write of an assignment, if it was one.
+func (g *gates) release(assignment uint64) {
+	g.mu.Lock()
+	db, ok := g.holders[assignment]
+	delete(g.holders, assignment)
+	g.mu.Unlock()
+	if ok {
+		g.leave(db)
+	}
+}
+
+// close holds back new writes.
+func (g *gates) close(db model.Database) {
+	g.mu.Lock()
+	known := g.get(db)
+	if known.opened == nil {
+		known.opened = make(chan struct{})
+	}
+	done := known.writes == 0
+	g.mu.Unlock()
+	if done {
+		g.drained(db)
+	}
+}
+
+// open lets writes go on.
+func (g *gates) open(db model.Database) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.get(db)
+	if known.opened != nil {
+		close(known.opened)
+		known.opened = nil
+	}
+}
--- /dev/null
+++ b/node/heard.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chervilhatch/chervilhatch/core/failover"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// heard has the newest reports of other VMs, for a relay to pass on, and this
+// VM's own health reports.
+type heard struct {
+	mu      sync.Mutex
+	configs map[string]heardConfig
+	records map[string]heardRecord
+	health  map[model.Database]healthReport
+}
+
+// heardConfig is a report that was true at at, on this VM's clock.
+type heardConfig struct {
+	report *peerv1.ConfigReport
+	at     model.Time
+}
+
+type heardRecord struct {
+	report *peerv1.RecordReport
+	at     model.Time
+}
+
+func newHeard() heard {
+	return heard{
+		configs: map[string]heardConfig{},
+		records: map[string]heardRecord{},
+		health:  map[model.Database]healthReport{},
+	}
+}
+
+func (h *heard) rememberConfig(r *peerv1.ConfigReport, at model.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.configs[r.GetVm()] = heardConfig{r, at}
+}
+
+func (h *heard) rememberRecord(r *peerv1.RecordReport, at model.Time) {
+	if r.GetVmZone() != r.GetZone() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records[r.GetVm()] = heardRecord{r, at}
+}
+
+// recentConfigs returns the reports that are not too old, in VM order, and
+// forgets the others.
+func (h *heard) recentConfigs(now model.Time) []heardConfig {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []heardConfig
+	for vm, c := range h.configs {
+		if now.Sub(c.at) > maxPassedAge {
+			delete(h.configs, vm)
+			continue
+		}
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].report.GetVm() < out[j].report.GetVm() })
+	return out
+}
+
+func (h *heard) recentRecords(now model.Time) []heardRecord {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []heardRecord
+	for vm, r := range h.records {
+		if now.Sub(r.at) > maxPassedAge {
+			delete(h.records, vm)
+			continue
+		}
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].report.GetVm() < out[j].report.GetVm() })
+	return out
+}
+
+// healthReport is what failover last published about a database.
+type healthReport struct {
+	effect failover.Effect
+	at     model.Time
+}
+
+// setHealth replaces the own health report of a database.
+func (h *heard) setHealth(now model.Time, e failover.Effect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.health[e.Database] = healthReport{e, now}
+}
+
+// healthFrom returns the own health reports as they are at now.
+func (h *heard) healthFrom(self model.VMID, now model.Time) []*peerv1.HealthReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*peerv1.HealthReport, 0, len(h.health))
+	for _, r := range h.health {
+		age := r.effect.Age
+		if age >= 0 {
+			age += now.Sub(r.at)
+		}
+		out = append(out, &peerv1.HealthReport{
+			Vm:           string(self),
+			Database:     string(r.effect.Database),
+			Primary:      string(r.effect.Primary),
+			Term:         &peerv1.Term{Counter: r.effect.Term.Counter, Proposer: r.effect.Term.Proposer},
+			LastAnswerUs: age.Microseconds(),
+		})
+	}
+	return out
+}
+
+func copyConfigReport(r *peerv1.ConfigReport) *peerv1.ConfigReport {
+	return proto.Clone(r).(*peerv1.ConfigReport)
+}
+
+func copyRecordReport(r *peerv1.RecordReport) *peerv1.RecordReport {
+	return proto.Clone(r).(*peerv1.RecordReport)
+}
--- /dev/null
+++ b/node/loop.go
@@ -0,0 +1,253 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/fairness"
+	"github.com/chervilhatch/chervilhatch/core/limits"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replication"
+	"github.com/chervilhatch/chervilhatch/core/routing"
+)
+
+// tickInterval is the longest time between two ticks of the reducer. The
+// reducer asks for earlier ones while it paces status rounds or retries.
+const tickInterval = 10 * time.Millisecond
+
+// reply is the effect that ends the wait of a request.
+type reply struct {
+	limits      limits.Effect
+	fairness    fairness.Effect
+	replication replication.Effect
+	routing     routing.Effect
+}
+
+// waiter is a goroutine that waits for an effect with its id.
+type waiter struct {
+	ready chan struct{}
+	done  bool
+	reply reply
+}
+
+// loop owns the reducer: it applies events under one mutex, hands effects that
+// answer a waiting goroutine to it, and queues all others for the executor in
+// the order in which they arose.
+type loop struct {
+	clock clock
+
+	mu      sync.Mutex
+	state   *core.State
+	effects core.Effects
+	waiters map[uint64]*waiter
+	lastID  uint64
+	// wake is when the next tick is due.
+	wake  model.Time
+	timer *time.Timer
+
+	queued  core.Effects
+	pending chan struct{}
+	// waiterPool saves the allocation of a waiter for each request.
+	waiterPool sync.Pool
+}
+
+func newLoop(c clock, state *core.State) *loop {
+	return &loop{
+		clock:   c,
+		state:   state,
+		waiters: map[uint64]*waiter{},
+		timer:   time.NewTimer(tickInterval),
+		pending: make(chan struct{}, 1),
+		waiterPool: sync.Pool{New: func() any {
+			return &waiter{ready: make(chan struct{}, 1)}
+		}},
+	}
+}
+
+// apply processes an event whose effects answer no waiting goroutine.
+func (l *loop) apply(ev *core.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applyLocked(ev)
+}
+
+// view reads the state; fn must not keep what it reads.
+func (l *loop) view(fn func(now model.Time, s *core.State)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fn(l.clock.Now(), l.state)
+}
+
+func (l *loop) applyLocked(ev *core.Event) {
+	l.effects.Reset()
+	now := l.clock.Now()
+	l.state.Apply(now, ev, &l.effects)
+	l.deliver()
+	l.enqueue()
+	l.schedule(now)
+}
+
+// newID returns an id that no other request has.
+func (l *loop) newID() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	return l.lastID
+}
+
+// request applies an event that carries id and waits for the effect that
+// answers it. When ctx ends first, abandon is applied and ok is false.
+func (l *loop) request(ctx context.Context, id uint64, ev, abandon *core.Event) (reply, bool) {
+	w := l.waiterPool.Get().(*waiter)
+	w.done = false
+	l.mu.Lock()
+	l.waiters[id] = w
+	l.applyLocked(ev)
+	if w.done {
+		r := w.reply
+		l.mu.Unlock()
+		<-w.ready
+		l.waiterPool.Put(w)
+		return r, true
+	}
+	l.mu.Unlock()
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		if !l.abandon(id, w, abandon) {
+			return reply{}, false
+		}
+		<-w.ready
+	}
+	r := w.reply
+	l.waiterPool.Put(w)
+	return r, true
+}
+
+// abandon withdraws a request; it returns true when the request has been
+// answered meanwhile.
+func (l *loop) abandon(id uint64, w *waiter, ev *core.Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.done {
+		return true
+	}
+	delete(l.waiters, id)
+	l.applyLocked(ev)
+	return false
+}
+
+// answer hands an effect to the waiter with the id, if there is one.
+func (l *loop) answer(id uint64, set func(*reply)) {
+	w := l.waiters[id]
+	if w == nil {
+		return
+	}
+	delete(l.waiters, id)
+	set(&w.reply)
+	w.done = true
+	w.ready <- struct{}{}
+}
+
+// deliver hands effects to waiting goroutines and removes them.
+func (l *loop) deliver() {
+	e := &l.effects
+	for i := range e.Routing {
+		l.answer(e.Routing[i].ID, func(r *reply) { r.routing = e.Routing[i] })
+	}
+	e.Routing = e.Routing[:0]
+	for i := range e.Fairness {
+		l.answer(e.Fairness[i].ID, func(r *reply) { r.fairness = e.Fairness[i] })
+	}
+	e.Fairness = e.Fairness[:0]
+	e.Replication = l.deliverReplication(e.Replication)
+	e.Limits = l.deliverLimits(e.Limits)
+}
+
+func (l *loop) deliverReplication(effects []replication.Effect) []replication.Effect {
+	kept := effects[:0]
+	for i := range effects {
+		switch effects[i].Kind {
+		case replication.PollRound, replication.PrimaryChanged:
+			kept = append(kept, effects[i])
+		case replication.RoundConfirmed:
+		default:
+			l.answer(effects[i].ID, func(r *reply) { r.replication = effects[i] })
+		}
+	}
+	return kept
+}
+
+func (l *loop) deliverLimits(effects []limits.Effect) []limits.Effect {
+	kept := effects[:0]
+	for i := range effects {
+		switch effects[i].Kind {
+		case limits.EffectAdmit, limits.EffectRefuse:
+			l.answer(effects[i].ID, func(r *reply) { r.limits = effects[i] })
+		default:
+			kept = append(kept, effects[i])
+		}
+	}
+	return kept
+}
+
+// enqueue keeps the remaining effects for the executor.
+func (l *loop) enqueue() {
+	e, q := &l.effects, &l.queued
+	if len(e.Confsync)+len(e.Membership)+len(e.Limits)+len(e.ConnShare)+len(e.Replication)+len(e.Failover) == 0 {
+		return
+	}
+	q.Confsync = append(q.Confsync, e.Confsync...)
+	q.Membership = append(q.Membership, e.Membership...)
+	q.Limits = append(q.Limits, e.Limits...)
+	q.ConnShare = append(q.ConnShare, e.ConnShare...)
+	q.Replication = append(q.Replication, e.Replication...)
+	q.Failover = append(q.Failover, e.Failover...)
+	select {
+	case l.pending <- struct{}{}:
+	default:
+	}
+}
+
+// schedule moves the next tick forward if the reducer needs it earlier.
+func (l *loop) schedule(now model.Time) {
+	next := min(
+		now.Add(tickInterval),
+		l.state.Replication.NextTick(now),
+		l.state.Routing.NextTick(now),
+	)
+	if l.wake > now && l.wake <= next {
+		return
+	}
+	l.wake = next
+	l.timer.Reset(next.Sub(now))
+}
+
+// run ticks and executes queued effects until ctx ends.
+func (l *loop) run(ctx context.Context, x *effectExecutor) {
+	var batch core.Effects
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.timer.C:
+			l.tick()
+		case <-l.pending:
+			l.mu.Lock()
+			batch, l.queued = l.queued, batch
+			l.queued.Reset()
+			l.mu.Unlock()
+			x.execute(ctx, &batch)
+		}
+	}
+}
+
+func (l *loop) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wake = 0
+	l.applyLocked(&core.Event{Tick: &core.Tick{Seed: rand.Uint64()}})
+}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/platform"
+)
+
+// Pace of a relay's calls to the store.
+const (
+	confirmInterval = time.Second
+	listInterval    = time.Second
+	watchRetry      = 500 * time.Millisecond
+	// storeCallTimeout bounds a call; a slow store counts as unreachable.
+	storeCallTimeout = 2 * time.Second
+)
+
+// recordPrefix is the prefix of the zone records' keys.
+const recordPrefix = "zones/"
+
+// relay does the calls to the store on behalf of its zone while membership
+// says that this VM is the zone's relay, and the first reads of a VM that has
+// just started.
+type relay struct {
+	loop      *loop
+	store     platform.Store
+	inventory platform.Inventory
+	directory *directory
+	zone      model.Zone
+	log       zerolog.Logger
+	metrics   metrics.Registry
+	ctx       context.Context
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	// revision is the store's revision of the newest known configuration.
+	revision int64
+	version  uint64
+	// failedAt is when the last failed call was sent, while calls fail.
+	failedAt model.Time
+	failing  bool
+	wg       sync.WaitGroup
+}
+
+// start begins the relay's calls.
+func (r *relay) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.cancel = cancel
+	r.wg.Add(3)
+	go r.every(ctx, confirmInterval, r.confirmConfig)
+	go r.every(ctx, listInterval, r.readList)
+	go r.watch(ctx)
+}
+
+// stop ends the relay's calls.
+func (r *relay) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+	r.failing = false
+}
+
+// active reports whether this VM is the relay.
+func (r *relay) active() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cancel != nil
+}
+
+// bootstrap reads what a VM needs to find its peers.
+func (r *relay) bootstrap(ctx context.Context) {
+	r.confirmConfig(ctx)
+	r.readList(ctx)
+}
+
+func (r *relay) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+	defer r.wg.Done()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		fn(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// watch reads the configuration at each change, so that a change is known
+// before the next regular read.
+func (r *relay) watch(ctx context.Context) {
+	defer r.wg.Done()
+	for ctx.Err() == nil {
+		err := r.store.Watch(ctx, config.CurrentKey, r.knownRevision()+1, func(platform.Change) {
+			r.confirmConfig(ctx)
+		})
+		if err != nil {
+			countMetric(r.metrics, "store.watch_ended")
+		}
+		pauseFor(ctx, watchRetry)
+	}
+}
+
+func (r *relay) knownRevision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// confirmConfig asks whether the known configuration is the newest. The
+// condition spares the transfer of the whole document.
+func (r *relay) confirmConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	sentAt := r.loop.clock.Now()
+	r.mu.Lock()
+	revision, version := r.revision, r.version
+	r.mu.Unlock()
+	result, err := r.store.Txn(ctx, []platform.Condition{{Key: config.CurrentKey, ModRevision: revision}}, nil)
+	if err != nil {
+		r.failed(sentAt)
+		return
+	}
+	r.reached()
+	if result.Succeeded {
+		r.loop.apply(&core.Event{Confsync: &confsync.Event{Kind: confsync.StoreRead, Version: version, At: sentAt}})
+		return
+	}
+	for _, kv := range result.Current {
+		if kv.Key == config.CurrentKey {
+			r.readConfig(kv, sentAt)
+		}
+	}
+}
+
+func (r *relay) readConfig(kv platform.KeyValue, sentAt model.Time) {
+	record, err := config.DecodeRecord(kv.Value)
+	if err != nil {
+		r.log.Error().Err(err).Msg("the stored configuration cannot be read")
+		return
+	}
+	document, list := record.Parse()
+	if len(list) > 0 {
+		r.log.Error().Err(list).Uint64("version", record.Version).Msg("the stored configuration is invalid")
+		return
+	}
+	r.mu.Lock()
+	r.revision, r.version = kv.ModRevision, record.Version
+	r.mu.Unlock()
+	r.loop.apply(&core.Event{Confsync: &confsync.Event{
+		Kind:     confsync.StoreRead,
+		Version:  record.Version,
+		Document: kv.Value,
+		Config:   document,
+		At:       sentAt,
+	}})
+}
+
+// readList reads the platform's list of VMs. Its version is the time of the
+// read: lists of different relays are ordered by their wall clocks, and a
+// wrong order lasts until the next read.
+func (r *relay) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	version := uint64(time.Now().UnixMilli())
+	vms, err := r.inventory.ListVMs(ctx)
+	if err != nil {
+		countMetric(r.metrics, "platform.list_failed")
+		return
+	}
+	r.directory.read(version, vms)
+}
+
+// failed records that the store did not answer.
+func (r *relay) failed(sentAt model.Time) {
+	countMetric(r.metrics, "store.calls_failed")
+	r.mu.Lock()
+	changed := !r.failing
+	r.failing = true
+	r.failedAt = sentAt
+	active := r.cancel != nil
+	r.mu.Unlock()
+	if changed {
+		r.log.Warn().Msg("the platform's store is unreachable")
+	}
+	if active {
+		r.loop.apply(&core.Event{Confsync: &confsync.Event{Kind: confsync.StoreUnreachable, Zone: r.zone, At: sentAt}})
+	}
+}
+
+func (r *relay) reached() {
+	r.mu.Lock()
+	changed := r.failing
+	r.failing = false
+	r.mu.Unlock()
+	if changed {
+		r.log.Info().Msg("the platform's store is reachable again")
+	}
+}
+
+// unreachableSince returns when the last failed call was sent while this VM is
+// the relay and the store does not answer.
+func (r *relay) unreachableSince() (model.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedAt, r.failing && r.cancel != nil
+}
+
+// storedRecord is the stored form of a zone record.
+type storedRecord struct {
+	Epoch   uint64              `json:"epoch"`
+	Members []membership.Member `json:"members"`
+}
+
+func recordKey(zone model.Zone) string { return recordPrefix + string(zone) }
+
+// readRecord reads a zone record.
+func (r *relay) readRecord(ctx context.Context, zone model.Zone) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	ev := membership.Event{Kind: membership.EventRecordRead, SentAt: r.loop.clock.Now(), Zone: zone}
+	kv, err := r.store.Get(ctx, recordKey(zone))
+	if err == nil {
+		ev.Record, err = decodeRecord(zone, kv)
+		ev.Revision = kv.ModRevision
+	}
+	if err != nil {
+		ev.Kind = membership.EventReadFailed
+	}
+	r.loop.apply(&core.Event{Membership: &ev})
+}
+
+func decodeRecord(zone model.Zone, kv platform.KeyValue) (membership.Record, error) {
+	record := membership.Record{Zone: zone}
+	if kv.ModRevision == 0 {
+		return record, nil
+	}
+	var stored storedRecord
+	if err := json.Unmarshal(kv.Value, &stored); err != nil {
+		return record, err
+	}
+	record.Epoch = stored.Epoch
+	record.Members = stored.Members
+	return record, nil
+}
+
+// writeRecord writes a zone record if the store's has the expected revision.
+func (r *relay) writeRecord(ctx context.Context, record membership.Record, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	ev := membership.Event{
+		Kind:    membership.EventWriteDone,
+		Outcome: membership.WriteUnknown,
+		SentAt:  r.loop.clock.Now(),
+		Record:  membership.Record{Zone: record.Zone},
+	}
+	value, err := json.Marshal(storedRecord{Epoch: record.Epoch, Members: record.Members})
+	if err != nil {
+		return
+	}
+	key := recordKey(record.Zone)
+	result, err := r.store.Txn(ctx,
+		[]platform.Condition{{Key: key, ModRevision: revision}},
+		[]platform.Write{{Key: key, Value: value}})
+	switch {
+	case err != nil:
+		countMetric(r.metrics, "store.record_write_unknown")
+	case result.Succeeded:
+		ev.Outcome = membership.WriteDone
+		ev.Record = record
+		ev.Revision = result.Revision
+	default:
+		ev = conflictEvent(ev, record.Zone, result)
+	}
+	r.loop.apply(&core.Event{Membership: &ev})
+}
+
+// conflictEvent tells which record the store has instead. If that cannot be
+// read, the outcome stays unknown and the record is read again.
+func conflictEvent(ev membership.Event, zone model.Zone, result platform.TxnResult) membership.Event {
+	for _, kv := range result.Current {
+		record, err := decodeRecord(zone, kv)
+		if err == nil {
+			ev.Outcome = membership.WriteConflict
+			ev.Record = record
+			ev.Revision = kv.ModRevision
+		}
+	}
+	return ev
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -42,14 +42,21 @@
 	seq  uint64
 	seen uint64
 	sent [sentTimes]model.Time
-	// sentList is the version of the VM list that the peer has.
-	sentList uint64
-	// config is the version of the document to send next, 0 if none.
+	// versions are the versions of documents that were sent, by name.
+	versions map[string]uint64
+	// wantsConfig is true when the next message shall have the configuration.
 	wantsConfig bool
 }
 
 func newLink(h StateHandler, vm model.VMID, send func(*peerv1.ExchangeMessage) error, recv func() (*peerv1.ExchangeMessage, error)) *Link {
-	return &Link{handler: h, vm: vm, send: send, recv: recv, kick: make(chan struct{}, 1)}
+	return &Link{
+		handler:  h,
+		vm:       vm,
+		send:     send,
+		recv:     recv,
+		kick:     make(chan struct{}, 1),
+		versions: map[string]uint64{},
+	}
 }
 
 // Peer returns the VM at the other end, empty until it has named itself.
@@ -59,14 +66,17 @@
 	return l.vm
 }
 
-// ListVersion returns the version of the VM list that was sent last, and
-// records that version next is sent now.
-func (l *Link) ListVersion(next uint64) uint64 {
+// SendsFirst reports whether this version of a document has not been sent on
+// the stream yet, and records that it is sent now. A stream loses nothing, so
+// what was sent once need not be sent again.
+func (l *Link) SendsFirst(document string, version uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	last := l.sentList
-	l.sentList = next
-	return last
+	if l.versions[document] >= version {
+		return false
+	}
+	l.versions[document] = version
+	return true
 }
 
 // RequestDocument asks for the configuration document to be part of the next message.
