Add the stand-in of a database group and its control client

The proxy needs upstreams with real SQL, a replicated log, and the fence, promote and follow functions, without third-party servers. Each upstream keeps its data in SQLite's memory twice: a write copy for the one write transaction and a published copy for reads, so that an open transaction blocks no read and a replica can publish later than it received. pgcontrol calls the functions over pgconn.

--- /dev/null
+++ b/dbgroup/pgcontrol/control.go
@@ -0,0 +1,149 @@
+// Package pgcontrol implements dbgroup.Control by calling the control
+// functions of docs/upstream-functions.md over the PostgreSQL protocol.
+package pgcontrol
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// Credentials are the proxy's own credentials on the upstreams.
+type Credentials struct {
+	User     string
+	Password string
+	Database string
+	// TLS is nil for connections without TLS.
+	TLS *tls.Config
+}
+
+// Resolve returns the current address, host:port, of an upstream.
+type Resolve func(model.UpstreamID) (address string, ok bool)
+
+// ErrUnknownUpstream means that no address of the upstream is known.
+var ErrUnknownUpstream = errors.New("the upstream's address is not known")
+
+// ErrClosed means that the Control was closed.
+var ErrClosed = errors.New("the control connections are closed")
+
+// ErrMalformed means that an upstream's answer does not have the documented form.
+var ErrMalformed = errors.New("malformed answer of a control function")
+
+// Control keeps one connection to each upstream and runs one call at a time on
+// it. Calls to different upstreams are independent.
+type Control struct {
+	resolve     Resolve
+	credentials Credentials
+
+	mu     sync.Mutex
+	closed bool
+	links  map[model.UpstreamID]*link
+}
+
+var _ dbgroup.Control = (*Control)(nil)
+
+// New returns a Control that connects on first use.
+func New(resolve func(model.UpstreamID) (address string, ok bool), credentials Credentials) *Control {
+	return &Control{
+		resolve:     resolve,
+		credentials: credentials,
+		links:       make(map[model.UpstreamID]*link),
+	}
+}
+
+// Close closes all connections; a running call ends with an error.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, l := range c.links {
+		l.shut()
+	}
+}
+
+// Status implements dbgroup.Control.
+func (c *Control) Status(ctx context.Context, u model.UpstreamID) (dbgroup.Status, error) {
+	row, err := c.call(ctx, u, "SELECT * FROM chervilhatch_status()")
+	if err != nil {
+		return dbgroup.Status{}, err
+	}
+	return parseStatus(row)
+}
+
+// Fence implements dbgroup.Control.
+func (c *Control) Fence(ctx context.Context, u model.UpstreamID, t model.Term) (bool, dbgroup.Status, error) {
+	row, err := c.call(ctx, u, "SELECT * FROM chervilhatch_fence($1, $2)", counterText(t), t.Proposer)
+	if err != nil {
+		return false, dbgroup.Status{}, err
+	}
+	if len(row) == 0 {
+		return false, dbgroup.Status{}, fmt.Errorf("%w: no columns", ErrMalformed)
+	}
+	accepted, err := strconv.ParseBool(row[0])
+	if err != nil {
+		return false, dbgroup.Status{}, fmt.Errorf("%w: accepted is %q", ErrMalformed, row[0])
+	}
+	status, err := parseStatus(row[1:])
+	return accepted && err == nil, status, err
+}
+
+// Promote implements dbgroup.Control.
+func (c *Control) Promote(ctx context.Context, u model.UpstreamID, t model.Term) (dbgroup.Status, error) {
+	row, err := c.call(ctx, u, "SELECT * FROM chervilhatch_promote($1, $2)", counterText(t), t.Proposer)
+	if err != nil {
+		return dbgroup.Status{}, err
+	}
+	return parseStatus(row)
+}
+
+// Follow implements dbgroup.Control.
+func (c *Control) Follow(ctx context.Context, u model.UpstreamID, t model.Term, primary model.UpstreamID) (dbgroup.Status, error) {
+	address, ok := c.resolve(primary)
+	if !ok {
+		return dbgroup.Status{}, fmt.Errorf("%w: %s", ErrUnknownUpstream, primary)
+	}
+	row, err := c.call(ctx, u, "SELECT * FROM chervilhatch_follow($1, $2, $3)", counterText(t), t.Proposer, address)
+	if err != nil {
+		return dbgroup.Status{}, err
+	}
+	return parseStatus(row)
+}
+
+// call runs a function and returns the columns of its single row.
+func (c *Control) call(ctx context.Context, u model.UpstreamID, sql string, args ...string) ([]string, error) {
+	address, ok := c.resolve(u)
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", ErrUnknownUpstream, u)
+	}
+	l, err := c.link(u)
+	if err != nil {
+		return nil, err
+	}
+	row, err := l.call(ctx, address, sql, args)
+	if err != nil {
+		return nil, fmt.Errorf("upstream %s: %w", u, err)
+	}
+	return row, nil
+}
+
+func (c *Control) link(u model.UpstreamID) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	l := c.links[u]
+	if l == nil {
+		l = newLink(c.credentials)
+		c.links[u] = l
+	}
+	return l, nil
+}
+
+func counterText(t model.Term) string { return strconv.FormatUint(t.Counter, 10) }
--- /dev/null
+++ b/standin/upstream/internal/store/store.go
@@ -0,0 +1,212 @@
+// Package store holds the data of one upstream in SQLite's memory.
+//
+// The data exists twice. The write copy belongs to one write transaction at a
+// time. The published copy has committed entries only and is what reads see,
+// so that an open write transaction never blocks a read, and a replica can
+// publish an entry later than it received it.
+package store
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	_ "modernc.org/sqlite" // driver "sqlite"
+)
+
+// Statement is one statement of a committed transaction.
+type Statement struct {
+	SQL  string
+	Args []any
+}
+
+// Column is one column of a result. Type is its declared type, or empty.
+type Column struct {
+	Name string
+	Type string
+}
+
+// Result is the answer to a statement.
+type Result struct {
+	Columns []Column
+	Rows    [][]any
+	// Affected is the number of changed rows.
+	Affected int64
+}
+
+// Store has both copies of the data. Its Write methods must not be called
+// concurrently; reads may run at any time.
+type Store struct {
+	mu        sync.RWMutex
+	writer    *copyOfData
+	publisher *copyOfData
+	readers   *sql.DB
+}
+
+// copyOfData is a database with the one connection that changes it.
+type copyOfData struct {
+	db   *sql.DB
+	conn *sql.Conn
+}
+
+// maxIdleReaders is the number of connections for reads that stay open. It is
+// above the number of slots of an upstream, so that reads open none.
+const maxIdleReaders = 16
+
+// names makes the names of the databases unique in the process.
+var names atomic.Uint64
+
+// Open returns an empty store.
+func Open() (*Store, error) {
+	s := &Store{}
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) open() error {
+	var err error
+	if s.writer, err = openCopy(":memory:?_pragma=foreign_keys(1)"); err != nil {
+		return err
+	}
+	name := fmt.Sprintf("file:/upstream%d?vfs=memdb", names.Add(1))
+	if s.publisher, err = openCopy(name + "&_pragma=foreign_keys(1)"); err != nil {
+		return err
+	}
+	if s.readers, err = sql.Open("sqlite", name+"&_pragma=query_only(1)"); err != nil {
+		return err
+	}
+	s.readers.SetMaxIdleConns(maxIdleReaders)
+	return nil
+}
+
+func openCopy(name string) (*copyOfData, error) {
+	db, err := sql.Open("sqlite", name)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := db.Conn(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	return &copyOfData{db: db, conn: conn}, nil
+}
+
+func (c *copyOfData) close() {
+	_ = c.conn.Close()
+	_ = c.db.Close()
+}
+
+// Close discards the data.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.close()
+}
+
+func (s *Store) close() {
+	_ = s.readers.Close()
+	s.publisher.close()
+	s.writer.close()
+}
+
+// Rebuild discards the data and applies entries to both copies. done runs
+// before any read can see them.
+func (s *Store) Rebuild(entries [][]Statement, done func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done()
+	s.close()
+	if err := s.open(); err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := s.writer.apply(entry); err != nil {
+			return err
+		}
+		if err := s.publisher.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Publish applies an entry to the published copy. done runs before any read
+// can see the entry.
+func (s *Store) Publish(entry []Statement, done func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done()
+	return s.publisher.apply(entry)
+}
+
+// Read runs a statement on the published copy. before runs while the data
+// cannot change.
+func (s *Store) Read(ctx context.Context, query string, args []any, before func()) (*Result, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	before()
+	conn, err := s.readers.Conn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return run(ctx, conn, query, args)
+}
+
+func (c *copyOfData) apply(entry []Statement) error {
+	if len(entry) == 0 {
+		return nil
+	}
+	ctx := context.Background()
+	if _, err := c.conn.ExecContext(ctx, "BEGIN"); err != nil {
+		return err
+	}
+	for _, statement := range entry {
+		if _, err := c.conn.ExecContext(ctx, statement.SQL, statement.Args...); err != nil {
+			return fmt.Errorf("apply %q: %w", statement.SQL, err)
+		}
+	}
+	_, err := c.conn.ExecContext(ctx, "COMMIT")
+	return err
+}
+
+// run executes a statement that returns rows.
+func run(ctx context.Context, conn *sql.Conn, query string, args []any) (*Result, error) {
+	rows, err := conn.QueryContext(ctx, query, args...)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	result := &Result{}
+	if result.Columns, err = columns(rows); err != nil {
+		return nil, err
+	}
+	for rows.Next() {
+		row := make([]any, len(result.Columns))
+		targets := make([]any, len(row))
+		for i := range row {
+			targets[i] = &row[i]
+		}
+		if err := rows.Scan(targets...); err != nil {
+			return nil, err
+		}
+		result.Rows = append(result.Rows, row)
+	}
+	return result, rows.Err()
+}
+
+func columns(rows *sql.Rows) ([]Column, error) {
+	types, err := rows.ColumnTypes()
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Column, len(types))
+	for i, t := range types {
+		list[i] = Column{Name: t.Name(), Type: t.DatabaseTypeName()}
+	}
+	return list, nil
+}
--- /dev/null
+++ b/standin/upstream/internal/store/write.go
@@ -0,0 +1,44 @@
+package store
+
+import "context"
+
+// WriteBegin starts a transaction on the write copy.
+func (s *Store) WriteBegin() error {
+	_, err := s.writer.conn.ExecContext(context.Background(), "BEGIN")
+	return err
+}
+
+// WriteExec runs a statement in the transaction on the write copy.
+func (s *Store) WriteExec(ctx context.Context, query string, args []any) (*Result, error) {
+	done, err := s.writer.conn.ExecContext(ctx, query, args...)
+	if err != nil {
+		return nil, err
+	}
+	affected, err := done.RowsAffected()
+	return &Result{Affected: affected}, err
+}
+
+// WriteQuery is WriteExec for a statement that returns rows.
+func (s *Store) WriteQuery(ctx context.Context, query string, args []any) (*Result, error) {
+	result, err := run(ctx, s.writer.conn, query, args)
+	if err != nil {
+		return nil, err
+	}
+	result.Affected = int64(len(result.Rows))
+	return result, nil
+}
+
+// WriteCommit ends the transaction on the write copy.
+func (s *Store) WriteCommit() error {
+	_, err := s.writer.conn.ExecContext(context.Background(), "COMMIT")
+	return err
+}
+
+// WriteRollback discards the transaction on the write copy. SQLite may have
+// done so itself after an interrupt, so its error says nothing.
+func (s *Store) WriteRollback() {
+	_, _ = s.writer.conn.ExecContext(context.Background(), "ROLLBACK")
+}
+
+// WriteApply applies an entry of another upstream to the write copy.
+func (s *Store) WriteApply(entry []Statement) error { return s.writer.apply(entry) }
--- /dev/null
+++ b/standin/upstream/load.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// load has the limits and the counters of an upstream.
+type load struct {
+	maxConnections int
+	slots          chan struct{}
+
+	mu                sync.Mutex
+	connectDelay      time.Duration
+	statementDuration time.Duration
+	connections       int
+	running           int
+	counters          Counters
+}
+
+// Counters count what an upstream did since its creation.
+type Counters struct {
+	// Statements is the number of reads and writes that were started.
+	Statements int
+	// MaxConcurrent is the highest number of statements that ran at once.
+	MaxConcurrent int
+	// Connections is the number of sessions that were opened.
+	Connections int
+	// MaxConnections is the highest number of sessions at once.
+	MaxConnections int
+	// RefusedConnections is the number of connections beyond the limit.
+	RefusedConnections int
+}
+
+func newLoad(o Options) *load {
+	l := &load{
+		maxConnections:    o.MaxConnections,
+		connectDelay:      o.ConnectDelay,
+		statementDuration: o.StatementDuration,
+	}
+	if o.Slots > 0 {
+		l.slots = make(chan struct{}, o.Slots)
+	}
+	return l
+}
+
+// connect counts a session, or refuses it beyond the limit.
+func (l *load) connect() (delay time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.maxConnections > 0 && l.connections >= l.maxConnections {
+		l.counters.RefusedConnections++
+		return 0, false
+	}
+	l.connections++
+	l.counters.Connections++
+	l.counters.MaxConnections = max(l.counters.MaxConnections, l.connections)
+	return l.connectDelay, true
+}
+
+func (l *load) disconnect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connections--
+}
+
+// acquire takes a slot and spends the statement's duration. The caller calls
+// release afterwards, unless there is an error.
+func (l *load) acquire(ctx context.Context) error {
+	if l.slots != nil {
+		select {
+		case l.slots <- struct{}{}:
+		case <-ctx.Done():
+			return errCanceled
+		}
+	}
+	if sleep(ctx, l.start()) != nil {
+		l.release()
+		return errCanceled
+	}
+	return nil
+}
+
+// start counts a statement and returns its duration.
+func (l *load) start() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+	l.counters.Statements++
+	l.counters.MaxConcurrent = max(l.counters.MaxConcurrent, l.running)
+	return l.statementDuration
+}
+
+func (l *load) release() {
+	l.mu.Lock()
+	l.running--
+	l.mu.Unlock()
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/upstream/node.go
@@ -0,0 +1,239 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+	"github.com/chervilhatch/chervilhatch/standin/upstream/internal/store"
+)
+
+// durable is the state that survives a restart of an upstream.
+type durable struct {
+	log      journal
+	promised model.Term
+	role     dbgroup.Role
+	// primary is the address of the primary that a replica follows.
+	primary string
+	// synced is true on a replica once its log was compared with that of the
+	// primary of the promised term and rewound. A replica serves no reads
+	// before.
+	synced bool
+}
+
+// node is the state of one upstream.
+//
+// Locks are taken in the order writeTx.mu, node.mu, and the store's own lock.
+type node struct {
+	data *store.Store
+	// writeLock holds a token while a write transaction is open.
+	writeLock chan struct{}
+	// generation changes whenever the upstream leaves its term or rewinds, so
+	// that what was true of an earlier term is recognized. It changes under mu.
+	generation atomic.Uint64
+	// visible is the applied position, for readers that do not take mu. It
+	// changes under the lock of data.
+	visible atomic.Pointer[model.Position]
+
+	mu sync.Mutex
+	durable
+	applied model.LogPos
+	// receivedAt has the arrival times of the entries after applied.
+	receivedAt []time.Time
+	// open is the write transaction that holds writeLock.
+	open *writeTx
+	// changed is closed and replaced when the state or a hook changes.
+	changed chan struct{}
+	hooks   replicationHooks
+}
+
+// replicationHooks are the faults of replication that a test can set.
+type replicationHooks struct {
+	// lagEntries and lagTime hold back the applied position.
+	lagEntries model.LogPos
+	lagTime    time.Duration
+	// receiveStopped keeps a replica from receiving entries.
+	receiveStopped bool
+	// partitioned cuts replication to and from this upstream.
+	partitioned bool
+}
+
+func newNode(initial durable) (*node, error) {
+	data, err := store.Open()
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		data:      data,
+		writeLock: make(chan struct{}, 1),
+		changed:   make(chan struct{}),
+	}
+	n.durable = initial
+	return n, nil
+}
+
+// load rebuilds the data from the log after a start.
+func (n *node) load() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rebuild()
+}
+
+// rebuild applies the whole log to empty data.
+func (n *node) rebuild() error {
+	n.generation.Add(1)
+	n.applied = n.log.end()
+	n.receivedAt = nil
+	return n.data.Rebuild(n.log.statements(), n.showApplied)
+}
+
+// notify wakes the goroutines that wait for a change. The caller holds mu.
+func (n *node) notify() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// status returns the fields of dbgroup.Status.
+func (n *node) status() dbgroup.Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.statusLocked()
+}
+
+func (n *node) statusLocked() dbgroup.Status {
+	last := n.log.last()
+	return dbgroup.Status{
+		Role:        n.role,
+		Promised:    n.promised,
+		LastTerm:    last.Term,
+		TermStart:   last.Start,
+		Received:    n.log.end(),
+		Applied:     n.applied,
+		AppliedTerm: n.log.position(n.applied).Term,
+	}
+}
+
+// fence accepts term t if it is above every accepted term. Repeating an
+// accepted fence is accepted, so that a lost answer can be asked for again.
+func (n *node) fence(t model.Term) (bool, dbgroup.Status) {
+	n.mu.Lock()
+	if n.promised == t && n.role == dbgroup.Fenced {
+		defer n.mu.Unlock()
+		return true, n.statusLocked()
+	}
+	if !n.promised.Less(t) {
+		defer n.mu.Unlock()
+		return false, n.statusLocked()
+	}
+	n.promised = t
+	open := n.leaveTerm(dbgroup.Fenced)
+	n.mu.Unlock()
+	open.abort(errFenced)
+	return true, n.status()
+}
+
+// leaveTerm changes the role and returns the open write transaction, which the
+// caller aborts after it unlocks mu. No commit can succeed after leaveTerm.
+func (n *node) leaveTerm(role dbgroup.Role) *writeTx {
+	n.role = role
+	n.primary = ""
+	n.synced = false
+	n.generation.Add(1)
+	n.notify()
+	return n.open
+}
+
+// promote makes the upstream the primary of t, which it must have accepted.
+func (n *node) promote(t model.Term) (dbgroup.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role == dbgroup.Primary && n.promised == t {
+		return n.statusLocked(), nil
+	}
+	if n.role != dbgroup.Fenced || n.promised != t {
+		return n.statusLocked(), n.refusal("promote", t)
+	}
+	if err := n.publishUpTo(n.log.end()); err != nil {
+		return n.statusLocked(), err
+	}
+	n.role = dbgroup.Primary
+	n.log.append(entry{Term: t})
+	if err := n.publishUpTo(n.log.end()); err != nil {
+		return n.statusLocked(), err
+	}
+	n.notify()
+	return n.statusLocked(), nil
+}
+
+// follow makes the upstream a replica of the primary of t.
+func (n *node) follow(t model.Term, primary string) (dbgroup.Status, error) {
+	n.mu.Lock()
+	if t.Less(n.promised) || n.role == dbgroup.Primary && n.promised == t {
+		defer n.mu.Unlock()
+		return n.statusLocked(), n.refusal("follow", t)
+	}
+	if n.role == dbgroup.Replica && n.promised == t && n.primary == primary {
+		defer n.mu.Unlock()
+		return n.statusLocked(), nil
+	}
+	n.promised = t
+	open := n.leaveTerm(dbgroup.Replica)
+	n.primary = primary
+	n.mu.Unlock()
+	open.abort(errFenced)
+	return n.status(), nil
+}
+
+func (n *node) refusal(action string, t model.Term) *pgError {
+	return &pgError{codeNotInRequiredState, "cannot " + action + " in term " + t.String() +
+		": this upstream is a " + n.role.String() + " and has accepted term " + n.promised.String()}
+}
+
+// publishUpTo makes the entries up to p visible to reads.
+func (n *node) publishUpTo(p model.LogPos) error {
+	for n.applied < p {
+		e := n.log.entries[n.applied]
+		n.applied++
+		if err := n.data.Publish(e.Statements, n.showApplied); err != nil {
+			return err
+		}
+		if len(n.receivedAt) > 0 {
+			n.receivedAt = n.receivedAt[1:]
+		}
+	}
+	return nil
+}
+
+// showApplied makes the applied position known to readers.
+func (n *node) showApplied() {
+	p := n.log.position(n.applied)
+	n.visible.Store(&p)
+}
+
+// wait blocks until changed is closed or ctx ends.
+func wait(ctx context.Context, changed <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// stop ends the node's open transaction and streams; nothing commits after it.
+func (n *node) stop() {
+	n.mu.Lock()
+	n.generation.Add(1)
+	open := n.open
+	n.notify()
+	n.mu.Unlock()
+	open.abort(&pgError{codeCannotConnectNow, "the upstream is stopping"})
+}
+
+// servesReads reports whether the data may be read.
+func (n *node) servesReads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.role != dbgroup.Replica || n.synced
+}
--- /dev/null
+++ b/standin/upstream/prepare.go
@@ -0,0 +1,126 @@
+package upstream
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/standin/upstream/internal/sqltext"
+	"github.com/chervilhatch/chervilhatch/standin/upstream/internal/store"
+	"github.com/chervilhatch/chervilhatch/standin/upstream/internal/value"
+)
+
+// schemaQuery lists the columns of all tables.
+const schemaQuery = "SELECT m.name, c.name, lower(c.type) FROM sqlite_master m" +
+	" JOIN pragma_table_info(m.name) c WHERE m.type IN ('table', 'view') ORDER BY m.name, c.cid"
+
+// prepare chooses the types of the parameters.
+func (c *session) prepare(s *sqltext.Statement, chosen []uint32) (*prepared, error) {
+	p := &prepared{statement: s, parameterOIDs: make([]uint32, s.ParamCount())}
+	if len(p.parameterOIDs) == 0 {
+		return p, nil
+	}
+	copy(p.parameterOIDs, chosen)
+	if s.Class == sqltext.Function {
+		return p, nil
+	}
+	schema, err := c.schema()
+	if err != nil {
+		return nil, err
+	}
+	for i, t := range s.ParamTypes(schema) {
+		if p.parameterOIDs[i] == value.UnknownOID {
+			p.parameterOIDs[i] = value.OID(t)
+		}
+	}
+	return p, nil
+}
+
+// internalQuery runs a query that is not the client's: no slot, no counters.
+func (c *session) internalQuery(sql string, args []any) (*store.Result, error) {
+	ctx := context.Background()
+	if c.write != nil {
+		return c.write.query(ctx, sql, args)
+	}
+	return c.node.data.Read(ctx, sql, args, func() {})
+}
+
+func (c *session) schema() (sqltext.Schema, error) {
+	result, err := c.internalQuery(schemaQuery, nil)
+	if err != nil {
+		return nil, err
+	}
+	var schema sqltext.Schema
+	for _, row := range result.Rows {
+		table, _ := row[0].(string)
+		name, _ := row[1].(string)
+		declared, _ := row[2].(string)
+		schema = append(schema, sqltext.Column{Table: table, Name: name, Type: sqltext.Type(declared)})
+	}
+	return schema, nil
+}
+
+// describePrepared finds the columns of a prepared statement without running it.
+func (c *session) describePrepared(p *prepared) error {
+	if p.described {
+		return nil
+	}
+	fields, err := c.describeFields(p)
+	if err != nil {
+		return err
+	}
+	p.fields = fields
+	p.described = true
+	return nil
+}
+
+func (c *session) describeFields(p *prepared) ([]pgproto3.FieldDescription, error) {
+	s := p.statement
+	switch {
+	case s.Class == sqltext.Show:
+		return dynamicFields(c.show(s)), nil
+	case s.Class == sqltext.Function:
+		return functionFields(s), nil
+	case s.Class == sqltext.Write && s.Has("returning"):
+		return c.selectFields(p, returningQuery(s))
+	case s.Class == sqltext.Read && !s.Has("explain"):
+		return c.selectFields(p, s.SQL)
+	}
+	return nil, nil
+}
+
+// returningQuery selects the list of RETURNING from the table.
+func returningQuery(s *sqltext.Statement) string {
+	table := ""
+	for i, t := range s.Tokens[:len(s.Tokens)-1] {
+		if t.Is("into", "update", "from") {
+			table = s.Tokens[i+1].Text
+			break
+		}
+	}
+	return "SELECT " + s.After("returning") + " FROM " + table
+}
+
+// selectFields describes the columns of a query: by their declared types, else
+// by what the text suggests.
+func (c *session) selectFields(p *prepared, query string) ([]pgproto3.FieldDescription, error) {
+	nulls := make([]any, len(p.parameterOIDs))
+	result, err := c.internalQuery("SELECT * FROM ("+query+") LIMIT 0", nulls)
+	if err != nil {
+		return nil, err
+	}
+	schema, err := c.schema()
+	if err != nil {
+		return nil, err
+	}
+	guesses := p.statement.ItemTypes(schema, p.statement.ParamTypes(schema))
+	fields := make([]pgproto3.FieldDescription, len(result.Columns))
+	for i, column := range result.Columns {
+		oid := value.OID(sqltext.Type(column.Type))
+		if oid == value.UnknownOID && len(guesses) == len(fields) {
+			oid = value.OID(guesses[i])
+		}
+		fields[i] = field(column.Name, oid)
+	}
+	return fields, nil
+}
