Add the callers' server

Cause: applications need the PostgreSQL server side of the proxy. Change: frontend handles startup, TLS, SCRAM, sessions, batches, classification, limits, cancellation and shutdown; its options name the interfaces that node has to provide.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -17,8 +17,9 @@
 const (
 	// readBuffer holds several rows of an answer.
 	readBuffer = 16 << 10
-	// maxMessage is the largest message of an upstream, as PostgreSQL's own limit.
-	maxMessage = 1<<30 - 1
+	// maxMessage is the largest message of an upstream, for example one row. A
+	// message is forwarded as a whole, so it must fit into memory.
+	maxMessage = 64 << 20
 	// cancelTimeout bounds the separate connection of a cancel request.
 	cancelTimeout = 2 * time.Second
 )
--- a/backend/wire/wire.go
+++ b/backend/wire/wire.go
@@ -16,6 +16,8 @@
 	lengthLen = 4
 	// startupMinLen is the smallest startup packet: length and code.
 	startupMinLen = 8
+	// keptSize is the largest buffer that is kept after a large message.
+	keptSize = 16 << 10
 )
 
 // ErrMalformed reports a message whose length or content is invalid.
@@ -98,6 +100,25 @@
 	return r.take(size)
 }
 
+// Wait returns when at least one byte is buffered.
+func (r *Reader) Wait() error { return r.fill(1) }
+
+// Skip discards the message that Next refused with a SizeError, and returns
+// its type. It needs no memory beyond the buffer.
+func (r *Reader) Skip() (kind byte, err error) {
+	kind = r.buf[r.r]
+	left := int(binary.BigEndian.Uint32(r.buf[r.r+1:])) + 1
+	for left > 0 {
+		if err := r.fill(1); err != nil {
+			return 0, err
+		}
+		n := min(left, r.w-r.r)
+		r.r += n
+		left -= n
+	}
+	return kind, nil
+}
+
 // HasFrame reports whether Next returns without reading from the source.
 func (r *Reader) HasFrame() bool {
 	have := r.w - r.r
@@ -150,7 +171,7 @@
 	}
 	if r.r == r.w {
 		r.r, r.w = 0, 0
-		if len(r.buf) > r.initial && n <= r.initial {
+		if len(r.buf) > max(r.initial, keptSize) && n <= r.initial {
 			r.buf = make([]byte, r.initial)
 		}
 	}
--- /dev/null
+++ b/frontend/answer.go
@@ -0,0 +1,188 @@
+package frontend
+
+import (
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	// answerBuffer is how much of an answer is collected for one write.
+	answerBuffer = 16 << 10
+	// readyLen is the length of ReadyForQuery.
+	readyLen = 6
+	// lingerTime and lingerBytes bound how long the proxy reads on after a fatal
+	// error; a close with unread bytes would reset the connection and could
+	// lose the error.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 64 << 10
+
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+)
+
+// answer tracks what the answer to a batch means for the session.
+type answer struct {
+	// changes are the statement changes that the answer has not confirmed yet.
+	changes []change
+	// watchErrors is true when failed must tell of an error in the answer.
+	watchErrors bool
+	failed      bool
+	// errorStart is where the last error starts in the output buffer, -1 if
+	// it was already sent.
+	errorStart int
+}
+
+// sink takes a part of the answer. ReadyForQuery, which is the last message,
+// is removed, because the session position goes before it.
+func (s *session) sink(messages []byte) error {
+	if s.answer.watchErrors || len(s.answer.changes) > 0 {
+		if err := s.inspect(messages); err != nil {
+			return err
+		}
+	}
+	s.out = append(s.out, messages...)
+	if endsWithReady(s.out) {
+		return nil
+	}
+	return s.flush()
+}
+
+// endsWithReady reports whether the last bytes look like ReadyForQuery. If
+// they are the end of another message, they are only sent a little later.
+func endsWithReady(out []byte) bool {
+	if len(out) < readyLen {
+		return false
+	}
+	tail := out[len(out)-readyLen:]
+	return tail[0] == wire.ReadyForQuery && tail[1] == 0 && tail[2] == 0 && tail[3] == 0 && tail[4] == 5
+}
+
+// inspect looks for confirmations of statement changes and for errors.
+func (s *session) inspect(messages []byte) error {
+	for len(messages) > 0 {
+		frame, rest, err := wire.Split(messages)
+		if err != nil {
+			return err
+		}
+		messages = rest
+		switch frame.Type() {
+		case wire.ParseComplete, wire.CloseComplete:
+			if len(s.answer.changes) > 0 {
+				s.answer.changes[0].apply(&s.statements)
+				s.answer.changes = s.answer.changes[1:]
+			}
+		case wire.ErrorResponse:
+			s.answer.changes = nil
+			s.answer.failed = true
+		}
+	}
+	return nil
+}
+
+// moved advances the session position and tells the caller.
+func (s *session) moved(p model.Position) {
+	if p.IsZero() {
+		return
+	}
+	if s.position.Database != s.access.Database {
+		s.position = model.SessionPosition{Database: s.access.Database}
+	}
+	next := s.position.Max(p)
+	if next == s.position.Position {
+		return
+	}
+	s.position.Position = next
+	s.appendMessage(&pgproto3.ParameterStatus{Name: positionParameter, Value: s.position.String()})
+}
+
+// dropReady removes the ReadyForQuery of a complete answer from the output buffer.
+func (s *session) dropReady() {
+	if endsWithReady(s.out) {
+		s.out = s.out[:len(s.out)-readyLen]
+	}
+}
+
+// ready ends the answer with the session's transaction status.
+func (s *session) ready() error {
+	s.out = wire.AppendMessage(s.out, wire.ReadyForQuery, []byte{s.tx})
+	s.answer = answer{}
+	return s.flush()
+}
+
+func (s *session) appendMessage(message pgproto3.BackendMessage) {
+	encoded, err := message.Encode(s.out)
+	if err != nil {
+		// Only a message above 1 GB cannot be encoded, and none of ours is.
+		return
+	}
+	s.out = encoded
+}
+
+func (s *session) appendError(err *sqlstate.Error) {
+	s.answer.errorStart = len(s.out)
+	s.appendMessage(errorResponse(err))
+}
+
+// dropLastError removes the last error from the output buffer, because a
+// fatal one replaces it.
+func (s *session) dropLastError() {
+	s.out = s.out[:min(s.answer.errorStart, len(s.out))]
+}
+
+// flush writes the output buffer.
+func (s *session) flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_, err := s.conn.Write(s.out)
+	if cap(s.out) > answerBuffer {
+		s.out = nil
+	}
+	s.out = s.out[:0]
+	return err
+}
+
+func errorResponse(err *sqlstate.Error) *pgproto3.ErrorResponse {
+	severity := severityError
+	if err.Fatal {
+		severity = severityFatal
+	}
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                string(err.Code),
+		Message:             err.Message,
+	}
+}
+
+// sendFatal sends an error and closes the connection so that the caller can
+// still read it.
+func sendFatal(conn net.Conn, err *sqlstate.Error) {
+	defer conn.Close()
+	encoded, encodeErr := errorResponse(err).Encode(nil)
+	if encodeErr != nil {
+		return
+	}
+	_ = conn.SetDeadline(time.Now().Add(lingerTime))
+	if _, writeErr := conn.Write(encoded); writeErr != nil {
+		return
+	}
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	buffer := make([]byte, keptBuffer)
+	for total := 0; total < lingerBytes; {
+		n, readErr := conn.Read(buffer)
+		total += n
+		if readErr != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/frontend/batch.go
@@ -0,0 +1,193 @@
+package frontend
+
+import (
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// batch is a run of messages that is not complete yet.
+type batch struct {
+	messages []byte
+	class    model.Class
+	begin    bool
+	// beginWrite is true if a statement asks for a read-write transaction.
+	beginWrite bool
+	ends       bool
+	// cost counts the statements that run.
+	cost int
+	// locals are the actions of statements that the proxy answers itself;
+	// remote is true if there are other statements.
+	locals []localAction
+	remote bool
+	// runs is true if a portal is bound or executed.
+	runs     bool
+	changes  []change
+	prepared []executor.Prepared
+	// parsed are the statements of this batch, by the caller's names.
+	parsed map[string]*preparedStatement
+}
+
+func newBatch() batch { return batch{class: model.Read} }
+
+// empty reports whether no message was added.
+func (b *batch) empty() bool { return len(b.messages) == 0 }
+
+// include takes the SQL of one statement into account.
+func (b *batch) include(info *statementInfo) *sqlstate.Error {
+	if info.refusal != "" {
+		return sqlstate.Refuse(sqlstate.NotSupported, info.refusal)
+	}
+	if info.local.kind != localNone {
+		return nil
+	}
+	b.remote = true
+	return nil
+}
+
+// runStatement takes a statement that the batch executes into account.
+func (b *batch) runStatement(info *statementInfo) {
+	b.cost += max(info.statements, 1)
+	b.begin = b.begin || info.begin
+	b.beginWrite = b.beginWrite || info.beginWrite
+	b.ends = info.ends
+	if info.class == model.Write {
+		b.class = model.Write
+	}
+	if info.local.kind != localNone {
+		b.locals = append(b.locals, info.local)
+	}
+}
+
+// add adds one message of the extended protocol.
+func (s *session) add(frame wire.Frame) *sqlstate.Error {
+	b := &s.batch
+	if len(b.messages)+len(frame) > s.server.options.Limits.MessageSize {
+		return sqlstate.Refuse(sqlstate.TooLarge, "the batch is too large")
+	}
+	var refusal *sqlstate.Error
+	var err error
+	switch frame.Type() {
+	case wire.Parse:
+		refusal, err = s.addParse(frame)
+	case wire.Bind:
+		refusal, err = s.addBind(frame)
+	case wire.Describe:
+		refusal, err = s.addDescribe(frame)
+	case wire.Close:
+		err = s.addClose(frame)
+	case wire.Execute:
+		b.runs = true
+	}
+	if err != nil {
+		return protocolError("malformed message")
+	}
+	if refusal != nil {
+		return refusal
+	}
+	b.messages = append(b.messages, frame...)
+	return nil
+}
+
+func (s *session) addParse(frame wire.Frame) (*sqlstate.Error, error) {
+	name, statement, err := parseStatement(frame)
+	if err != nil {
+		return nil, err
+	}
+	if name != "" && s.lookup(name) != nil {
+		return sqlstate.Refuse(sqlstate.DuplicateStatement, "prepared statement \""+name+"\" already exists"), nil
+	}
+	if refusal := s.checkRoom(name, statement); refusal != nil {
+		return refusal, nil
+	}
+	if s.batch.parsed == nil {
+		s.batch.parsed = map[string]*preparedStatement{}
+	}
+	s.batch.parsed[name] = statement
+	s.batch.changes = append(s.batch.changes, change{name: name, statement: statement})
+	return s.batch.include(&statement.info), nil
+}
+
+// lookup returns the statement that a name means at this place of the batch.
+func (s *session) lookup(name string) *preparedStatement {
+	if statement, ok := s.batch.parsed[name]; ok {
+		return statement
+	}
+	return s.statements.get(name)
+}
+
+// use makes sure that the batch carries the statement.
+func (s *session) use(name string) (*preparedStatement, *sqlstate.Error) {
+	statement := s.lookup(name)
+	if statement == nil {
+		return nil, sqlstate.Refuse(sqlstate.UnknownStatement, "prepared statement \""+name+"\" does not exist")
+	}
+	if _, ok := s.batch.parsed[name]; ok {
+		return statement, nil
+	}
+	for i := range s.batch.prepared {
+		if s.batch.prepared[i].Name == name {
+			return statement, nil
+		}
+	}
+	s.batch.prepared = append(s.batch.prepared, executor.Prepared{Name: name, Parse: statement.parse})
+	return statement, s.batch.include(&statement.info)
+}
+
+func (s *session) addBind(frame wire.Frame) (*sqlstate.Error, error) {
+	_, rest, err := wire.CString(frame.Body())
+	if err != nil {
+		return nil, err
+	}
+	name, _, err := wire.CString(rest)
+	if err != nil {
+		return nil, err
+	}
+	statement, refusal := s.use(string(name))
+	if refusal != nil {
+		return refusal, nil
+	}
+	s.batch.runs = true
+	s.batch.runStatement(&statement.info)
+	return nil, nil
+}
+
+func (s *session) addDescribe(frame wire.Frame) (*sqlstate.Error, error) {
+	body := frame.Body()
+	if len(body) == 0 {
+		return nil, wire.ErrMalformed
+	}
+	if body[0] != 'S' {
+		s.batch.runs = true
+		return nil, nil
+	}
+	name, _, err := wire.CString(body[1:])
+	if err != nil {
+		return nil, err
+	}
+	_, refusal := s.use(string(name))
+	return refusal, nil
+}
+
+func (s *session) addClose(frame wire.Frame) error {
+	body := frame.Body()
+	if len(body) == 0 {
+		return wire.ErrMalformed
+	}
+	name, _, err := wire.CString(body[1:])
+	if err != nil {
+		return err
+	}
+	if body[0] != 'S' {
+		s.batch.runs = true
+		s.batch.changes = append(s.batch.changes, change{portal: true})
+		return nil
+	}
+	if s.batch.parsed == nil {
+		s.batch.parsed = map[string]*preparedStatement{}
+	}
+	s.batch.parsed[string(name)] = nil
+	s.batch.changes = append(s.batch.changes, change{name: string(name)})
+	return nil
+}
--- /dev/null
+++ b/frontend/local.go
@@ -0,0 +1,83 @@
+package frontend
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// isLocal reports whether the proxy answers a batch without remote statements
+// itself: it has only local statements, or only closes statements.
+func (b *batch) isLocal() bool { return len(b.locals) > 0 || !b.runs }
+
+// runLocal applies the actions of the batch and answers it.
+func (s *session) runLocal(b *batch) {
+	for _, action := range b.locals {
+		if refusal := s.apply(action); refusal != nil {
+			s.refuseBatch(refusal)
+			s.answer.failed = true
+			return
+		}
+	}
+	s.answerLocally(b)
+}
+
+// runLost answers a batch in a transaction that the proxy has already rolled back.
+func (s *session) runLost(b *batch) {
+	if !b.ends || b.cost != 1 {
+		s.appendError(sqlstate.Refuse(sqlstate.FailedTransaction,
+			"the transaction failed, commands are ignored until it ends"))
+		s.answer.failed = true
+		return
+	}
+	s.lost = false
+	s.tx = wire.Idle
+	b.locals = []localAction{{tag: "ROLLBACK"}}
+	s.answerLocally(b)
+}
+
+// answerLocally answers each message of the batch without an upstream.
+func (s *session) answerLocally(b *batch) {
+	tags := b.locals
+	messages := b.messages
+	for len(messages) > 0 {
+		frame, rest, err := wire.Split(messages)
+		if err != nil {
+			return
+		}
+		messages = rest
+		switch frame.Type() {
+		case wire.Parse, wire.Close:
+			s.confirmChange(frame.Type())
+		case wire.Bind:
+			s.appendMessage(&pgproto3.BindComplete{})
+		case wire.Describe:
+			s.describeLocally(frame)
+		case wire.Execute, wire.Query:
+			if len(tags) > 0 {
+				s.appendMessage(&pgproto3.CommandComplete{CommandTag: []byte(tags[0].tag)})
+				tags = tags[1:]
+			}
+		}
+	}
+}
+
+func (s *session) confirmChange(kind byte) {
+	if len(s.answer.changes) > 0 {
+		s.answer.changes[0].apply(&s.statements)
+		s.answer.changes = s.answer.changes[1:]
+	}
+	if kind == wire.Parse {
+		s.appendMessage(&pgproto3.ParseComplete{})
+		return
+	}
+	s.appendMessage(&pgproto3.CloseComplete{})
+}
+
+func (s *session) describeLocally(frame wire.Frame) {
+	if body := frame.Body(); len(body) > 0 && body[0] == 'S' {
+		s.appendMessage(&pgproto3.ParameterDescription{})
+	}
+	s.appendMessage(&pgproto3.NoData{})
+}
--- /dev/null
+++ b/frontend/rules.go
@@ -0,0 +1,197 @@
+package frontend
+
+import (
+	"strings"
+
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// controlPrefix starts the names of the upstreams' control functions.
+const controlPrefix = "chervilhatch_"
+
+// sharedFunctions act on the upstream connection, which callers share.
+var sharedFunctions = map[string]bool{
+	"set_config":                          true,
+	"pg_advisory_lock":                    true,
+	"pg_advisory_lock_shared":             true,
+	"pg_try_advisory_lock":                true,
+	"pg_try_advisory_lock_shared":         true,
+	"pg_advisory_unlock":                  true,
+	"pg_advisory_unlock_shared":           true,
+	"pg_advisory_unlock_all":              true,
+	"pg_terminate_backend":                true,
+	"pg_cancel_backend":                   true,
+	"pg_temp":                             true,
+	"transaction_read_only":               true,
+	"default_transaction_read_only":       true,
+	"pg_replication_origin_session_setup": true,
+}
+
+// checkName refuses names that reach beyond the caller's own transaction.
+func (c *scan) checkName(name string) {
+	if c.refusal != "" || len(name) < len("pg_temp") {
+		return
+	}
+	lower := strings.ToLower(name)
+	if strings.HasPrefix(lower, controlPrefix) {
+		c.refusal = "the control functions are not available to callers"
+	}
+	if sharedFunctions[lower] {
+		c.refusal = lower + " acts on state that callers share"
+	}
+}
+
+// refusalOf returns why a statement is not supported, "" if it is.
+func refusalOf(c *scan) string {
+	if c.refusal != "" && c.word(0) != "SHOW" {
+		return c.refusal
+	}
+	second := c.word(1)
+	switch first := c.word(0); first {
+	case "LISTEN", "LOAD", "EXECUTE", "DEALLOCATE", "DISCARD", "RESET", "PREPARE", "UNLISTEN":
+		return first + " changes state that outlives a transaction"
+	case "SET":
+		return refuseSet(c, second)
+	case "CREATE":
+		return refuseTemp(c, second)
+	case "SELECT", "WITH":
+		if c.words.tempTarget {
+			return "temporary tables outlive a transaction"
+		}
+	case "DECLARE":
+		if c.words.hold {
+			return "a cursor WITH HOLD outlives a transaction"
+		}
+	case "COPY":
+		if c.words.stdin {
+			return "COPY FROM STDIN is not supported"
+		}
+	case "COMMIT", "ROLLBACK":
+		if second == "PREPARED" {
+			return "two-phase commit is not supported"
+		}
+	}
+	return ""
+}
+
+// refuseSet accepts only forms that end with the transaction. SET TRANSACTION
+// READ WRITE would turn a transaction that runs as a read into a write.
+func refuseSet(c *scan, second string) string {
+	switch second {
+	case "LOCAL", "CONSTRAINTS":
+		return ""
+	case "TRANSACTION":
+		if c.words.write {
+			return "SET TRANSACTION READ WRITE is not supported; use BEGIN READ WRITE"
+		}
+		return ""
+	}
+	return "SET changes state that outlives a transaction"
+}
+
+func refuseTemp(c *scan, second string) string {
+	isTemp := false
+	for _, word := range []string{second, c.word(2), c.word(3)} {
+		if word == "TEMP" || word == "TEMPORARY" {
+			isTemp = true
+		}
+	}
+	if isTemp && !c.words.onCommitDrop {
+		return "temporary tables outlive a transaction unless they are created with ON COMMIT DROP"
+	}
+	return ""
+}
+
+// localKind is a statement that the proxy answers itself.
+type localKind uint8
+
+const (
+	localNone localKind = iota
+	localSet
+	localReset
+	// localForget drops the session's prepared statements.
+	localForget
+	// localNothing has no effect, because there is no such state.
+	localNothing
+)
+
+// localAction is what the proxy does for a statement that it answers itself.
+type localAction struct {
+	kind        localKind
+	tag         string
+	name, value string
+}
+
+// localActionOf recognizes SET, RESET, DISCARD ALL, DEALLOCATE ALL and UNLISTEN.
+func localActionOf(c *scan) localAction {
+	switch c.word(0) {
+	case "SET":
+		return localSetOf(c)
+	case "RESET":
+		if c.count == 2 {
+			return localAction{kind: localReset, tag: "RESET", name: c.lead[1].text}
+		}
+	case "DISCARD":
+		if c.word(1) == "ALL" {
+			return localAction{kind: localForget, tag: "DISCARD ALL"}
+		}
+	case "DEALLOCATE":
+		if c.word(c.count-1) == "ALL" {
+			return localAction{kind: localForget, tag: "DEALLOCATE ALL"}
+		}
+	case "UNLISTEN":
+		return localAction{kind: localNothing, tag: "UNLISTEN"}
+	}
+	return localAction{}
+}
+
+// localSetOf parses SET [SESSION] name {TO | =} value, SET TIME ZONE value and
+// SET NAMES value.
+func localSetOf(c *scan) localAction {
+	i := 1
+	if c.word(i) == "SESSION" {
+		i++
+	}
+	switch c.word(i) {
+	case "LOCAL", "TRANSACTION", "CONSTRAINTS", "CHARACTERISTICS", "AUTHORIZATION", "ROLE":
+		return localAction{}
+	}
+	set := localAction{kind: localSet, tag: "SET", name: c.lead[i].text}
+	if c.word(i) == "TIME" && c.word(i+1) == "ZONE" {
+		set.name = "timezone"
+		set.value = c.rest(i + 2)
+		return set
+	}
+	if c.word(i) == "NAMES" {
+		set.value = c.rest(i + 1)
+		return set
+	}
+	set.value = c.rest(i + 2)
+	return set
+}
+
+// rest joins the tokens from i on. A statement with more tokens than are kept
+// gives a value that no parameter accepts.
+func (c *scan) rest(i int) string {
+	if c.count > leadLen {
+		return ""
+	}
+	var value strings.Builder
+	for ; i < c.count; i++ {
+		value.WriteString(c.lead[i].text)
+	}
+	return value.String()
+}
+
+// apply performs the action on the session's own state.
+func (s *session) apply(action localAction) *sqlstate.Error {
+	switch action.kind {
+	case localSet:
+		return s.settings.set(action.name, action.value)
+	case localReset:
+		return s.settings.reset(action.name)
+	case localForget:
+		s.statements.clear()
+	}
+	return nil
+}
--- /dev/null
+++ b/frontend/server.go
@@ -0,0 +1,270 @@
+package frontend
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	// maxRefusals bounds the refusals under way; beyond it connections are
+	// closed without a message.
+	maxRefusals = 64
+	// forceTime is how long sessions have to end after Shutdown's context ended.
+	forceTime = time.Second
+	// acceptPause follows a failed accept, for example without free descriptors.
+	acceptPause = 10 * time.Millisecond
+	mockLen     = 32
+)
+
+// ErrServerClosed is returned by Serve after Shutdown.
+var ErrServerClosed = errors.New("frontend: server closed")
+
+// Server accepts callers.
+type Server struct {
+	options   Options
+	ctx       context.Context
+	cancel    context.CancelFunc
+	logins    chan struct{}
+	refusals  chan struct{}
+	sessionWG sync.WaitGroup
+
+	mu        sync.Mutex
+	draining  bool
+	listeners map[net.Listener]struct{}
+	// sessions are keyed by the process id of their cancel key.
+	sessions map[uint32]*session
+	// reserved counts sessions and logins that authenticate.
+	reserved int
+}
+
+// New returns a Server.
+func New(options Options) *Server {
+	options.setDefaults()
+	if len(options.MockSecret) == 0 {
+		options.MockSecret = make([]byte, mockLen)
+		_, _ = rand.Read(options.MockSecret)
+	}
+	s := &Server{
+		options:   options,
+		logins:    make(chan struct{}, options.Limits.Logins),
+		refusals:  make(chan struct{}, maxRefusals),
+		listeners: map[net.Listener]struct{}{},
+		sessions:  map[uint32]*session{},
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Serve accepts connections until Shutdown is called or the listener fails.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.track(l) {
+		l.Close()
+		return ErrServerClosed
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.isDraining() {
+				return ErrServerClosed
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.accept(conn)
+	}
+}
+
+// accept starts a login, or refuses the connection when too many are under way.
+func (s *Server) accept(conn net.Conn) {
+	if !s.addSession() {
+		conn.Close()
+		return
+	}
+	select {
+	case s.logins <- struct{}{}:
+		go s.handle(conn)
+	default:
+		s.refuse(conn)
+	}
+}
+
+// addSession counts a connection that Shutdown waits for.
+func (s *Server) addSession() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.sessionWG.Add(1)
+	return true
+}
+
+func (s *Server) refuse(conn net.Conn) {
+	select {
+	case s.refusals <- struct{}{}:
+	default:
+		conn.Close()
+		s.sessionWG.Done()
+		return
+	}
+	go func() {
+		defer s.sessionWG.Done()
+		defer func() { <-s.refusals }()
+		sendFatal(conn, tooMany("too many logins are under way"))
+	}()
+}
+
+func tooMany(message string) *sqlstate.Error {
+	err := sqlstate.Refuse(sqlstate.TooManyConnections, message)
+	err.Fatal = true
+	return err
+}
+
+// handle logs a connection in and serves its session.
+func (s *Server) handle(conn net.Conn) {
+	defer s.sessionWG.Done()
+	session, fatal := s.login(conn)
+	if fatal != nil {
+		sendFatal(fatal.conn, fatal.err)
+	}
+	<-s.logins
+	if session == nil {
+		conn.Close()
+		return
+	}
+	defer s.release()
+	if !s.register(session) {
+		session.stop(nil)
+		session.end(shutdownError())
+		return
+	}
+	defer s.unregister(session)
+	session.serve()
+}
+
+// reserve counts a session against the limit.
+func (s *Server) reserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reserved >= s.options.Limits.Sessions {
+		return false
+	}
+	s.reserved++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved--
+}
+
+func (s *Server) track(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// CloseKey closes the sessions that were authenticated with a withdrawn key,
+// running statements included.
+func (s *Server) CloseKey(w model.Workspace, k model.KeyID) {
+	for _, session := range s.snapshot() {
+		if session.workspace == w && session.keyID == k && k != "" {
+			session.interrupt(keyWithdrawn(k))
+		}
+	}
+}
+
+func keyWithdrawn(k model.KeyID) *sqlstate.Error {
+	return &sqlstate.Error{
+		Code:    sqlstate.KeyWithdrawn,
+		Message: "key " + string(k) + " was withdrawn; the session is closed",
+		NotRun:  true,
+		Fatal:   true,
+	}
+}
+
+func shutdownError() *sqlstate.Error {
+	return &sqlstate.Error{
+		Code:    sqlstate.AdminShutdown,
+		Message: "this proxy is stopping; connect again",
+		NotRun:  true,
+		Fatal:   true,
+	}
+}
+
+// Sessions returns the number of sessions.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+func (s *Server) snapshot() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, session := range s.sessions {
+		all = append(all, session)
+	}
+	return all
+}
+
+// Shutdown stops accepting connections, closes idle sessions with 57P01 and
+// waits until batches and transactions have finished. When ctx ends first, the
+// remaining sessions are interrupted and its error is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting()
+	for _, session := range s.snapshot() {
+		session.drain()
+	}
+	done := make(chan struct{})
+	go func() {
+		s.sessionWG.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		s.cancel()
+		return nil
+	case <-ctx.Done():
+	}
+	s.cancel()
+	for _, session := range s.snapshot() {
+		session.interrupt(shutdownError())
+	}
+	select {
+	case <-done:
+	case <-time.After(forceTime):
+	}
+	return ctx.Err()
+}
+
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+}
--- /dev/null
+++ b/frontend/session.go
@@ -0,0 +1,299 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	// writeGrace is how long a caller may leave an answer unread.
+	writeGrace = 10 * time.Second
+	// interruptGrace is how long an interrupted session may take to write its
+	// last message.
+	interruptGrace = time.Second
+	// drainGrace lets a request that was under way arrive before an idle
+	// session is closed.
+	drainGrace = 20 * time.Millisecond
+	// keptBuffer is the largest buffer that an idle session keeps.
+	keptBuffer = 1024
+)
+
+// session is one authenticated caller.
+type session struct {
+	server *Server
+	conn   net.Conn
+	reader *wire.Reader
+	out    []byte
+
+	workspace   model.Workspace
+	job         model.Job
+	keyID       model.KeyID
+	access      Access
+	processID   uint32
+	secret      []byte
+	settings    settings
+	traceParent string
+
+	position   model.SessionPosition
+	statements preparedSet
+	batch      batch
+	// skip is true after an error, until Sync.
+	skip bool
+	// tx is the transaction status that the caller sees.
+	tx byte
+	// txClass is the class of the open transaction.
+	txClass model.Class
+	// lost is true when the open transaction failed in the proxy and has no
+	// stream any more.
+	lost    bool
+	batchID uint64
+	answer  answer
+
+	ctx  context.Context
+	stop context.CancelCauseFunc
+
+	mu     sync.Mutex
+	stream executor.Stream
+	// running is true while the stream runs a batch.
+	running bool
+	// idle is true while the session waits for a new batch outside a transaction.
+	idle bool
+	// closing is why the session must end, nil if it need not.
+	closing *sqlstate.Error
+	// draining is true when the session ends at its next idle moment.
+	draining bool
+}
+
+func newSession(s *Server, conn net.Conn, reader *wire.Reader) *session {
+	session := &session{server: s, conn: conn, reader: reader, tx: wire.Idle, batch: newBatch()}
+	session.ctx, session.stop = context.WithCancelCause(s.ctx)
+	reader.SetMax(s.options.Limits.MessageSize)
+	return session
+}
+
+// serve runs the session until the caller leaves or the session is closed.
+func (s *session) serve() {
+	defer s.closeStream()
+	defer s.stop(nil)
+	if err := s.welcome(); err != nil {
+		s.end(nil)
+		return
+	}
+	for {
+		frame, err := s.next()
+		if err == nil {
+			err = s.handle(frame)
+		}
+		if err == nil {
+			continue
+		}
+		if !s.survives(err) {
+			s.end(s.farewell(err))
+			return
+		}
+	}
+}
+
+// survives handles an oversized message, after which the session goes on.
+func (s *session) survives(err error) bool {
+	var tooLong *wire.SizeError
+	if !errors.As(err, &tooLong) {
+		return false
+	}
+	kind, err := s.reader.Skip()
+	if err != nil {
+		return false
+	}
+	s.refuseBatch(sqlstate.Refuse(sqlstate.TooLarge, tooLong.Error()))
+	if kind == wire.Query {
+		return s.ready() == nil
+	}
+	s.skip = true
+	return s.flush() == nil
+}
+
+// farewell returns the error to send before the connection is closed, nil for none.
+func (s *session) farewell(err error) *sqlstate.Error {
+	var own *sqlstate.Error
+	s.mu.Lock()
+	closing := s.closing
+	s.mu.Unlock()
+	switch {
+	case errors.As(err, &own) && own.Fatal:
+		return own
+	case closing != nil:
+		return closing
+	case errors.Is(err, wire.ErrMalformed):
+		return protocolError("malformed message")
+	}
+	return nil
+}
+
+// end sends a last error and closes the connection.
+func (s *session) end(last *sqlstate.Error) {
+	if last != nil && s.flush() == nil {
+		sendFatal(s.conn, last)
+	}
+	_ = s.conn.Close()
+}
+
+// next reads one message. An idle session releases its memory meanwhile.
+func (s *session) next() (wire.Frame, error) {
+	if s.atRest() && s.reader.Buffered() == 0 {
+		if err := s.waitIdle(); err != nil {
+			return nil, err
+		}
+		if err := s.setIdle(false, time.Time{}); err != nil {
+			return nil, err
+		}
+	}
+	return s.reader.Next()
+}
+
+// atRest reports whether the session is between two batches and outside a transaction.
+func (s *session) atRest() bool {
+	return s.tx == wire.Idle && s.batch.empty() && !s.skip
+}
+
+// waitIdle waits for the first bytes of the next batch.
+func (s *session) waitIdle() error {
+	release := s.server.options.Limits.IdleRelease
+	if err := s.setIdle(true, time.Now().Add(release)); err != nil {
+		return err
+	}
+	err := s.reader.Wait()
+	if !isTimeout(err) {
+		return err
+	}
+	s.releaseMemory()
+	if err := s.setIdle(true, time.Time{}); err != nil {
+		return err
+	}
+	err = s.reader.Wait()
+	if isTimeout(err) {
+		return s.lastCall()
+	}
+	return err
+}
+
+// lastCall is reached when a drain interrupts the wait: a request that is
+// already under way is still served.
+func (s *session) lastCall() error {
+	s.mu.Lock()
+	closing := s.closing
+	_ = s.conn.SetReadDeadline(time.Now().Add(drainGrace))
+	s.mu.Unlock()
+	if closing != nil {
+		return closing
+	}
+	err := s.reader.Wait()
+	if isTimeout(err) {
+		return shutdownError()
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// releaseMemory frees what an idle session does not need.
+func (s *session) releaseMemory() {
+	s.closeStream()
+	s.reader.Release()
+	s.out = nil
+	s.batch = newBatch()
+}
+
+// setIdle records whether the session waits for a batch and sets the read
+// deadline, unless the session has to end.
+func (s *session) setIdle(idle bool, deadline time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing != nil {
+		return s.closing
+	}
+	if idle && s.draining {
+		deadline = time.Now().Add(drainGrace)
+	}
+	s.idle = idle
+	return s.conn.SetReadDeadline(deadline)
+}
+
+// drain ends the session once it is idle.
+func (s *session) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	if s.idle {
+		_ = s.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// interrupt ends the session now, a running statement included.
+func (s *session) interrupt(reason *sqlstate.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing != nil {
+		return
+	}
+	s.closing = reason
+	s.stop(reason)
+	_ = s.conn.SetReadDeadline(time.Now())
+	_ = s.conn.SetWriteDeadline(time.Now().Add(interruptGrace))
+}
+
+// cancelBatch cancels the running batch.
+func (s *session) cancelBatch() {
+	s.mu.Lock()
+	stream := s.stream
+	running := s.running
+	s.mu.Unlock()
+	if running {
+		stream.Cancel()
+	}
+}
+
+func (s *session) closeStream() {
+	s.mu.Lock()
+	stream := s.stream
+	s.stream = nil
+	s.mu.Unlock()
+	if stream != nil {
+		// The stream is gone either way; an open transaction is rolled back.
+		_ = stream.Close()
+	}
+}
+
+// handle processes one message.
+func (s *session) handle(frame wire.Frame) error {
+	switch frame.Type() {
+	case wire.Query:
+		return s.query(frame)
+	case wire.Parse, wire.Bind, wire.Describe, wire.Execute, wire.Close:
+		return s.extended(frame)
+	case wire.Sync:
+		return s.sync(frame)
+	case wire.Flush:
+		return s.flushRequest()
+	case wire.FunctionCall:
+		s.refuseBatch(sqlstate.Refuse(sqlstate.NotSupported, "function-call messages are not supported"))
+		return s.ready()
+	case wire.CopyData, wire.CopyDone, wire.CopyFail:
+		// PostgreSQL ignores them outside COPY as well.
+		return nil
+	case wire.Terminate:
+		return io.EOF
+	}
+	return protocolError("unknown message type")
+}
--- /dev/null
+++ b/frontend/span.go
@@ -0,0 +1,53 @@
+package frontend
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilhatch/chervilhatch/executor"
+)
+
+const (
+	callerSpan        = "caller"
+	traceParentHeader = "traceparent"
+)
+
+// callSpan is the span of one batch; the zero value records nothing.
+type callSpan struct {
+	span trace.Span
+}
+
+// startSpan starts the span of a batch below the caller's own trace and puts
+// its identity into the batch.
+func (s *session) startSpan(b *executor.Batch) (context.Context, callSpan) {
+	tracer := s.server.options.Tracer
+	if tracer == nil {
+		b.TraceParent = s.traceParent
+		return s.ctx, callSpan{}
+	}
+	var format propagation.TraceContext
+	ctx := format.Extract(s.ctx, propagation.MapCarrier{traceParentHeader: s.traceParent})
+	ctx, span := tracer.Start(ctx, callerSpan, trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+		attribute.String("chervilhatch.workspace", string(s.workspace)),
+		attribute.String("chervilhatch.job", string(s.job)),
+		attribute.String("chervilhatch.class", b.Class.String()),
+	))
+	carrier := propagation.MapCarrier{}
+	format.Inject(ctx, carrier)
+	b.TraceParent = carrier[traceParentHeader]
+	return ctx, callSpan{span: span}
+}
+
+func (c callSpan) end(err error) {
+	if c.span == nil {
+		return
+	}
+	if err != nil {
+		c.span.SetStatus(codes.Error, err.Error())
+	}
+	c.span.End()
+}
--- /dev/null
+++ b/frontend/startup.go
@@ -0,0 +1,167 @@
+package frontend
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	// startupSize bounds a startup packet, as in PostgreSQL.
+	startupSize = 10_000
+	// loginMessageSize bounds the messages of the SCRAM exchange.
+	loginMessageSize = 4096
+	loginBuffer      = 512
+
+	codeCancel = 80877102
+	codeSSL    = 80877103
+	codeGSSEnc = 80877104
+
+	protocolMajor = 3
+	// protocolOption starts the names of protocol options.
+	protocolOption = "_pq_."
+	// positionParameter is the session position.
+	positionParameter = "chervilhatch.position"
+	traceParameter    = "chervilhatch.traceparent"
+)
+
+// startupPacket is the content of a startup message.
+type startupPacket struct {
+	minor      uint32
+	parameters map[string]string
+	// unknown are protocol options that the proxy does not know.
+	unknown []string
+}
+
+// protocolError is a fatal error of a login.
+func protocolError(message string) *sqlstate.Error {
+	return fatalError(sqlstate.ProtocolViolation, message)
+}
+
+func fatalError(code sqlstate.Code, message string) *sqlstate.Error {
+	return &sqlstate.Error{Code: code, Message: message, NotRun: true, Fatal: true}
+}
+
+// packetCode returns the code behind the length of a startup packet.
+func packetCode(packet []byte) uint32 { return binary.BigEndian.Uint32(packet[4:]) }
+
+// parseStartup decodes a startup message.
+func parseStartup(packet []byte) (*startupPacket, *sqlstate.Error) {
+	version := packetCode(packet)
+	if version>>16 != protocolMajor {
+		return nil, fatalError(sqlstate.NotSupported, "only version 3 of the protocol is supported")
+	}
+	p := &startupPacket{minor: version & 0xffff, parameters: map[string]string{}}
+	body := packet[8:]
+	for {
+		name, rest, err := wire.CString(body)
+		if err != nil {
+			return nil, protocolError("malformed startup message")
+		}
+		if len(name) == 0 {
+			return p.finish(rest)
+		}
+		value, rest, err := wire.CString(rest)
+		if err != nil {
+			return nil, protocolError("malformed startup message")
+		}
+		p.add(string(name), string(value))
+		body = rest
+	}
+}
+
+func (p *startupPacket) add(name, value string) {
+	if strings.HasPrefix(name, protocolOption) {
+		p.unknown = append(p.unknown, name)
+		return
+	}
+	p.parameters[name] = value
+}
+
+// finish checks the end of the packet and takes the parameters out of "options".
+func (p *startupPacket) finish(rest []byte) (*startupPacket, *sqlstate.Error) {
+	if len(rest) > 0 {
+		return nil, protocolError("malformed startup message")
+	}
+	options, ok := p.parameters["options"]
+	if !ok {
+		return p, nil
+	}
+	delete(p.parameters, "options")
+	for name, value := range parseOptions(options) {
+		if name == "" {
+			return nil, fatalError(sqlstate.InvalidParameter, "malformed option "+value)
+		}
+		p.parameters[name] = value
+	}
+	return p, nil
+}
+
+// negotiation returns the message for a client that asked for a newer minor
+// version or for unknown protocol options, nil if none is needed.
+func (p *startupPacket) negotiation() *pgproto3.NegotiateProtocolVersion {
+	if p.minor == 0 && len(p.unknown) == 0 {
+		return nil
+	}
+	return &pgproto3.NegotiateProtocolVersion{
+		NewestMinorProtocol: 0,
+		UnrecognizedOptions: p.unknown,
+	}
+}
+
+// parseOptions splits "-c name=value --name=value". An argument of another
+// form is returned under the empty name.
+func parseOptions(options string) map[string]string {
+	found := map[string]string{}
+	words := splitOptions(options)
+	for i := 0; i < len(words); i++ {
+		setting, ok := strings.CutPrefix(words[i], "--")
+		if !ok {
+			setting, ok = strings.CutPrefix(words[i], "-c")
+		}
+		if ok && setting == "" && i+1 < len(words) {
+			i++
+			setting = words[i]
+		}
+		name, value, pair := strings.Cut(setting, "=")
+		if !ok || !pair || name == "" {
+			found[""] = words[i]
+			return found
+		}
+		found[name] = value
+	}
+	return found
+}
+
+// splitOptions splits at white space that no backslash precedes.
+func splitOptions(options string) []string {
+	var words []string
+	var word strings.Builder
+	escaped, inWord := false, false
+	for _, r := range options {
+		switch {
+		case escaped:
+			word.WriteRune(r)
+			escaped = false
+		case r == '\\':
+			escaped, inWord = true, true
+		case r == ' ' || r == '\t' || r == '\n':
+			if inWord {
+				words = append(words, word.String())
+				word.Reset()
+			}
+			inWord = false
+		default:
+			word.WriteRune(r)
+			inWord = true
+		}
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -95,10 +95,10 @@
 	x.plan = plan
 	stop := x.conn.Watch(ctx)
 	err = x.talk()
-	stop()
-	if err == nil && x.written != nil {
-		err = x.joinWriter()
+	if err == nil {
+		x.joinWriter()
 	}
+	stop()
 	if err != nil {
 		return x.broke(ctx, err)
 	}
@@ -140,11 +140,18 @@
 	return nil
 }
 
-func (x *exchange) joinWriter() error {
+// joinWriter waits for the goroutine that writes a large batch. An error does
+// not matter for a complete answer, but the connection is not used again.
+func (x *exchange) joinWriter() {
+	if x.written == nil {
+		return
+	}
 	result := <-x.written
 	x.written = nil
 	x.sent = result.n
-	return result.err
+	if result.err != nil {
+		x.conn.Discard("write failed")
+	}
 }
 
 // readAnswer reads up to the batch's ReadyForQuery and passes it on.
--- a/holder/write.go
+++ b/holder/write.go
@@ -157,9 +157,7 @@
 func (x *exchange) broke(ctx context.Context, err error) *sqlstate.Error {
 	x.broken = true
 	x.conn.Close()
-	if x.written != nil {
-		_ = x.joinWriter()
-	}
+	x.joinWriter()
 	x.outcome = brokenOutcome(ctx, err)
 	switch {
 	case x.sent == 0:
