--- /dev/null
+++ b/core/connshare/state.go
@@ -0,0 +1,114 @@
+// Package connshare decides how many connections this VM may open to each
+// upstream whose main or standby seat it has, and how many it keeps open when
+// they are idle. It is pure: Apply is its only way to change.
+package connshare
+
+import (
+	"sort"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// State has the seats of this VM.
+type State struct {
+	now       model.Time
+	upstreams map[model.UpstreamID]*upstream
+	// order has the upstreams by id, so that effects do not depend on map order.
+	order []*upstream
+}
+
+// New returns a State without upstreams.
+func New() *State {
+	return &State{upstreams: make(map[model.UpstreamID]*upstream)}
+}
+
+// Apply processes one event and appends its effects to out. Time that goes
+// backwards counts as standing still.
+func (s *State) Apply(now model.Time, ev *Event, out []Effect) []Effect {
+	s.now = max(s.now, now)
+	switch ev.Kind {
+	case EventTick:
+		return s.updateAll(out)
+	case EventConfirmed:
+		for _, u := range s.order {
+			if u.zone == ev.Zone {
+				u.confirm(ev.Until)
+			}
+		}
+		return s.updateAll(out)
+	case EventUpstreamSet:
+		s.set(ev)
+	}
+	u := s.upstreams[ev.Upstream]
+	if u == nil {
+		return out
+	}
+	s.applyTo(u, ev)
+	out = u.update(s.now, out)
+	if u.removed && !u.occupied() {
+		s.drop(u)
+	}
+	return out
+}
+
+func (s *State) applyTo(u *upstream, ev *Event) {
+	switch ev.Kind {
+	case EventUpstreamRemoved:
+		u.removed = true
+		u.limit = 0
+	case EventGained:
+		u.gain(s.now, ev)
+	case EventLost:
+		u.lose(ev)
+	case EventOpen:
+		u.open = ev.Count
+		u.openBudget = ev.Limit
+	case EventDemand:
+		u.demand.add(s.now, ev.Count)
+	case EventWarm:
+		u.warmUntil = s.now.Add(warmHold)
+	}
+}
+
+// Budget returns how many connections this VM may have open at now, whether or
+// not a tick has reported the end of a seat yet.
+func (s *State) Budget(now model.Time, id model.UpstreamID) int {
+	u := s.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	return u.budget(max(s.now, now))
+}
+
+func (s *State) set(ev *Event) {
+	u := s.upstreams[ev.Upstream]
+	if u == nil {
+		u = &upstream{id: ev.Upstream}
+		s.upstreams[u.id] = u
+		i := s.index(u.id)
+		s.order = append(s.order, nil)
+		copy(s.order[i+1:], s.order[i:])
+		s.order[i] = u
+	}
+	u.removed = false
+	u.limit = ev.Limit
+	u.slots = ev.Slots
+	u.zone = ev.Zone
+}
+
+func (s *State) drop(u *upstream) {
+	delete(s.upstreams, u.id)
+	i := s.index(u.id)
+	s.order = append(s.order[:i], s.order[i+1:]...)
+}
+
+func (s *State) index(id model.UpstreamID) int {
+	return sort.Search(len(s.order), func(i int) bool { return s.order[i].id >= id })
+}
+
+func (s *State) updateAll(out []Effect) []Effect {
+	for _, u := range s.order {
+		out = u.update(s.now, out)
+	}
+	return out
+}
--- /dev/null
+++ b/core/limits/admit.go
@@ -0,0 +1,97 @@
+package limits
+
+import (
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// admit admits a request at once if there are tokens and nobody waits, else it
+// waits while tokens are fetched.
+func (s *State) admit(ev *Event, out []Effect) []Effect {
+	w := s.workspaces[ev.Workspace]
+	if w == nil {
+		return append(out, Effect{Kind: EffectRefuse, Workspace: ev.Workspace, ID: ev.ID})
+	}
+	w.grants.expire(s.now)
+	w.bucket.refill(s.now)
+	w.demand.add(ev.Amount)
+	cost := max(ev.Amount, 1)
+	if len(w.queued()) == 0 && len(w.claims) == 0 && s.take(w, cost) {
+		out = append(out, Effect{Kind: EffectAdmit, Workspace: w.name, ID: ev.ID})
+		return s.fetch(w, out)
+	}
+	r := waiter{id: ev.ID, cost: cost, deadline: min(ev.Deadline, s.now.Add(s.config.MaxWait))}
+	if cost > w.burst || s.now >= r.deadline || len(w.queued()) >= s.config.QueueLimit {
+		return append(out, refusal(w, r))
+	}
+	w.waiters = append(w.waiters, r)
+	w.waiting += cost
+	return s.serve(w, out)
+}
+
+// take debits cost from the prefetched tokens and the owned balance, or
+// nothing if they do not suffice.
+func (s *State) take(w *workspace, cost int64) bool {
+	balance := int64(0)
+	if w.bucket.usable(s.now) {
+		balance = w.bucket.balance
+	}
+	if w.grants.total+balance < cost {
+		return false
+	}
+	rest := cost - w.grants.take(cost)
+	w.bucket.balance -= rest
+	return true
+}
+
+// abandon forgets a waiting request whose caller has gone.
+func (s *State) abandon(w *workspace, id uint64) {
+	for i, r := range w.queued() {
+		if r.id == id {
+			w.removeWaiter(i)
+			return
+		}
+	}
+}
+
+// refuseOverdue refuses the waiting requests whose deadline has passed.
+func (s *State) refuseOverdue(w *workspace, out []Effect) []Effect {
+	for i := len(w.queued()) - 1; i >= 0; i-- {
+		r := w.queued()[i]
+		if s.now >= r.deadline {
+			w.removeWaiter(i)
+			out = append(out, refusal(w, r))
+		}
+	}
+	return out
+}
+
+// serveWaiters admits waiting requests of at most limit tokens in total and
+// returns what they cost. The first one may exceed limit.
+func (s *State) serveWaiters(w *workspace, limit int64, out []Effect) (int64, []Effect) {
+	served := int64(0)
+	for len(w.queued()) > 0 {
+		cost := w.queued()[0].cost
+		if served > 0 && served+cost > limit {
+			break
+		}
+		if !s.take(w, cost) {
+			break
+		}
+		served += cost
+		out = append(out, Effect{Kind: EffectAdmit, Workspace: w.name, ID: w.popWaiter().id})
+	}
+	return served, out
+}
+
+func refusal(w *workspace, r waiter) Effect {
+	return Effect{Kind: EffectRefuse, Workspace: w.name, ID: r.id, RetryAfter: retryAfter(w, r.cost)}
+}
+
+// Waiting returns how many requests of the workspace wait for tokens.
+func (s *State) Waiting(name model.Workspace) int {
+	w := s.workspaces[name]
+	if w == nil {
+		return 0
+	}
+	return len(w.queued())
+}
--- /dev/null
+++ b/core/limits/grants.go
@@ -0,0 +1,92 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// grant is an amount of prefetched tokens.
+type grant struct {
+	amount int64
+	expiry model.Time
+}
+
+// grants has the prefetched tokens of this VM, earliest expiry first.
+type grants struct {
+	list  []grant
+	total int64
+}
+
+// add inserts a grant in the order of expiry.
+func (g *grants) add(amount int64, expiry model.Time) {
+	i := len(g.list)
+	g.list = append(g.list, grant{})
+	for i > 0 && g.list[i-1].expiry > expiry {
+		g.list[i] = g.list[i-1]
+		i--
+	}
+	g.list[i] = grant{amount: amount, expiry: expiry}
+	g.total += amount
+}
+
+// expire drops the grants that may not be used any more.
+func (g *grants) expire(now model.Time) {
+	n := 0
+	for n < len(g.list) && now >= g.list[n].expiry {
+		g.total -= g.list[n].amount
+		n++
+	}
+	if n > 0 {
+		g.list = append(g.list[:0], g.list[n:]...)
+	}
+}
+
+// take removes up to amount and returns how much it removed.
+func (g *grants) take(amount int64) int64 {
+	taken := int64(0)
+	n := 0
+	for n < len(g.list) && taken < amount {
+		part := min(amount-taken, g.list[n].amount)
+		g.list[n].amount -= part
+		taken += part
+		if g.list[n].amount == 0 {
+			n++
+		}
+	}
+	g.list = append(g.list[:0], g.list[n:]...)
+	g.total -= taken
+	return taken
+}
+
+const (
+	// demandWindow is the time constant of the smoothed demand.
+	demandWindow = 200 * time.Millisecond
+	// minDemandStep keeps short steps from making the demand jump.
+	minDemandStep = 10 * time.Millisecond
+)
+
+// demand is a smoothed rate in milli-tokens a second.
+type demand struct {
+	rate    int64
+	arrived int64
+	last    model.Time
+}
+
+func (d *demand) add(amount int64) { d.arrived += amount }
+
+// update takes what arrived since the last update into the rate.
+func (d *demand) update(now model.Time) {
+	step := now.Sub(d.last)
+	if step < minDemandStep {
+		return
+	}
+	current := d.arrived * int64(time.Second/time.Microsecond) / step.Microseconds()
+	weight := int64(min(step, demandWindow))
+	d.rate += (current - d.rate) / 1000 * weight / (int64(demandWindow) / 1000)
+	d.arrived = 0
+	d.last = now
+}
+
+// over returns the expected demand during t.
+func (d *demand) over(t time.Duration) int64 { return perSecond(d.rate, t) }
--- /dev/null
+++ b/core/limits/workspace.go
@@ -0,0 +1,169 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	id       uint64
+	cost     int64
+	deadline model.Time
+}
+
+// owner is the VM that owns a zone's share, as this VM knows it.
+type owner struct {
+	zone  model.Zone
+	vm    model.VMID
+	epoch uint64
+	// retryAt is when the owner may be asked again after it had no tokens.
+	retryAt model.Time
+	// failedUntil is how long the owner counts as unreachable.
+	failedUntil model.Time
+}
+
+// pending is a request for tokens that was not answered yet.
+type pending struct {
+	id     uint64
+	zone   model.Zone
+	amount int64
+	sentAt model.Time
+	borrow bool
+}
+
+// claim is a peer's request that waits for tokens of an owned share.
+type claim struct {
+	vm        model.VMID
+	id        uint64
+	remaining int64
+	granted   int64
+	giveUp    model.Time
+}
+
+// answer is what a request of a peer was given.
+type answer struct {
+	vm     model.VMID
+	id     uint64
+	amount int64
+}
+
+// workspace has the tokens of one workspace.
+type workspace struct {
+	name    model.Workspace
+	version uint64
+	rate    int64
+	burst   int64
+	target  share
+	bucket  bucket
+	grants  grants
+	demand  demand
+
+	// waiters[head:] wait for tokens, first come first.
+	waiters []waiter
+	head    int
+	// waiting is the sum of the waiters' costs.
+	waiting int64
+
+	owners  []owner
+	next    int
+	pending []pending
+
+	claims   []claim
+	turn     int
+	answered []answer
+	oldest   int
+}
+
+// validity returns how long grants of this workspace may be used: at most half
+// the time in which the rate yields the burst, so that half of the burst stays
+// for the balance.
+func (w *workspace) validity(configured time.Duration) time.Duration {
+	v := fillTime(configured, w.rate, w.burst)
+	return fillTime(v, w.bucket.share.rate, w.bucket.share.burst)
+}
+
+func fillTime(longest time.Duration, rate, burst int64) time.Duration {
+	if rate <= 0 || burst <= 0 {
+		return longest
+	}
+	if burst/rate > int64(maxRefill/time.Second) {
+		return longest
+	}
+	half := time.Duration(burst*microsPerSecond/rate/2) * time.Microsecond
+	return min(longest, half)
+}
+
+// inFlight returns the tokens that were asked for and not yet answered.
+func (w *workspace) inFlight() int64 {
+	sum := int64(0)
+	for i := range w.pending {
+		sum += w.pending[i].amount
+	}
+	return sum
+}
+
+// claimed returns the tokens that peers wait for.
+func (w *workspace) claimed() int64 {
+	sum := int64(0)
+	for i := range w.claims {
+		sum += w.claims[i].remaining
+	}
+	return sum
+}
+
+// ownerOf returns the known owner of the zone's share, or nil.
+func (w *workspace) ownerOf(z model.Zone) *owner {
+	for i := range w.owners {
+		if w.owners[i].zone == z {
+			return &w.owners[i]
+		}
+	}
+	return nil
+}
+
+// asked reports whether a request to the zone's owner is unanswered.
+func (w *workspace) asked(z model.Zone) bool {
+	for i := range w.pending {
+		if w.pending[i].zone == z {
+			return true
+		}
+	}
+	return false
+}
+
+// queued returns the waiting requests in the order of their arrival.
+func (w *workspace) queued() []waiter { return w.waiters[w.head:] }
+
+// popWaiter removes the first waiter.
+func (w *workspace) popWaiter() waiter {
+	first := w.waiters[w.head]
+	w.head++
+	w.waiting -= first.cost
+	if w.head*2 >= len(w.waiters) {
+		n := copy(w.waiters, w.waiters[w.head:])
+		w.waiters = w.waiters[:n]
+		w.head = 0
+	}
+	return first
+}
+
+// removeWaiter removes the waiter at index i of queued.
+func (w *workspace) removeWaiter(i int) {
+	i += w.head
+	w.waiting -= w.waiters[i].cost
+	w.waiters = append(w.waiters[:i], w.waiters[i+1:]...)
+}
+
+// takePending removes and returns the unanswered request with the id.
+func (w *workspace) takePending(id uint64) (pending, bool) {
+	for i := range w.pending {
+		if w.pending[i].id == id {
+			p := w.pending[i]
+			w.pending = append(w.pending[:i], w.pending[i+1:]...)
+			return p, true
+		}
+	}
+	return pending{}, false
+}
--- /dev/null
+++ b/core/membership/ownership.go
@@ -0,0 +1,348 @@
+package membership
+
+import (
+	"math"
+	"sort"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// never is later than every time.
+const never = model.Time(math.MaxInt64)
+
+// ownership is who owns an item by the newest records.
+type ownership struct {
+	member Member
+	// zone is the owner's zone: the item's, or another one if that has no
+	// members.
+	zone  model.Zone
+	found bool
+}
+
+// releaseKey identifies the ownership that was released.
+type releaseKey struct {
+	item  Item
+	zone  model.Zone
+	epoch uint64
+}
+
+// release is what was handed over.
+type release struct{ balance int64 }
+
+// tracked is an item whose ownership this VM reports.
+type tracked struct {
+	item  Item
+	owned bool
+	// waiting is true when this VM will own the item after the old owner.
+	waiting bool
+	// epoch is the own zone's epoch when the item was last found to be owned.
+	epoch uint64
+}
+
+// Owner returns the VM that owns the item by the newest known records, whether
+// or not it has started, and its zone.
+func (s *State) Owner(it Item) (model.VMID, model.Zone, bool) {
+	o := s.ownerOf(it)
+	return o.member.VM, o.zone, o.found
+}
+
+// Owns reports whether this VM may act as the owner of the item at now.
+func (s *State) Owns(now model.Time, it Item) bool {
+	now = max(now, s.now)
+	if s.stopping || s.ownerOf(it).member != s.self {
+		return false
+	}
+	if now >= s.usableUntil(it) {
+		return false
+	}
+	owns, _ := s.effective(now, it)
+	return owns
+}
+
+// ownerOf returns the owner by the newest records; the result is kept until a
+// record changes.
+func (s *State) ownerOf(it Item) ownership {
+	if o, cached := s.owners[it]; cached {
+		return o
+	}
+	o := s.findOwner(it)
+	s.owners[it] = o
+	return o
+}
+
+func (s *State) findOwner(it Item) ownership {
+	zone, found := s.actingZone(it)
+	if !found {
+		return ownership{}
+	}
+	m, found := ownerIn(s.zones[zone].record().Members, it)
+	return ownership{member: m, zone: zone, found: found}
+}
+
+// actingZone returns the zone whose VMs own the item. Tokens of a zone without
+// members have no owner.
+func (s *State) actingZone(it Item) (model.Zone, bool) {
+	if z := s.zones[it.Zone]; z != nil && len(z.record().Members) > 0 {
+		return it.Zone, true
+	}
+	if it.Kind == Tokens {
+		return "", false
+	}
+	return firstZone(s.populated(), itemKey(it))
+}
+
+// populated returns the zones whose records have members.
+func (s *State) populated() []model.Zone {
+	var zones []model.Zone
+	for _, z := range s.order {
+		if len(z.record().Members) > 0 {
+			zones = append(zones, z.zone)
+		}
+	}
+	return zones
+}
+
+// effective reports whether no other VM can still act as the item's owner,
+// given that this VM is the owner by the newest records, and returns the
+// balance that the last owner handed over.
+func (s *State) effective(now model.Time, it Item) (bool, int64) {
+	if it.Zone != s.config.Zone && !s.emptyZonesWaited(now, it) {
+		return false, 0
+	}
+	history := s.own().history
+	for k := len(history) - 1; k >= 0; k-- {
+		if now >= history[k].learned.Add(s.wait()) {
+			return true, 0
+		}
+		if k == 0 {
+			return false, 0
+		}
+		previous := history[k-1].record
+		owner, found := ownerIn(previous.Members, it)
+		if found && owner == s.self {
+			continue
+		}
+		return s.releasedBy(it, previous, owner, found)
+	}
+	return false, 0
+}
+
+// releasedBy reports whether the owner in the previous record gave the item up.
+func (s *State) releasedBy(it Item, previous Record, owner Member, found bool) (bool, int64) {
+	if r, ok := s.released[releaseKey{item: it, zone: previous.Zone, epoch: previous.Epoch}]; ok {
+		return true, r.balance
+	}
+	if !found {
+		return false, 0
+	}
+	p := s.peers[owner.VM]
+	released := p != nil && p.incarnation == owner.Incarnation && p.releasedEpoch == previous.Epoch
+	return released, 0
+}
+
+// emptyZonesWaited reports whether the former owners in the zones without
+// members have certainly stopped.
+func (s *State) emptyZonesWaited(now model.Time, it Item) bool {
+	for _, z := range s.order {
+		if len(z.record().Members) > 0 {
+			continue
+		}
+		if !z.isKnown() {
+			return false
+		}
+		newest := z.history[len(z.history)-1]
+		if now >= newest.learned.Add(s.wait()) {
+			continue
+		}
+		key := releaseKey{item: it, zone: z.zone, epoch: newest.record.Epoch - 1}
+		if _, ok := s.released[key]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// usableUntil returns when this VM may not act as the item's owner any more.
+func (s *State) usableUntil(it Item) model.Time {
+	until := s.ConfirmedUntil()
+	if it.Zone == s.config.Zone {
+		return until
+	}
+	return min(until, s.emptyUntil())
+}
+
+// emptyUntil returns until when the zones without members are confirmed.
+func (s *State) emptyUntil() model.Time {
+	least := never
+	for _, z := range s.order {
+		if len(z.record().Members) > 0 {
+			continue
+		}
+		until, _ := z.until(s.config.EpochTTL)
+		least = min(least, until)
+	}
+	return least
+}
+
+func (s *State) track(it Item, out []Effect) []Effect {
+	i := s.trackedIndex(it)
+	if i < len(s.items) && s.items[i].item == it {
+		return out
+	}
+	s.zone(it.Zone)
+	s.items = append(s.items, nil)
+	copy(s.items[i+1:], s.items[i:])
+	t := &tracked{item: it}
+	s.items[i] = t
+	return s.updateItem(t, out)
+}
+
+func (s *State) untrack(it Item, out []Effect) []Effect {
+	i := s.trackedIndex(it)
+	if i == len(s.items) || s.items[i].item != it {
+		return out
+	}
+	if s.items[i].owned {
+		out = append(out, Effect{Kind: EffectLost, Item: it, Zone: s.config.Zone, Epoch: s.items[i].epoch})
+	}
+	if s.items[i].waiting {
+		s.waiting--
+	}
+	s.items = append(s.items[:i], s.items[i+1:]...)
+	return out
+}
+
+// trackedIndex returns where the item is or belongs in items.
+func (s *State) trackedIndex(it Item) int {
+	return sort.Search(len(s.items), func(i int) bool { return !s.items[i].item.less(it) })
+}
+
+func (it Item) less(other Item) bool {
+	if it.Kind != other.Kind {
+		return it.Kind < other.Kind
+	}
+	if it.Zone != other.Zone {
+		return it.Zone < other.Zone
+	}
+	return it.Name < other.Name
+}
+
+func (s *State) release(ev *Event) {
+	key := releaseKey{item: ev.Item, zone: ev.Zone, epoch: ev.Epoch}
+	if _, known := s.released[key]; !known {
+		s.released[key] = release{balance: ev.Balance}
+		s.changed = true
+	}
+	s.pruneReleases(s.zone(ev.Zone))
+}
+
+// pruneReleases forgets the releases of epochs that no longer matter.
+func (s *State) pruneReleases(z *zoneState) {
+	newest := z.record().Epoch
+	for key := range s.released {
+		if key.zone == z.zone && key.epoch+maxHistory < newest {
+			delete(s.released, key)
+		}
+	}
+}
+
+// updateItems reports the gained and lost items.
+func (s *State) updateItems(out []Effect) []Effect {
+	s.changed = false
+	for _, t := range s.items {
+		out = s.updateItem(t, out)
+	}
+	return out
+}
+
+func (s *State) updateItem(t *tracked, out []Effect) []Effect {
+	owned, balance := s.holds(t)
+	switch {
+	case owned && !t.owned:
+		out = append(out, s.gained(t, balance))
+	case !owned && t.owned:
+		out = append(out, s.lost(t))
+	}
+	t.owned = owned
+	if owned {
+		t.epoch = s.own().record().Epoch
+	}
+	waiting := !owned && !s.stopping && s.ownerOf(t.item).member == s.self
+	if waiting != t.waiting {
+		t.waiting = waiting
+		if waiting {
+			s.waiting++
+		} else {
+			s.waiting--
+		}
+	}
+	return out
+}
+
+// holds reports whether this VM is the item's owner and has waited, and the
+// balance handed over. Time bounds of the evidence are told by EffectConfirmed.
+func (s *State) holds(t *tracked) (bool, int64) {
+	if s.stopping || s.ownerOf(t.item).member != s.self {
+		return false, 0
+	}
+	if t.owned && t.epoch == s.own().record().Epoch {
+		return true, 0
+	}
+	return s.effective(s.now, t.item)
+}
+
+func (s *State) gained(t *tracked, balance int64) Effect {
+	return Effect{
+		Kind: EffectGained, Item: t.item, Zone: s.config.Zone,
+		Epoch: s.own().record().Epoch, Balance: balance, Until: s.usableUntil(t.item),
+	}
+}
+
+// lost names the next owner and the ownership that it may take as released.
+func (s *State) lost(t *tracked) Effect {
+	e := Effect{Kind: EffectLost, Item: t.item, Zone: s.config.Zone, Epoch: t.epoch}
+	if s.stopping {
+		e.To = s.ownerWithoutSelf(t.item)
+		return e
+	}
+	next := s.ownerOf(t.item)
+	e.To = next.member.VM
+	if next.found && next.zone != s.config.Zone && t.epoch == s.own().record().Epoch {
+		// The item returns to a zone that had no members in its last epoch.
+		e.Zone = next.zone
+		e.Epoch = s.zones[next.zone].record().Epoch - 1
+	}
+	return e
+}
+
+// ownerWithoutSelf returns who owns the item once this VM is removed.
+func (s *State) ownerWithoutSelf(it Item) model.VMID {
+	var rest []Member
+	for _, m := range s.own().record().Members {
+		if m != s.self {
+			rest = append(rest, m)
+		}
+	}
+	next, _ := ownerIn(rest, it)
+	return next.VM
+}
+
+// tellConfirmed tells until when owned items may be used: those of this zone,
+// and those of zones without members.
+func (s *State) tellConfirmed(out []Effect) []Effect {
+	own := s.ConfirmedUntil()
+	for _, z := range s.order {
+		until := own
+		if z.zone != s.config.Zone {
+			if len(z.record().Members) > 0 {
+				continue
+			}
+			until = min(own, s.emptyUntil())
+		}
+		if until > s.now && until > s.toldUntil[z.zone] {
+			s.toldUntil[z.zone] = until
+			out = append(out, Effect{Kind: EffectConfirmed, Zone: z.zone, Until: until})
+		}
+	}
+	return out
+}
