--- /dev/null
+++ b/cmd/chervilhatchd/internal/dev/config.go
@@ -0,0 +1,98 @@
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/scramverifier"
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+)
+
+// Sizes of the development configuration.
+const (
+	slots       = 4
+	connections = 20
+	rate        = 10_000
+	burst       = 20_000
+	freshness   = 5 * time.Second
+	saltBytes   = 16
+)
+
+// errStore reports that the first configuration was not stored.
+var errStore = errors.New("the first configuration was not stored")
+
+// storeConfig stores the first configuration.
+func storeConfig(ctx context.Context, store platform.Store, group *upstream.Group, key string) error {
+	document, err := newDocument(group, key)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(document, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	if _, list := config.Parse("development configuration", text); len(list) > 0 {
+		return list
+	}
+	encoded, err := config.EncodeRecord(config.Record{
+		Version: 1, RequestID: "dev", Author: "dev", Summary: "development configuration",
+		AcceptedUnixMS: time.Now().UnixMilli(), Document: string(text),
+	})
+	if err != nil {
+		return err
+	}
+	result, err := store.Txn(ctx,
+		[]platform.Condition{{Key: config.CurrentKey}},
+		[]platform.Write{{Key: config.CurrentKey, Value: encoded}, {Key: config.HistoryKey(1), Value: encoded}})
+	if err != nil {
+		return err
+	}
+	if !result.Succeeded {
+		return errStore
+	}
+	return nil
+}
+
+func newDocument(group *upstream.Group, key string) (*config.Document, error) {
+	salt := make([]byte, saltBytes)
+	if _, err := rand.Read(salt); err != nil {
+		return nil, err
+	}
+	verifier, err := scramverifier.New(key, salt, scramverifier.DefaultIterations)
+	if err != nil {
+		return nil, err
+	}
+	d := &config.Document{
+		Preset: "ordinary",
+		Presets: []config.Preset{
+			{Name: "ordinary", RateFactor: 1},
+			{Name: "peak", RateFactor: 2},
+			{Name: "maintenance", RateFactor: 1, RefuseWrites: true},
+		},
+		Zones: []config.Zone{{Name: zone, Region: "local"}},
+		Workspaces: []config.Workspace{{
+			Name: workspace, Rate: rate, Burst: burst, Weight: 1,
+			KeyGrace: config.Duration(config.DefaultKeyGrace),
+			Keys:     []config.Key{{ID: "dev", Verifier: verifier.String()}},
+		}},
+		Jobs: []config.Job{{
+			Name: job, Database: database, Workspaces: []model.Workspace{workspace},
+			Freshness: config.Duration(freshness), Class: config.ClassAuto,
+			StatementTimeout: config.Duration(config.DefaultStatementTimeout),
+		}},
+	}
+	d.SetDefaults()
+	db := config.Database{Name: database, Slots: slots, Connections: connections}
+	for _, u := range group.Upstreams {
+		db.Upstreams = append(db.Upstreams, config.Upstream{ID: u.ID(), Zone: zone, Address: u.Address()})
+	}
+	d.Databases = []config.Database{db}
+	return d, nil
+}
--- /dev/null
+++ b/cmd/chervilhatchd/internal/run/run.go
@@ -0,0 +1,141 @@
+// Package run starts the daemon from a settings file and stops it gracefully.
+package run
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/node"
+	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
+	"github.com/chervilhatch/chervilhatch/settings"
+	"github.com/chervilhatch/chervilhatch/telemetry"
+)
+
+// stopTimeout bounds a graceful shutdown.
+const stopTimeout = 30 * time.Second
+
+// Run runs the daemon until ctx ends.
+func Run(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(os.Stdout, s.Log.Level, telemetry.LogForm(s.Log.Form))
+	if err != nil {
+		return err
+	}
+	stopTraces, err := telemetry.StartTraces(ctx, traceOptions(s))
+	if err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	options, err := nodeOptions(s, log, registry)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(options)
+	if err != nil {
+		return err
+	}
+	pages, err := ServePages(s.Admin.Listen, registry, n, log)
+	if err != nil {
+		return err
+	}
+	n.Start()
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	n.Stop(stopCtx)
+	_ = pages.Shutdown(stopCtx)
+	return stopTraces(stopCtx)
+}
+
+// ServePages serves the health and metrics pages of a node.
+func ServePages(address string, registry metrics.Registry, n *node.Node, log zerolog.Logger) (*telemetry.Pages, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("admin listener: %w", err)
+	}
+	pages := telemetry.NewPages(registry, n.Ready)
+	go func() {
+		if err := pages.Serve(l); err != nil {
+			log.Error().Err(err).Msg("admin listener failed")
+		}
+	}()
+	log.Info().Str("address", l.Addr().String()).Msg("health and metrics pages")
+	return pages, nil
+}
+
+func traceOptions(s *settings.Settings) telemetry.TraceOptions {
+	return telemetry.TraceOptions{
+		Exporter: telemetry.Exporter(s.Trace.Exporter),
+		File:     s.Trace.File,
+		Endpoint: s.Trace.Endpoint,
+		Ratio:    s.Trace.Ratio,
+		VM:       string(s.VM.ID),
+	}
+}
+
+// nodeOptions opens the listeners and loads the certificates.
+func nodeOptions(s *settings.Settings, log zerolog.Logger, registry metrics.Registry) (node.Options, error) {
+	o := node.Options{
+		VM:               s.VM.ID,
+		Zone:             s.VM.Zone,
+		RequireCallerTLS: s.Caller.RequireTLS,
+		UpstreamUser:     s.Upstream.User,
+		UpstreamPassword: s.Upstream.Password.Reveal(),
+		Log:              log,
+		Metrics:          registry,
+	}
+	if err := loadTLS(s, &o); err != nil {
+		return o, err
+	}
+	store, err := openStore(s, registry)
+	if err != nil {
+		return o, err
+	}
+	o.Store = store
+	o.Inventory = store
+	return o, listen(s, &o)
+}
+
+func openStore(s *settings.Settings, registry metrics.Registry) (*grpcstore.Client, error) {
+	o := grpcstore.Options{Addresses: s.Platform.Addresses, Timeout: s.Platform.Timeout.Std(), Metrics: registry}
+	if s.Platform.TLS != nil {
+		creds, err := clientTLS(*s.Platform.TLS)
+		if err != nil {
+			return nil, fmt.Errorf("platform TLS: %w", err)
+		}
+		o.Credentials = creds
+	}
+	return grpcstore.New(o)
+}
+
+func listen(s *settings.Settings, o *node.Options) error {
+	listeners := []struct {
+		name    string
+		address string
+		to      *net.Listener
+	}{
+		{"caller", s.Caller.Listen, &o.Callers},
+		{"peer", s.Peer.Listen, &o.Peers},
+		{"operator", s.Operator.Listen, &o.Operator},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("%s listener: %w", l.name, err)
+		}
+		*l.to = opened
+	}
+	return nil
+}
--- a/core/wiring.go
+++ b/core/wiring.go
@@ -58,11 +58,9 @@
 }
 
 func (s *State) configureZones(now model.Time, out *Effects) {
-	ev := membership.Event{Kind: membership.EventDrained}
+	ev := membership.Event{Kind: membership.EventZones}
 	for i := range s.wiring.document.Zones {
-		if s.wiring.document.Zones[i].Drained {
-			ev.Zones = append(ev.Zones, s.wiring.document.Zones[i].Name)
-		}
+		ev.Zones = append(ev.Zones, s.wiring.document.Zones[i].Name)
 	}
 	s.applyMembership(now, &ev, out)
 }
@@ -246,13 +244,13 @@
 	for i := range d.Workspaces {
 		for j := range d.Zones {
 			item := tokensItem(d.Workspaces[i].Name, d.Zones[j].Name)
-			owner, epoch, ok := s.Membership.Owner(item)
+			owner, zone, ok := s.Membership.Owner(item)
 			if !ok {
 				continue
 			}
 			ev := limits.Event{
 				Kind: limits.EventOwner, Workspace: d.Workspaces[i].Name,
-				Zone: d.Zones[j].Name, VM: owner, Epoch: epoch,
+				Zone: d.Zones[j].Name, VM: owner, Epoch: s.Membership.Record(zone).Epoch,
 			}
 			out.Limits = s.Limits.Apply(now, &ev, out.Limits)
 		}
--- a/node/access.go
+++ b/node/access.go
@@ -8,6 +8,8 @@
 	"github.com/chervilhatch/chervilhatch/core"
 	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/frontend"
+	"github.com/chervilhatch/chervilhatch/scramverifier"
 	"github.com/chervilhatch/chervilhatch/sqlstate"
 )
 
@@ -18,15 +20,56 @@
 // access answers questions about the configuration in force without taking
 // the reducer's mutex.
 type access struct {
-	loop     *loop
-	document atomic.Pointer[config.Document]
+	loop    *loop
+	inForce atomic.Pointer[accessTable]
+}
+
+// accessTable is a document with the keys of its workspaces in parsed form.
+type accessTable struct {
+	document *config.Document
+	keys     map[model.Workspace][]frontend.Key
 }
 
 // current returns the document in force, or nil before the first one.
-func (a *access) current() *config.Document { return a.document.Load() }
+func (a *access) current() *config.Document {
+	if t := a.inForce.Load(); t != nil {
+		return t.document
+	}
+	return nil
+}
+
+// keys returns the valid keys of a workspace.
+func (a *access) keys(w model.Workspace) []frontend.Key {
+	if t := a.inForce.Load(); t != nil {
+		return t.keys[w]
+	}
+	return nil
+}
 
 // set puts a document into force.
-func (a *access) set(d *config.Document) { a.document.Store(d) }
+func (a *access) set(d *config.Document) {
+	t := &accessTable{document: d, keys: make(map[model.Workspace][]frontend.Key, len(d.Workspaces))}
+	for i := range d.Workspaces {
+		t.keys[d.Workspaces[i].Name] = parseKeys(&d.Workspaces[i])
+	}
+	a.inForce.Store(t)
+}
+
+// parseKeys returns the keys of a workspace. A key whose verifier cannot be
+// parsed was refused by the check of the configuration.
+func parseKeys(w *config.Workspace) []frontend.Key {
+	var keys []frontend.Key
+	for _, k := range w.Keys {
+		v, err := scramverifier.Parse(k.Verifier)
+		if err != nil {
+			continue
+		}
+		keys = append(keys, frontend.Key{ID: k.ID, Verifier: frontend.Verifier{
+			Salt: v.Salt, Iterations: v.Iterations, StoredKey: v.StoredKey, ServerKey: v.ServerKey,
+		}})
+	}
+	return keys
+}
 
 // check returns nil when the key may be used for the job now.
 func (a *access) check(w model.Workspace, k model.KeyID, j model.Job) error {
--- a/node/decider.go
+++ b/node/decider.go
@@ -67,7 +67,7 @@
 	e := answer.replication
 	switch e.Kind {
 	case replication.ReadReady, replication.WriteReady:
-		a := holder.Assignment{ID: id, Term: e.Term, Floor: e.Floor, Applied: e.Applied}
+		a := holder.Assignment{ID: id, Term: e.Term, Floor: e.Floor}
 		a.Address, a.Primary = d.upstream(r, e.Term)
 		return a, nil
 	}
--- a/node/effects.go
+++ b/node/effects.go
@@ -114,7 +114,9 @@
 func (x *effectExecutor) connShare(ctx context.Context, e connshare.Effect) {
 	switch e.Kind {
 	case connshare.EffectSetBudget:
-		x.node.pools.setBudget(e)
+		x.node.poolMu.Lock()
+		x.node.pools.set(e)
+		x.node.poolMu.Unlock()
 	case connshare.EffectReleaseSeat:
 		kind := peerv1.ReleaseRequest_KIND_MAIN_SEAT
 		if e.Seat == connshare.Standby {
@@ -239,8 +241,8 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	x.count("failover.fences")
-	accepted, status, err := x.control.Fence(ctx, e.Upstream, e.Term)
-	x.answer(e, failover.FenceAnswered, failover.FenceFailed, err, failover.Event{Accepted: accepted, Status: status})
+	_, status, err := x.control.Fence(ctx, e.Upstream, e.Term)
+	x.answer(e, failover.FenceAnswered, failover.FenceFailed, err, failover.Event{Status: status})
 }
 
 func (x *effectExecutor) promote(ctx context.Context, e failover.Effect) {
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,227 @@
+// Package node composes the daemon: it drives the reducer with events from
+// callers, upstreams, peers and the platform, and carries out its effects.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/chervilhatch/chervilhatch/backend"
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup/pgcontrol"
+	"github.com/chervilhatch/chervilhatch/frontend"
+	"github.com/chervilhatch/chervilhatch/holder"
+	"github.com/chervilhatch/chervilhatch/operator"
+	oprelay "github.com/chervilhatch/chervilhatch/operator/relay"
+	"github.com/chervilhatch/chervilhatch/peer"
+	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/router"
+)
+
+// Options configure a Node.
+type Options struct {
+	VM   model.VMID
+	Zone model.Zone
+
+	// Listeners; Operator may be nil.
+	Callers  net.Listener
+	Peers    net.Listener
+	Operator net.Listener
+
+	// CallerTLS is nil when TLS is not offered.
+	CallerTLS        *tls.Config
+	RequireCallerTLS bool
+	// PeerServerTLS and PeerClientTLS are those of mutual TLS between VMs.
+	PeerServerTLS credentials.TransportCredentials
+	PeerClientTLS credentials.TransportCredentials
+	OperatorTLS   credentials.TransportCredentials
+
+	Store     platform.Store
+	Inventory platform.Inventory
+
+	UpstreamUser     string
+	UpstreamPassword string
+
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+}
+
+// Node is one daemon.
+type Node struct {
+	options Options
+	self    model.VMID
+	zone    model.Zone
+	log     zerolog.Logger
+	metrics metrics.Registry
+
+	loop      *loop
+	access    *access
+	gates     *gates
+	directory *directory
+	relay     *relay
+	exchange  *exchange
+	exchanger *peer.Exchanger
+	clients   *peer.Clients
+	tokens    *tokens
+	pools     *budgets
+	control   *pgcontrol.Control
+	executor  *effectExecutor
+	callers   *callerServer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	grpc   []*grpc.Server
+	// poolMu guards pools, which the executor and the demand reports use.
+	poolMu sync.Mutex
+	wg     sync.WaitGroup
+}
+
+// New returns a node that has not started yet.
+func New(o Options) (*Node, error) {
+	credentials, err := backend.NewCredentials(o.UpstreamUser, o.UpstreamPassword)
+	if err != nil {
+		return nil, fmt.Errorf("upstream credentials: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		options: o, self: o.VM, zone: o.Zone, log: o.Log, metrics: o.Metrics,
+		ctx: ctx, cancel: cancel,
+	}
+	incarnation := uint64(time.Now().UnixNano())
+	state := core.New(core.Config{Self: o.VM, Zone: o.Zone, Incarnation: incarnation})
+	n.loop = newLoop(clock{start: time.Now()}, state)
+	n.access = &access{loop: n.loop}
+	n.gates = newGates(n.writesDrained)
+	n.directory = newDirectory(n.loop, n.updateTargets)
+	n.tokens = newTokens(n.loop)
+	n.clients = peer.NewClients(n.directory.address, o.PeerClientTLS)
+	n.exchange = &exchange{node: n, heard: newHeard()}
+	n.exchanger = peer.NewExchanger(ctx, n.exchange, n.clients)
+	n.relay = &relay{
+		loop: n.loop, store: o.Store, inventory: o.Inventory, directory: n.directory,
+		zone: o.Zone, log: o.Log, metrics: o.Metrics, ctx: ctx,
+	}
+	n.control = pgcontrol.New(n.access.upstreamAddress, pgcontrol.Credentials{User: o.UpstreamUser, Password: o.UpstreamPassword})
+	n.executor = &effectExecutor{node: n, loop: n.loop, control: n.control, log: o.Log, metrics: o.Metrics}
+	n.composeDataPath(credentials)
+	return n, nil
+}
+
+// composeDataPath builds the path of a request: frontend, router, holder.
+func (n *Node) composeDataPath(credentials *backend.Credentials) {
+	pools := holder.NewPools()
+	n.pools = &budgets{
+		loop: n.loop, pools: pools, access: n.access, credentials: credentials,
+		log: n.log, held: map[model.UpstreamID]heldPool{},
+	}
+	local := holder.New(holder.Options{
+		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
+		Pools:   pools,
+	})
+	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: local, clients: n.clients}
+	ports := &callers{loop: n.loop, access: n.access}
+	n.callers = &callerServer{
+		log: n.log,
+		options: frontend.Options{
+			Directory:  ports,
+			Admitter:   ports,
+			Executor:   router.New(&routes{loop: n.loop, access: n.access}, dial),
+			TLS:        n.options.CallerTLS,
+			RequireTLS: n.options.RequireCallerTLS,
+			Tracer:     otel.Tracer("chervilhatch"),
+		},
+	}
+	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
+		peerv1.RegisterPeerServer(s, peer.NewServer(local, n.exchanger, n.tokens))
+		platformv1.RegisterPlatformServer(s, oprelay.NewServer(n.options.Store, n.routeToRelay))
+	})
+	if n.options.Operator == nil {
+		return
+	}
+	store := oprelay.NewStore(n.options.Store, n.routeToRelay, grpcstore.Options{Timeout: storeCallTimeout, Metrics: n.metrics})
+	n.serveGRPC(n.options.Operator, n.options.OperatorTLS, func(s *grpc.Server) {
+		operatorv1.RegisterOperatorServer(s, operator.New(&operatorBackend{n}, store, operator.DefaultResolve))
+	})
+}
+
+func (n *Node) serveGRPC(l net.Listener, creds credentials.TransportCredentials, register func(*grpc.Server)) {
+	s := grpc.NewServer(grpc.Creds(creds))
+	register(s)
+	n.grpc = append(n.grpc, s)
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		if err := s.Serve(l); err != nil {
+			n.log.Error().Err(err).Msg("gRPC listener failed")
+		}
+	}()
+}
+
+// Start begins to work. Callers are served once a configuration is in force.
+func (n *Node) Start() {
+	n.background(func() { n.loop.run(n.ctx, n.executor) })
+	n.background(n.reportDemand)
+	n.background(n.bootstrap)
+	n.log.Info().Str("vm", string(n.self)).Str("zone", string(n.zone)).Msg("started")
+}
+
+func (n *Node) background(fn func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		fn()
+	}()
+}
+
+// bootstrapInterval is the pause between tries to learn the list of VMs and
+// the configuration after the start.
+const bootstrapInterval = 200 * time.Millisecond
+
+// bootstrap reads the list of VMs and the configuration until both are known.
+func (n *Node) bootstrap() {
+	for n.ctx.Err() == nil {
+		n.relay.bootstrap(n.ctx)
+		if n.access.current() != nil && len(n.directory.list().GetVms()) > 0 {
+			return
+		}
+		pauseFor(n.ctx, bootstrapInterval)
+	}
+}
+
+func (n *Node) reportDemand() {
+	ticker := time.NewTicker(demandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			n.poolMu.Lock()
+			n.pools.reportAll()
+			n.poolMu.Unlock()
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready returns nil when this VM serves callers.
+func (n *Node) Ready() error {
+	if n.access.current() == nil {
+		return errNoConfiguration
+	}
+	return n.callers.ready()
+}
--- /dev/null
+++ b/node/pools.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/backend"
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/connshare"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/holder"
+)
+
+// demandInterval is how often the reducer is told about open connections and
+// waiting requests.
+const demandInterval = 100 * time.Millisecond
+
+// budgets carries out the connection budgets of the upstreams that this VM
+// holds. The executor calls it from one goroutine.
+type budgets struct {
+	loop        *loop
+	pools       *holder.Pools
+	access      *access
+	credentials *backend.Credentials
+	tls         *tls.Config
+	log         zerolog.Logger
+
+	held map[model.UpstreamID]heldPool
+}
+
+type heldPool struct {
+	pool    *backend.Pool
+	address string
+	budget  int
+}
+
+// set applies a budget; 0 removes the pool. Connections in use finish their
+// transactions.
+func (b *budgets) set(e connshare.Effect) {
+	if e.Connections == 0 {
+		b.pools.Remove(e.Upstream)
+		delete(b.held, e.Upstream)
+		b.report(e.Upstream, 0, 0)
+		return
+	}
+	address, ok := b.access.upstreamAddress(e.Upstream)
+	if !ok {
+		return
+	}
+	known := b.held[e.Upstream]
+	if known.pool == nil || known.address != address {
+		known = heldPool{pool: b.open(address, e), address: address}
+		b.pools.Set(e.Upstream, known.pool)
+	}
+	known.budget = e.Connections
+	known.pool.SetBudget(e.Connections)
+	known.pool.SetWarm(e.Warm)
+	b.held[e.Upstream] = known
+	b.report(e.Upstream, known.pool.Stats().Open, e.Connections)
+}
+
+func (b *budgets) open(address string, e connshare.Effect) *backend.Pool {
+	return backend.NewPool(backend.PoolOptions{
+		Config: backend.Config{Address: address, Credentials: b.credentials, TLS: b.tls},
+		Budget: e.Connections,
+		Warm:   e.Warm,
+	})
+}
+
+// report tells the reducer how many connections are open under which budget.
+func (b *budgets) report(u model.UpstreamID, open, budget int) {
+	ev := connshare.Event{Kind: connshare.EventOpen, Upstream: u, Count: open, Limit: budget}
+	b.loop.apply(&core.Event{ConnShare: &ev})
+}
+
+// reportAll reports the connections and the demand of all upstreams held.
+func (b *budgets) reportAll() {
+	for u, known := range b.held {
+		b.report(u, known.pool.Stats().Open, known.budget)
+		demand := 0
+		b.loop.view(func(_ model.Time, s *core.State) {
+			running, waiting := s.Fairness.Load(u)
+			demand = running + waiting
+		})
+		ev := connshare.Event{Kind: connshare.EventDemand, Upstream: u, Count: demand}
+		b.loop.apply(&core.Event{ConnShare: &ev})
+	}
+}
+
+// closeAll closes all pools.
+func (b *budgets) closeAll() {
+	for u := range b.held {
+		b.pools.Remove(u)
+	}
+}
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -58,8 +58,17 @@
 	return &Clients{resolve: resolve, creds: creds, conns: map[model.VMID]peerConn{}}
 }
 
-// client returns the client of vm, dialing again when its address changed.
+// client returns the client of vm.
 func (c *Clients) client(vm model.VMID) (peerv1.PeerClient, error) {
+	conn, err := c.Conn(vm)
+	if err != nil {
+		return nil, err
+	}
+	return peerv1.NewPeerClient(conn), nil
+}
+
+// Conn returns the connection to vm, dialing again when its address changed.
+func (c *Clients) Conn(vm model.VMID) (*grpc.ClientConn, error) {
 	address, ok := c.resolve(vm)
 	if !ok {
 		return nil, fmt.Errorf("%w: %s", ErrUnknownVM, vm)
@@ -68,7 +77,7 @@
 	defer c.mu.Unlock()
 	known, ok := c.conns[vm]
 	if ok && known.address == address {
-		return peerv1.NewPeerClient(known.conn), nil
+		return known.conn, nil
 	}
 	if ok {
 		_ = known.conn.Close()
@@ -82,7 +91,7 @@
 		return nil, fmt.Errorf("peer %s: %w", vm, err)
 	}
 	c.conns[vm] = peerConn{address: address, conn: conn}
-	return peerv1.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 // Close closes all connections.
--- a/router/router.go
+++ b/router/router.go
@@ -100,11 +100,22 @@
 			s.noteTransaction(answer)
 			return answer.Result, err
 		}
-		attempt, err = s.router.core.Next(ctx, answer)
-		if err != nil {
-			return answer.Result, err
+		next, final := s.router.core.Next(ctx, answer)
+		if final != nil {
+			return answer.Result, explain(final, err)
 		}
+		attempt = next
+	}
+}
+
+// explain returns the final error of a batch with the message of its last
+// attempt, where both have the same SQLSTATE.
+func explain(final, last error) error {
+	var decided, failed *sqlstate.Error
+	if errors.As(final, &decided) && errors.As(last, &failed) && decided.Code == failed.Code {
+		return failed
 	}
+	return final
 }
 
 // runPinned runs a batch of an open transaction. It is never tried elsewhere.
--- a/standin/upstream/control.go
+++ b/standin/upstream/control.go
@@ -37,13 +37,21 @@
 	{Name: "applied_term", Type: string(sqltext.Text)},
 }
 
+// positionColumns are the columns of chervilhatch_position.
+var positionColumns = []store.Column{
+	{Name: "term", Type: string(sqltext.Text)},
+	{Name: "position", Type: string(sqltext.Integer)},
+}
+
 // acceptedColumn precedes the status in the answer of chervilhatch_fence.
 var acceptedColumn = store.Column{Name: "accepted", Type: string(sqltext.Boolean)}
 
 // functionColumns returns the columns of a function's answer.
 func functionColumns(name string) []store.Column {
 	switch name {
-	case "chervilhatch_position", "pg_sleep":
+	case "chervilhatch_position":
+		return positionColumns
+	case "pg_sleep":
 		return []store.Column{{Name: name, Type: string(sqltext.Text)}}
 	case "chervilhatch_fence":
 		return append([]store.Column{acceptedColumn}, statusColumns...)
@@ -91,7 +99,7 @@
 		return statusRow(c.node.status()), nil
 	case "chervilhatch_position":
 		p, err := c.position()
-		return []any{p.Term.String() + "/" + strconv.FormatUint(uint64(p.Pos), 10)}, err
+		return []any{p.Term.String(), int64(p.Pos)}, err
 	case "pg_sleep":
 		return c.sleep(ctx, texts[0])
 	}
