--- a/dbgroup/pgcontrol/link.go
+++ b/dbgroup/pgcontrol/link.go
@@ -53,12 +53,25 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(l.life, cancel)()
+	reused := l.connected(address)
+	row, err := l.attempt(ctx, address, sql, args)
+	if err != nil && reused && l.conn == nil && ctx.Err() == nil {
+		// The upstream has closed the old connection, for example because it
+		// restarted. The control functions may be repeated.
+		row, err = l.attempt(ctx, address, sql, args)
+	}
+	return row, err
+}
+
+// attempt runs the statement once and closes the connection if its state is
+// uncertain afterwards.
+func (l *link) attempt(ctx context.Context, address, sql string, args []string) ([]string, error) {
 	if err := l.connect(ctx, address); err != nil {
 		return nil, err
 	}
 	row, err := l.run(ctx, sql, args)
 	var refused *pgconn.PgError
-	if err != nil && !errors.As(err, &refused) {
+	if err != nil && (!errors.As(err, &refused) || l.conn.IsClosed()) {
 		// An answer may still arrive and must not be taken for that of the
 		// next call.
 		l.drop()
@@ -66,9 +79,14 @@
 	return row, err
 }
 
+// connected reports whether there is a connection to the address.
+func (l *link) connected(address string) bool {
+	return l.conn != nil && !l.conn.IsClosed() && l.address == address
+}
+
 // connect opens the connection if there is none to the address.
 func (l *link) connect(ctx context.Context, address string) error {
-	if l.conn != nil && !l.conn.IsClosed() && l.address == address {
+	if l.connected(address) {
 		return nil
 	}
 	l.drop()
--- /dev/null
+++ b/standin/upstream/control_test.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"testing"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+	"github.com/chervilhatch/chervilhatch/dbgroup/pgcontrol"
+)
+
+var (
+	term2a = model.Term{Counter: 2, Proposer: "vm-a"}
+	term2b = model.Term{Counter: 2, Proposer: "vm-b"}
+	term3  = model.Term{Counter: 3, Proposer: "vm-a"}
+)
+
+// controlled is a group with a control client.
+type controlled struct {
+	*Group
+	t       *testing.T
+	control *pgcontrol.Control
+}
+
+func startControlled(t *testing.T) *controlled {
+	t.Helper()
+	g := startGroup(t, Options{})
+	credentials := pgcontrol.Credentials{User: testUser, Password: testPassword, Database: "db"}
+	control := pgcontrol.New(g.Resolve, credentials)
+	t.Cleanup(control.Close)
+	return &controlled{Group: g, t: t, control: control}
+}
+
+// fence asks upstream i, counted from 0, to accept the term.
+func (c *controlled) fence(i int, term model.Term, want bool) dbgroup.Status {
+	c.t.Helper()
+	accepted, status, err := c.control.Fence(testContext(c.t), c.Upstreams[i].ID(), term)
+	if err != nil || accepted != want {
+		c.t.Fatalf("fence of %d in %v: accepted %v, error %v, want %v", i, term, accepted, err, want)
+	}
+	return status
+}
+
+func (c *controlled) promote(i int, term model.Term) dbgroup.Status {
+	c.t.Helper()
+	status, err := c.control.Promote(testContext(c.t), c.Upstreams[i].ID(), term)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return status
+}
+
+func (c *controlled) follow(i int, term model.Term, primary int) {
+	c.t.Helper()
+	if _, err := c.control.Follow(testContext(c.t), c.Upstreams[i].ID(), term, c.Upstreams[primary].ID()); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Guards against two proposers that both get a majority for one counter, and
+// against an old term that is accepted after a newer one.
+func TestFenceAcceptsOnlyHigherTerms(t *testing.T) {
+	c := startControlled(t)
+	c.fence(0, FirstTerm, false)
+	c.fence(1, term2b, true)
+	status := c.fence(1, term2a, false)
+	if status.Promised != term2b || status.Role != dbgroup.Fenced {
+		t.Fatalf("after a refused fence: %+v", status)
+	}
+	c.fence(1, term2b, true) // The answer to the first fence may have been lost.
+	c.fence(1, term3, true)
+	c.fence(1, term2b, false)
+	if _, err := c.control.Promote(testContext(t), c.Upstreams[1].ID(), term2b); sqlState(err) != codeNotInRequiredState {
+		t.Fatalf("promotion in an old term: %v", err)
+	}
+	if _, err := c.control.Promote(testContext(t), c.Upstreams[2].ID(), term3); sqlState(err) != codeNotInRequiredState {
+		t.Fatalf("promotion without a fence: %v", err)
+	}
+	if _, err := c.control.Follow(testContext(t), c.Upstreams[1].ID(), term2b, c.Upstreams[0].ID()); sqlState(err) != codeNotInRequiredState {
+		t.Fatalf("follow in an old term: %v", err)
+	}
+}
+
+// Guards against an accepted term that a restart forgets.
+func TestPromiseSurvivesRestart(t *testing.T) {
+	c := startControlled(t)
+	c.fence(1, term2b, true)
+	c.Upstreams[1].Kill()
+	if err := c.Upstreams[1].Restart(); err != nil {
+		t.Fatal(err)
+	}
+	c.fence(1, term2a, false)
+	if role := c.Upstreams[1].Status().Role; role != dbgroup.Fenced {
+		t.Fatalf("role %v after a restart, want fenced", role)
+	}
+}
+
+// Guards against a second first entry when the answer to a promotion is lost.
+func TestPromoteIsIdempotent(t *testing.T) {
+	c := startControlled(t)
+	c.fence(1, term2a, true)
+	first := c.promote(1, term2a)
+	if first.Role != dbgroup.Primary || first.LastTerm != term2a || first.TermStart != first.Received {
+		t.Fatalf("after the promotion: %+v", first)
+	}
+	if again := c.promote(1, term2a); again != first {
+		t.Fatalf("repeated promotion: %+v, want %+v", again, first)
+	}
+	if _, err := c.control.Follow(testContext(t), c.Upstreams[1].ID(), term2a, c.Upstreams[0].ID()); err == nil {
+		t.Fatal("the primary of a term followed another one in it")
+	}
+}
+
+// Guards against a commit after the fence of an open write transaction, and
+// against a position of the old term that counts after the fence.
+func TestFenceRollsBackOpenTransaction(t *testing.T) {
+	c := startControlled(t)
+	conn, other := connect(t, c.Upstreams[0]), connect(t, c.Upstreams[0])
+	exec(t, conn, "CREATE TABLE item (id bigint PRIMARY KEY)")
+	exec(t, other, "INSERT INTO item VALUES (1)")
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO item VALUES (2)")
+	before := c.Upstreams[0].Status().Received
+	status := c.fence(0, term2a, true)
+	if status.Role != dbgroup.Fenced || status.Received != before || status.LastTerm != FirstTerm {
+		t.Fatalf("after the fence: %+v", status)
+	}
+	if _, err := conn.Exec(testContext(t), "COMMIT"); sqlState(err) != codeSerialization {
+		t.Fatalf("commit after the fence: %v", err)
+	}
+	if _, err := conn.Exec(testContext(t), "INSERT INTO item VALUES (3)"); sqlState(err) != codeReadOnly {
+		t.Fatalf("write on a fenced upstream: %v", err)
+	}
+	var position string
+	err := other.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position)
+	if sqlState(err) != codeNotInRequiredState {
+		t.Fatalf("position %q of the old term after the fence: %v", position, err)
+	}
+	if n := queryInt(t, other, "SELECT count(*) FROM item"); n != 1 {
+		t.Fatalf("%d rows, want 1", n)
+	}
+}
+
+// Guards against a failover that loses a replicated write, keeps a write that
+// only the old primary had, or lets the old primary keep other data than the
+// group.
+func TestFailoverRewindsDivergedPrimary(t *testing.T) {
+	c := startControlled(t)
+	old := connect(t, c.Upstreams[0])
+	exec(t, old, "CREATE TABLE item (id bigint PRIMARY KEY, name text)")
+	exec(t, old, "INSERT INTO item VALUES ($1, $2)", 1, "replicated")
+	shared := c.Upstreams[0].Status().Received
+	awaitApplied(t, c.Upstreams[1], FirstTerm, shared)
+	awaitApplied(t, c.Upstreams[2], FirstTerm, shared)
+	c.Upstreams[0].Partition(true)
+	exec(t, old, "INSERT INTO item VALUES ($1, $2)", 2, "lost")
+
+	c.fence(1, term2a, true)
+	c.fence(2, term2a, true)
+	status := c.promote(1, term2a)
+	if status.TermStart != shared+1 {
+		t.Fatalf("the new term starts at %d, want %d", status.TermStart, shared+1)
+	}
+	c.follow(2, term2a, 1)
+	current := connect(t, c.Upstreams[1])
+	exec(t, current, "INSERT INTO item VALUES ($1, $2)", 2, "kept")
+	awaitApplied(t, c.Upstreams[2], term2a, shared+2)
+
+	c.follow(0, term2a, 1)
+	if _, err := old.Exec(testContext(t), "SELECT * FROM item"); sqlState(err) != codeCannotConnectNow {
+		t.Fatalf("read before the log was compared: %v", err)
+	}
+	c.Upstreams[0].Partition(false)
+	awaitApplied(t, c.Upstreams[0], term2a, shared+2)
+	for _, s := range c.Upstreams {
+		var name string
+		err := connect(t, s).QueryRow(testContext(t), "SELECT name FROM item WHERE id = $1", 2).Scan(&name)
+		if err != nil || name != "kept" {
+			t.Errorf("%s has %q (%v), want the entry of the new term", s.ID(), name, err)
+		}
+	}
+
+	// The rewound upstream must be able to become the primary again.
+	c.fence(0, term3, true)
+	c.fence(1, term3, true)
+	c.promote(0, term3)
+	exec(t, old, "INSERT INTO item VALUES ($1, $2)", 3, "again")
+	if n := queryInt(t, old, "SELECT count(*) FROM item"); n != 3 {
+		t.Fatalf("%d rows after the second failover, want 3", n)
+	}
+	if _, err := current.Exec(testContext(t), "INSERT INTO item VALUES (4, 'x')"); sqlState(err) != codeReadOnly {
+		t.Fatalf("write on the primary of an older term: %v", err)
+	}
+}
+
+// Guards against a control client that takes a late answer for that of its
+// next call, or that does not recover.
+func TestControlDropsUncertainConnection(t *testing.T) {
+	c := startControlled(t)
+	c.fence(1, term2a, true)
+	c.Upstreams[1].Pause()
+	ctx, cancel := contextWithShortLimit(t)
+	defer cancel()
+	if _, _, err := c.control.Fence(ctx, c.Upstreams[1].ID(), term3); err == nil {
+		t.Fatal("a paused upstream answered")
+	}
+	c.Upstreams[1].Resume()
+	status, err := c.control.Status(testContext(t), c.Upstreams[1].ID())
+	if err != nil || status.Promised != term3 {
+		t.Fatalf("status %+v, %v: the fence took effect although its answer was lost", status, err)
+	}
+	if _, err := c.control.Status(testContext(t), "unknown"); err == nil {
+		t.Fatal("an unknown upstream answered")
+	}
+}
--- a/standin/upstream/helpers_test.go
+++ b/standin/upstream/helpers_test.go
@@ -16,6 +16,9 @@
 	testPassword = "proxy password"
 	// testLimit bounds each test, so that a fault fails instead of hanging.
 	testLimit = 30 * time.Second
+	// shortLimit ends calls that are expected to get no answer. It only makes
+	// the test slower, so its length does not decide the verdict.
+	shortLimit = 300 * time.Millisecond
 	// pollInterval is the pause between two looks at a status.
 	pollInterval = 2 * time.Millisecond
 )
@@ -81,3 +84,9 @@
 		time.Sleep(pollInterval)
 	}
 }
+
+// contextWithShortLimit ends a call that never gets an answer.
+func contextWithShortLimit(t *testing.T) (context.Context, context.CancelFunc) {
+	t.Helper()
+	return context.WithTimeout(testContext(t), shortLimit)
+}
