--- a/standin/upstream/control_test.go
+++ b/standin/upstream/control_test.go
@@ -212,3 +212,46 @@
 		t.Fatal("an unknown upstream answered")
 	}
 }
+
+// Guards against a commit that is acknowledged after the fence's status was
+// taken, or that stays in the log although it was refused.
+func TestCommitIsAtomicWithFence(t *testing.T) {
+	const rounds = 20
+	c := startControlled(t)
+	conn := connect(t, c.Upstreams[0])
+	exec(t, conn, "CREATE TABLE item (id bigint PRIMARY KEY)")
+	term := FirstTerm
+	acknowledged := int64(0)
+	for range rounds {
+		term = term.Next("vm-a")
+		before := acknowledged
+		base := c.Upstreams[0].Status().Received
+		started := make(chan struct{})
+		stopped := make(chan error)
+		go func() {
+			for {
+				_, err := conn.Exec(testContext(t), "INSERT INTO item VALUES ($1)", acknowledged)
+				if err != nil {
+					stopped <- err
+					return
+				}
+				acknowledged++
+				if acknowledged == before+1 {
+					close(started)
+				}
+			}
+		}()
+		<-started
+		status := c.fence(0, term, true)
+		if err := <-stopped; sqlState(err) != codeReadOnly && sqlState(err) != codeSerialization {
+			t.Fatalf("write after the fence: %v", err)
+		}
+		if held := int64(status.Received - base); held != acknowledged-before {
+			t.Fatalf("the fenced log has %d new entries, %d writes were acknowledged", held, acknowledged-before)
+		}
+		if n := queryInt(t, conn, "SELECT count(*) FROM item"); n != acknowledged {
+			t.Fatalf("%d rows, %d writes were acknowledged", n, acknowledged)
+		}
+		c.promote(0, term)
+	}
+}
--- a/standin/upstream/internal/sqltext/statement.go
+++ b/standin/upstream/internal/sqltext/statement.go
@@ -152,13 +152,16 @@
 // expressions, which may also change data.
 func classifyWith(tokens []Token) Class {
 	for _, t := range tokens {
-		if t.Is("insert", "update", "delete") {
+		if t.Is(changing...) {
 			return Write
 		}
 	}
 	return Read
 }
 
+// changing are the keywords that may follow common table expressions.
+var changing = []string{"insert", "update", "delete"}
+
 func contains(tokens []Token, word string) bool {
 	for _, t := range tokens {
 		if t.Is(word) {
@@ -232,9 +235,9 @@
 
 // Tag returns the command tag without a row count, and whether the tag has one.
 func (s *Statement) Tag() (tag string, counted bool) {
-	first := s.Tokens[0].Text
+	first := s.command()
 	switch first {
-	case "select", "values", "table", "with":
+	case "select", "values", "table":
 		return "SELECT", true
 	case "insert", "replace":
 		return "INSERT 0", true
@@ -252,6 +255,21 @@
 	return strings.ToUpper(first), false
 }
 
+// command returns the keyword of the statement; that of WITH is the one after
+// the common table expressions.
+func (s *Statement) command() string {
+	first := s.Tokens[0]
+	if !first.Is("with") {
+		return first.Text
+	}
+	for _, t := range s.Tokens {
+		if t.Is(changing...) {
+			return t.Text
+		}
+	}
+	return "select"
+}
+
 // definitionTag returns a tag such as CREATE TABLE or CREATE INDEX.
 func (s *Statement) definitionTag() string {
 	for _, t := range s.Tokens[1:] {
--- a/standin/upstream/internal/store/store.go
+++ b/standin/upstream/internal/store/store.go
@@ -20,6 +20,8 @@
 type Statement struct {
 	SQL  string
 	Args []any
+	// Defines is true when the statement changes tables or columns.
+	Defines bool
 }
 
 // Column is one column of a result. Type is its declared type, or empty.
@@ -43,6 +45,8 @@
 	writer    *copyOfData
 	publisher *copyOfData
 	readers   *sql.DB
+	// definitions changes when published tables or columns may have changed.
+	definitions atomic.Uint64
 }
 
 // copyOfData is a database with the one connection that changes it.
@@ -119,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done()
+	s.definitions.Add(1)
 	s.close()
 	if err := s.open(); err != nil {
 		return err
@@ -140,9 +145,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done()
+	for _, statement := range entry {
+		if statement.Defines {
+			s.definitions.Add(1)
+		}
+	}
 	return s.publisher.apply(entry)
 }
 
+// Definitions returns a number that changes when published tables or columns
+// may have changed.
+func (s *Store) Definitions() uint64 { return s.definitions.Load() }
+
 // Read runs a statement on the published copy. before runs while the data
 // cannot change.
 func (s *Store) Read(ctx context.Context, query string, args []any, before func()) (*Result, error) {
--- a/standin/upstream/internal/value/encode.go
+++ b/standin/upstream/internal/value/encode.go
@@ -118,7 +118,7 @@
 }
 
 func encodeTime(oid uint32, v any) ([]byte, error) {
-	t, ok := v.(time.Time)
+	t, ok := asTime(v)
 	if !ok {
 		return nil, &EncodeError{OID: oid, Value: v}
 	}
@@ -128,6 +128,29 @@
 	return binary.BigEndian.AppendUint64(nil, uint64(t.Sub(epoch)/time.Microsecond)), nil
 }
 
+// timeLayouts are the forms in which clients and SQLite write a time.
+var timeLayouts = []string{
+	"2006-01-02 15:04:05Z07:00",
+	"2006-01-02 15:04:05Z07",
+	"2006-01-02T15:04:05Z07:00",
+	timeLayout,
+	dateLayout,
+}
+
+func asTime(v any) (time.Time, bool) {
+	switch v := v.(type) {
+	case time.Time:
+		return v, true
+	case string:
+		for _, layout := range timeLayouts {
+			if t, err := time.Parse(layout, v); err == nil {
+				return t, true
+			}
+		}
+	}
+	return time.Time{}, false
+}
+
 func asInt(v any) (int64, bool) {
 	switch v := v.(type) {
 	case int64:
--- a/standin/upstream/internal/value/value.go
+++ b/standin/upstream/internal/value/value.go
@@ -43,7 +43,8 @@
 func (Null) Value() (driver.Value, error) { return nil, nil }
 
 // typeOIDs maps the names of declared types to OIDs. SQLite's integers have 64
-// bits, so INTEGER is described as int8.
+// bits, so INTEGER is described as int8. It has no exact decimals, so NUMERIC is
+// described as float8.
 var typeOIDs = map[string]uint32{
 	"bool": BoolOID, "boolean": BoolOID,
 	"bytea": ByteaOID, "blob": ByteaOID,
@@ -55,7 +56,7 @@
 	"float": Float8OID, "double": Float8OID,
 	"date": DateOID, "timestamp": TimestampOID, "datetime": TimestampOID,
 	"timestamptz": TimestamptzOID,
-	"numeric":     NumericOID, "decimal": NumericOID,
+	"numeric":     Float8OID, "decimal": Float8OID,
 	"uuid": UUIDOID,
 }
 
--- a/standin/upstream/node.go
+++ b/standin/upstream/node.go
@@ -37,6 +37,7 @@
 	// visible is the applied position, for readers that do not take mu. It
 	// changes under the lock of data.
 	visible atomic.Pointer[model.Position]
+	schema  atomic.Pointer[cachedSchema]
 
 	mu sync.Mutex
 	durable
@@ -221,7 +222,8 @@
 	}
 }
 
-// stop ends the node's open transaction and streams; nothing commits after it.
+// stop rolls back the open write transaction, which may wait for a statement,
+// and ends the streams.
 func (n *node) stop() {
 	n.mu.Lock()
 	n.generation.Add(1)
--- a/standin/upstream/prepare.go
+++ b/standin/upstream/prepare.go
@@ -45,7 +45,31 @@
 	return c.node.data.Read(ctx, sql, args, func() {})
 }
 
+// cachedSchema is the schema at one number of Store.Definitions.
+type cachedSchema struct {
+	definitions uint64
+	schema      sqltext.Schema
+}
+
+// schema returns the columns of all tables. It is cached, since each Parse
+// with parameters needs it.
 func (c *session) schema() (sqltext.Schema, error) {
+	if c.write != nil && c.write.defines {
+		return c.querySchema()
+	}
+	// The number comes first: a later change makes the cached schema stale.
+	definitions := c.node.data.Definitions()
+	if cached := c.node.schema.Load(); cached != nil && cached.definitions == definitions {
+		return cached.schema, nil
+	}
+	schema, err := c.querySchema()
+	if err == nil {
+		c.node.schema.Store(&cachedSchema{definitions: definitions, schema: schema})
+	}
+	return schema, err
+}
+
+func (c *session) querySchema() (sqltext.Schema, error) {
 	result, err := c.internalQuery(schemaQuery, nil)
 	if err != nil {
 		return nil, err
@@ -83,12 +107,23 @@
 		return functionFields(s), nil
 	case s.Class == sqltext.Write && s.Has("returning"):
 		return c.selectFields(p, returningQuery(s))
-	case s.Class == sqltext.Read && !s.Has("explain"):
+	case s.Class == sqltext.Read && s.Tokens[0].Is("explain"):
+		return c.explainFields(p)
+	case s.Class == sqltext.Read:
 		return c.selectFields(p, s.SQL)
 	}
 	return nil, nil
 }
 
+// explainFields runs EXPLAIN, which does not run the statement it explains.
+func (c *session) explainFields(p *prepared) ([]pgproto3.FieldDescription, error) {
+	result, err := c.internalQuery(p.statement.SQL, make([]any, len(p.parameterOIDs)))
+	if err != nil {
+		return nil, err
+	}
+	return dynamicFields(result), nil
+}
+
 // returningQuery selects the list of RETURNING from the table.
 func returningQuery(s *sqltext.Statement) string {
 	table := ""
--- a/standin/upstream/writetx.go
+++ b/standin/upstream/writetx.go
@@ -26,6 +26,8 @@
 	statements []store.Statement
 	// changes is the number of statements that are not savepoints.
 	changes int
+	// defines is true once the transaction has changed tables or columns.
+	defines bool
 }
 
 // beginWrite waits for the write lock and opens a write transaction. It
@@ -94,7 +96,9 @@
 	if s.Class == sqltext.Read {
 		return
 	}
-	t.statements = append(t.statements, store.Statement{SQL: s.SQL, Args: args})
+	defines := s.Tokens[0].Is("create", "alter", "drop")
+	t.defines = t.defines || defines
+	t.statements = append(t.statements, store.Statement{SQL: s.SQL, Args: args, Defines: defines})
 	if s.Class == sqltext.Write {
 		t.changes++
 	}
