Add chervilhatchctl and report decoding and checking findings together

Cause: operators need a client whose results people and scripts can both tell apart; an unknown field hid all findings of the later checks. Change: chervilhatchctl makes changes as compare-and-swap on the version that was read, repeats an unanswered request with its id at the next daemon, and waits until the version is in force on every live VM. Single changes edit the text and keep its comments. A check is skipped only for members that could not be decoded.

--- /dev/null
+++ b/cmd/chervilhatchctl/internal/cli/change.go
@@ -0,0 +1,203 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchctl/internal/client"
+	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchctl/internal/newkey"
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/config/edit"
+	"github.com/chervilhatch/chervilhatch/findings"
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+)
+
+var errNoAuthor = errors.New("--author must not be empty")
+
+// Outcomes of a change, as JSON output names them.
+const (
+	outcomeAccepted    = "accepted"
+	outcomeConflict    = "conflict"
+	outcomeInvalid     = "invalid"
+	outcomeUnavailable = "store_unavailable"
+	outcomeUnknown     = "unknown"
+)
+
+// change is a request for a new version.
+type change struct {
+	expected uint64
+	document []byte
+	summary  string
+}
+
+// result is the outcome of a change.
+type result struct {
+	Outcome string `json:"outcome"`
+	Version uint64 `json:"version,omitempty"`
+	// InForce is true when every live VM has confirmed the version.
+	InForce   bool           `json:"in_force"`
+	Confirmed []string       `json:"confirmed,omitempty"`
+	Missing   []string       `json:"missing,omitempty"`
+	Winner    *historyEntry  `json:"winner,omitempty"`
+	Findings  []findingEntry `json:"findings,omitempty"`
+	// KeyID and Key are those of a key that was granted.
+	KeyID string `json:"key_id,omitempty"`
+	Key   string `json:"key,omitempty"`
+}
+
+// findingEntry is a finding in JSON output.
+type findingEntry struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+func findingEntries(list findings.List) []findingEntry {
+	entries := make([]findingEntry, len(list))
+	for i, f := range list {
+		entries[i] = findingEntry(f)
+	}
+	return entries
+}
+
+// invalid prints findings and returns them as an error.
+func (a *app) invalid(list findings.List) error {
+	if a.out.JSON {
+		if err := a.out.Encode(result{Outcome: outcomeInvalid, Findings: findingEntries(list)}); err != nil {
+			return err
+		}
+	}
+	return list
+}
+
+// editCurrent makes a single change to the version in force.
+func (a *app) editCurrent(ctx context.Context, summary string, f func(edit.Text) ([]byte, error)) error {
+	return a.withDaemon(func(d daemon) error {
+		c, err := a.prepareEdit(ctx, d, summary, f)
+		if err != nil {
+			return err
+		}
+		r, err := a.submit(ctx, d, c)
+		return a.report(r, err)
+	})
+}
+
+// prepareEdit edits the version in force and checks the new document.
+func (a *app) prepareEdit(ctx context.Context, d daemon, summary string, f func(edit.Text) ([]byte, error)) (change, error) {
+	current, doc, err := currentDocument(ctx, d)
+	if err != nil {
+		return change{}, err
+	}
+	data, err := f(edit.New(current.GetDocument(), doc))
+	if err != nil {
+		return change{}, err
+	}
+	if _, list := config.Parse("configuration", data); len(list) > 0 {
+		return change{}, a.invalid(list)
+	}
+	return change{expected: current.GetVersion(), document: data, summary: summary}, nil
+}
+
+// currentDocument returns the version in force and its parsed document.
+func currentDocument(ctx context.Context, d daemon) (*operatorv1.GetConfigResponse, *config.Document, error) {
+	return documentVersion(ctx, d, 0)
+}
+
+func documentVersion(ctx context.Context, d daemon, version uint64) (*operatorv1.GetConfigResponse, *config.Document, error) {
+	answer, err := d.Config(ctx, version)
+	if err != nil {
+		return nil, nil, err
+	}
+	if answer.GetVersion() == 0 {
+		return nil, nil, errors.New("there is no configuration yet; make one with config apply --expected 0")
+	}
+	doc, list := config.Parse(fmt.Sprintf("version %d", answer.GetVersion()), answer.GetDocument())
+	return answer, doc, list.Err()
+}
+
+// submit makes the change and follows it until it is in force. The result is
+// also set when there is an error.
+func (a *app) submit(ctx context.Context, d daemon, c change) (result, error) {
+	if a.author == "" {
+		return result{}, errNoAuthor
+	}
+	answer, err := d.Apply(ctx, &operatorv1.ApplyConfigRequest{
+		ExpectedVersion: c.expected,
+		Document:        c.document,
+		Author:          a.author,
+		Summary:         c.summary,
+		RequestId:       newkey.RequestID(),
+	})
+	if err != nil {
+		return result{}, err
+	}
+	switch answer.GetOutcome() {
+	case operatorv1.ApplyConfigResponse_OUTCOME_ACCEPTED:
+		return a.follow(ctx, d, answer.GetVersion())
+	case operatorv1.ApplyConfigResponse_OUTCOME_CONFLICT:
+		return conflict(answer)
+	case operatorv1.ApplyConfigResponse_OUTCOME_INVALID:
+		list := fromFindings(answer.GetFindings())
+		return result{Outcome: outcomeInvalid, Findings: findingEntries(list)}, list
+	case operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE:
+		return result{Outcome: outcomeUnavailable}, fmt.Errorf("%w: the store did not answer; nothing was changed", client.ErrUnavailable)
+	}
+	return result{Outcome: outcomeUnknown}, fmt.Errorf("%w: the change may have been accepted; see config history", errUnknown)
+}
+
+func conflict(answer *operatorv1.ApplyConfigResponse) (result, error) {
+	w := answer.GetWinner()
+	entry := newHistoryEntry(w)
+	r := result{Outcome: outcomeConflict, Version: answer.GetVersion(), Winner: &entry}
+	return r, fmt.Errorf("%w: version %d by %s at %s came first: %q; the newest version is %d, nothing was changed",
+		errConflict, w.GetVersion(), w.GetAuthor(), entry.Accepted, w.GetSummary(), answer.GetVersion())
+}
+
+func fromFindings(list []*operatorv1.Finding) findings.List {
+	out := make(findings.List, len(list))
+	for i, f := range list {
+		out[i] = findings.Finding{
+			File: f.GetFile(), Line: int(f.GetLine()), Column: int(f.GetColumn()),
+			Path: f.GetPath(), Message: f.GetMessage(),
+		}
+	}
+	return out
+}
+
+// follow waits until the version is in force on every live VM.
+func (a *app) follow(ctx context.Context, d daemon, version uint64) (result, error) {
+	r := result{Outcome: outcomeAccepted, Version: version}
+	if a.wait <= 0 {
+		return r, fmt.Errorf("version %d is accepted: %w: --wait is 0", version, errNotInForce)
+	}
+	start := time.Now()
+	last := d.WaitInForce(ctx, version, a.wait, func(m *operatorv1.WaitInForceResponse) {
+		confirmed := len(m.GetConfirmed())
+		fmt.Fprintf(a.stderr, "version %d is in force on %d of %d VMs\n",
+			version, confirmed, confirmed+len(m.GetMissing()))
+	})
+	r.InForce = last.GetDone()
+	r.Confirmed = last.GetConfirmed()
+	r.Missing = last.GetMissing()
+	switch {
+	case r.InForce:
+		return r, nil
+	case last == nil:
+		return r, fmt.Errorf("version %d is accepted: %w: no daemon reported progress", version, errNotInForce)
+	}
+	return r, fmt.Errorf("version %d is accepted: %w: after %s not confirmed by %s",
+		version, errNotInForce, time.Since(start).Round(time.Millisecond), strings.Join(r.Missing, ", "))
+}
+
+// report prints the result of a change.
+func (a *app) report(r result, err error) error {
+	if r.Outcome == "" || err != nil && !a.out.JSON {
+		return err
+	}
+	return errors.Join(a.out.Result(r, "Version %d is in force on all %d live VMs.", r.Version, len(r.Confirmed)), err)
+}
--- /dev/null
+++ b/cmd/chervilhatchctl/internal/client/client.go
@@ -0,0 +1,221 @@
+// Package client reaches the operators' service of the daemons. It moves to the
+// next daemon when one does not answer.
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilhatch/chervilhatch/findings/jsondoc"
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+)
+
+const (
+	// callTimeout is above the time for which a daemon reads a lost answer back.
+	callTimeout = 15 * time.Second
+	// reconnectPause is the time between two attempts to follow a change.
+	reconnectPause = 200 * time.Millisecond
+	// maxMessageBytes has room for a document and its envelope.
+	maxMessageBytes = 4 * jsondoc.MaxBytes
+)
+
+// Errors of a Client.
+var (
+	ErrNoDaemon = errors.New("no daemon's address was given")
+	// ErrUnavailable means that no daemon answered, or that the store did not.
+	ErrUnavailable = errors.New("unavailable")
+)
+
+// Options say how to reach the daemons.
+type Options struct {
+	Addresses []string
+	// Cert, Key and CA are PEM files for mutual TLS.
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Client calls the daemons.
+type Client struct {
+	conns   []*grpc.ClientConn
+	clients []operatorv1.OperatorClient
+}
+
+// New returns a client. It does not wait for a connection.
+func New(o Options) (*Client, error) {
+	if len(o.Addresses) == 0 {
+		return nil, ErrNoDaemon
+	}
+	creds, err := loadTLS(o)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{}
+	for _, address := range o.Addresses {
+		conn, err := grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(creds),
+			grpc.WithDisableRetry(),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("daemon %s: %w", address, err), c.Close())
+		}
+		c.conns = append(c.conns, conn)
+		c.clients = append(c.clients, operatorv1.NewOperatorClient(conn))
+	}
+	return c, nil
+}
+
+func loadTLS(o Options) (credentials.TransportCredentials, error) {
+	cert, err := tls.LoadX509KeyPair(o.Cert, o.Key)
+	if err != nil {
+		return nil, fmt.Errorf("load the client certificate: %w", err)
+	}
+	pem, err := os.ReadFile(o.CA)
+	if err != nil {
+		return nil, fmt.Errorf("load the CA: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("load the CA: %s has no certificate", o.CA)
+	}
+	return credentials.NewTLS(&tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      roots,
+		MinVersion:   tls.VersionTLS13,
+	}), nil
+}
+
+// Close ends all connections.
+func (c *Client) Close() error {
+	var errs []error
+	for _, conn := range c.conns {
+		errs = append(errs, conn.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// call asks one daemon after the other until one answers.
+func call[T any](ctx context.Context, c *Client, f func(context.Context, operatorv1.OperatorClient) (T, error)) (T, error) {
+	var answer T
+	var err error
+	for _, client := range c.clients {
+		answer, err = callOne(ctx, client, f)
+		if err == nil || !unanswered(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	if err != nil && unanswered(err) {
+		err = fmt.Errorf("%w: %s", ErrUnavailable, status.Convert(err).Message())
+	}
+	return answer, err
+}
+
+func callOne[T any](ctx context.Context, client operatorv1.OperatorClient, f func(context.Context, operatorv1.OperatorClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f(ctx, client)
+}
+
+// unanswered reports whether another daemon may answer where this one did not.
+func unanswered(err error) bool {
+	code := status.Code(err)
+	return code == codes.Unavailable || code == codes.DeadlineExceeded || code == codes.Canceled
+}
+
+// Config returns a version of the configuration; 0 means the one in force.
+func (c *Client) Config(ctx context.Context, version uint64) (*operatorv1.GetConfigResponse, error) {
+	return call(ctx, c, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.GetConfigResponse, error) {
+		return o.GetConfig(ctx, &operatorv1.GetConfigRequest{Version: version})
+	})
+}
+
+// History returns the newest changes.
+func (c *Client) History(ctx context.Context, limit int) (*operatorv1.HistoryResponse, error) {
+	return call(ctx, c, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.HistoryResponse, error) {
+		return o.History(ctx, &operatorv1.HistoryRequest{Limit: int32(limit)})
+	})
+}
+
+// Status returns what a daemon knows of the deployment.
+func (c *Client) Status(ctx context.Context) (*operatorv1.StatusResponse, error) {
+	return call(ctx, c, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.StatusResponse, error) {
+		return o.Status(ctx, &operatorv1.StatusRequest{})
+	})
+}
+
+// Apply makes a change. A daemon that does not answer may have made it, so the
+// next one gets the same request with the same id, which has no further effect.
+func (c *Client) Apply(ctx context.Context, r *operatorv1.ApplyConfigRequest) (*operatorv1.ApplyConfigResponse, error) {
+	uncertain := false
+	for _, client := range c.clients {
+		answer, err := callOne(ctx, client, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.ApplyConfigResponse, error) {
+			return o.ApplyConfig(ctx, r)
+		})
+		switch {
+		case err != nil && !unanswered(err):
+			return nil, err
+		case err != nil, answer.GetOutcome() == operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN:
+			uncertain = true
+		case answer.GetOutcome() != operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE:
+			return answer, nil
+		}
+	}
+	if uncertain {
+		return &operatorv1.ApplyConfigResponse{Outcome: operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN}, nil
+	}
+	return &operatorv1.ApplyConfigResponse{Outcome: operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE}, nil
+}
+
+// WaitInForce calls progress with each state of the change until it is in force
+// on every live VM or the time is over. It returns the last state, nil if no
+// daemon answered.
+func (c *Client) WaitInForce(ctx context.Context, version uint64, timeout time.Duration, progress func(*operatorv1.WaitInForceResponse)) *operatorv1.WaitInForceResponse {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	deadline := time.Now().Add(timeout)
+	var last *operatorv1.WaitInForceResponse
+	for i := 0; ctx.Err() == nil && !last.GetDone(); i++ {
+		request := &operatorv1.WaitInForceRequest{Version: version, TimeoutMs: time.Until(deadline).Milliseconds()}
+		follow(ctx, c.clients[i%len(c.clients)], request, func(m *operatorv1.WaitInForceResponse) {
+			last = m
+			progress(m)
+		})
+		if !last.GetDone() {
+			pause(ctx, reconnectPause)
+		}
+	}
+	return last
+}
+
+// follow passes on the messages of one stream until it ends.
+func follow(ctx context.Context, client operatorv1.OperatorClient, r *operatorv1.WaitInForceRequest, fn func(*operatorv1.WaitInForceResponse)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.WaitInForce(ctx, r)
+	for err == nil {
+		var m *operatorv1.WaitInForceResponse
+		m, err = stream.Recv()
+		if err == nil {
+			fn(m)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/cmd/chervilhatchctl/internal/client/client_test.go
@@ -0,0 +1,112 @@
+package client
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+)
+
+type outcome = operatorv1.ApplyConfigResponse_Outcome
+
+const (
+	accepted    = operatorv1.ApplyConfigResponse_OUTCOME_ACCEPTED
+	conflict    = operatorv1.ApplyConfigResponse_OUTCOME_CONFLICT
+	unavailable = operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE
+	unknown     = operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN
+	// silent is a daemon that does not answer.
+	silent outcome = -1
+)
+
+// fakeDaemon answers ApplyConfig with a fixed outcome, and WaitInForce with its
+// messages before the stream breaks.
+type fakeDaemon struct {
+	operatorv1.OperatorClient
+	outcome outcome
+	ids     []string
+	waits   [][]*operatorv1.WaitInForceResponse
+}
+
+func (f *fakeDaemon) ApplyConfig(_ context.Context, r *operatorv1.ApplyConfigRequest, _ ...grpc.CallOption) (*operatorv1.ApplyConfigResponse, error) {
+	f.ids = append(f.ids, r.GetRequestId())
+	if f.outcome == silent {
+		return nil, status.Error(codes.Unavailable, "silent")
+	}
+	return &operatorv1.ApplyConfigResponse{Outcome: f.outcome}, nil
+}
+
+func (f *fakeDaemon) WaitInForce(context.Context, *operatorv1.WaitInForceRequest, ...grpc.CallOption) (grpc.ServerStreamingClient[operatorv1.WaitInForceResponse], error) {
+	if len(f.waits) == 0 {
+		return nil, status.Error(codes.Unavailable, "silent")
+	}
+	messages := f.waits[0]
+	f.waits = f.waits[1:]
+	return &fakeStream{messages: messages}, nil
+}
+
+type fakeStream struct {
+	grpc.ClientStream
+	messages []*operatorv1.WaitInForceResponse
+}
+
+func (f *fakeStream) Recv() (*operatorv1.WaitInForceResponse, error) {
+	if len(f.messages) == 0 {
+		return nil, status.Error(codes.Unavailable, "the stream broke")
+	}
+	m := f.messages[0]
+	f.messages = f.messages[1:]
+	return m, nil
+}
+
+// Guards against a change that may have been made being reported as not made,
+// and against a second change with another request id.
+func TestApplyMovesToTheNextDaemon(t *testing.T) {
+	cases := []struct {
+		daemons []outcome
+		want    outcome
+		calls   int
+	}{
+		{[]outcome{accepted, accepted}, accepted, 1},
+		{[]outcome{silent, accepted}, accepted, 2},
+		{[]outcome{unknown, conflict}, conflict, 2},
+		{[]outcome{silent, unavailable}, unknown, 2},
+		{[]outcome{unknown, unavailable}, unknown, 2},
+		{[]outcome{unavailable, unavailable}, unavailable, 2},
+		{[]outcome{silent, silent}, unknown, 2},
+	}
+	for _, c := range cases {
+		client := &Client{}
+		var fakes []*fakeDaemon
+		for _, o := range c.daemons {
+			f := &fakeDaemon{outcome: o}
+			fakes = append(fakes, f)
+			client.clients = append(client.clients, f)
+		}
+		answer, err := client.Apply(t.Context(), &operatorv1.ApplyConfigRequest{RequestId: "r"})
+		var ids []string
+		for _, f := range fakes {
+			ids = append(ids, f.ids...)
+		}
+		if err != nil || answer.GetOutcome() != c.want || !slices.Equal(ids, slices.Repeat([]string{"r"}, c.calls)) {
+			t.Errorf("%v: got %v, %v after %q; want %v after %d calls", c.daemons, answer.GetOutcome(), err, ids, c.want, c.calls)
+		}
+	}
+}
+
+// Guards against giving up when the daemon that reports progress is lost.
+func TestWaitInForceMovesToTheNextDaemon(t *testing.T) {
+	first := &fakeDaemon{waits: [][]*operatorv1.WaitInForceResponse{{{Missing: []string{"vm2"}}}}}
+	second := &fakeDaemon{waits: [][]*operatorv1.WaitInForceResponse{{{Confirmed: []string{"vm1", "vm2"}, Done: true}}}}
+	client := &Client{clients: []operatorv1.OperatorClient{first, second}}
+	calls := 0
+	last := client.WaitInForce(t.Context(), 1, time.Minute, func(*operatorv1.WaitInForceResponse) { calls++ })
+	if !last.GetDone() || calls != 2 {
+		t.Errorf("got %v after %d messages", last, calls)
+	}
+}
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -96,9 +96,10 @@
 	return found
 }
 
-// reference checks that an item of the kind has the name.
+// reference checks that an item of the kind has the name. Nothing is known of
+// the names if the list of these items could not be decoded.
 func (c *checker) reference(path, kind, name string) {
-	if !c.defined(kind, name) {
+	if !c.defined(kind, name) && c.source.Decoded(kind+"s") {
 		c.source.Add(path, "no %s has the name %q", kind, name)
 	}
 }
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -145,6 +145,23 @@
 	}
 }
 
+// Guards against a wrong type that hides other errors, or that makes correct
+// references look wrong.
+func TestDecodingAndCheckingReportTogether(t *testing.T) {
+	text := strings.Replace(valid, `"zones": [{"name": "a"`, `"zones": [{"name": 1`, 1)
+	text = strings.Replace(text, `"slots": 3`, `"slotts": 3`, 1)
+	text = strings.Replace(text, `["w1"]`, `["w2"]`, 1)
+	_, list := Parse("c.json", []byte(strings.Replace(text, "VERIFIER", verifier(t), 1)))
+	var got []string
+	for _, f := range list {
+		got = append(got, f.Path)
+	}
+	want := []string{"zones[0].name", "databases[0].slots", "databases[0].slotts", "jobs[0].workspaces[0]"}
+	if !slices.Equal(got, want) {
+		t.Fatalf("got %v, want %q", list, want)
+	}
+}
+
 func TestEncodeIsCanonical(t *testing.T) {
 	doc := parse(t, valid)
 	again := parse(t, string(Encode(doc)))
--- /dev/null
+++ b/core/config/edit/edit_test.go
@@ -0,0 +1,102 @@
+package edit
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/scramverifier"
+)
+
+const text = `{
+	// The preset in force.
+	"preset": "ordinary",
+	"presets": [{"name": "ordinary"}, {"name": "peak"}],
+	"zones": [{"name": "a", "region": "r"}, {"name": "b", "region": "r", "drained": true}],
+	"databases": [{"name": "d", "slots": 1, "connections": 10,
+		"upstreams": [{"id": "u", "zone": "a", "address": "127.0.0.1:5432"}]}],
+	"workspaces": [
+		{"name": "w1", "rate": 1, "burst": 1, "keys": [
+			// Held by the billing team.
+			{"id": "k1", "verifier": "VERIFIER"},
+		]},
+		{"name": "w2", "rate": 1, "burst": 1},
+	],
+}`
+
+func start(t *testing.T) (Text, *config.Document) {
+	t.Helper()
+	v, err := scramverifier.New("key", []byte("0123456789abcdef"), scramverifier.DefaultIterations)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := []byte(strings.Replace(text, "VERIFIER", v.String(), 1))
+	doc, list := config.Parse("test", data)
+	if err := list.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return New(data, doc), doc
+}
+
+// Guards against an edit that changes another item, loses comments or makes an
+// invalid document.
+func TestEdits(t *testing.T) {
+	edited, doc := start(t)
+	verifier := doc.Workspaces[0].Keys[0].Verifier
+	key := config.Key{ID: "k2", Verifier: verifier}
+	cases := []struct {
+		name string
+		edit func() ([]byte, error)
+		want config.Change
+	}{
+		{"preset", func() ([]byte, error) { return edited.UsePreset("peak") },
+			config.Change{Kind: config.Changed, Path: "preset", Old: `"ordinary"`, New: `"peak"`}},
+		{"drain", func() ([]byte, error) { return edited.SetDrained("a", true) }, config.Change{}},
+		{"restore", func() ([]byte, error) { return edited.SetDrained("b", false) },
+			config.Change{Kind: config.Changed, Path: "zones[b].drained", Old: "true", New: "false"}},
+		{"second key", func() ([]byte, error) { return edited.AddKey("w1", key) },
+			config.Change{Kind: config.Added, Path: "workspaces[w1].keys[k2]", New: "k2"}},
+		{"first key", func() ([]byte, error) { return edited.AddKey("w2", key) },
+			config.Change{Kind: config.Added, Path: "workspaces[w2].keys[k2]", New: "k2"}},
+		{"withdrawal", func() ([]byte, error) { return edited.RemoveKey("w1", "k1") },
+			config.Change{Kind: config.Removed, Path: "workspaces[w1].keys[k1]", Old: "k1"}},
+	}
+	for _, c := range cases {
+		data, err := c.edit()
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		after, list := config.Parse("test", data)
+		if c.name == "drain" {
+			if len(list) != 1 || list[0].Path != "zones" {
+				t.Errorf("draining the last zone in service: %v", list)
+			}
+			continue
+		}
+		if changes := config.Diff(doc, after); len(list) > 0 || !slices.Equal(changes, []config.Change{c.want}) {
+			t.Errorf("%s: %v, %+v", c.name, list, changes)
+		}
+		if !strings.Contains(string(data), "// The preset in force.") {
+			t.Errorf("%s: a comment is lost:\n%s", c.name, data)
+		}
+	}
+}
+
+func TestEditsOfMissingItems(t *testing.T) {
+	edited, doc := start(t)
+	_, preset := edited.UsePreset("night")
+	_, zone := edited.SetDrained("c", true)
+	_, workspace := edited.AddKey("w3", config.Key{ID: "k"})
+	_, key := edited.RemoveKey("w2", "k1")
+	for _, err := range []error{preset, zone, workspace, key} {
+		if !errors.Is(err, ErrNotFound) {
+			t.Errorf("got %v, want ErrNotFound", err)
+		}
+	}
+	if _, err := edited.AddKey("w1", doc.Workspaces[0].Keys[0]); !errors.Is(err, ErrExists) {
+		t.Errorf("a key was added twice: %v", err)
+	}
+}
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -13,7 +13,7 @@
 func Parse(file string, data []byte) (*Document, findings.List) {
 	doc := &Document{}
 	source := jsondoc.Decode(file, data, doc)
-	if len(source.Findings()) == 0 {
+	if source.Parsed() {
 		checkDocument(doc, source)
 	}
 	if list := source.Findings(); len(list) > 0 {
--- a/findings/jsondoc/decode.go
+++ b/findings/jsondoc/decode.go
@@ -44,6 +44,7 @@
 		s.addSyntaxError(err)
 		return s
 	}
+	s.parsed = true
 	s.decode(&value, "", reflect.ValueOf(into).Elem())
 	return s
 }
@@ -87,7 +88,7 @@
 func (s *Source) decodeStruct(v *hujson.Value, path string, target reflect.Value) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		s.addAt(v.StartOffset, path, "must be an object, not %s", kindName(v))
+		s.addFault(v.StartOffset, path, "must be an object, not %s", kindName(v))
 		return
 	}
 	if d, ok := target.Addr().Interface().(Defaulter); ok {
@@ -106,13 +107,13 @@
 		path = parent + "." + name
 	}
 	if seen[name] {
-		s.addAt(m.Name.StartOffset, path, "appears twice")
+		s.addFault(m.Name.StartOffset, path, "appears twice")
 		return
 	}
 	seen[name] = true
 	field, found := fieldByTag(target, name)
 	if !found {
-		s.addAt(m.Name.StartOffset, path, "unknown field")
+		s.addFault(m.Name.StartOffset, path, "unknown field")
 		return
 	}
 	s.decode(&m.Value, path, field)
@@ -133,7 +134,7 @@
 func (s *Source) decodeSlice(v *hujson.Value, path string, target reflect.Value) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		s.addAt(v.StartOffset, path, "must be a list, not %s", kindName(v))
+		s.addFault(v.StartOffset, path, "must be a list, not %s", kindName(v))
 		return
 	}
 	list := reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements))
@@ -146,12 +147,12 @@
 func (s *Source) decodeText(v *hujson.Value, path string, target reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
-		s.addAt(v.StartOffset, path, "must be a string, not %s", kindName(v))
+		s.addFault(v.StartOffset, path, "must be a string, not %s", kindName(v))
 		return
 	}
 	u := target.Addr().Interface().(encoding.TextUnmarshaler)
 	if err := u.UnmarshalText([]byte(literal.String())); err != nil {
-		s.addAt(v.StartOffset, path, "%v", err)
+		s.addFault(v.StartOffset, path, "%v", err)
 	}
 }
 
@@ -162,10 +163,10 @@
 	}
 	want := wantName(target.Kind())
 	if ok && literal.Kind() == '0' && target.Kind() != reflect.String {
-		s.addAt(v.StartOffset, path, "must be %s, not %s", want, literal)
+		s.addFault(v.StartOffset, path, "must be %s, not %s", want, literal)
 		return
 	}
-	s.addAt(v.StartOffset, path, "must be %s, not %s", want, kindName(v))
+	s.addFault(v.StartOffset, path, "must be %s, not %s", want, kindName(v))
 }
 
 // wantName describes the values that a field of the kind takes.
--- a/findings/jsondoc/source.go
+++ b/findings/jsondoc/source.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"unicode/utf8"
@@ -10,6 +11,9 @@
 	"github.com/chervilhatch/chervilhatch/findings"
 )
 
+// maxFindings bounds the answer to a document that is wrong throughout.
+const maxFindings = 1000
+
 // Source is one document: its bytes, the places of its members and the
 // findings so far.
 type Source struct {
@@ -20,6 +24,10 @@
 	// offsets has the byte offset of each member's value by path.
 	offsets  map[string]int
 	findings findings.List
+	// parsed is true when the syntax is right.
+	parsed bool
+	// faulty has the paths of the members that could not be decoded.
+	faulty []string
 }
 
 func newSource(file string, data []byte) *Source {
@@ -33,15 +41,25 @@
 }
 
 // Add records a finding at the member with the given path. If the document
-// does not have the member, the place is that of the nearest enclosing one.
+// does not have the member, the place is that of the nearest enclosing one. A
+// member that could not be decoded already has a finding and gets no other.
 func (s *Source) Add(path, format string, args ...any) {
-	s.addAt(s.offsetOf(path), path, format, args...)
+	if !slices.Contains(s.faulty, path) {
+		s.addAt(s.offsetOf(path), path, format, args...)
+	}
 }
 
-// Has reports whether the document has a member with the given path.
-func (s *Source) Has(path string) bool {
-	_, found := s.offsets[path]
-	return found
+// Parsed reports whether the document's syntax is right, so that its members
+// can be checked.
+func (s *Source) Parsed() bool { return s.parsed }
+
+// Decoded reports whether the member with the given path and all below it
+// could be decoded.
+func (s *Source) Decoded(path string) bool {
+	return !slices.ContainsFunc(s.faulty, func(f string) bool {
+		rest, found := strings.CutPrefix(f, path)
+		return found && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
 }
 
 // Findings returns the findings in the order of their places.
@@ -50,7 +68,18 @@
 	return s.findings
 }
 
+// addFault records that a member could not be decoded.
+func (s *Source) addFault(offset int, path, format string, args ...any) {
+	if len(s.faulty) < maxFindings {
+		s.faulty = append(s.faulty, path)
+	}
+	s.addAt(offset, path, format, args...)
+}
+
 func (s *Source) addAt(offset int, path, format string, args ...any) {
+	if len(s.findings) == maxFindings {
+		return
+	}
 	line, column := s.place(offset)
 	s.findings = append(s.findings, findings.Finding{
 		File:    s.file,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -183,7 +183,7 @@
 func Parse(file string, data []byte) (*Settings, findings.List) {
 	s := &Settings{}
 	source := jsondoc.Decode(file, data, s)
-	if len(source.Findings()) == 0 {
+	if source.Parsed() {
 		check(s, source)
 	}
 	if list := source.Findings(); len(list) > 0 {
