--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,89 @@
+// Package examples checks the example files against the sizes that they describe.
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/settings"
+)
+
+// Guards against examples that the current version refuses.
+func TestExamplesAreValid(t *testing.T) {
+	cases := []struct {
+		dir                string
+		zones, slots, conn int
+	}{
+		{"ostemarked", 4, 3, 20},
+		{"solur", 3, 5, 50},
+	}
+	for _, c := range cases {
+		t.Run(c.dir, func(t *testing.T) {
+			doc, list := config.Parse("config.jsonc", read(t, c.dir, "config.jsonc"))
+			if err := list.Err(); err != nil {
+				t.Fatal(err)
+			}
+			s, list := settings.Parse("settings.jsonc", read(t, c.dir, "settings.jsonc"))
+			if err := list.Err(); err != nil {
+				t.Fatal(err)
+			}
+			if doc.Zone(s.VM.Zone) == nil {
+				t.Errorf("the settings' zone %q is not configured", s.VM.Zone)
+			}
+			if len(doc.Zones) != c.zones || len(doc.Databases) != 3 || len(doc.Workspaces) != 8 || len(doc.Presets) != 3 {
+				t.Errorf("%d zones, %d databases, %d workspaces, %d presets",
+					len(doc.Zones), len(doc.Databases), len(doc.Workspaces), len(doc.Presets))
+			}
+			for _, db := range doc.Databases {
+				if len(db.Upstreams) != 3 || db.Slots != c.slots || db.Connections != c.conn {
+					t.Errorf("database %+v", db)
+				}
+			}
+		})
+	}
+}
+
+func read(t *testing.T, parts ...string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(parts...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against a field that the reference page lacks.
+func TestReferenceNamesEveryField(t *testing.T) {
+	page := string(read(t, "..", "docs", "operations.md"))
+	for _, document := range []any{config.Document{}, settings.Settings{}} {
+		for _, path := range fields("", reflect.TypeOf(document)) {
+			if !strings.Contains(page, "`"+path+"`") {
+				t.Errorf("docs/operations.md does not describe %s", path)
+			}
+		}
+	}
+}
+
+// fields returns the paths of all fields that hold a single value or a list of them.
+func fields(path string, typ reflect.Type) []string {
+	switch {
+	case typ.Kind() == reflect.Pointer:
+		return fields(path, typ.Elem())
+	case typ.Kind() == reflect.Slice && typ.Elem().Kind() == reflect.Struct:
+		return fields(path+"[]", typ.Elem())
+	case typ.Kind() != reflect.Struct:
+		return []string{path}
+	}
+	var paths []string
+	for i := range typ.NumField() {
+		name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+		if name != "" {
+			paths = append(paths, fields(strings.TrimPrefix(path+"."+name, "."), typ.Field(i).Type)...)
+		}
+	}
+	return paths
+}
