Let a zone know a change before it is reported as accepted

Cause: if the store failed right after a change was accepted, the zone could vouch for the old version, and all zones would confirm it for the whole outage. Change: the daemon and its relay learn the version before the operator gets the answer. A VM passes on its zone's outage only if it has the zone's newest version. Conclusion: one VM that alone reaches the store, cut off from its whole zone, can still accept a change that the others do not learn of.

--- a/core/confsync/confsync_test.go
+++ b/core/confsync/confsync_test.go
@@ -191,3 +191,22 @@
 		t.Error("a VM that is gone is still known")
 	}
 }
+
+// Guards against vouching for the changes of the own zone without having them.
+func TestZoneUnreachableNeedsTheZonesVersion(t *testing.T) {
+	s := New("a2")
+	apply := func(ev Event) { s.Apply(at(5), &ev, nil) }
+	apply(members("a1", "a2", "b1"))
+	apply(read(1, 1))
+	apply(unreachable("a1", 2, 4))
+	if _, ok := s.ZoneUnreachable("a", at(6)); ok {
+		t.Error("a VM vouches for a version that it lacks")
+	}
+	apply(document("a1", 2, -1))
+	if age, ok := s.ZoneUnreachable("a", at(6)); !ok || age != 2*time.Second {
+		t.Errorf("ZoneUnreachable = %v, %v", age, ok)
+	}
+	if _, ok := s.ZoneUnreachable("b", at(6)); ok {
+		t.Error("a zone that did not report is unreachable")
+	}
+}
--- a/core/confsync/query.go
+++ b/core/confsync/query.go
@@ -27,6 +27,17 @@
 	return now.Sub(s.confirmedAt), true
 }
 
+// ZoneUnreachable returns how long ago the zone last could not reach the store,
+// as this VM may report it. A report stands for every change made through the
+// zone so far, so a VM that lacks one of these versions must not make it.
+func (s *State) ZoneUnreachable(zone model.Zone, now model.Time) (age time.Duration, ok bool) {
+	o := s.outages[zone]
+	if !o.reported || o.version > s.version {
+		return 0, false
+	}
+	return now.Sub(o.at), true
+}
+
 // LastHeard returns the version that a VM last reported and when.
 func (s *State) LastHeard(vm model.VMID) (version uint64, at model.Time, ok bool) {
 	p := s.peers[vm]
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -129,7 +129,7 @@
 		result, err := c.server.store.Txn(ctx, c.conditions(now), c.writes())
 		switch {
 		case err == nil && result.Succeeded:
-			return accepted(c.record.Version), nil
+			return c.accepted(c.record), nil
 		case err == nil:
 			return c.refused(ctx)
 		case !errors.Is(err, platform.ErrUnavailable):
@@ -221,7 +221,7 @@
 // decided answers with the change that became the version.
 func (c *change) decided(winner config.Record, newest uint64) *operatorv1.ApplyConfigResponse {
 	if winner.RequestID == c.request.GetRequestId() {
-		return accepted(winner.Version)
+		return c.accepted(winner)
 	}
 	answer := outcome(operatorv1.ApplyConfigResponse_OUTCOME_CONFLICT)
 	answer.Version = newest
@@ -229,9 +229,10 @@
 	return answer
 }
 
-func accepted(version uint64) *operatorv1.ApplyConfigResponse {
+func (c *change) accepted(record config.Record) *operatorv1.ApplyConfigResponse {
+	c.server.backend.Accepted(record)
 	answer := outcome(operatorv1.ApplyConfigResponse_OUTCOME_ACCEPTED)
-	answer.Version = version
+	answer.Version = record.Version
 	return answer
 }
 
--- a/operator/relay/relay.go
+++ b/operator/relay/relay.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
@@ -55,12 +56,16 @@
 	platformv1.UnimplementedPlatformServer
 	local platform.Store
 	route Route
+	seen  func(record []byte)
 }
 
 // NewServer returns a server on the local store. It refuses calls while route
 // says that another VM is the relay, so that a call is passed on at most once.
-func NewServer(local platform.Store, route Route) *Server {
-	return &Server{local: local, route: route}
+// It calls seen, before it answers, with each configuration record that the
+// store has: the relay must know a change that was accepted through it, even
+// if the store fails next and the VM that asked for it dies.
+func NewServer(local platform.Store, route Route, seen func(record []byte)) *Server {
+	return &Server{local: local, route: route, seen: seen}
 }
 
 // Get reads one key of the configuration.
@@ -72,6 +77,9 @@
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
+	if kv.ModRevision != 0 {
+		s.seen(kv.Value)
+	}
 	return &platformv1.GetResponse{Kv: toKeyValue(kv)}, nil
 }
 
@@ -95,6 +103,7 @@
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
+	s.tellWritten(writes, result.Succeeded)
 	answer := &platformv1.TxnResponse{Succeeded: result.Succeeded, Revision: result.Revision}
 	for _, kv := range result.Current {
 		answer.Current = append(answer.Current, toKeyValue(kv))
@@ -102,6 +111,14 @@
 	return answer, nil
 }
 
+func (s *Server) tellWritten(writes []platform.Write, succeeded bool) {
+	for _, w := range writes {
+		if succeeded && w.Key == config.CurrentKey {
+			s.seen(w.Value)
+		}
+	}
+}
+
 func (s *Server) check(key string) error {
 	if !strings.HasPrefix(key, keyPrefix) {
 		return status.Errorf(codes.PermissionDenied, "peers may use keys with the prefix %q only", keyPrefix)
--- a/operator/relay/relay_test.go
+++ b/operator/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,11 +55,13 @@
 }
 
 // Guards against a VM that is not the relay using the store itself, against
-// calls that are passed on in a circle, and against peers that reach other keys.
+// calls that are passed on in a circle, against peers that reach other keys, and
+// against a relay that does not know what was accepted through it.
 func TestCallsGoThroughTheRelay(t *testing.T) {
 	options := grpcstore.Options{Timeout: 10 * time.Second, Metrics: metrics.NewRegistry()}
 	store := &countingStore{}
-	conn := connect(t, NewServer(store, local))
+	var seen []string
+	conn := connect(t, NewServer(store, local, func(record []byte) { seen = append(seen, string(record)) }))
 	toRelay := func() grpc.ClientConnInterface { return conn }
 	unused := &countingStore{}
 	forwarding := NewStore(unused, toRelay, options)
@@ -74,12 +77,15 @@
 	if store.txns != 1 || unused.txns != 0 {
 		t.Errorf("the relay made %d changes and the forwarding VM %d", store.txns, unused.txns)
 	}
+	if !slices.Equal(seen, []string{"v", "new"}) {
+		t.Errorf("the relay knows the records %q", seen)
+	}
 	writes[0].Key = "zones/a"
 	if _, err := forwarding.Txn(t.Context(), conditions, writes); err == nil || store.txns != 1 {
 		t.Error("a peer changed a key outside the configuration")
 	}
 
-	notRelay := connect(t, NewServer(store, toRelay))
+	notRelay := connect(t, NewServer(store, toRelay, nil))
 	circle := NewStore(unused, func() grpc.ClientConnInterface { return notRelay }, options)
 	if _, err := circle.Get(t.Context(), "config/current"); !errors.Is(err, platform.ErrUnavailable) {
 		t.Errorf("Get through a VM that is not the relay = %v", err)
--- a/operator/server.go
+++ b/operator/server.go
@@ -31,6 +31,11 @@
 type Backend interface {
 	// Config returns the record in force on this VM; ok is false if there is none.
 	Config() (record config.Record, ok bool)
+	// Accepted tells of a version that the store has. It is called before the
+	// operator gets the answer, and returns when this VM reports the version to
+	// its peers. Otherwise, if the store failed next, the zone would confirm
+	// the old version although a change was accepted through it.
+	Accepted(record config.Record)
 	// Progress divides the live VMs into those that have confirmed the version
 	// and those that have not.
 	Progress(version uint64) (confirmed, missing []model.VMID)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -41,10 +41,18 @@
 	mu      sync.Mutex
 	record  config.Record
 	lagging uint64
+	// accepted has the versions that the server told of.
+	accepted []uint64
 }
 
 func (b *fakeBackend) Config() (config.Record, bool) { return b.record, b.record.Version > 0 }
 
+func (b *fakeBackend) Accepted(r config.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accepted = append(b.accepted, r.Version)
+}
+
 func (b *fakeBackend) Status() *operatorv1.StatusResponse {
 	return &operatorv1.StatusResponse{Vm: "vm1"}
 }
@@ -140,7 +148,11 @@
 			store := newMemoryStore()
 			store.txnFaults = c.txn
 			store.getFaults = c.get
-			expect(t, apply(t, newServer(store), 0, "r1"), c.want, c.version)
+			backend := &fakeBackend{}
+			expect(t, apply(t, New(backend, store, time.Second), 0, "r1"), c.want, c.version)
+			if told := len(backend.accepted) == 1; told != (c.want == isAccepted) {
+				t.Errorf("the daemon was told of %v", backend.accepted)
+			}
 			if store.txns != c.txns || store.revision != c.changes {
 				t.Errorf("%d calls, %d changes; want %d, %d", store.txns, store.revision, c.txns, c.changes)
 			}
