Guard reads on the primary and test the pool

Cause: a SELECT that calls a writing function would be acknowledged on the primary without a majority. Change: reads on the primary run with default_transaction_read_only; where the upstream has no such setting they are treated as writes. Spans for queue, upstream and replication wait.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -170,17 +170,23 @@
 	}
 }
 
-// SetReadOnly makes the transactions of this connection read-only or
-// read-write. An error means that the upstream did not accept it.
-func (c *Conn) SetReadOnly(ctx context.Context, readOnly bool) error {
-	if c.readOnly == readOnly {
-		return nil
-	}
+// ReadOnly reports whether transactions of this connection are read-only by default.
+func (c *Conn) ReadOnly() bool { return c.readOnly }
+
+// AppendReadOnly appends the query that makes transactions of this connection
+// read-only or read-write by default.
+func AppendReadOnly(dst []byte, readOnly bool) []byte {
 	value := "off"
 	if readOnly {
 		value = "on"
 	}
-	if _, err := c.Simple(ctx, "SET default_transaction_read_only TO "+value); err != nil {
+	return AppendQuery(dst, "SET default_transaction_read_only TO "+value)
+}
+
+// ReadReadOnly reads the answer to the query of AppendReadOnly. An error while
+// the connection stays usable means that the upstream has no such setting.
+func (c *Conn) ReadReadOnly(readOnly bool) error {
+	if _, err := c.ReadRow(); err != nil {
 		return err
 	}
 	c.readOnly = readOnly
--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,227 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// server accepts connections without authentication and answers Sync.
+type server struct {
+	net.Listener
+	accepted atomic.Int32
+}
+
+func startServer(t *testing.T) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{Listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn) {
+	defer conn.Close()
+	pg := pgproto3.NewBackend(conn, conn)
+	if _, err := pg.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	pg.Send(&pgproto3.AuthenticationOk{})
+	for {
+		pg.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		if pg.Flush() != nil {
+			return
+		}
+		if _, err := pg.Receive(); err != nil {
+			return
+		}
+	}
+}
+
+func newTestPool(t *testing.T, address string, budget, warm int) *Pool {
+	t.Helper()
+	credentials, err := NewCredentials("proxy", "secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPool(PoolOptions{Config: Config{Address: address, Credentials: credentials}, Budget: budget, Warm: warm})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func mustGet(t *testing.T, p *Pool) *Conn {
+	t.Helper()
+	c, err := p.Get(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// waitFor waits until the condition holds; the test times out otherwise.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatal("timed out waiting for " + what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against more connections than the budget, and against waiters that
+// are served out of order.
+func TestBudgetAndOrder(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	first := mustGet(t, p)
+	order := make(chan int, 2)
+	for i := range 2 {
+		go func() {
+			c, err := p.Get(context.Background())
+			order <- i
+			if err == nil {
+				p.Put(c)
+			}
+		}()
+		waitFor(t, "the waiter", func() bool { return p.Stats().Waiting == i+1 })
+	}
+	p.Put(first)
+	if a, b := <-order, <-order; a != 0 || b != 1 {
+		t.Fatalf("order %d, %d", a, b)
+	}
+	if s := p.Stats(); s.Opens != 1 || s.Open != 1 || s.Waits != 3 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// Guards against connections above a lowered budget, and against waiters that
+// do not profit from a raised one.
+func TestBudgetChanges(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 2, 2)
+	waitFor(t, "warm connections", func() bool { return p.Stats().Idle == 2 })
+	inUse := mustGet(t, p)
+	p.SetBudget(0)
+	if s := p.Stats(); s.Open != 1 || s.Closes[CloseBudget] != 1 {
+		t.Fatalf("%+v", s)
+	}
+	p.Put(inUse)
+	if s := p.Stats(); s.Open != 0 || s.Closes[CloseBudget] != 2 {
+		t.Fatalf("%+v", s)
+	}
+	got := make(chan *Conn)
+	go func() { got <- mustGet(t, p) }()
+	waitFor(t, "the waiter", func() bool { return p.Stats().Waiting == 1 })
+	p.SetBudget(1)
+	p.Put(<-got)
+}
+
+// Guards against the reuse of a connection whose state is not certain.
+func TestUncertainConnectionsAreClosed(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	spoil := map[CloseReason]func(*Conn){
+		CloseUncertain:     func(c *Conn) { c.Discard("test") },
+		CloseInTransaction: func(c *Conn) { c.SetStatus('T') },
+		CloseUnexpected:    func(c *Conn) { _, _ = c.Write([]byte{'S', 0, 0, 0, 4}); _ = c.reader.Wait() },
+	}
+	for reason, f := range spoil {
+		c := mustGet(t, p)
+		f(c)
+		p.Put(c)
+		if s := p.Stats(); s.Open != 0 || s.Closes[reason] != 1 {
+			t.Fatalf("%s: %+v", reason, s)
+		}
+	}
+}
+
+// Guards against a late message on an idle connection reaching the next user.
+func TestLateMessageIsNoticed(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	c := mustGet(t, p)
+	p.Put(c)
+	if _, err := c.Write([]byte{'S', 0, 0, 0, 4}); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the late message", func() bool { return !c.quiet() })
+	if next := mustGet(t, p); next == c {
+		t.Fatal("the connection was reused")
+	}
+}
+
+// Guards against waiters that hang while the upstream cannot be reached.
+func TestUnreachable(t *testing.T) {
+	s := startServer(t)
+	address := s.Addr().String()
+	s.Close()
+	p := newTestPool(t, address, 1, 0)
+	if _, err := p.Get(context.Background()); err == nil {
+		t.Fatal("no error")
+	}
+	if _, err := p.Get(context.Background()); err == nil {
+		t.Fatal("no error during the backoff")
+	}
+	if stats := p.Stats(); stats.OpenFailures == 0 || stats.Waiting != 0 {
+		t.Fatalf("%+v", stats)
+	}
+}
+
+// Guards against a connection that is lost when a waiter gives up.
+func TestWaiterGivesUp(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	c := mustGet(t, p)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := p.Get(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	p.Put(c)
+	if s := p.Stats(); s.Idle != 1 || s.Waiting != 0 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// Guards against a dead idle connection that stays in the pool.
+func TestIdleCheck(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	c := mustGet(t, p)
+	p.Put(c)
+	c.idleSince = time.Time{}
+	p.checkOnce(t)
+	if s := p.Stats(); s.Idle != 1 {
+		t.Fatalf("healthy connection: %+v", s)
+	}
+	c.Close()
+	c.idleSince = time.Time{}
+	p.checkOnce(t)
+	if s := p.Stats(); s.Open != 0 || s.Closes[CloseUncertain] != 1 {
+		t.Fatalf("dead connection: %+v", s)
+	}
+}
+
+func (p *Pool) checkOnce(t *testing.T) {
+	t.Helper()
+	c := p.takeStale()
+	if c == nil {
+		t.Fatal("no connection to check")
+	}
+	c.check(p.ctx)
+	p.Put(c)
+}
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -43,6 +43,8 @@
 
 	// write is true when a success must wait for a majority.
 	write bool
+	// guard is true when the connection's read-only setting is changed first.
+	guard bool
 	// inTx is true when a transaction was open before the batch.
 	inTx bool
 	// asked is true when the position query is under way.
@@ -73,13 +75,15 @@
 }
 
 func newExchange(s *stream, t *seat, b *executor.Batch, sink executor.Sink) *exchange {
+	read := b.Class == model.Read
 	return &exchange{
 		stream:   s,
 		seat:     t,
 		conn:     t.conn,
 		batch:    b,
 		sink:     sink,
-		write:    t.assignment.Primary && !t.guarded,
+		write:    t.assignment.Primary && !(read && t.conn.ReadOnly()),
+		guard:    t.assignment.Primary && s.tx == txIdle && t.conn.ReadOnly() != read,
 		inTx:     s.tx != txIdle,
 		preamble: true,
 	}
@@ -110,19 +114,46 @@
 
 func (x *exchange) talk() error {
 	messages := x.plan.Messages
-	if x.write && likelyCommits(x.batch.Messages, x.inTx) {
+	if x.guard {
+		messages = append(backend.AppendReadOnly(nil, x.batch.Class == model.Read), messages...)
+	}
+	if x.write && !x.guardsRead() && likelyCommits(x.batch.Messages, x.inTx) {
 		messages = backend.AppendQuery(messages, positionQuery)
 		x.asked = true
 	}
 	if err := x.send(messages); err != nil {
 		return err
 	}
+	if err := x.readGuard(); err != nil {
+		return err
+	}
 	if err := x.readAnswer(); err != nil {
 		return err
 	}
 	return x.readPosition()
 }
 
+// guardsRead reports whether this batch makes the primary refuse its own
+// writes: a SELECT may call a function that writes, and such a write would
+// otherwise be acknowledged without a majority.
+func (x *exchange) guardsRead() bool { return x.guard && x.batch.Class == model.Read }
+
+// readGuard reads the answer to the change of the read-only setting. Where the
+// upstream has no such setting, a read on the primary is treated as a write.
+func (x *exchange) readGuard() error {
+	if !x.guard {
+		return nil
+	}
+	err := x.conn.ReadReadOnly(x.batch.Class == model.Read)
+	if err != nil && !x.conn.Usable() {
+		return err
+	}
+	if err == nil && x.guardsRead() {
+		x.write = false
+	}
+	return nil
+}
+
 // send writes the batch; a large one is written by another goroutine while
 // the answer is read.
 func (x *exchange) send(messages []byte) error {
@@ -207,7 +238,7 @@
 func (x *exchange) takeError(frame wire.Frame) {
 	x.plan.Failed()
 	code := backend.ErrorCode(frame)
-	if x.preamble && !x.inTx && !x.write && code == string(sqlstate.ReadOnly) {
+	if x.preamble && !x.inTx && code == string(sqlstate.ReadOnly) {
 		x.refused = true
 	}
 	stale := code == string(sqlstate.NotSupported) || code == string(sqlstate.UnknownStatement)
--- a/holder/fakes_test.go
+++ b/holder/fakes_test.go
@@ -88,6 +88,7 @@
 	keys     atomic.Pointer[[]frontend.Key]
 	server   *frontend.Server
 	address  string
+	idleInTx time.Duration
 }
 
 func newBench(t *testing.T, primary bool) *bench {
@@ -112,7 +113,7 @@
 	pools := holder.NewPools()
 	pools.Set(testUpstream, b.pool)
 	t.Cleanup(func() { pools.Remove(testUpstream) })
-	b.holder = holder.New(holder.Options{Decider: b.decider, Pools: pools, IdleInTransaction: testTimeout})
+	b.holder = holder.New(holder.Options{Decider: b.decider, Pools: pools, IdleInTransaction: b.idleInTx})
 }
 
 func (b *bench) stream(t *testing.T) executor.Stream {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/executor"
 )
@@ -18,6 +20,8 @@
 	// IdleInTransaction is how long a transaction may be idle before it is
 	// rolled back.
 	IdleInTransaction time.Duration
+	// Tracer is nil when spans are not recorded.
+	Tracer trace.Tracer
 }
 
 // Holder implements executor.Holders for the upstreams whose connections this
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -373,3 +373,67 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// Guards against a SELECT that writes being acknowledged without a majority
+// where the upstream cannot make transactions read-only.
+func TestReadOnPrimaryWithoutReadOnly(t *testing.T) {
+	b := newBench(t, true)
+	b.upstream.noSettings = true
+	types, result, err := answerOf(t, b.stream(t), model.Read, "SELECT insert()")
+	if err != nil || types != "CZ" || len(b.decider.awaited) != 1 || result.Position.Pos != 1 {
+		t.Fatalf("answer %q, result %+v, error %v, awaited %v", types, result, err, b.decider.awaited)
+	}
+}
+
+// Guards against a connection that stays read-only for a later write.
+func TestReadsAndWritesAlternateOnPrimary(t *testing.T) {
+	b := newBench(t, true)
+	s := b.stream(t)
+	for range 2 {
+		if types, _, err := answerOf(t, s, model.Read, "SELECT 1"); err != nil || types != "TDCZ" {
+			t.Fatalf("answer %q, error %v", types, err)
+		}
+		if types, _, err := answerOf(t, s, model.Write, "INSERT 1"); err != nil || types != "CZ" {
+			t.Fatalf("answer %q, error %v", types, err)
+		}
+	}
+	if n := b.upstream.count(&b.upstream.conns); n != 1 || len(b.decider.awaited) != 2 {
+		t.Fatalf("%d connections, awaited %v", n, b.decider.awaited)
+	}
+}
+
+// Guards against a large batch that blocks because the upstream waits for its
+// answer to be read.
+func TestLargeBatch(t *testing.T) {
+	const parts = 400
+	b := newBench(t, false)
+	var messages []byte
+	for range parts {
+		value := bytes.Repeat([]byte{'x'}, 8<<10)
+		messages = append(messages, encode(t, &pgproto3.Parse{Query: "SELECT " + string(value)},
+			&pgproto3.Bind{Parameters: [][]byte{value}}, &pgproto3.Execute{})...)
+	}
+	messages = append(messages, encode(t, &pgproto3.Sync{})...)
+	types, _, err := runMessages(t, b.stream(t), &executor.Batch{Class: model.Read, Messages: messages})
+	if err != nil || len(types) != 4*parts+1 || b.pool.Stats().Idle != 1 {
+		t.Fatalf("%d messages, error %v, pool %+v", len(types), err, b.pool.Stats())
+	}
+}
+
+// Guards against an idle transaction that keeps its slot for ever, and against
+// statements that run outside the transaction after it.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	b := &bench{upstream: startUpstream(t), decider: &decider{primary: true}, idleInTx: time.Millisecond}
+	b.open(t, b.upstream.address)
+	s := b.stream(t)
+	if _, _, err := answerOf(t, s, model.Write, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	for b.decider.slots() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, result, err := answerOf(t, s, model.Write, "INSERT 1")
+	if codeOf(err) != sqlstate.IdleInTransaction || result.TxStatus != 'E' || b.upstream.count(&b.upstream.writes) != 0 {
+		t.Fatalf("result %+v, error %v", result, err)
+	}
+}
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -4,30 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/sqlstate"
 )
 
-// guard makes the primary refuse writes of a batch that is classified as a
-// read: a SELECT may call a function that writes, and such a write would
-// otherwise be acknowledged without a majority. If the upstream has no such
-// setting, the batch is treated as a write.
-func (t *seat) guard(ctx context.Context, class model.Class) error {
-	if !t.assignment.Primary {
-		return nil
-	}
-	read := class == model.Read
-	err := t.conn.SetReadOnly(ctx, read)
-	if err == nil {
-		t.guarded = read
-		return nil
-	}
-	if read && t.conn.Usable() {
-		return nil
-	}
-	return err
-}
-
 // giveBack returns the connection and the slot.
 func (t *seat) giveBack(decider Decider, outcome Outcome) {
 	if t.conn != nil {
@@ -91,15 +70,16 @@
 		s.seat = nil
 		return txIdle
 	}
-	s.idle = time.AfterFunc(s.holder.options.IdleInTransaction, s.expire)
+	turn := s.turn
+	s.idle = time.AfterFunc(s.holder.options.IdleInTransaction, func() { s.expire(turn) })
 	return s.tx
 }
 
-// expire rolls back a transaction that was idle for too long.
-func (s *stream) expire() {
+// expire rolls back a transaction that was idle for too long after the given batch.
+func (s *stream) expire(turn uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running || s.seat == nil {
+	if s.turn != turn || s.seat == nil {
 		return
 	}
 	s.dropSeat("idle in transaction", Completed)
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -40,6 +40,8 @@
 	running   bool
 	canceled  bool
 	idle      *time.Timer
+	// turn counts the batches, so that a late timer does not end a later transaction.
+	turn uint64
 }
 
 // seat is a slot on an upstream and a connection to it.
@@ -47,8 +49,6 @@
 	assignment Assignment
 	pool       *backend.Pool
 	conn       *backend.Conn
-	// guarded is true when the primary enforces that reads do not write.
-	guarded bool
 }
 
 // Run implements executor.Stream.
@@ -76,13 +76,17 @@
 		return executor.Result{TxStatus: s.abandon()}, err
 	}
 	if seat == nil {
+		queue := s.startHop(ctx, queueSpan, b.TraceParent)
 		seat, err = s.acquire(queueCtx, b)
+		queue.end(err != nil)
 		if err != nil {
 			return executor.Result{TxStatus: s.abandon()}, err
 		}
 	}
 	x := newExchange(s, seat, b, sink)
+	upstream := s.startHop(ctx, upstreamSpan, b.TraceParent)
 	failure := x.run(ctx)
+	upstream.end(failure != nil)
 	status := s.finish(x, failure)
 	if failure != nil {
 		return executor.Result{TxStatus: status}, failure
@@ -106,6 +110,7 @@
 	s.stopQueue = stop
 	s.running = true
 	s.canceled = false
+	s.turn++
 	return queueCtx, s.seat, nil
 }
 
@@ -122,7 +127,7 @@
 		return nil, refusal(ctx, err)
 	}
 	next := &seat{assignment: assignment}
-	outcome, err := s.connect(ctx, next, b)
+	outcome, err := s.connect(ctx, next)
 	if err != nil {
 		next.giveBack(decider, outcome)
 		return nil, err
@@ -135,7 +140,7 @@
 
 // connect checks the key again, because the batch may have waited, and gets a
 // connection.
-func (s *stream) connect(ctx context.Context, next *seat, b *executor.Batch) (Outcome, error) {
+func (s *stream) connect(ctx context.Context, next *seat) (Outcome, error) {
 	if err := s.keyValid(); err != nil {
 		return Completed, err
 	}
@@ -151,9 +156,6 @@
 		return Unreachable, sqlstate.Refuse(sqlstate.UpstreamUnavail, "no connection to upstream "+string(s.upstream))
 	}
 	next.conn = conn
-	if err := next.guard(ctx, b.Class); err != nil {
-		return Unreachable, sqlstate.Refuse(sqlstate.UpstreamUnavail, "connection to upstream "+string(s.upstream)+" failed")
-	}
 	return Completed, nil
 }
 
--- a/holder/upstream_test.go
+++ b/holder/upstream_test.go
@@ -22,6 +22,8 @@
 type upstream struct {
 	address string
 	replica bool
+	// noSettings makes the upstream refuse SET.
+	noSettings bool
 	// drop closes the connection when it returns true for a point of a statement.
 	drop func(point, sql string) bool
 
@@ -110,7 +112,7 @@
 
 func (c *upstreamConn) login() bool {
 	client, _ := scram.SHA256.NewClient("", upstreamPassword, "")
-	stored := client.GetStoredCredentials(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	stored, _ := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
 	server, _ := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return stored, nil })
 	conversation := server.NewConversation()
 	c.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{"SCRAM-SHA-256"}})
@@ -227,6 +229,8 @@
 		position := strconv.Itoa(c.u.position)
 		c.u.mu.Unlock()
 		c.row(simple, upstreamTerm, position)
+	case word == "SET" && c.u.noSettings:
+		c.fail("42704")
 	case strings.HasPrefix(sql, "SET default_transaction_read_only"):
 		c.readOnly = strings.HasSuffix(sql, "on")
 		c.tag("SET")
@@ -309,5 +313,6 @@
 func verifierOf(key string) scram.StoredCredentials {
 	client, _ := scram.SHA256.NewClient("", key, "")
 	salt := sha256.Sum256([]byte("salt"))
-	return client.GetStoredCredentials(scram.KeyFactors{Salt: string(salt[:16]), Iters: 4096})
+	stored, _ := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt[:16]), Iters: 4096})
+	return stored
 }
--- a/holder/write.go
+++ b/holder/write.go
@@ -121,8 +121,7 @@
 		return result, nil
 	}
 	if x.needsMajority() {
-		decider := x.stream.holder.options.Decider
-		if err := decider.AwaitMajority(ctx, x.stream.hello.Database, x.position); err != nil {
+		if err := x.awaitMajority(ctx); err != nil {
 			return result, unknownOutcome(err)
 		}
 		result.Position = x.position
@@ -136,6 +135,14 @@
 	return result, nil
 }
 
+func (x *exchange) awaitMajority(ctx context.Context) error {
+	wait := x.stream.startHop(ctx, replicationSpan, x.batch.TraceParent)
+	decider := x.stream.holder.options.Decider
+	err := decider.AwaitMajority(ctx, x.stream.hello.Database, x.position)
+	wait.end(err != nil)
+	return err
+}
+
 // unknownOutcome returns the error of a write that no majority confirmed.
 func unknownOutcome(err error) *sqlstate.Error {
 	var own *sqlstate.Error
