--- /dev/null
+++ b/frontend/fakes_test.go
@@ -0,0 +1,227 @@
+package frontend
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const testTimeout = 10 * time.Second
+
+// fakes implements Directory, Admitter and executor.Executor.
+type fakes struct {
+	mu      sync.Mutex
+	keys    []Key
+	refusal error
+	class   Declaration
+	admit   error
+	batches []*executor.Batch
+	opened  int
+	closed  int
+	// started gets a value when a statement with "hang" runs.
+	started chan struct{}
+	resume  chan struct{}
+}
+
+func newFakes() *fakes {
+	return &fakes{started: make(chan struct{}, 10), resume: make(chan struct{}, 10)}
+}
+
+func (f *fakes) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakes) Lookup(w model.Workspace, j model.Job) (Access, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := Access{Open: j == "open", Database: "db", MaxAge: time.Second, Class: f.class}
+	if w == "w" {
+		a.Keys = f.keys
+	}
+	if j == "unknown" {
+		return a, sqlstate.Refuse(sqlstate.UnknownJob, "unknown job")
+	}
+	return a, f.refusal
+}
+
+func (f *fakes) Admit(context.Context, model.Workspace, int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.admit
+}
+
+func (f *fakes) Open(context.Context, executor.Hello) (executor.Stream, error) {
+	f.set(func() { f.opened++ })
+	return &fakeStream{f: f, status: 'I'}, nil
+}
+
+func (f *fakes) last() executor.Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.batches) == 0 {
+		return executor.Batch{}
+	}
+	return *f.batches[len(f.batches)-1]
+}
+
+func (f *fakes) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.batches)
+}
+
+// fakeStream answers like an upstream that knows only transactions.
+type fakeStream struct {
+	f      *fakes
+	status byte
+}
+
+func (s *fakeStream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	kept := *b
+	kept.Messages = append([]byte(nil), b.Messages...)
+	s.f.set(func() { s.f.batches = append(s.f.batches, &kept) })
+	var out []byte
+	for messages := kept.Messages; len(messages) > 0; {
+		frame, rest, _ := wire.Split(messages)
+		messages = rest
+		text := string(frame.Body())
+		if strings.Contains(text, "hang") {
+			s.f.started <- struct{}{}
+			select {
+			case <-s.f.resume:
+			case <-ctx.Done():
+				return executor.Result{TxStatus: 'I'}, sqlstate.Unknown("interrupted")
+			}
+		}
+		if strings.Contains(text, "lost") {
+			return executor.Result{TxStatus: 'E'}, sqlstate.Unknown("lost")
+		}
+		out = s.answer(out, frame, text)
+	}
+	pos := model.Position{Term: model.Term{Counter: 1, Proposer: "p"}, Pos: model.LogPos(s.f.count())}
+	return executor.Result{TxStatus: s.status, Position: pos}, sink(out)
+}
+
+func (s *fakeStream) answer(out []byte, frame wire.Frame, text string) []byte {
+	switch {
+	case strings.Contains(text, "BEGIN"):
+		s.status = 'T'
+	case strings.Contains(text, "COMMIT"):
+		s.status = 'I'
+	}
+	var m []pgproto3.BackendMessage
+	switch frame.Type() {
+	case wire.Query:
+		m = append(m, &pgproto3.CommandComplete{CommandTag: []byte("DONE")}, &pgproto3.ReadyForQuery{TxStatus: s.status})
+	case wire.Parse:
+		if strings.Contains(text, "WRONG") {
+			m = append(m, &pgproto3.ErrorResponse{Severity: "ERROR", Code: "42601"})
+			break
+		}
+		m = append(m, &pgproto3.ParseComplete{})
+	case wire.Bind:
+		m = append(m, &pgproto3.BindComplete{})
+	case wire.Describe:
+		m = append(m, &pgproto3.ParameterDescription{}, &pgproto3.NoData{})
+	case wire.Execute:
+		m = append(m, &pgproto3.CommandComplete{CommandTag: []byte("DONE")})
+	case wire.Close:
+		m = append(m, &pgproto3.CloseComplete{})
+	case wire.Sync:
+		m = append(m, &pgproto3.ReadyForQuery{TxStatus: s.status})
+	}
+	for _, message := range m {
+		out, _ = message.Encode(out)
+	}
+	return out
+}
+
+func (s *fakeStream) Cancel() { s.f.resume <- struct{}{} }
+
+func (s *fakeStream) Close() error {
+	s.f.set(func() { s.f.closed++ })
+	return nil
+}
+
+// keyOf returns a key whose verifier has the salt.
+func keyOf(t testing.TB, id model.KeyID, password, salt string) Key {
+	t.Helper()
+	client, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := sha256.Sum256([]byte(salt))
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(sum[:16]), Iters: 4096})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Key{ID: id, Verifier: Verifier{
+		Salt: sum[:16], Iterations: 4096, StoredKey: stored.StoredKey, ServerKey: stored.ServerKey,
+	}}
+}
+
+func startServer(t testing.TB, f *fakes, change func(*Options)) (*Server, string) {
+	t.Helper()
+	options := Options{Directory: f, Admitter: f, Executor: f}
+	if change != nil {
+		change(&options)
+	}
+	s := New(options)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+	})
+	return s, l.Addr().String()
+}
+
+// connect logs in; user may contain a key id.
+func connect(t testing.TB, address, user, job, password, extra string) (*pgconn.PgConn, error) {
+	t.Helper()
+	host, port, _ := strings.Cut(address, ":")
+	config := "host=" + host + " port=" + port + " sslmode=disable user=" + user + " database=" + job + " password='" + password + "'"
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	conn, err := pgconn.Connect(ctx, config+" "+extra)
+	if err == nil {
+		t.Cleanup(func() { conn.Close(context.Background()) })
+	}
+	return conn, err
+}
+
+func mustConnect(t testing.TB, address, extra string) *pgconn.PgConn {
+	t.Helper()
+	conn, err := connect(t, address, "w", "open", "", extra)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func exec(t testing.TB, conn *pgconn.PgConn, sql string) sqlstate.Code {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err := conn.Exec(ctx, sql).ReadAll()
+	return codeOf(err)
+}
--- /dev/null
+++ b/frontend/session_test.go
@@ -0,0 +1,364 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/backend/wire"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// raw is a logged-in connection that a test drives message by message.
+type raw struct {
+	*pgproto3.Frontend
+	t testing.TB
+}
+
+func openRaw(t testing.TB, address string) *raw {
+	t.Helper()
+	conn := dial(t, address)
+	if _, err := conn.Write(startupBytes(3<<16, "user", "w", "database", "open")); err != nil {
+		t.Fatal(err)
+	}
+	r := &raw{Frontend: pgproto3.NewFrontend(conn, conn), t: t}
+	r.until('Z')
+	return r
+}
+
+// until reads up to a message of the type and returns all types, and the last
+// error's code. ParameterStatus is left out.
+func (r *raw) until(kind byte) (types string, code sqlstate.Code) {
+	r.t.Helper()
+	for {
+		message, err := r.Receive()
+		if err != nil {
+			r.t.Fatalf("after %q: %v", types, err)
+		}
+		encoded, _ := message.Encode(nil)
+		if encoded[0] == wire.ParameterStatus {
+			continue
+		}
+		types += string(encoded[0])
+		if e, ok := message.(*pgproto3.ErrorResponse); ok {
+			code = sqlstate.Code(e.Code)
+		}
+		if z, ok := message.(*pgproto3.ReadyForQuery); ok {
+			types += string(z.TxStatus)
+		}
+		if encoded[0] == kind {
+			return types, code
+		}
+	}
+}
+
+// run sends messages and reads up to ReadyForQuery.
+func (r *raw) run(messages ...pgproto3.FrontendMessage) (types string, code sqlstate.Code) {
+	r.t.Helper()
+	r.write(messages...)
+	return r.until('Z')
+}
+
+func (r *raw) write(messages ...pgproto3.FrontendMessage) {
+	r.t.Helper()
+	for _, m := range messages {
+		r.Send(m)
+	}
+	if err := r.Flush(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func parse(name, sql string) *pgproto3.Parse     { return &pgproto3.Parse{Name: name, Query: sql} }
+func bind(name string) *pgproto3.Bind            { return &pgproto3.Bind{PreparedStatement: name} }
+func closeStatement(name string) *pgproto3.Close { return &pgproto3.Close{ObjectType: 'S', Name: name} }
+func describe(name string) *pgproto3.Describe {
+	return &pgproto3.Describe{ObjectType: 'S', Name: name}
+}
+
+var (
+	execute = &pgproto3.Execute{}
+	syncNow = &pgproto3.Sync{}
+	flush   = &pgproto3.Flush{}
+)
+
+// Guards against statements of the extended protocol that are lost between
+// batches, kept after a failed Parse or a Close, or used without being parsed.
+func TestPreparedStatements(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, func(o *Options) { o.Limits.Statements = 2 })
+	r := openRaw(t, address)
+	steps := []struct {
+		messages []pgproto3.FrontendMessage
+		want     string
+		code     sqlstate.Code
+		prepared int
+	}{
+		{[]pgproto3.FrontendMessage{parse("a", "SELECT 1"), describe("a"), syncNow}, "1tnZI", "", 0},
+		{[]pgproto3.FrontendMessage{bind("a"), execute, bind("a"), execute, syncNow}, "2C2CZI", "", 1},
+		{[]pgproto3.FrontendMessage{parse("a", "SELECT 2"), syncNow}, "EZI", sqlstate.DuplicateStatement, 0},
+		{[]pgproto3.FrontendMessage{parse("b", "WRONG"), syncNow}, "EZI", "42601", 0},
+		{[]pgproto3.FrontendMessage{parse("b", "SELECT 2"), bind("b"), execute, syncNow}, "12CZI", "", 0},
+		{[]pgproto3.FrontendMessage{parse("c", "SELECT 3"), syncNow}, "EZI", sqlstate.TooLarge, 0},
+		{[]pgproto3.FrontendMessage{closeStatement("a"), syncNow}, "3ZI", "", 0},
+		{[]pgproto3.FrontendMessage{bind("a"), execute, bind("b"), syncNow}, "EZI", sqlstate.UnknownStatement, 0},
+		{[]pgproto3.FrontendMessage{parse("", "SELECT 4"), syncNow}, "1ZI", "", 0},
+		{[]pgproto3.FrontendMessage{bind(""), execute, syncNow}, "2CZI", "", 1},
+		{[]pgproto3.FrontendMessage{&pgproto3.Query{String: "DISCARD ALL"}}, "CZI", "", 0},
+		{[]pgproto3.FrontendMessage{describe("b"), syncNow}, "EZI", sqlstate.UnknownStatement, 0},
+		{[]pgproto3.FrontendMessage{syncNow}, "ZI", "", 0},
+	}
+	for i, step := range steps {
+		types, code := r.run(step.messages...)
+		if types != step.want || code != step.code {
+			t.Fatalf("step %d: %q %q, want %q %q", i, types, code, step.want, step.code)
+		}
+		if n := len(f.last().Prepared); step.prepared > 0 && n != step.prepared {
+			t.Fatalf("step %d: %d prepared statements sent along", i, n)
+		}
+	}
+}
+
+// Guards against a Flush that commits early, and against answers that are
+// withheld until Sync where they need not be.
+func TestFlush(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, nil)
+	r := openRaw(t, address)
+	r.write(parse("a", "SELECT 1"), describe("a"), flush)
+	if types, _ := r.until('n'); types != "1tn" {
+		t.Fatal(types)
+	}
+	if types, code := r.run(bind("a"), execute, syncNow); types != "2CZI" || code != "" {
+		t.Fatal(types, code)
+	}
+	if types, code := r.run(bind("a"), flush, execute, syncNow); types != "EZI" || code != sqlstate.NotSupported {
+		t.Fatal(types, code)
+	}
+	r.run(&pgproto3.Query{String: "BEGIN"})
+	r.write(bind("a"), execute, flush)
+	if types, _ := r.until('C'); types != "2C" {
+		t.Fatal(types)
+	}
+	if types, _ := r.run(syncNow); types != "ZT" {
+		t.Fatal(types)
+	}
+	r.write(parse("b", "WRONG"), flush)
+	if types, code := r.run(bind("b"), execute, syncNow); types != "EZT" || code != "42601" {
+		t.Fatal(types, code)
+	}
+}
+
+// Guards against statements that run outside the transaction that their caller
+// believes to be in.
+func TestLostTransaction(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, nil)
+	r := openRaw(t, address)
+	query := func(sql, types string, code sqlstate.Code) {
+		t.Helper()
+		if gotTypes, gotCode := r.run(&pgproto3.Query{String: sql}); gotTypes != types || gotCode != code {
+			t.Fatalf("%s: %q %q, want %q %q", sql, gotTypes, gotCode, types, code)
+		}
+	}
+	for range 2 {
+		query("BEGIN", "CZT", "")
+		query("UPDATE lost", "EZE", sqlstate.OutcomeUnknown)
+		before := f.count()
+		query("UPDATE a", "EZE", sqlstate.FailedTransaction)
+		query("ROLLBACK TO s", "EZE", sqlstate.FailedTransaction)
+		query("COMMIT", "CZI", "")
+		if f.count() != before {
+			t.Fatal("a statement of the lost transaction was run")
+		}
+		query("UPDATE a", "CZI", "")
+	}
+	query("BEGIN", "CZT", "")
+	f.set(func() { f.admit = sqlstate.Refuse(sqlstate.RateExceeded, "rate") })
+	query("UPDATE a", "EZE", sqlstate.RateExceeded)
+	query("ROLLBACK", "CZI", "")
+	query("UPDATE a", "EZI", sqlstate.RateExceeded)
+}
+
+// Guards against the class of a transaction changing inside it, and against
+// declarations of the job that are not followed.
+func TestClassOfBatches(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, nil)
+	conn := mustConnect(t, address, "")
+	steps := []struct {
+		declared Declaration
+		sql      string
+		want     model.Class
+	}{
+		{ByStatement, "SELECT 1", model.Read},
+		{ByStatement, "SELECT 1; UPDATE a", model.Write},
+		{ByStatement, "BEGIN", model.Write},
+		{ByStatement, "SELECT 1", model.Write},
+		{ByStatement, "COMMIT", model.Write},
+		{ByStatement, "BEGIN READ ONLY", model.Read},
+		{ByStatement, "UPDATE a", model.Read},
+		{ByStatement, "COMMIT", model.Read},
+		{AlwaysWrite, "SELECT 1", model.Write},
+		{AlwaysRead, "CALL a()", model.Read},
+		{AlwaysRead, "BEGIN READ WRITE", model.Write},
+		{AlwaysRead, "COMMIT", model.Write},
+	}
+	for _, step := range steps {
+		f.set(func() { f.class = step.declared })
+		if code := exec(t, conn, step.sql); code != "" {
+			t.Fatal(step.sql, code)
+		}
+		if got := f.last().Class; got != step.want {
+			t.Errorf("%s: %s", step.sql, got)
+		}
+	}
+}
+
+// Guards against a key that still works for a session whose withdrawal was not
+// told by CloseKey.
+func TestKeyIsCheckedBeforeEachBatch(t *testing.T) {
+	f := newFakes()
+	f.keys = []Key{keyOf(t, "k1", "first", "a")}
+	s, address := startServer(t, f, nil)
+	conn, err := connect(t, address, "w", "j", "first", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := mustConnect(t, address, "")
+	f.set(func() { f.keys = nil })
+	if code := exec(t, conn, "SELECT 1"); code != sqlstate.KeyWithdrawn || !conn.IsClosed() {
+		t.Fatal(code)
+	}
+	s.CloseKey("w", "")
+	s.CloseKey("w", "k1")
+	if code := exec(t, other, "SELECT 1"); code != "" {
+		t.Fatal("a session of an open job was closed: " + code)
+	}
+}
+
+// Guards against an idle session of a withdrawn key that stays open.
+func TestCloseKeyClosesIdleSession(t *testing.T) {
+	f := newFakes()
+	f.keys = []Key{keyOf(t, "k1", "first", "a")}
+	s, address := startServer(t, f, nil)
+	if _, err := connect(t, address, "w", "j", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the session", func() bool { return s.Sessions() == 1 })
+	s.CloseKey("w", "k1")
+	waitFor(t, "the session's end", func() bool { return s.Sessions() == 0 })
+}
+
+// Guards against a stop that interrupts a statement or a transaction, or that
+// leaves idle sessions open.
+func TestShutdown(t *testing.T) {
+	f := newFakes()
+	s, address := startServer(t, f, nil)
+	idle, inTx, busy := openRaw(t, address), openRaw(t, address), openRaw(t, address)
+	inTx.run(&pgproto3.Query{String: "BEGIN"})
+	busy.write(&pgproto3.Query{String: "SELECT hang"})
+	<-f.started
+	done := make(chan error)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	if _, code := idle.until('E'); code != sqlstate.AdminShutdown {
+		t.Fatal(code)
+	}
+	if types, _ := inTx.run(&pgproto3.Query{String: "UPDATE a"}); types != "CZT" {
+		t.Fatal(types)
+	}
+	if types, _ := inTx.run(&pgproto3.Query{String: "COMMIT"}); types != "CZI" {
+		t.Fatal(types)
+	}
+	if _, code := inTx.until('E'); code != sqlstate.AdminShutdown {
+		t.Fatal(code)
+	}
+	f.resume <- struct{}{}
+	if types, _ := busy.until('Z'); types != "CZI" {
+		t.Fatal(types)
+	}
+	if _, code := busy.until('E'); code != sqlstate.AdminShutdown {
+		t.Fatal(code)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a stop that waits for ever for a statement, and against a
+// write that it interrupts being reported as not run.
+func TestShutdownDeadline(t *testing.T) {
+	f := newFakes()
+	s, address := startServer(t, f, nil)
+	busy := openRaw(t, address)
+	busy.write(&pgproto3.Query{String: "UPDATE hang"})
+	<-f.started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Shutdown(ctx); err == nil {
+		t.Fatal("no error")
+	}
+	if _, code := busy.until('E'); code != sqlstate.OutcomeUnknown {
+		t.Fatal(code)
+	}
+}
+
+// Guards against a message or batch above the limit that ends the session or
+// reaches the executor.
+func TestMessageSize(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, func(o *Options) { o.Limits.MessageSize = 4096 })
+	r := openRaw(t, address)
+	long := string(make([]byte, 1<<20))
+	if types, code := r.run(&pgproto3.Query{String: long}); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	if types, code := r.run(parse("", long), bind(""), execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	value := &pgproto3.Bind{Parameters: [][]byte{make([]byte, 3000)}}
+	if types, code := r.run(parse("", "SELECT 1"), value, execute, value, execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	if types, _ := r.run(&pgproto3.Query{String: "SELECT 1"}); types != "CZI" || f.count() != 1 {
+		t.Fatal(types, f.count())
+	}
+}
+
+// Guards against an idle session that keeps its stream, and against one that
+// does not work after its memory was released.
+func TestIdleRelease(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, func(o *Options) { o.Limits.IdleRelease = time.Millisecond })
+	conn := mustConnect(t, address, "")
+	for i := range 2 {
+		if code := exec(t, conn, "SELECT 1"); code != "" {
+			t.Fatal(code)
+		}
+		waitFor(t, "the stream's end", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.closed == i+1
+		})
+	}
+}
+
+// Guards against messages that the proxy cannot serve leaving the session in
+// an unknown state.
+func TestUnsupportedMessages(t *testing.T) {
+	_, address := startServer(t, newFakes(), nil)
+	r := openRaw(t, address)
+	if types, code := r.run(&pgproto3.FunctionCall{Function: 1}); types != "EZI" || code != sqlstate.NotSupported {
+		t.Fatal(types, code)
+	}
+	if types, _ := r.run(&pgproto3.CopyDone{}, &pgproto3.Query{String: "SELECT 1"}); types != "CZI" {
+		t.Fatal(types)
+	}
+	r.write(parse("", "SELECT 1"), &pgproto3.Query{String: "SELECT 1"})
+	if types, code := r.until('E'); types != "E" || code != sqlstate.ProtocolViolation {
+		t.Fatal(types, code)
+	}
+}
