--- a/core/failover/switchover.go
+++ b/core/failover/switchover.go
@@ -13,8 +13,9 @@
 	drainTimeout = time.Second
 	// drainPoll is the time between status polls while the candidate catches up.
 	drainPoll = 10 * time.Millisecond
-	// handoverRetry is the time after a failed handover until the next one.
-	handoverRetry = 3 * time.Second
+	// handoverRetry is how many detection times pass between a failed handover
+	// and the next one.
+	handoverRetry = 5
 )
 
 // switchoverPhase is the stage of a planned switchover.
@@ -150,7 +151,7 @@
 		return
 	}
 	g.switchover = switchover{}
-	g.handover.notBefore = t.now.Add(handoverRetry)
+	g.handover.notBefore = t.now.Add(handoverRetry * g.detect)
 	t.emit(Effect{Kind: SwitchoverFailed, Database: g.database, Reason: r})
 	t.emit(Effect{Kind: OpenGate, Database: g.database})
 }
--- a/core/replication/check.go
+++ b/core/replication/check.go
@@ -89,11 +89,14 @@
 	if m.fresh.number == 0 || !g.covers(c, m) || (c.maxAge == 0 && m.id != g.last.primary) {
 		return wait
 	}
-	if m.fresh.number > c.after {
-		return ready
+	startedLater := m.fresh.number > c.after
+	if c.maxAge == 0 || !c.hasFloor {
+		if !startedLater {
+			return wait
+		}
 	}
 	age := now.Sub(m.fresh.start)
-	if !c.hasFloor || age > c.maxAge || c.maxAge == 0 {
+	if c.maxAge > 0 && age > c.maxAge {
 		return wait
 	}
 	g.refreshWanted = g.refreshWanted || age > c.maxAge/2
--- a/core/routing/attempt.go
+++ b/core/routing/attempt.go
@@ -173,7 +173,9 @@
 	if ev.Code == sqlstate.ReadOnly {
 		b.class = model.Write
 	}
-	if isFinal(ev.Code, b) {
+	// What was taken for a read may have written where an earlier attempt ran.
+	mustNotRepeat := b.maybeRun && !b.repeatable()
+	if mustNotRepeat || isFinal(ev.Code, b) {
 		return s.fail(at, out)
 	}
 	return s.place(now, at, out)
--- /dev/null
+++ b/test/property/routing_test.go
@@ -0,0 +1,286 @@
+package property
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/routing"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	routingChecks = 200
+	routingSteps  = 1000
+	batchTimeout  = 300 * time.Millisecond
+	// The retry budget as documented: a fifth of the requests and a burst of 100.
+	budgetShare, budgetBurst = 5, 100
+)
+
+// batchModel is the truth about one batch.
+type batchModel struct {
+	ev      routing.Event
+	class   model.Class
+	attempt uint32
+	// upstream is where the current attempt is, empty while there is none.
+	upstream model.UpstreamID
+	// mayHaveRun counts the attempts that may have run.
+	mayHaveRun int
+}
+
+// routingWorld has four upstreams that answer at random.
+type routingWorld struct {
+	dice
+	t         *rapid.T
+	now       model.Time
+	state     *routing.State
+	upstreams []routing.Upstream
+	primary   int
+	term      model.Term
+	open      map[uint64]*batchModel
+	ids       []uint64
+	answers   []routing.Event
+	// mainDown is when the main holder of an upstream was last reported
+	// unreachable, 0 if it has been reported reachable since.
+	mainDown         map[model.UpstreamID]model.Time
+	requests, resent map[model.Workspace]int
+}
+
+func newRoutingWorld(t *rapid.T) *routingWorld {
+	w := &routingWorld{
+		t: t, now: model.Time(time.Hour), state: routing.New("z0"), open: make(map[uint64]*batchModel),
+		mainDown: make(map[model.UpstreamID]model.Time),
+		requests: make(map[model.Workspace]int), resent: make(map[model.Workspace]int),
+	}
+	for i := range 4 {
+		n := strconv.Itoa(i)
+		w.upstreams = append(w.upstreams, routing.Upstream{ID: model.UpstreamID("u" + n), Zone: model.Zone("z" + n)})
+	}
+	w.configure()
+	return w
+}
+
+func (w *routingWorld) configure() {
+	w.apply(routing.Event{Kind: routing.GroupConfigured, Upstreams: slices.Clone(w.upstreams)})
+}
+
+func (w *routingWorld) apply(ev routing.Event) int {
+	ev.Database = "db"
+	out := w.state.Apply(w.now, &ev, nil)
+	for i := range out {
+		e := &out[i]
+		b := w.open[e.ID]
+		switch {
+		case b == nil:
+			w.t.Fatalf("effect %d for batch %d, which is not open", e.Kind, e.ID)
+		case e.Kind == routing.Send:
+			w.checkSend(b, e)
+		default:
+			w.checkFail(b, e)
+		}
+	}
+	return len(out)
+}
+
+func (w *routingWorld) checkSend(b *batchModel, e *routing.Effect) {
+	if b.upstream != "" || e.Attempt != b.attempt+1 {
+		w.t.Fatalf("batch %d: attempt %d while attempt %d is in progress or next", e.ID, e.Attempt, b.attempt)
+	}
+	if b.class == model.Write && !b.ev.Idempotent && b.mayHaveRun > 0 {
+		w.t.Fatalf("batch %d may have run and is sent again", e.ID)
+	}
+	i := slices.IndexFunc(w.upstreams, func(u routing.Upstream) bool { return u.ID == e.Upstream })
+	if u := w.upstreams[i]; b.class == model.Read && b.ev.MaxAge > 0 && (u.Drained || u.Leaving) {
+		w.t.Fatalf("read %d is sent to %s, which is drained or leaving", e.ID, u.ID)
+	}
+	if down := w.mainDown[e.Upstream]; e.Standby && (down == 0 || w.now.Sub(down) >= time.Second) {
+		w.t.Fatalf("batch %d is sent to the standby holder of %s, whose main holder is reachable", e.ID, e.Upstream)
+	}
+	if e.Attempt > 1 {
+		w.countRetry(b.ev.Workspace)
+	}
+	b.attempt = e.Attempt
+	b.upstream = e.Upstream
+}
+
+func (w *routingWorld) countRetry(workspace model.Workspace) {
+	w.resent[workspace]++
+	if w.resent[workspace] > w.requests[workspace]/budgetShare+budgetBurst {
+		w.t.Fatalf("%d retries for %d requests", w.resent[workspace], w.requests[workspace])
+	}
+}
+
+func (w *routingWorld) checkFail(b *batchModel, e *routing.Effect) {
+	if e.NotRun && b.mayHaveRun > 0 {
+		w.t.Fatalf("batch %d is refused as not run but may have run", e.ID)
+	}
+	if b.class == model.Write && b.mayHaveRun > 0 && e.Code != sqlstate.OutcomeUnknown {
+		w.t.Fatalf("write %d may have run and ends with %s", e.ID, e.Code)
+	}
+	if !e.NotRun && b.mayHaveRun == 0 {
+		w.t.Fatalf("batch %d did not run and is not reported so", e.ID)
+	}
+	w.close(e.ID)
+}
+
+func (w *routingWorld) close(id uint64) {
+	delete(w.open, id)
+	w.ids = slices.DeleteFunc(w.ids, func(other uint64) bool { return other == id })
+}
+
+func (w *routingWorld) request(id uint64) {
+	ev := routing.Event{
+		Kind: routing.BatchRequested, ID: id, Workspace: model.Workspace("w" + strconv.Itoa(w.below(2))),
+		Deadline: w.now.Add(batchTimeout), Idempotent: w.percent(20), Seed: w.uint64(),
+	}
+	if w.percent(70) {
+		ev.Class = model.Read
+		ev.MaxAge = time.Duration(w.below(2)) * time.Second
+		ev.HasFloor = w.percent(50)
+		ev.Floor = model.Position{Term: w.term, Pos: model.LogPos(w.below(100))}
+	}
+	w.requests[ev.Workspace]++
+	w.open[id] = &batchModel{ev: ev, class: ev.Class}
+	w.ids = append(w.ids, id)
+	w.apply(ev)
+}
+
+// answer ends the attempt of a random batch.
+func (w *routingWorld) answer() {
+	if len(w.ids) == 0 {
+		return
+	}
+	id := w.ids[w.below(len(w.ids))]
+	b := w.open[id]
+	if b.upstream == "" {
+		return
+	}
+	ev := routing.Event{Kind: routing.AttemptAnswered, ID: id, Attempt: b.attempt, Upstream: b.upstream}
+	if w.percent(60) {
+		ev.Primary, ev.PrimaryTerm = w.upstreams[w.primary].ID, w.term
+		ev.Applied = model.Position{Term: w.term, Pos: model.LogPos(w.below(100))}
+	}
+	w.chooseOutcome(b, &ev)
+	w.answers = append(w.answers, ev)
+	b.upstream = ""
+	if ev.Outcome == routing.Done {
+		w.close(id)
+	}
+	w.apply(ev)
+}
+
+func (w *routingWorld) chooseOutcome(b *batchModel, ev *routing.Event) {
+	codes := []sqlstate.Code{
+		sqlstate.NoPrimary, sqlstate.NoFreshReplica, sqlstate.NoMajority, sqlstate.UpstreamUnavail,
+		sqlstate.QueueFull, sqlstate.ZoneDrained, sqlstate.ReadOnly, sqlstate.KeyWithdrawn,
+	}
+	isPrimary := b.upstream == w.upstreams[w.primary].ID
+	switch n := w.below(100); {
+	case b.class == model.Write && !isPrimary:
+		ev.Outcome, ev.Code = routing.Refused, sqlstate.NoPrimary
+	case n < 50:
+		ev.Outcome = routing.Done
+	case n < 80:
+		ev.Outcome, ev.Code = routing.Refused, codes[w.below(len(codes))]
+	case n < 87:
+		ev.Outcome = routing.FailedNotSent
+	case n < 97:
+		ev.Outcome = routing.FailedMaybeSent
+	default:
+		ev.Outcome = routing.FailedAnswering
+	}
+	if ev.Outcome == routing.FailedMaybeSent || ev.Outcome == routing.FailedAnswering {
+		b.mayHaveRun++
+	}
+	if ev.Code == sqlstate.ReadOnly {
+		b.class = model.Write
+	}
+}
+
+// repeatAnswer delivers an old answer again, which must change nothing.
+func (w *routingWorld) repeatAnswer() {
+	if len(w.answers) == 0 {
+		return
+	}
+	ev := w.answers[w.below(len(w.answers))]
+	if n := w.apply(ev); n != 0 {
+		w.t.Fatalf("a repeated answer to attempt %d of batch %d has %d effects", ev.Attempt, ev.ID, n)
+	}
+}
+
+func (w *routingWorld) changeGroup() {
+	i := w.below(len(w.upstreams))
+	switch w.below(5) {
+	case 0:
+		w.primary = i
+		w.term = w.term.Next("p")
+	case 1:
+		w.upstreams[i].Drained = w.percent(40)
+		w.configure()
+	case 2:
+		w.upstreams[i].Leaving = w.percent(40)
+		w.configure()
+	case 3:
+		w.apply(routing.Event{Kind: routing.PrimaryKnown, Primary: w.upstreams[w.primary].ID, PrimaryTerm: w.term})
+	case 4:
+		w.changeHolder(w.upstreams[i].ID)
+	}
+}
+
+func (w *routingWorld) changeHolder(u model.UpstreamID) {
+	ev := routing.Event{Kind: routing.HolderReachable, Upstream: u, Standby: w.percent(30)}
+	down := model.Time(0)
+	if w.percent(50) {
+		ev.Kind = routing.HolderUnreachable
+		down = w.now
+	}
+	if !ev.Standby {
+		w.mainDown[u] = down
+	}
+	w.apply(ev)
+}
+
+func (w *routingWorld) step(id uint64) {
+	w.now += model.Time(w.below(3000)) * model.Time(time.Microsecond)
+	switch n := w.below(100); {
+	case n < 30:
+		w.request(id)
+	case n < 70:
+		w.answer()
+	case n < 75:
+		w.repeatAnswer()
+	case n < 85:
+		w.apply(routing.Event{Kind: routing.Tick})
+	case n < 95:
+		w.changeGroup()
+	case len(w.ids) > 0:
+		id := w.ids[w.below(len(w.ids))]
+		w.close(id)
+		w.apply(routing.Event{Kind: routing.Abandoned, ID: id})
+	}
+}
+
+// TestRouting guards against running a non-idempotent write twice, a wrong
+// "not run", reads on drained or leaving upstreams, the standby holder in use
+// beside the main one, retries above the budget, answers that count twice,
+// and batches that end twice or never.
+func TestRouting(t *testing.T) {
+	checkFixed(t, routingChecks, func(rt *rapid.T) {
+		w := newRoutingWorld(rt)
+		for id := range uint64(routingSteps) {
+			w.roll(rt)
+			w.step(id)
+		}
+		w.now = w.now.Add(batchTimeout)
+		w.apply(routing.Event{Kind: routing.Tick})
+		for id, b := range w.open {
+			if b.upstream == "" {
+				rt.Fatalf("batch %d neither waits for an answer nor has ended", id)
+			}
+		}
+	})
+}
