Run four daemons as processes in a test

Cause: the path over several VMs was not tested. A VM is ready only when it may act on what it owns: before, the first requests after a cold start were refused as over the rate, because the owner of the tokens still waited for the end of an older epoch.

--- a/node/callerserver.go
+++ b/node/callerserver.go
@@ -16,6 +16,7 @@
 // Errors of Node.Ready.
 var (
 	errNoConfiguration = errors.New("no configuration is in force yet")
+	errOwnership       = errors.New("the zone's record does not let this VM act yet")
 	errNotServing      = errors.New("callers are not served: the zone is drained or the daemon stops")
 )
 
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -86,6 +87,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	grpc   []*grpc.Server
+	// owning is true once the VM has been able to act on what it owns.
+	owning atomic.Bool
 	// poolMu guards pools, which the executor and the demand reports use.
 	poolMu sync.Mutex
 	wg     sync.WaitGroup
@@ -148,7 +151,7 @@
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
 		peerv1.RegisterPeerServer(s, peer.NewServer(local, n.exchanger, n.tokens))
-		platformv1.RegisterPlatformServer(s, oprelay.NewServer(n.options.Store, n.routeToRelay))
+		platformv1.RegisterPlatformServer(s, oprelay.NewServer(n.options.Store, n.routeToRelay, n.learnRecord))
 	})
 	if n.options.Operator == nil {
 		return
@@ -218,10 +221,28 @@
 	}
 }
 
-// Ready returns nil when this VM serves callers.
+// Ready returns nil when this VM serves callers. After its start a VM is not
+// ready before it may act on all that it owns.
 func (n *Node) Ready() error {
 	if n.access.current() == nil {
 		return errNoConfiguration
 	}
+	if !n.owning.Load() && !n.ownsAll() {
+		return errOwnership
+	}
+	n.owning.Store(true)
 	return n.callers.ready()
 }
+
+// ownsAll reports whether the zone's record names this VM and no old owner of
+// its items has to be waited for.
+func (n *Node) ownsAll() bool {
+	owns := false
+	n.loop.view(func(now model.Time, s *core.State) {
+		for _, m := range s.Membership.Record(n.zone).Members {
+			owns = owns || m.VM == n.self
+		}
+		owns = owns && s.Membership.Waiting() == 0 && s.Membership.ConfirmedUntil() > now
+	})
+	return owns
+}
--- a/node/operatorport.go
+++ b/node/operatorport.go
@@ -26,6 +26,14 @@
 	return record, err == nil
 }
 
+// Accepted implements operator.Backend.
+func (b *operatorBackend) Accepted(record config.Record) {
+	encoded, err := config.EncodeRecord(record)
+	if err == nil {
+		b.node.learnRecord(encoded)
+	}
+}
+
 // Progress implements operator.Backend.
 func (b *operatorBackend) Progress(version uint64) (confirmed, missing []model.VMID) {
 	b.node.loop.view(func(_ model.Time, s *core.State) {
--- a/node/work.go
+++ b/node/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core"
 	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
 	"github.com/chervilhatch/chervilhatch/core/failover"
 	"github.com/chervilhatch/chervilhatch/core/limits"
 	"github.com/chervilhatch/chervilhatch/core/membership"
@@ -54,6 +55,21 @@
 	n.loop.apply(&core.Event{Failover: &failover.Event{Kind: failover.WritesDrained, Database: db}})
 }
 
+// learnRecord takes in a configuration that the store is known to have.
+func (n *Node) learnRecord(stored []byte) {
+	record, err := config.DecodeRecord(stored)
+	if err != nil {
+		return
+	}
+	document, list := record.Parse()
+	if len(list) > 0 {
+		return
+	}
+	ev := confsync.Event{Kind: confsync.StoreChange, Version: record.Version, Document: stored, Config: document}
+	n.loop.apply(&core.Event{Confsync: &ev})
+	n.exchanger.KickAll()
+}
+
 // sendDocument sends the configuration document on a stream to vm.
 func (n *Node) sendDocument(vm model.VMID) {
 	for _, l := range n.exchanger.Links() {
--- a/standin/upstream/replication_test.go
+++ b/standin/upstream/replication_test.go
@@ -34,9 +34,10 @@
 	if n := queryInt(t, lagging, "SELECT count(*) FROM item"); n != 4 {
 		t.Fatalf("the lagging replica shows %d rows, want 4", n)
 	}
-	var position string
-	if err := lagging.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position); err != nil || position != "1.init/6" {
-		t.Fatalf("position of the read is %q (%v), want 1.init/6", position, err)
+	var term string
+	var position int64
+	if err := lagging.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&term, &position); err != nil || term != "1.init" || position != 6 {
+		t.Fatalf("position of the read is %q, %d (%v), want 1.init, 6", term, position, err)
 	}
 	g.Upstreams[1].SetApplyLag(0)
 	awaitApplied(t, g.Upstreams[1], FirstTerm, end)
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,226 @@
+// Package cluster starts real daemon processes on loopback, with stand-ins of
+// the platform and of database groups in the calling process, where tests
+// cause their failures directly.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/standin/platform"
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+)
+
+// Credentials of the proxy on the upstreams.
+const (
+	UpstreamUser     = "chervilhatch"
+	UpstreamPassword = "upstream-secret"
+)
+
+// Bounds of waits.
+const (
+	readyTimeout = 20 * time.Second
+	pollPause    = 20 * time.Millisecond
+)
+
+// ErrNotReady means that a daemon did not become ready in time.
+var ErrNotReady = errors.New("daemon not ready")
+
+// Options describe a deployment.
+type Options struct {
+	// Dir gets the binaries, settings and certificates.
+	Dir string
+	// Zones name the availability zones; VMs and upstreams are spread over them.
+	Zones []string
+	// VMs is the number of daemons.
+	VMs int
+	// Databases name the database groups.
+	Databases []string
+	// Upstream are the options of all upstreams.
+	Upstream    upstream.Options
+	Slots       int
+	Connections int
+	// Workspaces and Jobs complete the configuration.
+	Workspaces []Workspace
+	Jobs       []config.Job
+	// LogLevel of the daemons; warn by default.
+	LogLevel string
+}
+
+// Workspace is a workspace with its key in the clear.
+type Workspace struct {
+	Name   model.Workspace
+	Key    string
+	Rate   float64
+	Burst  float64
+	Weight float64
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Platform  *platform.Server
+	Groups    map[string]*upstream.Group
+	Daemons   []*Daemon
+	Document  *config.Document
+	options   Options
+	certs     *certFiles
+	store     string
+	bin       string
+	listeners []net.Listener
+}
+
+// Start builds the binaries and starts everything. Stop must be called also
+// after an error.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}}
+	steps := []func(context.Context) error{
+		c.build, c.startGroups, c.startPlatform, c.writeCertificates, c.storeConfig, c.startDaemons,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// build compiles the two binaries into the cluster's directory.
+func (c *Cluster) build(ctx context.Context) error {
+	c.bin = c.options.Dir
+	module := "github.com/chervilhatch/chervilhatch/cmd"
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", c.bin+"/", module+"/chervilhatchd", module+"/chervilhatchctl")
+	output, err := cmd.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w: %s", err, output)
+	}
+	return nil
+}
+
+func (c *Cluster) startGroups(context.Context) error {
+	for _, name := range c.options.Databases {
+		o := c.options.Upstream
+		o.User, o.Password = UpstreamUser, UpstreamPassword
+		o.MaxConnections = c.options.Connections
+		o.Slots = c.options.Slots
+		group, err := upstream.NewGroup(name, o)
+		if err != nil {
+			return fmt.Errorf("group %s: %w", name, err)
+		}
+		c.Groups[name] = group
+	}
+	return nil
+}
+
+func (c *Cluster) startPlatform(context.Context) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.store = l.Addr().String()
+	c.Platform = platform.New()
+	go func() { _ = c.Platform.Serve(l) }()
+	return nil
+}
+
+// publishVMs tells the platform's list which daemons there are.
+func (c *Cluster) publishVMs() {
+	var vms []*platformv1.VM
+	for _, d := range c.Daemons {
+		if d.Listed {
+			state := platformv1.VMState_VM_STATE_LIVE
+			if d.Leaving {
+				state = platformv1.VMState_VM_STATE_LEAVING
+			}
+			vms = append(vms, &platformv1.VM{Id: d.ID, Zone: d.Zone, PeerAddress: d.PeerAddress, State: state})
+		}
+	}
+	c.Platform.SetVMs(vms)
+}
+
+func (c *Cluster) startDaemons(ctx context.Context) error {
+	for i := range c.options.VMs {
+		zone := c.options.Zones[i%len(c.options.Zones)]
+		d, err := c.newDaemon(fmt.Sprintf("vm-%d", i+1), zone)
+		if err != nil {
+			return err
+		}
+		c.Daemons = append(c.Daemons, d)
+	}
+	c.publishVMs()
+	for _, d := range c.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	for _, d := range c.Daemons {
+		if err := d.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends all processes and stand-ins.
+func (c *Cluster) Stop() {
+	for _, d := range c.Daemons {
+		d.Kill()
+	}
+	for _, l := range c.listeners {
+		_ = l.Close()
+	}
+	for _, g := range c.Groups {
+		g.Stop()
+	}
+	if c.Platform != nil {
+		c.Platform.Stop()
+	}
+}
+
+// Key returns the key of a workspace.
+func (c *Cluster) Key(w model.Workspace) string {
+	for _, known := range c.options.Workspaces {
+		if known.Name == w {
+			return known.Key
+		}
+	}
+	return ""
+}
+
+// URL returns the connection string of a workspace and job on daemon i.
+func (c *Cluster) URL(i int, w model.Workspace, j model.Job) string {
+	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable", w, c.Key(w), c.Daemons[i].CallerAddress, j)
+}
+
+// Ctl runs chervilhatchctl against daemon i and returns its standard output.
+func (c *Cluster) Ctl(ctx context.Context, i int, args ...string) (string, error) {
+	args = append([]string{
+		"--daemon", c.Daemons[i].OperatorAddress,
+		"--cert", c.certs.cert, "--key", c.certs.key, "--ca", c.certs.ca, "--author", "test",
+	}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(c.bin, "chervilhatchctl"), args...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil {
+		return stdout.String(), fmt.Errorf("chervilhatchctl %v: %w: %s", args[8:], err, stderr.String())
+	}
+	return stdout.String(), nil
+}
+
+func writeJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
--- /dev/null
+++ b/test/cluster/daemon.go
@@ -0,0 +1,186 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Daemon is one chervilhatchd process.
+type Daemon struct {
+	ID   string
+	Zone string
+
+	CallerAddress   string
+	PeerAddress     string
+	AdminAddress    string
+	OperatorAddress string
+	// Listed and Leaving are what the platform's list says.
+	Listed  bool
+	Leaving bool
+
+	cluster  *Cluster
+	settings string
+	log      string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+}
+
+// newDaemon chooses addresses and writes the settings.
+func (c *Cluster) newDaemon(id, zone string) (*Daemon, error) {
+	d := &Daemon{ID: id, Zone: zone, Listed: true, cluster: c}
+	for _, to := range []*string{&d.CallerAddress, &d.PeerAddress, &d.AdminAddress, &d.OperatorAddress} {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*to = address
+	}
+	d.settings = filepath.Join(c.options.Dir, id+".json")
+	d.log = filepath.Join(c.options.Dir, id+".log")
+	return d, writeJSON(d.settings, c.settingsOf(d))
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (c *Cluster) settingsOf(d *Daemon) map[string]any {
+	level := c.options.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	return map[string]any{
+		"vm":     map[string]any{"id": d.ID, "zone": d.Zone},
+		"caller": map[string]any{"listen": d.CallerAddress, "require_tls": false},
+		"peer": map[string]any{
+			"listen": d.PeerAddress, "advertise": d.PeerAddress,
+			"tls": map[string]any{"cert": c.certs.cert, "key": c.certs.key, "ca": c.certs.ca},
+		},
+		"operator": map[string]any{"listen": d.OperatorAddress},
+		"admin":    map[string]any{"listen": d.AdminAddress},
+		"platform": map[string]any{"addresses": []string{c.store}},
+		"upstream": map[string]any{"user": UpstreamUser, "password": UpstreamPassword},
+		"log":      map[string]any{"level": level, "form": "json"},
+	}
+}
+
+// Start starts the process.
+func (d *Daemon) Start() error {
+	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	d.cmd = exec.Command(filepath.Join(d.cluster.bin, "chervilhatchd"), "run", "--settings", d.settings)
+	d.cmd.Stdout, d.cmd.Stderr = out, out
+	if err := d.cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", d.ID, err)
+	}
+	cmd, exited := d.cmd, make(chan struct{})
+	d.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// WaitReady waits until the daemon serves callers.
+func (d *Daemon) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if d.ready(ctx) {
+			return nil
+		}
+		time.Sleep(pollPause)
+	}
+	return fmt.Errorf("%w: %s:\n%s", ErrNotReady, d.ID, d.LogTail())
+}
+
+func (d *Daemon) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.AdminAddress+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Signal sends a signal to the process.
+func (d *Daemon) Signal(s syscall.Signal) error { return d.cmd.Process.Signal(s) }
+
+// Kill ends the process at once and waits for its end.
+func (d *Daemon) Kill() {
+	if d.cmd == nil {
+		return
+	}
+	_ = d.cmd.Process.Signal(syscall.SIGCONT)
+	_ = d.cmd.Process.Kill()
+	<-d.exited
+}
+
+// Terminate asks for a graceful shutdown and waits until the process has ended
+// or ctx ends. The platform lists the VM as leaving meanwhile.
+func (d *Daemon) Terminate(ctx context.Context) error {
+	d.Leaving = true
+	d.cluster.publishVMs()
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-d.exited:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d.Remove()
+	return nil
+}
+
+// Remove takes the VM off the platform's list.
+func (d *Daemon) Remove() {
+	d.Listed = false
+	d.cluster.publishVMs()
+}
+
+// Restart starts the process again as a live VM.
+func (d *Daemon) Restart(ctx context.Context) error {
+	d.Listed, d.Leaving = true, false
+	d.cluster.publishVMs()
+	if err := d.Start(); err != nil {
+		return err
+	}
+	return d.WaitReady(ctx)
+}
+
+// logTailBytes bounds what LogTail returns.
+const logTailBytes = 4000
+
+// LogTail returns the end of the daemon's log.
+func (d *Daemon) LogTail() string {
+	data, err := os.ReadFile(d.log)
+	if err != nil {
+		return err.Error()
+	}
+	if len(data) > logTailBytes {
+		data = data[len(data)-logTailBytes:]
+	}
+	return string(data)
+}
