Report a change as not made when no daemon could be reached

Cause: chervilhatchctl reported "outcome unknown" although every connection was refused before the request was sent. Change: it connects before it sends a change and skips daemons that it cannot reach. Tests of the document limits are added. Measured: with a closed address, config apply exits with 4 and "nothing was changed"; all tests pass with the race detector. Conclusion: "outcome unknown" now means that a daemon may have received the change.

--- a/cmd/chervilhatchctl/internal/cli/cli.go
+++ b/cmd/chervilhatchctl/internal/cli/cli.go
@@ -41,7 +41,7 @@
 	History(ctx context.Context, limit int) (*operatorv1.HistoryResponse, error)
 	Status(ctx context.Context) (*operatorv1.StatusResponse, error)
 	Apply(ctx context.Context, r *operatorv1.ApplyConfigRequest) (*operatorv1.ApplyConfigResponse, error)
-	WaitInForce(ctx context.Context, version uint64, timeout time.Duration, progress func(*operatorv1.WaitInForceResponse)) *operatorv1.WaitInForceResponse
+	WaitInForce(ctx context.Context, version uint64, timeout time.Duration, progress client.Progress) *operatorv1.WaitInForceResponse
 	Close() error
 }
 
--- a/cmd/chervilhatchctl/internal/client/client.go
+++ b/cmd/chervilhatchctl/internal/client/client.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
@@ -22,7 +23,8 @@
 
 const (
 	// callTimeout is above the time for which a daemon reads a lost answer back.
-	callTimeout = 15 * time.Second
+	callTimeout    = 15 * time.Second
+	connectTimeout = 5 * time.Second
 	// reconnectPause is the time between two attempts to follow a change.
 	reconnectPause = 200 * time.Millisecond
 	// maxMessageBytes has room for a document and its envelope.
@@ -48,7 +50,14 @@
 // Client calls the daemons.
 type Client struct {
 	conns   []*grpc.ClientConn
-	clients []operatorv1.OperatorClient
+	daemons []endpoint
+}
+
+// endpoint is one daemon.
+type endpoint struct {
+	operatorv1.OperatorClient
+	// connected waits for a connection and returns whether there is one.
+	connected func(ctx context.Context) bool
 }
 
 // New returns a client. It does not wait for a connection.
@@ -70,7 +79,10 @@
 			return nil, errors.Join(fmt.Errorf("daemon %s: %w", address, err), c.Close())
 		}
 		c.conns = append(c.conns, conn)
-		c.clients = append(c.clients, operatorv1.NewOperatorClient(conn))
+		c.daemons = append(c.daemons, endpoint{
+			OperatorClient: operatorv1.NewOperatorClient(conn),
+			connected:      func(ctx context.Context) bool { return connect(ctx, conn) },
+		})
 	}
 	return c, nil
 }
@@ -95,6 +107,24 @@
 	}), nil
 }
 
+func connect(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn.Connect()
+	for {
+		switch state := conn.GetState(); state {
+		case connectivity.Ready:
+			return true
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return false
+		default:
+			if !conn.WaitForStateChange(ctx, state) {
+				return false
+			}
+		}
+	}
+}
+
 // Close ends all connections.
 func (c *Client) Close() error {
 	var errs []error
@@ -108,7 +138,7 @@
 func call[T any](ctx context.Context, c *Client, f func(context.Context, operatorv1.OperatorClient) (T, error)) (T, error) {
 	var answer T
 	var err error
-	for _, client := range c.clients {
+	for _, client := range c.daemons {
 		answer, err = callOne(ctx, client, f)
 		if err == nil || !unanswered(err) || ctx.Err() != nil {
 			break
@@ -156,9 +186,13 @@
 // Apply makes a change. A daemon that does not answer may have made it, so the
 // next one gets the same request with the same id, which has no further effect.
 func (c *Client) Apply(ctx context.Context, r *operatorv1.ApplyConfigRequest) (*operatorv1.ApplyConfigResponse, error) {
-	uncertain := false
-	for _, client := range c.clients {
-		answer, err := callOne(ctx, client, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.ApplyConfigResponse, error) {
+	sent, uncertain := false, false
+	for _, daemon := range c.daemons {
+		if !daemon.connected(ctx) {
+			continue
+		}
+		sent = true
+		answer, err := callOne(ctx, daemon, func(ctx context.Context, o operatorv1.OperatorClient) (*operatorv1.ApplyConfigResponse, error) {
 			return o.ApplyConfig(ctx, r)
 		})
 		switch {
@@ -170,23 +204,29 @@
 			return answer, nil
 		}
 	}
-	if uncertain {
+	switch {
+	case uncertain:
 		return &operatorv1.ApplyConfigResponse{Outcome: operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN}, nil
+	case !sent:
+		return nil, fmt.Errorf("%w: no daemon could be reached; nothing was changed", ErrUnavailable)
 	}
 	return &operatorv1.ApplyConfigResponse{Outcome: operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE}, nil
 }
 
+// Progress gets each state of a change on its way into force.
+type Progress func(*operatorv1.WaitInForceResponse)
+
 // WaitInForce calls progress with each state of the change until it is in force
 // on every live VM or the time is over. It returns the last state, nil if no
 // daemon answered.
-func (c *Client) WaitInForce(ctx context.Context, version uint64, timeout time.Duration, progress func(*operatorv1.WaitInForceResponse)) *operatorv1.WaitInForceResponse {
+func (c *Client) WaitInForce(ctx context.Context, version uint64, timeout time.Duration, progress Progress) *operatorv1.WaitInForceResponse {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	deadline := time.Now().Add(timeout)
 	var last *operatorv1.WaitInForceResponse
 	for i := 0; ctx.Err() == nil && !last.GetDone(); i++ {
 		request := &operatorv1.WaitInForceRequest{Version: version, TimeoutMs: time.Until(deadline).Milliseconds()}
-		follow(ctx, c.clients[i%len(c.clients)], request, func(m *operatorv1.WaitInForceResponse) {
+		follow(ctx, c.daemons[i%len(c.daemons)], request, func(m *operatorv1.WaitInForceResponse) {
 			last = m
 			progress(m)
 		})
@@ -198,7 +238,7 @@
 }
 
 // follow passes on the messages of one stream until it ends.
-func follow(ctx context.Context, client operatorv1.OperatorClient, r *operatorv1.WaitInForceRequest, fn func(*operatorv1.WaitInForceResponse)) {
+func follow(ctx context.Context, client operatorv1.OperatorClient, r *operatorv1.WaitInForceRequest, fn Progress) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.WaitInForce(ctx, r)
--- a/cmd/chervilhatchctl/internal/client/client_test.go
+++ b/cmd/chervilhatchctl/internal/client/client_test.go
@@ -20,8 +20,9 @@
 	conflict    = operatorv1.ApplyConfigResponse_OUTCOME_CONFLICT
 	unavailable = operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE
 	unknown     = operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN
-	// silent is a daemon that does not answer.
+	// silent is a daemon that does not answer, down one that cannot be reached.
 	silent outcome = -1
+	down   outcome = -2
 )
 
 // fakeDaemon answers ApplyConfig with a fixed outcome, and WaitInForce with its
@@ -33,6 +34,10 @@
 	waits   [][]*operatorv1.WaitInForceResponse
 }
 
+func (f *fakeDaemon) endpoint() endpoint {
+	return endpoint{f, func(context.Context) bool { return f.outcome != down }}
+}
+
 func (f *fakeDaemon) ApplyConfig(_ context.Context, r *operatorv1.ApplyConfigRequest, _ ...grpc.CallOption) (*operatorv1.ApplyConfigResponse, error) {
 	f.ids = append(f.ids, r.GetRequestId())
 	if f.outcome == silent {
@@ -79,6 +84,9 @@
 		{[]outcome{unknown, unavailable}, unknown, 2},
 		{[]outcome{unavailable, unavailable}, unavailable, 2},
 		{[]outcome{silent, silent}, unknown, 2},
+		{[]outcome{down, accepted}, accepted, 1},
+		{[]outcome{down, unavailable}, unavailable, 1},
+		{[]outcome{silent, down}, unknown, 1},
 	}
 	for _, c := range cases {
 		client := &Client{}
@@ -86,7 +94,7 @@
 		for _, o := range c.daemons {
 			f := &fakeDaemon{outcome: o}
 			fakes = append(fakes, f)
-			client.clients = append(client.clients, f)
+			client.daemons = append(client.daemons, f.endpoint())
 		}
 		answer, err := client.Apply(t.Context(), &operatorv1.ApplyConfigRequest{RequestId: "r"})
 		var ids []string
@@ -103,7 +111,7 @@
 func TestWaitInForceMovesToTheNextDaemon(t *testing.T) {
 	first := &fakeDaemon{waits: [][]*operatorv1.WaitInForceResponse{{{Missing: []string{"vm2"}}}}}
 	second := &fakeDaemon{waits: [][]*operatorv1.WaitInForceResponse{{{Confirmed: []string{"vm1", "vm2"}, Done: true}}}}
-	client := &Client{clients: []operatorv1.OperatorClient{first, second}}
+	client := &Client{daemons: []endpoint{first.endpoint(), second.endpoint()}}
 	calls := 0
 	last := client.WaitInForce(t.Context(), 1, time.Minute, func(*operatorv1.WaitInForceResponse) { calls++ })
 	if !last.GetDone() || calls != 2 {
--- /dev/null
+++ b/findings/jsondoc/decode_test.go
@@ -0,0 +1,41 @@
+package jsondoc
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against counting brackets in strings and comments as nesting, and
+// against input that ends within one of them.
+func TestNestingCountsOnlyValues(t *testing.T) {
+	brackets := strings.Repeat("[", 2*maxDepth)
+	for text, want := range map[string]bool{
+		`{"a": "` + brackets + `\"` + brackets + `"}`:              true,
+		"{/*" + brackets + "*/ \"a\": \"b\" //" + brackets + "\n}": true,
+		"{//" + brackets + "\n\"a\": " + brackets:                  false,
+		`{"a": ` + brackets:                                        false,
+		`{"a": "` + brackets:                                       false,
+		"{/*" + brackets:                                           false,
+		"{/":                                                       false,
+		"":                                                         false,
+	} {
+		var target struct {
+			A string `json:"a"`
+		}
+		if list := Decode("f", []byte(text), &target).Findings(); (len(list) == 0) != want {
+			t.Errorf("%q: %v", text, list)
+		}
+	}
+}
+
+// Guards against a document without limit, and against an answer without one.
+func TestLimits(t *testing.T) {
+	var target struct{}
+	if list := Decode("f", make([]byte, MaxBytes+1), &target).Findings(); len(list) != 1 {
+		t.Errorf("a document above the limit: %v", list)
+	}
+	text := "{" + strings.Repeat(`"x": 1,`, 2*maxFindings) + "}"
+	if list := Decode("f", []byte(text), &target).Findings(); len(list) != maxFindings {
+		t.Errorf("%d findings", len(list))
+	}
+}
