--- a/test/property/replication_test.go
+++ b/test/property/replication_test.go
@@ -72,6 +72,9 @@
 	sessions [3]session
 	acks     []ack
 	fence    *fenceModel
+	// isolated is an upstream that the proposer cannot reach, 3 for none. An
+	// old primary there does not learn that it was replaced.
+	isolated int
 	granted  int
 	held     int
 }
@@ -251,6 +254,7 @@
 	i := w.below(3)
 	u := w.group.upstreams[i]
 	switch {
+	case i == w.isolated:
 	case u.up && !slices.Contains(f.accepted, i) && u.promised.Less(f.term):
 		u.fence(f.term)
 		f.accepted = append(f.accepted, i)
@@ -266,6 +270,7 @@
 }
 
 func (w *replicationWorld) beginFence() {
+	w.isolated = w.below(4)
 	var highest model.Term
 	for _, u := range w.group.upstreams {
 		if highest.Less(u.promised) {
@@ -287,8 +292,9 @@
 
 // followPrimary tells a random upstream to follow the highest primary.
 func (w *replicationWorld) followPrimary() {
-	if best := w.highestPrimary(); best >= 0 {
-		w.group.follow(w.below(3), w.group.upstreams[best].promised, w.group.upstreams[best].id)
+	i := w.below(3)
+	if best := w.highestPrimary(); best >= 0 && i != w.isolated {
+		w.group.follow(i, w.group.upstreams[best].promised, w.group.upstreams[best].id)
 	}
 }
 
--- a/test/property/routing_test.go
+++ b/test/property/routing_test.go
@@ -48,6 +48,8 @@
 	// unreachable, 0 if it has been reported reachable since.
 	mainDown         map[model.UpstreamID]model.Time
 	requests, resent map[model.Workspace]int
+	// refusals is the percentage of attempts that are refused.
+	refusals int
 }
 
 func newRoutingWorld(t *rapid.T) *routingWorld {
@@ -182,10 +184,10 @@
 	switch n := w.below(100); {
 	case b.class == model.Write && !isPrimary:
 		ev.Outcome, ev.Code = routing.Refused, sqlstate.NoPrimary
-	case n < 50:
-		ev.Outcome = routing.Done
-	case n < 80:
+	case n < w.refusals:
 		ev.Outcome, ev.Code = routing.Refused, codes[w.below(len(codes))]
+	case n < 80:
+		ev.Outcome = routing.Done
 	case n < 87:
 		ev.Outcome = routing.FailedNotSent
 	case n < 97:
@@ -247,14 +249,14 @@
 func (w *routingWorld) step(id uint64) {
 	w.now += model.Time(w.below(3000)) * model.Time(time.Microsecond)
 	switch n := w.below(100); {
-	case n < 30:
+	case n < 20:
 		w.request(id)
 	case n < 70:
 		w.answer()
 	case n < 75:
 		w.repeatAnswer()
 	case n < 85:
-		w.apply(routing.Event{Kind: routing.Tick})
+		w.tick()
 	case n < 95:
 		w.changeGroup()
 	case len(w.ids) > 0:
@@ -264,6 +266,16 @@
 	}
 }
 
+// tick lets time pass; no batch may wait beyond its deadline.
+func (w *routingWorld) tick() {
+	w.apply(routing.Event{Kind: routing.Tick})
+	for id, b := range w.open {
+		if b.upstream == "" && w.now >= b.ev.Deadline {
+			w.t.Fatalf("batch %d waits beyond its deadline", id)
+		}
+	}
+}
+
 // TestRouting guards against running a non-idempotent write twice, a wrong
 // "not run", reads on drained or leaving upstreams, the standby holder in use
 // beside the main one, retries above the budget, answers that count twice,
@@ -271,12 +283,14 @@
 func TestRouting(t *testing.T) {
 	checkFixed(t, routingChecks, func(rt *rapid.T) {
 		w := newRoutingWorld(rt)
+		w.roll(rt)
+		w.refusals = w.below(90)
 		for id := range uint64(routingSteps) {
 			w.roll(rt)
 			w.step(id)
 		}
 		w.now = w.now.Add(batchTimeout)
-		w.apply(routing.Event{Kind: routing.Tick})
+		w.tick()
 		for id, b := range w.open {
 			if b.upstream == "" {
 				rt.Fatalf("batch %d neither waits for an answer nor has ended", id)
