Propose only when a majority answers; test failover by tables

Cause: a watcher that sees only a minority fenced it in vain, and a fenced replica can no longer follow; a target that is far behind would hold writes back until the drain times out. Change: no proposal and no stall without a majority that answers; a handover target must be at most 100 ms behind; a batch that asks for the primary blocks others for at most 100 ms. Conclusion: detection, hysteresis, switchover and handover have table tests.

--- /dev/null
+++ b/core/failover/failover_test.go
@@ -0,0 +1,245 @@
+package failover
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+const tickInterval = 20 * time.Millisecond
+
+var (
+	term1 = model.Term{Counter: 1, Proposer: "other"}
+	term2 = model.Term{Counter: 2, Proposer: "other"}
+)
+
+// fixture is a watcher whose upstreams a, b and c answer what status has;
+// those that are absent are silent.
+type fixture struct {
+	*State
+	now     model.Time
+	status  map[model.UpstreamID]*dbgroup.Status
+	config  Event
+	effects []Effect
+	// report is called at each tick.
+	report func()
+	// growth is how much the position of the primary grows with each tick.
+	growth model.LogPos
+}
+
+func newFixture() *fixture {
+	f := &fixture{State: New("vm1", 1), now: model.Time(time.Hour), report: func() {}}
+	f.status = map[model.UpstreamID]*dbgroup.Status{
+		"a": {Role: dbgroup.Primary, Promised: term1, LastTerm: term1, Received: 10},
+		"b": {Promised: term1, LastTerm: term1, Received: 10},
+		"c": {Promised: term1, LastTerm: term1, Received: 10},
+	}
+	f.config = Event{Kind: GroupConfigured, Watcher: true, Peers: []model.VMID{"vm2", "vm3"}}
+	f.config.Upstreams = []Upstream{{ID: "a", Zone: "z1", Holder: "vm1"}, {ID: "b", Zone: "z2"}, {ID: "c", Zone: "z1"}}
+	f.apply(f.config)
+	return f
+}
+
+// apply gives an event to the watcher and answers its requests to upstreams.
+func (f *fixture) apply(ev Event) {
+	ev.Database = "db"
+	for _, e := range f.Apply(f.now, &ev, nil) {
+		f.effects = append(f.effects, e)
+		st := f.status[e.Upstream]
+		switch {
+		case e.Kind == CloseGate:
+			f.apply(Event{Kind: WritesDrained})
+		case st != nil:
+			f.answer(&e, st)
+		}
+	}
+}
+
+// answer runs a request on an upstream.
+func (f *fixture) answer(e *Effect, st *dbgroup.Status) {
+	switch e.Kind {
+	case SendStatus:
+		f.apply(Event{Kind: StatusAnswered, Upstream: e.Upstream, SentAt: f.now, Status: *st})
+	case SendFence:
+		st.Promised, st.Role = e.Term, dbgroup.Fenced
+		f.apply(Event{Kind: FenceAnswered, Upstream: e.Upstream, Term: e.Term, Status: *st})
+	case SendPromote:
+		st.Role, st.LastTerm, st.Received = dbgroup.Primary, e.Term, st.Received+1
+		f.apply(Event{Kind: PromoteAnswered, Upstream: e.Upstream, Term: e.Term, Status: *st})
+	case SendFollow:
+		*st = *f.status[e.Primary]
+		st.Role = dbgroup.Replica
+	}
+}
+
+// run lets time pass and returns when the first effect of the kind came, or d.
+func (f *fixture) run(d time.Duration, kind EffectKind) time.Duration {
+	f.effects = nil
+	for start := f.now; ; {
+		if f.find(kind) != nil || f.now.Sub(start) >= d {
+			return f.now.Sub(start)
+		}
+		f.now = f.now.Add(tickInterval)
+		f.report()
+		if f.status["a"] != nil {
+			f.status["a"].Received += f.growth
+		}
+		f.apply(Event{Kind: Tick, Seed: uint64(f.now)})
+	}
+}
+
+func (f *fixture) find(kind EffectKind) *Effect {
+	i := slices.IndexFunc(f.effects, func(e Effect) bool { return e.Kind == kind })
+	if i < 0 {
+		return nil
+	}
+	return &f.effects[i]
+}
+
+// none is a kind that no effect has.
+const none = EffectKind(255)
+
+// TestDetection guards against a lost primary that is not replaced in time, a
+// healthy one that is, and a candidate without the highest log.
+func TestDetection(t *testing.T) {
+	silence := func(f *fixture) { delete(f.status, "a") }
+	peer := func(f *fixture, id model.VMID, age time.Duration) {
+		f.apply(Event{Kind: PeerHealth, From: id, Primary: "a", Term: term1, Age: age})
+	}
+	cases := []struct {
+		name    string
+		fault   func(f *fixture)
+		primary model.UpstreamID
+	}{
+		{"healthy", func(*fixture) {}, "a"},
+		{"silent", func(f *fixture) { silence(f); f.status["b"].Received = 11 }, "b"},
+		{"same zone among equals", silence, "c"},
+		{"peers see the primary", func(f *fixture) {
+			silence(f)
+			f.report = func() { peer(f, "vm2", 0); peer(f, "vm3", 0) }
+		}, "a"},
+		{"one peer of two sees it", func(f *fixture) {
+			silence(f)
+			f.report = func() { peer(f, "vm2", 0); peer(f, "vm3", time.Second) }
+		}, "c"},
+		{"only a minority answers", func(f *fixture) { silence(f); delete(f.status, "b") }, "a"},
+		{"this VM was paused", func(f *fixture) { silence(f); f.now += model.Time(time.Minute) }, "a"},
+		{"cut off from its group", func(f *fixture) { f.growth = 1 }, "c"},
+		{"fenced by a lost proposer", func(f *fixture) {
+			f.status["b"].Promised, f.status["b"].Role = term2, dbgroup.Fenced
+			f.status["c"].Promised, f.status["c"].Role = term2, dbgroup.Fenced
+		}, "c"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.run(time.Second, none)
+			before := f.now
+			c.fault(f)
+			limit := 2 * DefaultDetect
+			if f.now != before {
+				limit = DefaultDetect - tickInterval
+			}
+			f.run(limit, SendPromote)
+			if p, _ := f.Primary("db"); p != c.primary {
+				t.Errorf("primary is %s, want %s; effects %+v", p, c.primary, f.effects)
+			}
+			fenced := f.find(SendFence) != nil
+			if want := c.primary != "a"; fenced != want {
+				t.Errorf("fenced=%v, want %v", fenced, want)
+			}
+		})
+	}
+}
+
+// TestFlappingPrimary guards against changes of the primary in quick
+// succession: the second loss takes twice as long to be detected.
+func TestFlappingPrimary(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, none)
+	delete(f.status, "a")
+	first := f.run(time.Minute, SendFence)
+	f.run(time.Second, none)
+	lost, _ := f.Primary("db")
+	f.status["a"] = &dbgroup.Status{Promised: term1, LastTerm: term1, Received: 10}
+	f.run(time.Second, none)
+	delete(f.status, lost)
+	if second := f.run(time.Minute, SendFence); second < 2*DefaultDetect || first >= 2*DefaultDetect {
+		t.Errorf("detected after %v, then after %v", first, second)
+	}
+}
+
+// TestOldPrimaryFollows guards against an old primary that returns and is
+// not told to follow.
+func TestOldPrimaryFollows(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, none)
+	old := f.status["a"]
+	delete(f.status, "a")
+	f.run(2*DefaultDetect, SendPromote)
+	f.status["a"] = old
+	f.run(time.Second, SendFollow)
+	e := f.find(SendFollow)
+	primary, term := f.Primary("db")
+	if e == nil || e.Upstream != "a" || e.Primary != primary || e.Term != term {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// TestSwitchover guards against a switchover that does not drain writes, a
+// gate that stays closed, and a bad target.
+func TestSwitchover(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, none)
+	f.report = func() {
+		f.report = func() {}
+		f.apply(Event{Kind: SwitchoverRequested, Target: "b"})
+	}
+	f.run(time.Second, OpenGate)
+	f.effects = slices.DeleteFunc(f.effects, func(e Effect) bool {
+		return e.Kind != SendPromote && e.Kind < SwitchoverBegun
+	})
+	var kinds []EffectKind
+	for _, e := range f.effects {
+		kinds = append(kinds, e.Kind)
+	}
+	want := []EffectKind{SwitchoverBegun, CloseGate, SendPromote, SwitchoverFinished, OpenGate}
+	if p, _ := f.Primary("db"); p != "b" || !slices.Equal(kinds, want) {
+		t.Errorf("primary %s, effects %v", p, kinds)
+	}
+	f.apply(Event{Kind: SwitchoverRequested, Target: "x"})
+	if e := f.find(SwitchoverFailed); e == nil || e.Reason != ReasonNoCandidate {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// TestSwitchoverTimeout guards against writes that are held back for ever
+// because the target does not catch up.
+func TestSwitchoverTimeout(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, none)
+	f.status["a"].Received++
+	f.apply(Event{Kind: SwitchoverRequested, Target: "b"})
+	took := f.run(time.Minute, OpenGate)
+	if e := f.find(SwitchoverFailed); e == nil || e.Reason != ReasonNotDrained || took > drainTimeout {
+		t.Errorf("after %v: %+v", took, e)
+	}
+}
+
+// TestHandover guards against a primary that stays in a drained zone, and
+// against a target that is drained, leaving or far behind.
+func TestHandover(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, none)
+	f.config.Upstreams = slices.Clone(f.config.Upstreams)
+	f.config.Upstreams[0].Drained = true
+	f.config.Upstreams[2].Leaving = true
+	f.apply(f.config)
+	f.run(time.Second, SwitchoverFinished)
+	if p, _ := f.Primary("db"); p != "b" {
+		t.Errorf("primary is %s", p)
+	}
+}
--- a/core/failover/group.go
+++ b/core/failover/group.go
@@ -25,6 +25,7 @@
 
 	health     health
 	stall      stall
+	lag        lagMark
 	proposal   proposal
 	switchover switchover
 	handover   handover
@@ -191,6 +192,7 @@
 	}
 	if term == g.term {
 		g.stall.primaryAt(m.status.Received, t.now)
+		g.lag.primaryAt(m.status.Received, t.now)
 	}
 }
 
@@ -217,6 +219,7 @@
 	g.term = term
 	g.baseline = t.now
 	g.stall = stall{}
+	g.lag = lagMark{}
 	g.proposeAt = 0
 	g.backoff = 0
 	if g.highest.Less(term) {
--- a/core/failover/health.go
+++ b/core/failover/health.go
@@ -50,12 +50,31 @@
 		since = max(since, g.health.lastAnswer)
 	}
 	d := now.Sub(since)
-	if s := g.stall.duration(now); s >= g.detect/2 {
-		d = max(d, s)
+	if g.isStalled(now) {
+		d = max(d, g.stall.duration(now))
 	}
 	return d
 }
 
+// isStalled reports whether the group receives nothing from the primary,
+// although the others answer and could continue without it.
+func (g *group) isStalled(now model.Time) bool {
+	return g.stall.duration(now) >= g.detect/2 && g.countAnswering(now, g.primary) >= g.majority()
+}
+
+// countAnswering counts the members other than except that have lately
+// answered a status poll.
+func (g *group) countAnswering(now model.Time, except model.UpstreamID) int {
+	n := 0
+	for i := range g.members {
+		m := &g.members[i]
+		if m.known && m.ID != except && now.Sub(m.sentAt) <= g.detect {
+			n++
+		}
+	}
+	return n
+}
+
 // detectTime is the silence after which the primary counts as lost.
 func (g *group) detectTime(now model.Time) time.Duration {
 	if now.Sub(g.health.changedAt) >= stableTime {
--- a/core/failover/switchover.go
+++ b/core/failover/switchover.go
@@ -18,6 +18,23 @@
 	handoverRetry = 5
 )
 
+// maxTargetLag is how far behind a target may be, so that the write gate is
+// not closed for long.
+const maxTargetLag = 100 * time.Millisecond
+
+// lagMark remembers where the primary was at least maxTargetLag ago.
+type lagMark struct {
+	at      model.Time
+	current model.LogPos
+	before  model.LogPos
+}
+
+func (l *lagMark) primaryAt(pos model.LogPos, now model.Time) {
+	if l.at == 0 || now.Sub(l.at) >= maxTargetLag {
+		*l = lagMark{at: now, current: pos, before: l.current}
+	}
+}
+
 // switchoverPhase is the stage of a planned switchover.
 type switchoverPhase uint8
 
@@ -80,14 +97,15 @@
 	t.emit(Effect{Kind: CloseGate, Database: g.database})
 }
 
-// bestTarget returns the replica to hand over to: caught up in the primary's
+// bestTarget returns the replica to hand over to: nearly caught up in the primary's
 // term, neither drained nor leaving, preferably in the primary's zone.
 func (g *group) bestTarget(now model.Time) model.UpstreamID {
 	best := -1
 	for i := range g.members {
 		m := &g.members[i]
 		fit := m.ID != g.primary && !m.Drained && !m.Leaving && m.known &&
-			now.Sub(m.sentAt) < g.detect && m.status.Role == dbgroup.Replica && m.status.LastTerm == g.term
+			now.Sub(m.sentAt) < g.detect && m.status.Role == dbgroup.Replica &&
+			m.status.LastTerm == g.term && m.status.Received >= g.lag.before
 		if fit && (best < 0 || g.betterTarget(i, best)) {
 			best = i
 		}
--- a/core/failover/tick.go
+++ b/core/failover/tick.go
@@ -58,9 +58,10 @@
 }
 
 // considerProposal starts a proposal when the primary is lost, after a random
-// delay in which another watcher may act first.
+// delay in which another watcher may act first. Without a majority that answers
+// the proposal could only fence a minority, which then no longer follows.
 func (g *group) considerProposal(t *turn) {
-	if !g.isLost(t.now) {
+	if !g.isLost(t.now) || g.countAnswering(t.now, "") < g.majority() {
 		g.proposeAt = 0
 		return
 	}
@@ -68,7 +69,7 @@
 		g.proposeAt = t.now.Add(t.jitter(g.detect / 4))
 	}
 	if t.now >= max(g.proposeAt, g.notBefore) {
-		isolated := g.stall.duration(t.now) >= g.detect
+		isolated := g.isStalled(t.now)
 		g.propose(t, "", g.primary)
 		g.proposal.isolated = isolated
 	}
--- a/core/routing/attempt.go
+++ b/core/routing/attempt.go
@@ -25,7 +25,7 @@
 		return s.fail(at, out)
 	}
 	if b.needsPrimary() {
-		i := g.choosePrimary(b)
+		i := g.choosePrimary(now, b)
 		if i < 0 || b.hasTried(i) {
 			return s.park(now, at, i < 0, out)
 		}
--- a/core/routing/group.go
+++ b/core/routing/group.go
@@ -21,6 +21,8 @@
 	staleTime = 100 * time.Millisecond
 	// holderRetry is how long an unreachable holder is not tried.
 	holderRetry = time.Second
+	// probeTimeout is how long other batches wait for one that asks for the primary.
+	probeTimeout = 100 * time.Millisecond
 )
 
 // group is what the caller side knows of one database group.
@@ -33,6 +35,7 @@
 	// batches wait for its result.
 	probing   bool
 	probe     uint64
+	probeAt   model.Time
 	nextProbe int
 }
 
@@ -180,15 +183,17 @@
 // choosePrimary returns the primary, or, when it is not known, the next
 // member to ask for it if no other batch does that. It returns -1 if the
 // batch has to wait.
-func (g *group) choosePrimary(b *batch) int {
+func (g *group) choosePrimary(now model.Time, b *batch) int {
 	if i := g.find(g.primary); i >= 0 {
 		return i
 	}
-	if len(g.members) == 0 || (g.probing && g.probe != b.id) {
+	busy := g.probing && g.probe != b.id && now.Sub(g.probeAt) < probeTimeout
+	if len(g.members) == 0 || busy {
 		return -1
 	}
 	g.probing = true
 	g.probe = b.id
+	g.probeAt = now
 	g.nextProbe = (g.nextProbe + 1) % len(g.members)
 	return g.nextProbe
 }
