--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -222,6 +222,7 @@
 	f := newFixture()
 	f.run(time.Second, none)
 	f.status["a"].Received++
+	f.status["c"].Received++
 	f.apply(Event{Kind: SwitchoverRequested, Target: "b"})
 	took := f.run(time.Minute, OpenGate)
 	if e := f.find(SwitchoverFailed); e == nil || e.Reason != ReasonNotDrained || took > drainTimeout {
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+const (
+	ms     = model.Time(time.Millisecond)
+	expiry = 1000 * ms
+)
+
+// newState returns a state of zone z1 that knows the primary a in z1 and the
+// replicas b in z1 and c in z2.
+func newState() *State {
+	s := New("z1")
+	apply(s, 0, Event{Kind: GroupConfigured, Upstreams: []Upstream{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z1"}, {ID: "c", Zone: "z2"}}})
+	apply(s, 0, Event{Kind: PrimaryKnown, Primary: "a", PrimaryTerm: model.Term{Counter: 1}})
+	return s
+}
+
+func apply(s *State, now model.Time, ev Event) []Effect {
+	ev.Database = "db"
+	return s.Apply(now, &ev, nil)
+}
+
+func read(id uint64) Event {
+	return Event{Kind: BatchRequested, ID: id, Class: model.Read, MaxAge: time.Second, Deadline: expiry}
+}
+
+func write(id uint64) Event { return Event{Kind: BatchRequested, ID: id, Deadline: expiry} }
+
+// TestChoice guards against reads on the primary while a replica would do, and
+// on replicas that are drained, unreachable or known to lag.
+func TestChoice(t *testing.T) {
+	floor := model.Position{Term: model.Term{Counter: 1}, Pos: 5}
+	unreachable := func(s *State, u model.UpstreamID, standby bool) {
+		apply(s, 0, Event{Kind: HolderUnreachable, Upstream: u, Standby: standby})
+	}
+	drain := func(s *State, drained, leaving bool) {
+		apply(s, 0, Event{Kind: GroupConfigured, Upstreams: []Upstream{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z1", Drained: drained}, {ID: "c", Zone: "z2", Leaving: leaving}}})
+	}
+	withFloor := read(1)
+	withFloor.Floor, withFloor.HasFloor = floor, true
+	cases := []struct {
+		name    string
+		ev      Event
+		prepare func(s *State)
+		want    model.UpstreamID
+		standby bool
+	}{
+		{"same zone", read(1), func(*State) {}, "b", false},
+		{"covers the floor", withFloor, func(s *State) { s.groups["db"].learnApplied("c", floor) }, "c", false},
+		{"drained", read(1), func(s *State) { drain(s, true, false) }, "c", false},
+		{"drained and leaving", read(1), func(s *State) { drain(s, true, true) }, "a", false},
+		{"standby holder", read(1), func(s *State) { unreachable(s, "b", false) }, "b", true},
+		{"no holder", read(1), func(s *State) { unreachable(s, "b", false); unreachable(s, "b", true) }, "c", false},
+		{"busy", read(1), func(s *State) {
+			for id := range uint64(otherZoneFactor) {
+				apply(s, 0, read(100+id))
+			}
+		}, "c", false},
+		{"write", write(1), func(*State) {}, "a", false},
+		{"bound of 0", Event{Kind: BatchRequested, ID: 1, Class: model.Read, Deadline: expiry}, func(*State) {}, "a", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newState()
+			c.prepare(s)
+			out := apply(s, ms, c.ev)
+			if len(out) != 1 || out[0].Upstream != c.want || out[0].Standby != c.standby {
+				t.Errorf("got %+v, want %s", out, c.want)
+			}
+		})
+	}
+}
+
+// TestReadThatMayHaveWritten guards against a second run of a statement that
+// was taken for a read, may have run, and is refused as a write by a replica.
+func TestReadThatMayHaveWritten(t *testing.T) {
+	s := newState()
+	first := apply(s, ms, read(1))[0]
+	second := apply(s, ms, Event{Kind: AttemptAnswered, ID: 1, Attempt: 1, Upstream: first.Upstream, Outcome: FailedMaybeSent})[0]
+	out := apply(s, ms, Event{Kind: AttemptAnswered, ID: 1, Attempt: 2, Upstream: second.Upstream, Outcome: Refused, Code: sqlstate.ReadOnly})
+	if len(out) != 1 || out[0].Kind != Fail || out[0].Code != sqlstate.OutcomeUnknown || out[0].NotRun {
+		t.Errorf("got %+v", out)
+	}
+}
+
+// TestWaitForPrimary guards against writes that fail, or all ask the
+// upstreams, while there is no primary for a short time.
+func TestWaitForPrimary(t *testing.T) {
+	s := newState()
+	apply(s, 0, write(1))
+	out := apply(s, ms, Event{Kind: AttemptAnswered, ID: 1, Attempt: 1, Upstream: "a", Outcome: Refused, Code: sqlstate.NoPrimary})
+	if len(out) != 1 || out[0].Upstream == "a" {
+		t.Fatalf("got %+v, want a question to another upstream", out)
+	}
+	if out = apply(s, ms, write(2)); len(out) != 0 {
+		t.Fatalf("a second batch asks too: %+v", out)
+	}
+	out = apply(s, 20*ms, Event{Kind: PrimaryKnown, Primary: "c", PrimaryTerm: model.Term{Counter: 2}})
+	if len(out) != 1 || out[0].ID != 2 || out[0].Upstream != "c" {
+		t.Errorf("got %+v, want batch 2 on c", out)
+	}
+}
+
+// TestNoPrimaryUntilDeadline guards against a batch that waits for ever.
+func TestNoPrimaryUntilDeadline(t *testing.T) {
+	s := New("z1")
+	apply(s, 0, Event{Kind: GroupConfigured})
+	apply(s, 0, write(1))
+	out := apply(s, expiry, Event{Kind: Tick})
+	if len(out) != 1 || out[0].Code != sqlstate.NoPrimary || !out[0].NotRun {
+		t.Errorf("got %+v", out)
+	}
+}
