--- a/frontend/classify.go
+++ b/frontend/classify.go
@@ -6,8 +6,12 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 )
 
-// leadLen is how many tokens of a statement are kept for the rules.
-const leadLen = 8
+const (
+	// leadLen is how many tokens of a statement are kept for the rules.
+	leadLen = 8
+	// longestNoted is the length of the longest word that note looks for.
+	longestNoted = len("TEMPORARY")
+)
 
 // statementInfo is what the proxy knows of the SQL of one message.
 type statementInfo struct {
@@ -74,13 +78,18 @@
 	}
 	c.checkName(t.text)
 	if t.kind == tokenWord {
-		c.note(strings.ToUpper(t.text))
+		c.note(t.text)
 	}
 }
 
 // note records a keyword.
-func (c *scan) note(word string) {
+func (c *scan) note(text string) {
 	previous := c.previous
+	c.previous = ""
+	if len(text) > longestNoted {
+		return
+	}
+	word := strings.ToUpper(text)
 	c.previous = word
 	switch word {
 	case "ONLY":
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -223,6 +223,9 @@
 	if err != nil {
 		return asError(err)
 	}
+	if !access.Open && s.keyID == "" {
+		return fatalError(sqlstate.WorkspaceForbidden, "the job is no longer open; connect again with a key")
+	}
 	if !access.Open && !hasKey(access.Keys, s.keyID) {
 		return keyWithdrawn(s.keyID)
 	}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -138,12 +138,9 @@
 	return next, nil
 }
 
-// connect checks the key again, because the batch may have waited, and gets a
-// connection.
+// connect gets a connection and checks the key again, because the batch may
+// have waited.
 func (s *stream) connect(ctx context.Context, next *seat) (Outcome, error) {
-	if err := s.keyValid(); err != nil {
-		return Completed, err
-	}
 	next.pool = s.holder.options.Pools.Get(s.upstream)
 	if next.pool == nil {
 		return Completed, sqlstate.Refuse(sqlstate.UpstreamUnavail, "upstream "+string(s.upstream)+" is not held by this VM")
@@ -156,7 +153,7 @@
 		return Unreachable, sqlstate.Refuse(sqlstate.UpstreamUnavail, "no connection to upstream "+string(s.upstream))
 	}
 	next.conn = conn
-	return Completed, nil
+	return Completed, s.keyValid()
 }
 
 func (s *stream) request(b *executor.Batch) *Request {
