Cancel long reads whose caller has gone

Cause: a read ran to its end, and kept one of a few slots, after its caller had closed the connection. The frontend also gives up at the batch's deadline by itself. Measured: go test -race -count=3 ./frontend passes; the new test fails without the watch.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -46,6 +46,10 @@
 			return err
 		}
 	}
+	if len(s.out) == 0 && !endsWithReady(messages) {
+		_, err := s.conn.Write(messages)
+		return err
+	}
 	s.out = append(s.out, messages...)
 	if endsWithReady(s.out) {
 		return nil
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -169,6 +169,10 @@
 	}
 	s.setRunning(true)
 	defer s.setRunning(false)
+	ctx, done := context.WithDeadline(ctx, request.Deadline)
+	defer done()
+	ctx, stop := s.watchCaller(ctx, request.Class)
+	defer stop()
 	return stream.Run(ctx, request, s.sink)
 }
 
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -15,7 +16,8 @@
 // raw is a logged-in connection that a test drives message by message.
 type raw struct {
 	*pgproto3.Frontend
-	t testing.TB
+	t    testing.TB
+	conn net.Conn
 }
 
 func openRaw(t testing.TB, address string) *raw {
@@ -24,7 +26,7 @@
 	if _, err := conn.Write(startupBytes(3<<16, "user", "w", "database", "open")); err != nil {
 		t.Fatal(err)
 	}
-	r := &raw{Frontend: pgproto3.NewFrontend(conn, conn), t: t}
+	r := &raw{Frontend: pgproto3.NewFrontend(conn, conn), t: t, conn: conn}
 	r.until('Z')
 	return r
 }
@@ -362,3 +364,24 @@
 		t.Fatal(types, code)
 	}
 }
+
+// Guards against a long read that keeps its slot after its caller has gone,
+// and against a caller whose next batch is lost while it is watched.
+func TestCallerGoesAway(t *testing.T) {
+	f := newFakes()
+	s, address := startServer(t, f, nil)
+	stays, leaves := openRaw(t, address), openRaw(t, address)
+	stays.write(&pgproto3.Query{String: "SELECT hang"}, &pgproto3.Query{String: "SELECT 1"})
+	leaves.write(&pgproto3.Query{String: "SELECT hang"})
+	<-f.started
+	<-f.started
+	leaves.conn.Close()
+	waitFor(t, "the session's end", func() bool { return s.Sessions() == 1 })
+	f.resume <- struct{}{}
+	if types, _ := stays.until('Z'); types != "CZI" {
+		t.Fatal(types)
+	}
+	if types, _ := stays.until('Z'); types != "CZI" {
+		t.Fatal(types)
+	}
+}
