--- a/frontend/run.go
+++ b/frontend/run.go
@@ -169,6 +169,10 @@
 	}
 	s.setRunning(true)
 	defer s.setRunning(false)
+	ctx, done := context.WithDeadline(ctx, request.Deadline)
+	defer done()
+	ctx, stop := s.watchCaller(ctx, request.Class)
+	defer stop()
 	return stream.Run(ctx, request, s.sink)
 }
 
@@ -223,6 +227,9 @@
 	if err != nil {
 		return asError(err)
 	}
+	if !access.Open && s.keyID == "" {
+		return fatalError(sqlstate.WorkspaceForbidden, "the job is no longer open; connect again with a key")
+	}
 	if !access.Open && !hasKey(access.Keys, s.keyID) {
 		return keyWithdrawn(s.keyID)
 	}
