Test commits and positions around a fence more strictly

Removing the check of the generation in commit, or either condition of chervilhatch_position, left all tests passing: a fence rolls back so soon that the moment in between was never hit. The new tests hit it directly, and each of these three mutations now fails a test.

--- a/standin/upstream/control_test.go
+++ b/standin/upstream/control_test.go
@@ -3,9 +3,12 @@
 import (
 	"testing"
 
+	"github.com/jackc/pgx/v5"
+
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/dbgroup"
 	"github.com/chervilhatch/chervilhatch/dbgroup/pgcontrol"
+	"github.com/chervilhatch/chervilhatch/standin/upstream/internal/sqltext"
 )
 
 var (
@@ -130,13 +133,66 @@
 	if _, err := conn.Exec(testContext(t), "INSERT INTO item VALUES (3)"); sqlState(err) != codeReadOnly {
 		t.Fatalf("write on a fenced upstream: %v", err)
 	}
+	refusesPosition(t, other)
+	refusesPosition(t, connect(t, c.Upstreams[0]))
+	c.promote(0, term2a)
+	refusesPosition(t, other)
+	if n := queryInt(t, other, "SELECT count(*) FROM item"); n != 1 {
+		t.Fatalf("%d rows, want 1", n)
+	}
 	var position string
 	err := other.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position)
+	if err != nil || position != "2.vm-a/4" {
+		t.Fatalf("position %q (%v) after a read in the new term, want 2.vm-a/4", position, err)
+	}
+}
+
+func refusesPosition(t *testing.T, conn *pgx.Conn) {
+	t.Helper()
+	var position string
+	err := conn.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position)
 	if sqlState(err) != codeNotInRequiredState {
-		t.Fatalf("position %q of the old term after the fence: %v", position, err)
+		t.Fatalf("position %q of an old term: %v", position, err)
 	}
-	if n := queryInt(t, other, "SELECT count(*) FROM item"); n != 1 {
-		t.Fatalf("%d rows, want 1", n)
+}
+
+// Guards against a commit in the moment after a fence was accepted and before
+// the open transaction is rolled back.
+func TestCommitWhileFenceRollsBack(t *testing.T) {
+	g := startGroup(t, Options{})
+	n := g.Upstreams[0].currentNode()
+	tx, err := n.beginWrite(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	create := sqltext.Split("CREATE TABLE item (id bigint)")[0]
+	if _, err := tx.exec(testContext(t), create, nil); err != nil {
+		t.Fatal(err)
+	}
+	before := n.status().Received
+	n.mu.Lock()
+	n.promised = term2a
+	n.leaveTerm(dbgroup.Fenced)
+	n.mu.Unlock()
+	if _, err := tx.commit(); err != errFenced {
+		t.Fatalf("commit: %v", err)
+	}
+	if after := n.status().Received; after != before {
+		t.Fatalf("the log grew from %d to %d", before, after)
+	}
+}
+
+// Guards against a fenced replica that receives entries of an older term.
+func TestFencedReplicaReceivesNothing(t *testing.T) {
+	c := startControlled(t)
+	conn := connect(t, c.Upstreams[0])
+	exec(t, conn, "CREATE TABLE item (id bigint PRIMARY KEY)")
+	awaitApplied(t, c.Upstreams[1], FirstTerm, 2)
+	before := c.fence(1, term2a, true)
+	exec(t, conn, "INSERT INTO item VALUES (1)")
+	awaitApplied(t, c.Upstreams[2], FirstTerm, 3)
+	if status := c.Upstreams[1].Status(); status != before {
+		t.Fatalf("status %+v, want %+v as after the fence", status, before)
 	}
 }
 
