Report the zone's outage as confsync states it

Cause: a VM that lacks a version accepted through its zone must not vouch for the zone's outage. Change: the exchange takes the outage from confsync.ZoneUnreachable. Measured: covered by the simulation in core/confsync; the integration tests still pass. Conclusion: the node passes on no outage by itself.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -60,9 +60,9 @@
 		r.HasEvidence = true
 		r.AgeUs = age.Microseconds()
 	}
-	if at, down := x.node.relay.unreachableSince(); down {
+	if age, ok := s.Confsync.ZoneUnreachable(x.node.zone, now); ok {
 		r.StoreUnreachable = true
-		r.UnreachableAgeUs = now.Sub(at).Microseconds()
+		r.UnreachableAgeUs = age.Microseconds()
 	}
 	return r
 }
