--- /dev/null
+++ b/test/integration/vm_test.go
@@ -0,0 +1,64 @@
+package integration
+
+import (
+	"testing"
+)
+
+// Guards against lost or doubled writes when a VM dies, whichever roles it has.
+func TestVMDeath(t *testing.T) {
+	c := startCluster(t, nil)
+	w := newWriter(t, c, 0, 1, 2, 3)
+	stop := w.start(t)
+	for i := range 2 {
+		w.awaitAcks(t, 50)
+		c.Daemons[i].Kill()
+		w.awaitAcks(t, 20)
+		c.Daemons[i].Remove()
+		w.awaitAcks(t, 50)
+		if err := c.Daemons[i].Restart(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	w.check(t, connect(t, c.URL(0, "skov", "entries")))
+}
+
+// Guards against a transaction that is half done after its VM died.
+func TestVMDeathInTransaction(t *testing.T) {
+	c := startCluster(t, nil)
+	setup := connect(t, c.URL(1, "skov", "entries"))
+	exec(t, setup, "CREATE TABLE entry (id int)")
+	conn := connect(t, c.URL(0, "skov", "entries"))
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO entry VALUES (1)")
+	c.Daemons[0].Kill()
+	await(t, "end of the abandoned transaction", func() bool {
+		_, err := setup.Exec(testContext(t), "INSERT INTO entry VALUES (2)")
+		return err == nil
+	})
+	if n := queryInt(t, setup, "SELECT count(*) FROM entry WHERE id = 1"); n != 0 {
+		t.Fatalf("%d rows of an unfinished transaction are stored", n)
+	}
+}
+
+// Guards against a planned stop that interrupts a request.
+func TestGracefulStop(t *testing.T) {
+	c := startCluster(t, nil)
+	w := newWriter(t, c, 0, 1, 2, 3)
+	stop := w.start(t)
+	for i := range 4 {
+		w.awaitAcks(t, 30)
+		if err := c.Daemons[i].Terminate(testContext(t)); err != nil {
+			t.Fatalf("%s: %v", c.Daemons[i].ID, err)
+		}
+		w.awaitAcks(t, 30)
+		if err := c.Daemons[i].Restart(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	w.check(t, connect(t, c.URL(0, "skov", "entries")))
+	for _, err := range w.failures {
+		t.Errorf("a planned stop interrupted a request: %v", err)
+	}
+}
