--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -201,3 +201,22 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a delay that is not applied, and counters that keep old calls.
+func TestDelayAndCounters(t *testing.T) {
+	s, client, ctx := start(t)
+	s.SetDelay(time.Hour)
+	short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	if _, err := client.Get(short, &platformv1.GetRequest{Key: "a"}); status.Code(err) != codes.DeadlineExceeded {
+		t.Fatalf("call within its delay: %v", err)
+	}
+	s.SetDelay(0)
+	s.ResetCalls()
+	if _, err := client.Range(ctx, &platformv1.RangeRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	if calls := s.Calls(); len(calls) != 1 || calls["Range"] != 1 {
+		t.Fatalf("calls after a reset: %v", calls)
+	}
+}
--- a/standin/upstream/control_test.go
+++ b/standin/upstream/control_test.go
@@ -216,6 +216,9 @@
 	if status.TermStart != shared+1 {
 		t.Fatalf("the new term starts at %d, want %d", status.TermStart, shared+1)
 	}
+	if c.Primary() != c.Upstreams[1] {
+		t.Fatalf("the primary of the highest term is %v", c.Primary().ID())
+	}
 	c.follow(2, term2a, 1)
 	current := connect(t, c.Upstreams[1])
 	exec(t, current, "INSERT INTO item VALUES ($1, $2)", 2, "kept")
--- a/standin/upstream/hooks.go
+++ b/standin/upstream/hooks.go
@@ -1,5 +1,8 @@
 package upstream
 
+// The hooks of replication need an upstream that was started once. They stay
+// set over Kill and Restart.
+
 import (
 	"time"
 
--- a/standin/upstream/node.go
+++ b/standin/upstream/node.go
@@ -83,6 +83,13 @@
 	return n.rebuild()
 }
 
+// saved returns what a restart keeps.
+func (n *node) saved() (durable, replicationHooks) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.durable, n.hooks
+}
+
 // rebuild applies the whole log to empty data.
 func (n *node) rebuild() error {
 	n.generation.Add(1)
