Treat SELECT ... FOR UPDATE as a write in the upstream stand-in

SQLite refused the locking clause as a syntax error, while PostgreSQL refuses it with 25006 on a replica, which the proxy's classification by the first keyword relies on. The clause is removed for SQLite, the statement takes the write lock and adds nothing to the log.

--- a/standin/upstream/control_test.go
+++ b/standin/upstream/control_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -267,8 +268,30 @@
 	if err != nil || status.Promised != term3 {
 		t.Fatalf("status %+v, %v: the fence took effect although its answer was lost", status, err)
 	}
-	if _, err := c.control.Status(testContext(t), "unknown"); err == nil {
-		t.Fatal("an unknown upstream answered")
+	if _, err := c.control.Status(testContext(t), "unknown"); !errors.Is(err, pgcontrol.ErrUnknownUpstream) {
+		t.Fatalf("status of an unknown upstream: %v", err)
+	}
+}
+
+// Guards against a call that goes on after the client was closed.
+func TestControlClose(t *testing.T) {
+	c := startControlled(t)
+	id := c.Upstreams[0].ID()
+	if _, err := c.control.Status(testContext(t), id); err != nil {
+		t.Fatal(err)
+	}
+	c.Upstreams[0].Pause()
+	result := make(chan error)
+	go func() {
+		_, err := c.control.Status(testContext(t), id)
+		result <- err
+	}()
+	c.control.Close()
+	if err := <-result; err == nil {
+		t.Fatal("a paused upstream answered")
+	}
+	if _, err := c.control.Status(testContext(t), id); !errors.Is(err, pgcontrol.ErrClosed) {
+		t.Fatalf("call after Close: %v", err)
 	}
 }
 
--- a/standin/upstream/doc.go
+++ b/standin/upstream/doc.go
@@ -5,7 +5,11 @@
 // docs/upstream-functions.md.
 //
 // Isolation is that of PostgreSQL's READ COMMITTED: each read sees the
-// committed data at its start. Write transactions run one at a time. Entries
-// are replayed as SQL text with their arguments, so statements must be
-// deterministic.
+// committed data at its start. Write transactions run one at a time; SELECT ...
+// FOR UPDATE counts as one. Entries are replayed as SQL text with their
+// arguments, so statements must be deterministic.
+//
+// A read holds back commits and the status for as long as SQLite works on it.
+// Long statements are therefore simulated by Options.StatementDuration or
+// pg_sleep, which hold a slot only.
 package upstream
--- a/standin/upstream/internal/sqltext/sqltext_test.go
+++ b/standin/upstream/internal/sqltext/sqltext_test.go
@@ -24,6 +24,7 @@
 		"BEGIN; SAVEPOINT a; ROLLBACK TO a; END":     {Begin, Savepoint, RollbackTo, Commit},
 		"SELECT chervilhatch_position()":             {Function},
 		"select * from chervilhatch_fence($1, 'vm')": {Function},
+		"SELECT 1 FROM t FOR UPDATE SKIP LOCKED":     {Write},
 		"PRAGMA query_only = off":                    {Unsupported},
 	} {
 		var got []Class
--- a/standin/upstream/internal/sqltext/statement.go
+++ b/standin/upstream/internal/sqltext/statement.go
@@ -46,6 +46,9 @@
 	SQL    string
 	Tokens []Token
 	Class  Class
+	// Locking is true for SELECT ... FOR UPDATE or FOR SHARE. It is a Write that
+	// changes nothing; SQL is without the locking clause.
+	Locking bool
 	// Casts has the type names of parameters with a cast, such as $1::int8.
 	Casts map[int]string
 }
@@ -73,6 +76,10 @@
 
 func newStatement(sql string, tokens []Token) *Statement {
 	s := &Statement{Casts: make(map[int]string)}
+	if i := lockingClause(tokens); i > 0 {
+		s.Locking = true
+		tokens = tokens[:i]
+	}
 	var text strings.Builder
 	pos := tokens[0].Start
 	for i := 0; i < len(tokens); i++ {
@@ -96,9 +103,32 @@
 	text.WriteString(sql[pos:tokens[len(tokens)-1].End])
 	s.SQL = text.String()
 	s.Class = classify(s.Tokens)
+	if s.Locking {
+		s.Class = Write
+	}
 	return s
 }
 
+// lockingClause returns the index of FOR UPDATE or FOR SHARE outside of
+// parentheses, or 0.
+func lockingClause(tokens []Token) int {
+	if !tokens[0].Is("select", "with") {
+		return 0
+	}
+	depth := 0
+	for i := 0; i+1 < len(tokens); i++ {
+		switch {
+		case tokens[i].Is("("):
+			depth++
+		case tokens[i].Is(")"):
+			depth--
+		case depth == 0 && tokens[i].Is("for") && tokens[i+1].Is("update", "share", "no", "key"):
+			return i
+		}
+	}
+	return 0
+}
+
 // castLength returns the number of tokens of a cast such as ::varchar(10) at
 // the start of tokens, or 0.
 func castLength(tokens []Token) int {
--- a/standin/upstream/prepare.go
+++ b/standin/upstream/prepare.go
@@ -105,12 +105,12 @@
 		return dynamicFields(c.show(s)), nil
 	case s.Class == sqltext.Function:
 		return functionFields(s), nil
-	case s.Class == sqltext.Write && s.Has("returning"):
-		return c.selectFields(p, returningQuery(s))
 	case s.Class == sqltext.Read && s.Tokens[0].Is("explain"):
 		return c.explainFields(p)
-	case s.Class == sqltext.Read:
+	case s.Class == sqltext.Read || s.Locking:
 		return c.selectFields(p, s.SQL)
+	case s.Class == sqltext.Write && s.Has("returning"):
+		return c.selectFields(p, returningQuery(s))
 	}
 	return nil, nil
 }
--- a/standin/upstream/protocol_test.go
+++ b/standin/upstream/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"testing"
 
@@ -127,6 +128,34 @@
 	}
 }
 
+// Guards against a locking read that runs on a replica, that does not wait for
+// another writer's transaction, or that grows the log.
+func TestLockingRead(t *testing.T) {
+	g := startGroup(t, Options{})
+	conn := connect(t, g.Upstreams[0])
+	exec(t, conn, "CREATE TABLE item (id bigint PRIMARY KEY)")
+	exec(t, conn, "INSERT INTO item VALUES (7)")
+	end := g.Upstreams[0].Status().Received
+	awaitApplied(t, g.Upstreams[1], FirstTerm, end)
+	const query = "SELECT id FROM item WHERE id = $1 FOR UPDATE"
+	if n := queryInt(t, conn, query, 7); n != 7 {
+		t.Fatalf("got %d, want 7", n)
+	}
+	if _, err := connect(t, g.Upstreams[1]).Exec(testContext(t), query, 7); sqlState(err) != codeReadOnly {
+		t.Fatalf("locking read on a replica: %v", err)
+	}
+	if received := g.Upstreams[0].Status().Received; received != end {
+		t.Fatalf("the log grew from %d to %d", end, received)
+	}
+	exec(t, conn, "BEGIN")
+	queryInt(t, conn, query, 7)
+	ctx, cancel := contextWithShortLimit(t)
+	defer cancel()
+	if _, err := connect(t, g.Upstreams[0]).Exec(ctx, query, 7); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("second locking read: %v", err)
+	}
+}
+
 // Guards against a failed statement of a batch that leaves the earlier ones of
 // the same implicit transaction behind.
 func TestBatchIsOneTransaction(t *testing.T) {
--- a/standin/upstream/writetx.go
+++ b/standin/upstream/writetx.go
@@ -85,7 +85,7 @@
 }
 
 func (t *writeTx) run(ctx context.Context, s *sqltext.Statement, args []any) (*store.Result, error) {
-	if s.Class == sqltext.Read || s.Has("returning") {
+	if s.Class == sqltext.Read || s.Locking || s.Has("returning") {
 		return t.node.data.WriteQuery(ctx, s.SQL, args)
 	}
 	return t.node.data.WriteExec(ctx, s.SQL, args)
@@ -93,7 +93,7 @@
 
 // record keeps a statement for the log entry.
 func (t *writeTx) record(s *sqltext.Statement, args []any) {
-	if s.Class == sqltext.Read {
+	if s.Class == sqltext.Read || s.Locking {
 		return
 	}
 	defines := s.Tokens[0].Is("create", "alter", "drop")
