Check membership, connection seats and tokens in a simulated cluster

Cause: the invariants hold over several VMs, so single reducers cannot show them. Change: test/property simulates VMs with their own clocks, a network and a store with faults; an owner of tokens holds requests it cannot fill, so that it borrows for them.

--- a/core/limits/owner.go
+++ b/core/limits/owner.go
@@ -8,6 +8,9 @@
 	// claimHold is how long a peer's request waits for tokens of the share. It
 	// is shorter than the request's timeout.
 	claimHold = 20 * time.Millisecond
+	// partialHold is how long a peer's request waits for the rest of its tokens,
+	// so that they can be borrowed and a short share is not asked all the time.
+	partialHold = 5 * time.Millisecond
 	// emptyRetry is when a peer that got nothing may ask again.
 	emptyRetry = 5 * time.Millisecond
 	// maxClaims bounds the peers' requests that wait at an owner.
@@ -40,7 +43,7 @@
 		return append(out, emptyAnswer(ev))
 	}
 	w.claims = append(w.claims, claim{
-		vm: ev.VM, id: ev.RequestID, remaining: ev.Amount, giveUp: s.now.Add(claimHold),
+		vm: ev.VM, id: ev.RequestID, remaining: ev.Amount, arrived: s.now,
 	})
 	return out
 }
@@ -64,10 +67,22 @@
 		out = s.serveTurns(w, out)
 		out = s.answerClaims(w, out)
 		w.bucket.clip()
+	} else {
+		out = s.answerAll(w, out)
 	}
 	return s.fetch(w, out)
 }
 
+// answerAll answers all claims with what they got, because the share is not, or
+// not certainly, owned any more.
+func (s *State) answerAll(w *workspace, out []Effect) []Effect {
+	for i := range w.claims {
+		out = append(out, s.finishClaim(w, &w.claims[i]))
+	}
+	w.claims = w.claims[:0]
+	return out
+}
+
 // serveTurns runs rounds in which each party gets an equal part.
 func (s *State) serveTurns(w *workspace, out []Effect) []Effect {
 	for w.bucket.balance > 0 {
@@ -100,31 +115,20 @@
 	return got, out
 }
 
-// answerClaims answers the claims that got tokens.
+// answerClaims answers the claims that got all their tokens or have waited long
+// enough.
 func (s *State) answerClaims(w *workspace, out []Effect) []Effect {
 	kept := 0
 	for i := range w.claims {
-		if w.claims[i].granted == 0 {
-			w.claims[kept] = w.claims[i]
-			kept++
-			continue
-		}
-		out = append(out, s.finishClaim(w, &w.claims[i]))
-	}
-	w.claims = w.claims[:kept]
-	return out
-}
-
-// finishOverdue answers the claims that have waited long enough.
-func (s *State) finishOverdue(w *workspace, out []Effect) []Effect {
-	kept := 0
-	for i := range w.claims {
-		if s.now < w.claims[i].giveUp {
-			w.claims[kept] = w.claims[i]
+		c := &w.claims[i]
+		waited := s.now.Sub(c.arrived)
+		partial := c.granted > 0 && waited >= partialHold
+		if c.remaining > 0 && !partial && waited < claimHold {
+			w.claims[kept] = *c
 			kept++
 			continue
 		}
-		out = append(out, s.finishClaim(w, &w.claims[i]))
+		out = append(out, s.finishClaim(w, c))
 	}
 	w.claims = w.claims[:kept]
 	return out
--- a/core/limits/state.go
+++ b/core/limits/state.go
@@ -165,9 +165,7 @@
 	for len(w.queued()) > 0 {
 		out = append(out, refusal(w, w.popWaiter()))
 	}
-	for i := range w.claims {
-		out = append(out, s.finishClaim(w, &w.claims[i]))
-	}
+	out = s.answerAll(w, out)
 	delete(s.workspaces, w.name)
 	i := sort.Search(len(s.order), func(i int) bool { return s.order[i].name >= w.name })
 	s.order = append(s.order[:i], s.order[i+1:]...)
@@ -217,10 +215,7 @@
 	w.bucket.owned = false
 	balance := w.bucket.balance
 	w.bucket.balance = 0
-	for i := range w.claims {
-		out = append(out, s.finishClaim(w, &w.claims[i]))
-	}
-	w.claims = w.claims[:0]
+	out = s.answerAll(w, out)
 	if ev.VM == "" {
 		return out
 	}
@@ -255,7 +250,6 @@
 		s.failOverdue(w)
 		out = s.refuseOverdue(w, out)
 		out = s.serve(w, out)
-		out = s.finishOverdue(w, out)
 	}
 	return out
 }
--- a/core/limits/workspace.go
+++ b/core/limits/workspace.go
@@ -39,7 +39,7 @@
 	id        uint64
 	remaining int64
 	granted   int64
-	giveUp    model.Time
+	arrived   model.Time
 }
 
 // answer is what a request of a peer was given.
--- /dev/null
+++ b/test/property/cluster_test.go
@@ -0,0 +1,272 @@
+package property
+
+import (
+	"container/heap"
+	"math/rand"
+	"sort"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// cluster simulates VMs with their own clocks, a network and a store that lose,
+// delay, repeat and reorder messages, and the platform's lagging list.
+type cluster struct {
+	t   *rapid.T
+	rng *rand.Rand
+	// now is the true time in nanoseconds, which no VM knows.
+	now    int64
+	queue  timeline
+	serial uint64
+	vms    []*vm
+	// side has the side of the network on which a VM is; VMs on different sides
+	// do not reach each other, and only side 0 reaches the store.
+	side      map[model.VMID]int
+	storeDown bool
+	// faulty is false once all faults have stopped.
+	faulty      bool
+	records     map[model.Zone]stored
+	listVersion uint64
+	zones       []model.Zone
+	items       []membership.Item
+	// check runs after every event.
+	check func()
+}
+
+// stored is a record in the store.
+type stored struct {
+	record   membership.Record
+	revision int64
+}
+
+// action is something that happens at a true time.
+type action struct {
+	at     int64
+	serial uint64
+	run    func()
+}
+
+// timeline orders actions by time.
+type timeline []action
+
+func (q timeline) Len() int { return len(q) }
+func (q timeline) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].serial < q[j].serial
+}
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(x any)   { *q = append(*q, x.(action)) }
+func (q *timeline) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+const (
+	tickEvery   = 20 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
+	listEvery   = 500 * time.Millisecond
+	// clockRatePPM bounds how much a VM's clock is fast or slow.
+	clockRatePPM = 10_000
+)
+
+// newCluster returns a cluster of VMs that are named by their zone, for
+// example "z1a".
+func newCluster(t *rapid.T, names ...model.VMID) *cluster {
+	c := &cluster{
+		t:       t,
+		rng:     rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))),
+		side:    map[model.VMID]int{},
+		faulty:  true,
+		records: map[model.Zone]stored{},
+		check:   func() {},
+	}
+	seen := map[model.Zone]bool{}
+	for _, name := range names {
+		z := model.Zone(name[:2])
+		if !seen[z] {
+			c.zones = append(c.zones, z)
+		}
+		seen[z] = true
+		c.vms = append(c.vms, &vm{c: c, id: name, zone: z})
+	}
+	return c
+}
+
+// startAll starts all VMs and the platform's list.
+func (c *cluster) startAll() {
+	for _, v := range c.vms {
+		v.start()
+	}
+	c.every(listEvery, c.sendList)
+}
+
+// after runs fn at a later time.
+func (c *cluster) after(d time.Duration, fn func()) {
+	c.serial++
+	heap.Push(&c.queue, action{at: c.now + int64(d), serial: c.serial, run: fn})
+}
+
+// every runs fn periodically.
+func (c *cluster) every(d time.Duration, fn func()) {
+	c.after(d, func() {
+		fn()
+		c.every(d, fn)
+	})
+}
+
+// advance moves the true time on.
+func (c *cluster) advance(d time.Duration) {
+	end := c.now + int64(d)
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		a := heap.Pop(&c.queue).(action)
+		c.now = a.at
+		a.run()
+		c.check()
+	}
+	c.now = end
+	c.check()
+}
+
+// delay returns how long a message takes; under faults a few take seconds.
+func (c *cluster) delay() time.Duration {
+	d := time.Duration(c.rng.Intn(2000)) * time.Microsecond
+	if c.faulty && c.rng.Intn(40) == 0 {
+		d += time.Duration(c.rng.Intn(5000)) * time.Millisecond
+	}
+	return d
+}
+
+func (c *cluster) lost() bool { return c.faulty && c.rng.Intn(20) == 0 }
+
+// send delivers a message to a VM, perhaps twice or never.
+func (c *cluster) send(from *vm, to model.VMID, deliver func(*vm)) {
+	if c.side[from.id] != c.side[to] || c.lost() {
+		return
+	}
+	copies := 1
+	if c.faulty && c.rng.Intn(30) == 0 {
+		copies = 2
+	}
+	for range copies {
+		c.after(c.delay(), func() {
+			v := c.find(to)
+			v.do(v.incarnation, func() { deliver(v) })
+		})
+	}
+}
+
+func (c *cluster) find(id model.VMID) *vm {
+	for _, v := range c.vms {
+		if v.id == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// call runs op at the store and passes on whether its answer arrived in time.
+// Under faults, op may run after the caller has given up.
+func (c *cluster) call(v *vm, op func(), answer func(arrived bool)) {
+	const timeout = 500 * time.Millisecond
+	incarnation := v.incarnation
+	there, back := c.delay(), c.delay()
+	reached := !c.storeDown && c.side[v.id] == 0 && !c.lost()
+	if reached {
+		c.after(there, op)
+	}
+	arrived := reached && !c.lost() && there+back < timeout
+	wait := there + back
+	if !arrived {
+		wait = timeout
+	}
+	c.after(wait, func() { v.do(incarnation, func() { answer(arrived) }) })
+}
+
+// sendList sends the platform's list to some VMs; the others keep an older one.
+func (c *cluster) sendList() {
+	c.listVersion++
+	version := c.listVersion
+	var vms []membership.VM
+	for _, v := range c.vms {
+		if v.listed {
+			vms = append(vms, membership.VM{ID: v.id, Zone: v.zone, Leaving: v.leaving})
+		}
+	}
+	for _, v := range c.vms {
+		if c.faulty && c.rng.Intn(3) == 0 {
+			continue
+		}
+		v.do(v.incarnation, func() {
+			v.member(membership.Event{Kind: membership.EventVMList, VMs: vms, Version: version})
+		})
+	}
+}
+
+// fault causes one random fault or repairs one.
+func (c *cluster) fault() {
+	v := c.vms[rapid.IntRange(0, len(c.vms)-1).Draw(c.t, "vm")]
+	switch rapid.IntRange(0, 8).Draw(c.t, "fault") {
+	case 0:
+		v.crash()
+	case 1, 2:
+		v.start()
+	case 3:
+		v.pause(time.Duration(rapid.IntRange(10, 8000).Draw(c.t, "ms")) * time.Millisecond)
+	case 4:
+		c.storeDown = !c.storeDown
+	case 5:
+		c.side[v.id] = rapid.IntRange(0, 2).Draw(c.t, "side")
+	case 6:
+		clear(c.side)
+	case 7:
+		v.stop()
+	case 8:
+		v.listed = v.alive
+	}
+}
+
+// heal ends all faults and starts all VMs.
+func (c *cluster) heal() {
+	c.faulty = false
+	c.storeDown = false
+	clear(c.side)
+	for _, v := range c.vms {
+		if v.leaving {
+			v.crash()
+		}
+		v.start()
+	}
+}
+
+// owners returns the VMs that may act as the owner of an item now.
+func (c *cluster) owners(it membership.Item) []model.VMID {
+	var owners []model.VMID
+	for _, v := range c.vms {
+		if v.alive && v.m.Owns(v.clock(), it) {
+			owners = append(owners, v.id)
+		}
+	}
+	return owners
+}
+
+// checkOwners fails if two VMs may act as the owner of an item.
+func (c *cluster) checkOwners() {
+	for _, it := range c.items {
+		if owners := c.owners(it); len(owners) > 1 {
+			c.t.Fatalf("at %v, %v own %+v", time.Duration(c.now), owners, it)
+		}
+	}
+}
+
+// sortedZones returns the zones of the store's records.
+func (c *cluster) sortedZones() []model.Zone {
+	zones := append([]model.Zone(nil), c.zones...)
+	sort.Slice(zones, func(i, j int) bool { return zones[i] < zones[j] })
+	return zones
+}
--- /dev/null
+++ b/test/property/connshare_test.go
@@ -0,0 +1,170 @@
+package property
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/connshare"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// pool is the runtime's connections of one upstream.
+type pool struct {
+	open   int
+	budget int
+}
+
+// share applies an event to connshare and carries its effects out.
+func (v *vm) share(ev connshare.Event) {
+	for _, e := range v.s.Apply(v.clock(), &ev, nil) {
+		p := v.pool(e.Upstream)
+		if e.Kind == connshare.EffectSetBudget {
+			p.budget = e.Connections
+			if e.Now {
+				p.open = min(p.open, p.budget)
+			}
+			continue
+		}
+		v.sendRelease(seatItem(v.c, e), e.VM, e.Zone, e.Epoch, 0)
+	}
+}
+
+func (v *vm) pool(u model.UpstreamID) *pool {
+	p := v.conns[u]
+	if p == nil {
+		p = &pool{}
+		v.conns[u] = p
+	}
+	return p
+}
+
+// seatItem returns the item of a released seat.
+func seatItem(c *cluster, e connshare.Effect) membership.Item {
+	for _, it := range c.items {
+		if it.Name == string(e.Upstream) && it.Kind != membership.Tokens && seatOf(it) == e.Seat {
+			return it
+		}
+	}
+	return membership.Item{}
+}
+
+// runPools opens connections within the budgets, closes some above them, and
+// reports them.
+func (v *vm) runPools() {
+	for _, it := range v.c.items {
+		if it.Kind != membership.MainSeat {
+			continue
+		}
+		p := v.pool(model.UpstreamID(it.Name))
+		switch {
+		case p.open < p.budget && v.c.rng.Intn(3) > 0:
+			p.open = p.budget
+		case p.open > p.budget && v.c.rng.Intn(5) == 0:
+			p.open--
+		}
+		v.share(connshare.Event{
+			Kind: connshare.EventOpen, Upstream: model.UpstreamID(it.Name), Count: p.open, Limit: p.budget,
+		})
+		if v.c.rng.Intn(10) == 0 {
+			v.share(connshare.Event{
+				Kind: connshare.EventDemand, Upstream: model.UpstreamID(it.Name), Count: v.c.rng.Intn(8),
+			})
+		}
+	}
+}
+
+// drained reports whether the VM uses nothing that it owned.
+func (v *vm) drained() bool {
+	for _, p := range v.conns {
+		if p.open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	connLimit   = 20
+	connsOfPool = connLimit - connshare.Reserved
+)
+
+// seatItems returns both seats of an upstream.
+func seatItems(z model.Zone, u string) []membership.Item {
+	return []membership.Item{
+		{Kind: membership.MainSeat, Zone: z, Name: u},
+		{Kind: membership.StandbySeat, Zone: z, Name: u},
+	}
+}
+
+// checkConnections checks the budgets of all VMs, and the connections of those
+// that are not paused, against the upstream's limit.
+func (c *cluster) checkConnections() {
+	for _, it := range c.items {
+		u := model.UpstreamID(it.Name)
+		budgets, open := 0, 0
+		for _, v := range c.vms {
+			if !v.alive {
+				continue
+			}
+			budgets += v.s.Budget(v.clock(), u)
+			if !v.paused {
+				open += v.pool(u).open
+			}
+		}
+		if budgets > connsOfPool || open > connsOfPool {
+			c.t.Fatalf("at %v, budgets of %d and %d open connections to %s", time.Duration(c.now), budgets, open, u)
+		}
+	}
+}
+
+// Guards against holders that open more connections together than the upstream
+// allows, and against seats that nobody has after the faults.
+func TestConnshareSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, "z1a", "z1b", "z1c", "z2a")
+		c.items = append(seatItems("z1", "u1"), seatItems("z2", "u2")...)
+		for _, v := range c.vms {
+			v.onStart = startConnshare
+		}
+		c.startAll()
+		c.check = c.checkConnections
+		for range clusterSteps {
+			c.step(t)
+		}
+		c.heal()
+		c.advance(settleTime)
+		c.checkWholeBudgets()
+	})
+}
+
+func startConnshare(v *vm) {
+	v.s = connshare.New()
+	for _, it := range v.c.items {
+		if it.Kind == membership.MainSeat {
+			v.share(connshare.Event{
+				Kind: connshare.EventUpstreamSet, Upstream: model.UpstreamID(it.Name),
+				Zone: it.Zone, Limit: connLimit, Slots: 3,
+			})
+		}
+	}
+}
+
+// checkWholeBudgets fails if a seat with a candidate has no budget.
+func (c *cluster) checkWholeBudgets() {
+	for _, it := range c.items {
+		want := connshare.Share(connLimit, connshare.Main)
+		if it.Zone == "z1" {
+			want = connsOfPool
+		}
+		sum := 0
+		for _, v := range c.vms {
+			sum += v.s.Budget(v.clock(), model.UpstreamID(it.Name))
+		}
+		if sum != want {
+			c.t.Fatalf("budgets of %s are %d after the faults, want %d", it.Name, sum, want)
+		}
+	}
+}
--- /dev/null
+++ b/test/property/limits_test.go
@@ -0,0 +1,268 @@
+package property
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/limits"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+const (
+	// modelRate and modelBurst are the highest that any configuration has, in
+	// milli-tokens.
+	modelRate  = 400 * limits.Milli
+	modelBurst = 200 * limits.Milli
+)
+
+// limitConfig is one version of the configuration of the only workspace.
+type limitConfig struct {
+	rate, burst int64
+	zones       []model.Zone
+}
+
+// limitModel drives limits in a cluster and checks what it admits.
+type limitModel struct {
+	*cluster
+	static   bool
+	versions []limitConfig
+	// applied is the version of each VM, settled the newest that all have.
+	applied map[model.VMID]int
+	settled int
+	next    uint64
+	// level is what a bucket with the whole rate and burst holds, in millionths
+	// of a milli-token, as of levelAt: no window exceeds its bound if and only
+	// if the level never falls below 0.
+	level    int64
+	levelAt  int64
+	admitted int
+	refused  int
+}
+
+func newLimitModel(t *rapid.T, names ...model.VMID) *limitModel {
+	m := &limitModel{cluster: newCluster(t, names...), applied: map[model.VMID]int{}, level: modelBurst * 1e6}
+	for _, z := range m.zones {
+		m.items = append(m.items, membership.Item{Kind: membership.Tokens, Zone: z, Name: "w"})
+	}
+	m.versions = []limitConfig{{rate: modelRate, burst: modelBurst, zones: m.zones}}
+	for _, v := range m.vms {
+		v.onStart = m.startVM
+		v.onLimits = m.effect
+	}
+	return m
+}
+
+func (m *limitModel) startVM(v *vm) {
+	v.l = limits.New(limits.Config{
+		Self: v.id, Zone: v.zone, StaticSplit: m.static, FirstRequest: m.rng.Uint64() / 2,
+	})
+	m.configure(v, len(m.versions)-1)
+}
+
+// configure makes a VM use a version.
+func (m *limitModel) configure(v *vm, version int) {
+	m.applied[v.id] = version
+	c := m.versions[version]
+	v.limit(limits.Event{
+		Kind: limits.EventConfigure, Workspace: "w", Version: uint64(version) + 1,
+		Rate: c.rate, Burst: c.burst, Zones: c.zones,
+	})
+}
+
+// change makes a new version.
+func (m *limitModel) change() {
+	c := limitConfig{rate: modelRate, burst: modelBurst}
+	if rapid.IntRange(0, 2).Draw(m.t, "lower") == 0 {
+		c.rate /= 2
+	}
+	in := rapid.IntRange(1, 1<<len(m.zones)-1).Draw(m.t, "zones")
+	for i, z := range m.zones {
+		if in&(1<<i) != 0 {
+			c.zones = append(c.zones, z)
+		}
+	}
+	m.versions = append(m.versions, c)
+}
+
+// spread passes versions on, and what is settled.
+func (m *limitModel) spread() {
+	newest := len(m.versions) - 1
+	for _, v := range m.vms {
+		if !v.alive || v.paused || m.side[v.id] != 0 || (m.faulty && m.rng.Intn(4) > 0) {
+			continue
+		}
+		if m.applied[v.id] < newest {
+			m.configure(v, newest)
+		}
+		v.limit(limits.Event{Kind: limits.EventSettled, Version: uint64(m.settled) + 1})
+	}
+	settled := newest
+	for _, v := range m.vms {
+		if v.alive {
+			settled = min(settled, m.applied[v.id])
+		}
+	}
+	m.settled = max(m.settled, settled)
+}
+
+// limit applies an event to limits and carries its effects out.
+func (v *vm) limit(ev limits.Event) {
+	for _, e := range v.l.Apply(v.clock(), &ev, nil) {
+		switch e.Kind {
+		case limits.EffectRequest:
+			v.sendRequest(e)
+		case limits.EffectSend:
+			v.sendTokens(e)
+		case limits.EffectRelease:
+			it := membership.Item{Kind: membership.Tokens, Zone: v.zone, Name: string(e.Workspace)}
+			v.sendRelease(it, e.VM, e.Zone, e.Epoch, e.Balance)
+		default:
+			v.onLimits(v, e)
+		}
+	}
+}
+
+func (v *vm) sendRequest(e limits.Effect) {
+	v.c.send(v, e.VM, func(w *vm) {
+		w.limit(limits.Event{
+			Kind: limits.EventRequest, Workspace: e.Workspace, VM: v.id,
+			RequestID: e.RequestID, Amount: e.Amount, Borrow: e.Borrow,
+		})
+	})
+}
+
+func (v *vm) sendTokens(e limits.Effect) {
+	v.c.send(v, e.VM, func(w *vm) {
+		w.limit(limits.Event{
+			Kind: limits.EventTokens, Workspace: e.Workspace, RequestID: e.RequestID,
+			Amount: e.Amount, Validity: e.Validity, RetryAfter: e.RetryAfter,
+		})
+	})
+}
+
+// effect takes an admission or a refusal.
+func (m *limitModel) effect(_ *vm, e limits.Effect) {
+	if e.Kind == limits.EffectRefuse {
+		m.refused++
+		return
+	}
+	m.admitted++
+	m.level = min(modelBurst*1e6, m.level+(m.now-m.levelAt)*modelRate/1000)
+	m.levelAt = m.now
+	m.level -= limits.Milli * 1e6
+	if m.level < 0 {
+		m.t.Fatalf("at %v, %d milli-tokens too many were admitted", time.Duration(m.now), -m.level/1e6)
+	}
+}
+
+// admit asks a VM to admit requests.
+func (m *limitModel) admit(v *vm, n int, wait time.Duration) {
+	for range n {
+		if !v.alive || v.paused {
+			return
+		}
+		m.next++
+		v.limit(limits.Event{
+			Kind: limits.EventAdmit, Workspace: "w", ID: m.next,
+			Amount: limits.Milli, Deadline: v.clock().Add(wait),
+		})
+	}
+}
+
+// step moves the time on, sends requests, and sometimes causes a fault or
+// changes the configuration.
+func (m *limitModel) step(t *rapid.T) {
+	switch rapid.IntRange(0, 99).Draw(t, "step") {
+	case 0, 1:
+		m.fault()
+	case 2:
+		m.change()
+	case 3:
+		m.advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "long")) * time.Millisecond)
+	}
+	v := m.vms[rapid.IntRange(0, len(m.vms)-1).Draw(t, "vm")]
+	m.admit(v, rapid.IntRange(0, 40).Draw(t, "burst"), 200*time.Millisecond)
+	m.advance(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+}
+
+// Guards against more admissions than rate x window + burst over all VMs, and
+// against refusals inside the rate after the faults, wherever the demand is.
+func TestLimitsWindow(t *testing.T) {
+	admitted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newLimitModel(t, "z1a", "z1b", "z2a", "z2b", "z3a")
+		m.startAll()
+		m.every(200*time.Millisecond, m.spread)
+		m.advance(8 * time.Second)
+		for range clusterSteps {
+			m.step(t)
+		}
+		m.heal()
+		m.versions = append(m.versions, m.versions[0])
+		m.advance(settleTime)
+		m.steadyDemand(rapid.IntRange(0, len(m.vms)).Draw(t, "sender"))
+		admitted += m.admitted
+	})
+	if admitted == 0 {
+		t.Error("nothing was admitted")
+	}
+}
+
+// steadyDemand sends 80% of the rate, from one VM or from all in turn, and fails
+// if any of it is refused.
+func (m *limitModel) steadyDemand(sender int) {
+	m.refused = 0
+	for i := range 1000 {
+		v := m.vms[i%len(m.vms)]
+		if sender < len(m.vms) {
+			v = m.vms[sender]
+		}
+		m.admit(v, 1, 500*time.Millisecond)
+		m.advance(3125 * time.Microsecond)
+	}
+	m.advance(time.Second)
+	if m.refused > 0 {
+		m.t.Fatalf("%d of 1000 requests inside the rate were refused, sender %d", m.refused, sender)
+	}
+}
+
+// runDemand counts the refused requests of 10 s of demand at 90% of the rate
+// without faults.
+func runDemand(t *rapid.T, static bool, sender int) (refused, sent int) {
+	m := newLimitModel(t, "z1a", "z1b", "z2a", "z2b", "z3a", "z3b")
+	m.faulty = false
+	m.static = static
+	m.startAll()
+	m.every(200*time.Millisecond, m.spread)
+	m.advance(10 * time.Second)
+	m.refused = 0
+	for i := range 3600 {
+		v := m.vms[i%len(m.vms)]
+		if sender >= 0 {
+			v = m.vms[sender]
+		}
+		m.admit(v, 1, 200*time.Millisecond)
+		m.advance(2777777)
+	}
+	m.advance(time.Second)
+	return m.refused, m.refused + m.admitted
+}
+
+// Guards against requests that are refused inside the rate because the tokens
+// lie in other zones. The static split is run for comparison.
+func TestLimitsLending(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		for _, static := range []bool{true, false} {
+			for _, sender := range []int{-1, 0, 3} {
+				refused, sent := runDemand(rt, static, sender)
+				t.Logf("static split %v, sender %d (-1: all VMs): %d of %d requests inside the rate refused", static, sender, refused, sent)
+				if !static && refused > 0 {
+					rt.Errorf("%d of %d requests refused with lending, sender %d", refused, sent, sender)
+				}
+			}
+		}
+	})
+}
