Bound the memory and time of incomplete requests

Cause: callers could make the proxy hold 16 MB for each session without end. Change: buffers and batches above 16 KB are taken from a budget of the server (53200 when it is used up); a batch must be complete within a minute; a caller silent inside a transaction is closed with 25P03. Conclusion: the memory for requests is bounded over all sessions.

--- a/backend/wire/wire.go
+++ b/backend/wire/wire.go
@@ -23,6 +23,9 @@
 // ErrMalformed reports a message whose length or content is invalid.
 var ErrMalformed = errors.New("malformed message")
 
+// ErrNoMemory reports that the buffer may not grow for a message.
+var ErrNoMemory = errors.New("no memory for a large message")
+
 // SizeError reports a message that is longer than allowed.
 type SizeError struct {
 	Size, Max int
@@ -50,6 +53,9 @@
 	initial int
 	max     int
 	r, w    int
+	// reserve is asked before the buffer grows beyond keptSize, and told with
+	// a negative number when it shrinks again; nil allows everything.
+	reserve func(delta int) bool
 }
 
 // NewReader returns a Reader with a buffer of initial bytes that accepts
@@ -61,6 +67,9 @@
 // SetMax changes the largest message that is accepted.
 func (r *Reader) SetMax(limit int) { r.max = limit }
 
+// SetReserve makes the reader ask before its buffer grows large.
+func (r *Reader) SetReserve(reserve func(delta int) bool) { r.reserve = reserve }
+
 // SetSource replaces the source, for example after a TLS handshake. No bytes
 // may be buffered.
 func (r *Reader) SetSource(src io.Reader) { r.src = src }
@@ -71,10 +80,35 @@
 // Release frees the buffer if it is empty.
 func (r *Reader) Release() {
 	if r.r == r.w {
-		r.buf, r.r, r.w = nil, 0, 0
+		// Only growth can fail.
+		_ = r.resize(0)
+		r.r, r.w = 0, 0
 	}
 }
 
+// Reset drops the buffered bytes and frees the buffer.
+func (r *Reader) Reset() {
+	r.r = r.w
+	r.Release()
+}
+
+// resize replaces the buffer by one of the given size, 0 for none, and keeps
+// the buffered bytes.
+func (r *Reader) resize(size int) error {
+	delta := max(size-keptSize, 0) - max(len(r.buf)-keptSize, 0)
+	if r.reserve != nil && delta != 0 && !r.reserve(delta) {
+		return ErrNoMemory
+	}
+	var bigger []byte
+	if size > 0 {
+		bigger = make([]byte, size)
+	}
+	r.w = copy(bigger, r.buf[r.r:r.w])
+	r.r = 0
+	r.buf = bigger
+	return nil
+}
+
 // Next returns the next message. The frame is valid until the next call. After
 // a timeout of the source, Next may be called again and loses no byte.
 func (r *Reader) Next() (Frame, error) {
@@ -144,7 +178,9 @@
 // fill reads until n bytes are buffered.
 func (r *Reader) fill(n int) error {
 	for r.w-r.r < n {
-		r.makeRoom(n)
+		if err := r.makeRoom(n); err != nil {
+			return err
+		}
 		m, err := r.src.Read(r.buf[r.w:])
 		r.w += m
 		if err != nil && r.w-r.r < n {
@@ -165,27 +201,25 @@
 
 // makeRoom provides space behind the buffered bytes. The buffer at most
 // doubles, and only when it is full.
-func (r *Reader) makeRoom(n int) {
+func (r *Reader) makeRoom(n int) error {
 	if r.buf == nil {
 		r.buf = make([]byte, r.initial)
 	}
 	if r.r == r.w {
 		r.r, r.w = 0, 0
 		if len(r.buf) > max(r.initial, keptSize) && n <= r.initial {
-			r.buf = make([]byte, r.initial)
+			return r.resize(r.initial)
 		}
 	}
 	if len(r.buf)-r.r >= n || r.w < len(r.buf) {
-		return
+		return nil
 	}
 	if r.r > 0 {
 		r.w = copy(r.buf, r.buf[r.r:r.w])
 		r.r = 0
-		return
+		return nil
 	}
-	bigger := make([]byte, min(max(2*len(r.buf), headerLen), max(n, r.initial)))
-	r.w = copy(bigger, r.buf[:r.w])
-	r.buf = bigger
+	return r.resize(min(2*len(r.buf), max(n, r.initial)))
 }
 
 // Split returns the first frame of messages and the rest.
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -116,6 +116,10 @@
 func (s *session) ready() error {
 	s.out = wire.AppendMessage(s.out, wire.ReadyForQuery, []byte{s.tx})
 	s.answer = answer{}
+	if s.tx != wire.Idle {
+		// The error of a session that has to end is seen by its next read.
+		_ = s.startClock()
+	}
 	return s.flush()
 }
 
--- a/frontend/batch.go
+++ b/frontend/batch.go
@@ -22,7 +22,9 @@
 	locals []localAction
 	remote bool
 	// runs is true if a portal is bound or executed.
-	runs     bool
+	runs bool
+	// reserved is the memory taken from the server's budget.
+	reserved int
 	changes  []change
 	prepared []executor.Prepared
 	// parsed are the statements of this batch, by the caller's names.
@@ -66,6 +68,9 @@
 	if len(b.messages)+len(frame) > s.server.options.Limits.MessageSize {
 		return sqlstate.Refuse(sqlstate.TooLarge, "the batch is too large")
 	}
+	if refusal := s.growBatch(len(frame)); refusal != nil {
+		return refusal
+	}
 	var refusal *sqlstate.Error
 	var err error
 	switch frame.Type() {
--- /dev/null
+++ b/frontend/limits_test.go
@@ -0,0 +1,100 @@
+package frontend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// Guards against a message or batch above the limit that ends the session or
+// reaches the executor.
+func TestMessageSize(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, func(o *Options) { o.Limits.MessageSize = 4096 })
+	r := openRaw(t, address)
+	long := string(make([]byte, 1<<20))
+	if types, code := r.run(&pgproto3.Query{String: long}); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	if types, code := r.run(parse("", long), bind(""), execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	value := &pgproto3.Bind{Parameters: [][]byte{make([]byte, 3000)}}
+	if types, code := r.run(parse("", "SELECT 1"), value, execute, value, execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
+		t.Fatal(types, code)
+	}
+	if types, _ := r.run(&pgproto3.Query{String: "SELECT 1"}); types != "CZI" || f.count() != 1 {
+		t.Fatal(types, f.count())
+	}
+}
+
+// Guards against an idle session that keeps its stream, and against one that
+// does not work after its memory was released.
+func TestIdleRelease(t *testing.T) {
+	f := newFakes()
+	_, address := startServer(t, f, func(o *Options) { o.Limits.IdleRelease = time.Millisecond })
+	conn := mustConnect(t, address, "")
+	for i := range 2 {
+		if code := exec(t, conn, "SELECT 1"); code != "" {
+			t.Fatal(code)
+		}
+		waitFor(t, "the stream's end", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.closed == i+1
+		})
+	}
+}
+
+// Guards against large requests of some sessions that use up the memory of all,
+// and against reservations that are not given back.
+func TestMemoryBudget(t *testing.T) {
+	s, address := startServer(t, newFakes(), func(o *Options) { o.Limits.Memory = 200 << 10 })
+	r, other := openRaw(t, address), openRaw(t, address)
+	large := string(make([]byte, 300<<10))
+	medium := &pgproto3.Query{String: "SELECT '" + large[:60<<10] + "'"}
+	for range 3 {
+		if types, code := r.run(&pgproto3.Query{String: large}); types != "EZI" || code != sqlstate.OutOfMemory {
+			t.Fatal(types, code)
+		}
+		if types, _ := r.run(medium); types != "CZI" {
+			t.Fatal(types)
+		}
+	}
+	value := &pgproto3.Bind{Parameters: [][]byte{make([]byte, 60<<10)}}
+	r.write(parse("", "SELECT 1"), value, execute, value, execute)
+	third := openRaw(t, address)
+	if _, err := third.conn.Write(append([]byte{'Q', 0, 2, 0, 0}, make([]byte, 40<<10)...)); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the reservations", func() bool { return s.memory.used.Load() > 120<<10 })
+	if types, code := other.run(&pgproto3.Query{String: large[:150<<10]}); types != "EZI" || code != sqlstate.OutOfMemory {
+		t.Fatal(types, code)
+	}
+	if types, _ := other.run(&pgproto3.Query{String: "SELECT 1"}); types != "CZI" {
+		t.Fatal(types)
+	}
+	r.conn.Close()
+	other.conn.Close()
+	third.conn.Close()
+	waitFor(t, "the memory", func() bool { return s.Sessions() == 0 && s.memory.used.Load() == 0 })
+}
+
+// Guards against a batch that is never completed, and against a silent caller
+// that keeps a transaction open.
+func TestBatchTime(t *testing.T) {
+	_, address := startServer(t, newFakes(), func(o *Options) { o.Limits.BatchTime = 50 * time.Millisecond })
+	r := openRaw(t, address)
+	r.write(parse("", "SELECT 1"))
+	if _, code := r.until('E'); code != sqlstate.ProtocolViolation {
+		t.Fatal(code)
+	}
+	r = openRaw(t, address)
+	r.run(&pgproto3.Query{String: "BEGIN"})
+	if _, code := r.until('E'); code != sqlstate.IdleInTransaction {
+		t.Fatal(code)
+	}
+}
--- a/frontend/options.go
+++ b/frontend/options.go
@@ -114,6 +114,12 @@
 	// IdleRelease is how long a session is idle before its buffers and its
 	// stream are released.
 	IdleRelease time.Duration
+	// BatchTime bounds how long a batch may be incomplete, and how long a
+	// caller may be silent inside a transaction.
+	BatchTime time.Duration
+	// Memory bounds what all sessions together use for large messages and
+	// batches, in bytes.
+	Memory int
 }
 
 // Defaults of Limits.
@@ -124,6 +130,8 @@
 	defaultLoginTime   = 10 * time.Second
 	defaultStatements  = 1000
 	defaultIdleRelease = 2 * time.Second
+	defaultBatchTime   = time.Minute
+	defaultMemory      = 256 << 20
 	// defaultStatementTimeout applies to jobs without one.
 	defaultStatementTimeout = 30 * time.Second
 )
@@ -155,6 +163,8 @@
 	setDefault(&l.LoginTime, defaultLoginTime)
 	setDefault(&l.Statements, defaultStatements)
 	setDefault(&l.IdleRelease, defaultIdleRelease)
+	setDefault(&l.BatchTime, defaultBatchTime)
+	setDefault(&l.Memory, defaultMemory)
 	if o.ServerVersion == "" {
 		o.ServerVersion = "16.0 (chervilhatch)"
 	}
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -30,6 +30,10 @@
 		s.refuseBatch(refusal)
 		return s.ready()
 	}
+	if refusal := s.growBatch(len(frame)); refusal != nil {
+		s.refuseBatch(refusal)
+		return s.ready()
+	}
 	s.batch.messages = append(s.batch.messages, frame...)
 	if err := s.runBatch(); err != nil {
 		return err
@@ -92,7 +96,7 @@
 // refuseBatch answers with an error instead of running the batch. An open
 // transaction fails, as it does after any error in PostgreSQL.
 func (s *session) refuseBatch(refusal *sqlstate.Error) {
-	s.batch = newBatch()
+	s.dropBatch()
 	s.appendError(refusal)
 	if s.tx == wire.Idle {
 		return
@@ -107,6 +111,7 @@
 func (s *session) runBatch() error {
 	b := s.batch
 	s.batch = newBatch()
+	defer s.server.memory.reserve(-b.reserved)
 	if cap(b.messages) <= keptBuffer {
 		s.batch.messages = b.messages[:0]
 	}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -33,6 +33,7 @@
 	cancel    context.CancelFunc
 	logins    chan struct{}
 	refusals  chan struct{}
+	memory    memoryBudget
 	sessionWG sync.WaitGroup
 
 	mu        sync.Mutex
@@ -58,6 +59,7 @@
 		listeners: map[net.Listener]struct{}{},
 		sessions:  map[uint32]*session{},
 	}
+	s.memory.limit = int64(options.Limits.Memory)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -77,12 +77,14 @@
 	session := &session{server: s, conn: conn, reader: reader, tx: wire.Idle, batch: newBatch()}
 	session.ctx, session.stop = context.WithCancelCause(s.ctx)
 	reader.SetMax(s.options.Limits.MessageSize)
+	reader.SetReserve(s.memory.reserve)
 	return session
 }
 
 // serve runs the session until the caller leaves or the session is closed.
 func (s *session) serve() {
-	defer s.closeStream()
+	defer s.reader.Reset()
+	defer s.releaseMemory()
 	defer s.stop(nil)
 	if err := s.welcome(); err != nil {
 		s.end(nil)
@@ -106,14 +108,18 @@
 // survives handles an oversized message, after which the session goes on.
 func (s *session) survives(err error) bool {
 	var tooLong *wire.SizeError
-	if !errors.As(err, &tooLong) {
+	refusal := noMemory()
+	switch {
+	case errors.As(err, &tooLong):
+		refusal = sqlstate.Refuse(sqlstate.TooLarge, tooLong.Error())
+	case !errors.Is(err, wire.ErrNoMemory):
 		return false
 	}
 	kind, err := s.reader.Skip()
 	if err != nil {
 		return false
 	}
-	s.refuseBatch(sqlstate.Refuse(sqlstate.TooLarge, tooLong.Error()))
+	s.refuseBatch(refusal)
 	if kind == wire.Query {
 		return s.ready() == nil
 	}
@@ -134,6 +140,10 @@
 		return closing
 	case errors.Is(err, wire.ErrMalformed):
 		return protocolError("malformed message")
+	case isTimeout(err) && s.tx != wire.Idle:
+		return fatalError(sqlstate.IdleInTransaction, "the caller was silent for too long inside a transaction")
+	case isTimeout(err):
+		return protocolError("the batch was incomplete for too long")
 	}
 	return nil
 }
@@ -148,17 +158,29 @@
 
 // next reads one message. An idle session releases its memory meanwhile.
 func (s *session) next() (wire.Frame, error) {
-	if s.atRest() && s.reader.Buffered() == 0 {
-		if err := s.waitIdle(); err != nil {
-			return nil, err
-		}
-		if err := s.setIdle(false, time.Time{}); err != nil {
+	if s.atRest() {
+		if err := s.waitBatch(); err != nil {
 			return nil, err
 		}
 	}
 	return s.reader.Next()
 }
 
+// waitBatch waits for the start of a batch; from then on its time runs.
+func (s *session) waitBatch() error {
+	if s.reader.Buffered() == 0 {
+		if err := s.waitIdle(); err != nil {
+			return err
+		}
+	}
+	return s.startClock()
+}
+
+// startClock bounds the time until the batch is complete.
+func (s *session) startClock() error {
+	return s.setIdle(false, time.Now().Add(s.server.options.Limits.BatchTime))
+}
+
 // atRest reports whether the session is between two batches and outside a transaction.
 func (s *session) atRest() bool {
 	return s.tx == wire.Idle && s.batch.empty() && !s.skip
@@ -212,7 +234,7 @@
 	s.closeStream()
 	s.reader.Release()
 	s.out = nil
-	s.batch = newBatch()
+	s.dropBatch()
 }
 
 // setIdle records whether the session waits for a batch and sets the read
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"testing"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -308,46 +307,6 @@
 	}
 }
 
-// Guards against a message or batch above the limit that ends the session or
-// reaches the executor.
-func TestMessageSize(t *testing.T) {
-	f := newFakes()
-	_, address := startServer(t, f, func(o *Options) { o.Limits.MessageSize = 4096 })
-	r := openRaw(t, address)
-	long := string(make([]byte, 1<<20))
-	if types, code := r.run(&pgproto3.Query{String: long}); types != "EZI" || code != sqlstate.TooLarge {
-		t.Fatal(types, code)
-	}
-	if types, code := r.run(parse("", long), bind(""), execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
-		t.Fatal(types, code)
-	}
-	value := &pgproto3.Bind{Parameters: [][]byte{make([]byte, 3000)}}
-	if types, code := r.run(parse("", "SELECT 1"), value, execute, value, execute, syncNow); types != "EZI" || code != sqlstate.TooLarge {
-		t.Fatal(types, code)
-	}
-	if types, _ := r.run(&pgproto3.Query{String: "SELECT 1"}); types != "CZI" || f.count() != 1 {
-		t.Fatal(types, f.count())
-	}
-}
-
-// Guards against an idle session that keeps its stream, and against one that
-// does not work after its memory was released.
-func TestIdleRelease(t *testing.T) {
-	f := newFakes()
-	_, address := startServer(t, f, func(o *Options) { o.Limits.IdleRelease = time.Millisecond })
-	conn := mustConnect(t, address, "")
-	for i := range 2 {
-		if code := exec(t, conn, "SELECT 1"); code != "" {
-			t.Fatal(code)
-		}
-		waitFor(t, "the stream's end", func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			return f.closed == i+1
-		})
-	}
-}
-
 // Guards against messages that the proxy cannot serve leaving the session in
 // an unknown state.
 func TestUnsupportedMessages(t *testing.T) {
--- a/sqlstate/session.go
+++ b/sqlstate/session.go
@@ -2,6 +2,7 @@
 
 // Codes for the state of a caller's session, as PostgreSQL uses them.
 const (
+	OutOfMemory        Code = "53200"
 	TooManyConnections Code = "53300"
 	FailedTransaction  Code = "25P02"
 	IdleInTransaction  Code = "25P03"
