Check the term of a write's position and end busy sessions on a stop

Cause: a primary that is fenced and rewound between the commit and the position query would report a position that does not cover the write; a caller without pauses never let a stop end. Change: a position of another term than the assignment's gives 08007; during a stop a session serves one more request at most. Tests of spans, of a statement on another connection and of TLS to the upstreams. Conclusion: a success always refers to the term in which the write ran.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -11,19 +12,26 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
+// testProcess is the process id of every connection of a server.
+const testProcess = 7
+
 // server accepts connections without authentication and answers Sync.
 type server struct {
 	net.Listener
-	accepted atomic.Int32
+	canceled atomic.Int32
+	// secure is nil when the server offers no TLS.
+	secure *tls.Config
 }
 
-func startServer(t *testing.T) *server {
+func startServer(t *testing.T) *server { return startServerTLS(t, nil) }
+
+func startServerTLS(t *testing.T, secure *tls.Config) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{Listener: l}
+	s := &server{Listener: l, secure: secure}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -31,7 +39,6 @@
 			if err != nil {
 				return
 			}
-			s.accepted.Add(1)
 			go s.serve(conn)
 		}
 	}()
@@ -41,9 +48,20 @@
 func (s *server) serve(conn net.Conn) {
 	defer conn.Close()
 	pg := pgproto3.NewBackend(conn, conn)
-	if _, err := pg.ReceiveStartupMessage(); err != nil {
+	first, err := pg.ReceiveStartupMessage()
+	if _, ok := first.(*pgproto3.SSLRequest); ok && s.secure != nil {
+		_, _ = conn.Write([]byte{'S'})
+		secured := tls.Server(conn, s.secure)
+		pg = pgproto3.NewBackend(secured, secured)
+		first, err = pg.ReceiveStartupMessage()
+	}
+	if request, ok := first.(*pgproto3.CancelRequest); ok && request.ProcessID == testProcess {
+		s.canceled.Add(1)
+	}
+	if _, ok := first.(*pgproto3.StartupMessage); err != nil || !ok {
 		return
 	}
+	pg.Send(&pgproto3.BackendKeyData{ProcessID: testProcess, SecretKey: make([]byte, 4)})
 	pg.Send(&pgproto3.AuthenticationOk{})
 	for {
 		pg.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
@@ -57,12 +75,18 @@
 }
 
 func newTestPool(t *testing.T, address string, budget, warm int) *Pool {
+	t.Helper()
+	return newTestPoolTLS(t, address, budget, warm, nil)
+}
+
+func newTestPoolTLS(t *testing.T, address string, budget, warm int, secure *tls.Config) *Pool {
 	t.Helper()
 	credentials, err := NewCredentials("proxy", "secret")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := NewPool(PoolOptions{Config: Config{Address: address, Credentials: credentials}, Budget: budget, Warm: warm})
+	config := Config{Address: address, Credentials: credentials, TLS: secure}
+	p := NewPool(PoolOptions{Config: config, Budget: budget, Warm: warm})
 	t.Cleanup(p.Close)
 	return p
 }
@@ -225,3 +249,27 @@
 	c.check(p.ctx)
 	p.Put(c)
 }
+
+// Guards against TLS connections that are taken for closed because of the
+// handshake's own messages, and against plain connections where TLS is asked for.
+func TestUpstreamTLS(t *testing.T) {
+	secure := &tls.Config{Certificates: []tls.Certificate{testCertificate(t)}}
+	s := startServerTLS(t, secure)
+	client := &tls.Config{InsecureSkipVerify: true}
+	p := newTestPoolTLS(t, s.Addr().String(), 1, 0, client)
+	for range 3 {
+		c := mustGet(t, p)
+		c.check(t.Context())
+		if err := c.Cancel(); err != nil {
+			t.Fatal(err)
+		}
+		p.Put(c)
+	}
+	if stats := p.Stats(); stats.Opens != 1 || s.canceled.Load() != 3 {
+		t.Fatalf("%+v, %d cancel requests", stats, s.canceled.Load())
+	}
+	plain := newTestPoolTLS(t, startServer(t).Addr().String(), 1, 0, client)
+	if _, err := plain.Get(t.Context()); err == nil {
+		t.Fatal("connected without TLS")
+	}
+}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -54,9 +54,11 @@
 	txClass model.Class
 	// lost is true when the open transaction failed in the proxy and has no
 	// stream any more.
-	lost    bool
-	batchID uint64
-	answer  answer
+	lost bool
+	// lastCalled is true when the session has served its last request of a drain.
+	lastCalled bool
+	batchID    uint64
+	answer     answer
 
 	ctx  context.Context
 	stop context.CancelCauseFunc
@@ -188,6 +190,9 @@
 
 // waitIdle waits for the first bytes of the next batch.
 func (s *session) waitIdle() error {
+	if s.isDraining() {
+		return s.lastCall()
+	}
 	release := s.server.options.Limits.IdleRelease
 	if err := s.setIdle(true, time.Now().Add(release)); err != nil {
 		return err
@@ -207,9 +212,19 @@
 	return err
 }
 
-// lastCall is reached when a drain interrupts the wait: a request that is
-// already under way is still served.
+func (s *session) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// lastCall serves a request that was under way when a drain began. It does so
+// only once, so that a caller without pauses does not hold up the stop.
 func (s *session) lastCall() error {
+	if s.lastCalled {
+		return shutdownError()
+	}
+	s.lastCalled = true
 	s.mu.Lock()
 	closing := s.closing
 	_ = s.conn.SetReadDeadline(time.Now().Add(drainGrace))
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -254,8 +254,8 @@
 	waitFor(t, "the session's end", func() bool { return s.Sessions() == 0 })
 }
 
-// Guards against a stop that interrupts a statement or a transaction, or that
-// leaves idle sessions open.
+// Guards against a stop that interrupts a statement or a transaction, that
+// leaves idle sessions open, or that never ends for a caller without pauses.
 func TestShutdown(t *testing.T) {
 	f := newFakes()
 	s, address := startServer(t, f, nil)
@@ -263,8 +263,21 @@
 	inTx.run(&pgproto3.Query{String: "BEGIN"})
 	busy.write(&pgproto3.Query{String: "SELECT hang"})
 	<-f.started
+	loop := mustConnect(t, address, "")
+	looped := make(chan sqlstate.Code)
+	go func() {
+		for {
+			if code := exec(t, loop, "SELECT 1"); code != "" {
+				looped <- code
+				return
+			}
+		}
+	}()
 	done := make(chan error)
 	go func() { done <- s.Shutdown(context.Background()) }()
+	if code := <-looped; code != sqlstate.AdminShutdown {
+		t.Fatal(code)
+	}
 	if _, code := idle.until('E'); code != sqlstate.AdminShutdown {
 		t.Fatal(code)
 	}
--- a/holder/caller_test.go
+++ b/holder/caller_test.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/base64"
+	"strings"
 	"testing"
 
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
 	"github.com/chervilhatch/chervilhatch/sqlstate"
 )
 
@@ -88,3 +92,27 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// Guards against a hop without a span, and against spans outside the caller's trace.
+func TestSpans(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	tracer := trace.NewTracerProvider(trace.WithSpanProcessor(recorder)).Tracer("test")
+	b := &bench{upstream: startUpstream(t), decider: &decider{primary: true}, tracer: tracer}
+	b.open(t, b.upstream.address)
+	b.serve(t)
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	conn := b.connect(t, "chervilhatch.traceparent=00-"+id+"-b7ad6b7169203331-01")
+	if _, err := conn.Exec(context.Background(), "INSERT 1").ReadAll(); err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, span := range recorder.Ended() {
+		names = append(names, span.Name())
+		if got := span.SpanContext().TraceID().String(); got != id {
+			t.Errorf("%s: trace %s", span.Name(), got)
+		}
+	}
+	if got := strings.Join(names, ","); got != "queue,upstream,replication wait,caller" {
+		t.Fatal(got)
+	}
+}
--- a/holder/fakes_test.go
+++ b/holder/fakes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/backend"
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -30,6 +31,8 @@
 	primary  bool
 	majority error
 	floor    model.Position
+	// staleTerm makes the assignment's term older than the upstream's.
+	staleTerm bool
 
 	mu      sync.Mutex
 	held    int
@@ -46,7 +49,11 @@
 	if r.HasFloor {
 		floor = r.Floor
 	}
-	return holder.Assignment{Primary: d.primary, Floor: floor}, nil
+	term := model.Term{Counter: 7, Proposer: "vm-a1"}
+	if d.staleTerm {
+		term.Counter--
+	}
+	return holder.Assignment{Primary: d.primary, Term: term, Floor: floor}, nil
 }
 
 func (d *decider) Done(_ holder.Assignment, outcome holder.Outcome) {
@@ -89,6 +96,7 @@
 	server   *frontend.Server
 	address  string
 	idleInTx time.Duration
+	tracer   trace.Tracer
 }
 
 func newBench(t *testing.T, primary bool) *bench {
@@ -113,7 +121,7 @@
 	pools := holder.NewPools()
 	pools.Set(testUpstream, b.pool)
 	t.Cleanup(func() { pools.Remove(testUpstream) })
-	b.holder = holder.New(holder.Options{Decider: b.decider, Pools: pools, IdleInTransaction: b.idleInTx})
+	b.holder = holder.New(holder.Options{Decider: b.decider, Pools: pools, IdleInTransaction: b.idleInTx, Tracer: b.tracer})
 }
 
 func (b *bench) stream(t *testing.T) executor.Stream {
@@ -167,7 +175,7 @@
 	b.keys.Store(&[]frontend.Key{{ID: "k1", Verifier: frontend.Verifier{
 		Salt: []byte(stored.Salt), Iterations: stored.Iters, StoredKey: stored.StoredKey, ServerKey: stored.ServerKey,
 	}}})
-	b.server = frontend.New(frontend.Options{Directory: b, Admitter: b, Executor: direct{b}})
+	b.server = frontend.New(frontend.Options{Directory: b, Admitter: b, Executor: direct{b}, Tracer: b.tracer})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -181,11 +189,11 @@
 	})
 }
 
-func (b *bench) connect(t *testing.T) *pgconn.PgConn {
+func (b *bench) connect(t *testing.T, extra ...string) *pgconn.PgConn {
 	t.Helper()
 	host, port, _ := strings.Cut(b.address, ":")
 	conn, err := pgconn.Connect(context.Background(),
-		"host="+host+" port="+port+" user=w database=j sslmode=disable password="+testKey)
+		"host="+host+" port="+port+" user=w database=j sslmode=disable password="+testKey+" "+strings.Join(extra, " "))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -70,6 +70,7 @@
 		{"after the answer", "answered", "INSERT 1", 1},
 		{"at the position query", "received", "SELECT chervilhatch_position()", 1},
 		{"no majority", "", "", 1},
+		{"new term", "new term", "", 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -78,6 +79,7 @@
 			if c.point == "" {
 				b.decider.majority = sqlstate.Unknown("no majority")
 			}
+			b.decider.staleTerm = c.point == "new term"
 			types, _, err := answerOf(t, b.stream(t), model.Write, "INSERT 1")
 			own, ok := err.(*sqlstate.Error)
 			if !ok || own.Code != sqlstate.OutcomeUnknown || own.NotRun || types != "" {
@@ -356,3 +358,26 @@
 		t.Fatalf("result %+v, error %v", result, err)
 	}
 }
+
+// Guards against a statement that is missing on a connection other than the
+// one that first prepared it.
+func TestStatementOnAnotherConnection(t *testing.T) {
+	b := newBench(t, false)
+	s, other := b.stream(t), b.stream(t)
+	parse := encode(t, &pgproto3.Parse{Name: "mine", Query: "SELECT 1"})
+	run := encode(t, &pgproto3.Bind{PreparedStatement: "mine"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	for parses := 1; parses <= 2; parses++ {
+		for range 2 {
+			batch := &executor.Batch{Class: model.Read, Messages: run, Prepared: []executor.Prepared{{Name: "mine", Parse: parse}}}
+			if types, _, err := runMessages(t, s, batch); err != nil || types != "2DCZ" {
+				t.Fatalf("answer %q, error %v", types, err)
+			}
+			if n := b.upstream.count(&b.upstream.parses); n != parses {
+				t.Fatalf("%d parses, want %d", n, parses)
+			}
+		}
+		if _, _, err := answerOf(t, other, model.Read, "BEGIN"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/holder/write.go
+++ b/holder/write.go
@@ -85,6 +85,11 @@
 		return fmt.Errorf("%w: %w", errPosition, err)
 	}
 	x.position, err = parsePosition(row)
+	if err == nil && x.position.Term != x.seat.assignment.Term {
+		// The upstream may have been fenced and rewound since the commit; the
+		// position would then not cover the write.
+		return fmt.Errorf("%w: its term changed", errPosition)
+	}
 	return err
 }
 
