--- a/holder/upstream_test.go
+++ b/holder/upstream_test.go
@@ -97,7 +97,10 @@
 		return
 	}
 	if _, ok := first.(*pgproto3.CancelRequest); ok {
-		u.cancels <- struct{}{}
+		select {
+		case u.cancels <- struct{}{}:
+		default:
+		}
 		return
 	}
 	if !c.login() {
