Test withdrawal in the queue and guessed cancel keys

Cause: removing the second key check or the comparison of the cancel key broke no test. Change: a test for each. Conclusion: the checks are guarded.

--- a/frontend/limits_test.go
+++ b/frontend/limits_test.go
@@ -98,3 +98,25 @@
 		t.Fatal(code)
 	}
 }
+
+// Guards against a cancel request with a guessed key that cancels the batch of
+// another caller.
+func TestCancelKey(t *testing.T) {
+	f := newFakes()
+	s, address := startServer(t, f, nil)
+	r := openRaw(t, address)
+	r.write(&pgproto3.Query{String: "SELECT hang"})
+	<-f.started
+	session := s.snapshot()[0]
+	wrong := append([]byte(nil), session.secret...)
+	wrong[0] ^= 1
+	s.cancelRequest(&pgproto3.CancelRequest{ProcessID: session.processID, SecretKey: wrong})
+	s.cancelRequest(&pgproto3.CancelRequest{ProcessID: session.processID + 1, SecretKey: session.secret})
+	if len(f.resume) != 0 {
+		t.Fatal("a wrong cancel key was accepted")
+	}
+	s.cancelRequest(&pgproto3.CancelRequest{ProcessID: session.processID, SecretKey: session.secret})
+	if types, _ := r.until('Z'); types != "CZI" {
+		t.Fatal(types)
+	}
+}
--- a/holder/fakes_test.go
+++ b/holder/fakes_test.go
@@ -39,12 +39,15 @@
 	done    []holder.Outcome
 	awaited []model.Position
 	keyErr  error
+	// queueKeyErr becomes keyErr while a batch is queued.
+	queueKeyErr error
 }
 
 func (d *decider) Schedule(_ context.Context, r *holder.Request) (holder.Assignment, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.held++
+	d.keyErr = d.queueKeyErr
 	floor := d.floor
 	if r.HasFloor {
 		floor = r.Floor
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -276,13 +276,20 @@
 	}
 }
 
-// Guards against a key that still works after the wait for a slot.
+// Guards against a key that still works after it was withdrawn, before or
+// during the wait for a slot.
 func TestWithdrawnKeyIsNotRun(t *testing.T) {
-	b := newBench(t, true)
-	b.decider.keyErr = sqlstate.Refuse(sqlstate.KeyWithdrawn, "key withdrawn")
-	_, _, err := answerOf(t, b.stream(t), model.Write, "INSERT 1")
-	if codeOf(err) != sqlstate.KeyWithdrawn || b.upstream.count(&b.upstream.writes) != 0 {
-		t.Fatalf("error %v", err)
+	withdrawn := sqlstate.Refuse(sqlstate.KeyWithdrawn, "key withdrawn")
+	for _, before := range []bool{true, false} {
+		b := newBench(t, true)
+		b.decider.queueKeyErr = withdrawn
+		if before {
+			b.decider.keyErr = withdrawn
+		}
+		_, _, err := answerOf(t, b.stream(t), model.Write, "INSERT 1")
+		if codeOf(err) != sqlstate.KeyWithdrawn || b.upstream.count(&b.upstream.writes) != 0 || b.decider.slots() != 0 {
+			t.Fatalf("error %v, %d slots held", err, b.decider.slots())
+		}
 	}
 }
 
