Test keys, operators' races, store outages and zone drains with real processes

Cause: these guarantees were only tested in the reducer. Change: process tests for withdrawn and granted keys, two operators, a store outage longer than key_grace and epoch_ttl, a lost store answer, key secrecy on the upstream side, and a drained zone.

--- /dev/null
+++ b/test/integration/config_test.go
@@ -0,0 +1,223 @@
+package integration
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+func sqlState(err error) string {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
+// Guards against a withdrawn key that goes on working on a live connection or
+// on a VM that did not take part in the change.
+func TestKeyWithdrawn(t *testing.T) {
+	c := startCluster(t, nil)
+	for i := range c.Daemons {
+		exec(t, connect(t, c.URL(i, "skov", "entries")), "SELECT 1")
+	}
+	live := connect(t, c.URL(3, "skov", "entries"))
+	busy := connect(t, c.URL(2, "skov", "entries"))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(testContext(t), "SELECT pg_sleep(8)")
+		ended <- err
+	}()
+	if out, err := c.Ctl(testContext(t), 0, "key", "withdraw", "skov", "first"); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	if err := <-ended; err == nil {
+		t.Error("a running statement of a withdrawn key was not ended")
+	}
+	if _, err := live.Exec(testContext(t), "SELECT 1"); err == nil {
+		t.Error("a live session of a withdrawn key goes on")
+	}
+	for i := range c.Daemons {
+		conn, err := pgconn.Connect(testContext(t), c.URL(i, "skov", "entries"))
+		if err == nil {
+			_ = conn.Close(testContext(t))
+			t.Errorf("%s accepts a withdrawn key", c.Daemons[i].ID)
+		}
+	}
+	exec(t, connect(t, c.URL(1, "aaby", "entries")), "SELECT 1")
+}
+
+// Guards against a new key that does not work everywhere after the operator's
+// command has returned.
+func TestKeyGranted(t *testing.T) {
+	c := startCluster(t, nil)
+	out, err := c.Ctl(testContext(t), 1, "--output", "json", "key", "grant", "skov", "--id", "second")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, found := strings.Cut(out, `"key": "`)
+	key, _, _ := strings.Cut(rest, `"`)
+	if !found || key == "" {
+		t.Fatalf("no key in %s", out)
+	}
+	for i := range c.Daemons {
+		url := strings.Replace(c.URL(i, "skov", "entries"), "skov:"+c.Key("skov"), "skov%23second:"+key, 1)
+		exec(t, connect(t, url), "SELECT 1")
+	}
+}
+
+// Guards against two operators who both believe that their change won.
+func TestOperatorsRace(t *testing.T) {
+	c := startCluster(t, nil)
+	outcomes := make([]error, 2)
+	var wg sync.WaitGroup
+	for i, preset := range []string{"peak", "maintenance"} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, outcomes[i] = c.Ctl(testContext(t), i, "preset", "use", preset)
+		}()
+	}
+	wg.Wait()
+	out, err := c.Ctl(testContext(t), 3, "--output", "json", "status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Both may succeed one after the other; then the later one is in force.
+	if outcomes[0] != nil && outcomes[1] != nil {
+		t.Fatalf("both changes failed: %v; %v", outcomes[0], outcomes[1])
+	}
+	for i, preset := range []string{"peak", "maintenance"} {
+		if outcomes[i] == nil && outcomes[1-i] != nil && !strings.Contains(out, preset) {
+			t.Errorf("preset %s was accepted alone and is not in force: %s", preset, out)
+		}
+	}
+}
+
+// Guards against a store outage that all zones see together and that stops the
+// service, and against a change that is reported as accepted meanwhile.
+func TestStoreOutage(t *testing.T) {
+	c := startCluster(t, nil)
+	w := newWriter(t, c, 0, 1, 2, 3)
+	stop := w.start(t)
+	w.awaitAcks(t, 20)
+	c.Platform.SetDown(true)
+	// Longer than key_grace and epoch_ttl, so that only the rules for an
+	// outage that all zones see keep the service going.
+	time.Sleep(config.DefaultKeyGrace + 3*time.Second)
+	w.mu.Lock()
+	refused := len(w.notRun)
+	w.mu.Unlock()
+	w.awaitAcks(t, 50)
+	if refused > 0 {
+		t.Errorf("%d writes were refused during the outage", refused)
+	}
+	if out, err := c.Ctl(testContext(t), 0, "--wait", "0s", "preset", "use", "peak"); err == nil {
+		t.Errorf("a change was accepted without the store: %s", out)
+	}
+	c.Platform.SetDown(false)
+	await(t, "change after the outage", func() bool {
+		_, err := c.Ctl(testContext(t), 1, "preset", "use", "peak")
+		return err == nil
+	})
+	stop()
+	w.check(t, connect(t, c.URL(0, "skov", "entries")))
+}
+
+// Guards against a change whose answer was lost and that is made twice or
+// reported as failed.
+func TestLostStoreAnswer(t *testing.T) {
+	c := startCluster(t, nil)
+	c.Platform.LoseAnswers(1)
+	if out, err := c.Ctl(testContext(t), 2, "preset", "use", "peak"); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	out, err := c.Ctl(testContext(t), 0, "--output", "json", "config", "history")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(out, `"version"`); n != 2 {
+		t.Errorf("%d versions after one change, want 2: %s", n, out)
+	}
+}
+
+// Guards against any byte of a caller's key or login on the way to an upstream.
+func TestNoKeyReachesUpstreams(t *testing.T) {
+	c := startCluster(t, nil)
+	for _, u := range c.Groups["entries1"].Upstreams {
+		u.Record(true)
+	}
+	for i := range c.Daemons {
+		conn := connect(t, c.URL(i, "skov", "entries")+"&application_name=caller-app-name")
+		exec(t, conn, "CREATE TABLE IF NOT EXISTS wheel (id int)")
+		exec(t, conn, "INSERT INTO wheel VALUES ($1)", i)
+		queryInt(t, conn, "SELECT count(*) FROM wheel")
+	}
+	secrets := []string{c.Key("skov"), "caller-app-name", "skov"}
+	for _, w := range c.Document.Workspaces {
+		secrets = append(secrets, w.Keys[0].Verifier, w.Keys[0].Verifier[len("SCRAM-SHA-256$4096:"):])
+	}
+	recorded := 0
+	for _, u := range c.Groups["entries1"].Upstreams {
+		traffic := u.Recorded()
+		recorded += len(traffic)
+		for _, secret := range secrets {
+			if bytes.Contains(traffic, []byte(secret)) {
+				t.Errorf("upstream %s received %q", u.ID(), secret)
+			}
+		}
+	}
+	if recorded == 0 {
+		t.Fatal("nothing was recorded")
+	}
+}
+
+// Guards against new work in a drained zone, and against requests that fail
+// because a zone leaves or returns.
+func TestZoneDrain(t *testing.T) {
+	c := startCluster(t, nil)
+	w := newWriter(t, c, 0, 1, 2, 3)
+	stop := w.start(t)
+	w.awaitAcks(t, 50)
+	if out, err := c.Ctl(testContext(t), 1, "zone", "drain", "zone-a"); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	await(t, "handover of the primary", func() bool {
+		primary := c.Groups["entries1"].Primary()
+		return primary != nil && primary.ID() == c.Document.Databases[0].Upstreams[1].ID
+	})
+	time.Sleep(3 * time.Second)
+	before := statementsIn(c, "zone-a")
+	w.awaitAcks(t, 50)
+	if after := statementsIn(c, "zone-a"); after != before {
+		t.Errorf("%d statements ran in the drained zone", after-before)
+	}
+	if out, err := c.Ctl(testContext(t), 1, "zone", "restore", "zone-a"); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	w.awaitAcks(t, 50)
+	stop()
+	w.check(t, connect(t, c.URL(1, "skov", "entries")))
+	for _, err := range w.failures {
+		t.Errorf("a zone that leaves or returns failed a request: %v", err)
+	}
+}
+
+// statementsIn returns how many statements the upstreams of a zone have run.
+func statementsIn(c *cluster.Cluster, zone string) int {
+	n := 0
+	for i, u := range c.Groups["entries1"].Upstreams {
+		if string(c.Document.Databases[0].Upstreams[i].Zone) == zone {
+			n += int(u.Counters().Statements)
+		}
+	}
+	return n
+}
