End connections to partitioned upstreams

Cause: a partitioned upstream does not close its connections, and the kernel's defaults keep them for minutes. Change: TCP_USER_TIMEOUT of 5 s and keep-alive probes on connections to upstreams. Measured: the option is set on the socket (test); a real partition was not tried. Conclusion: a statement on a partitioned upstream should end with 08006 or 08007 within about 5 s.

--- a/backend/dial.go
+++ b/backend/dial.go
@@ -6,15 +6,26 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
+	"golang.org/x/sys/unix"
 
 	"github.com/chervilhatch/chervilhatch/backend/wire"
 )
 
-const scramSHA256 = "SCRAM-SHA-256"
+const (
+	scramSHA256 = "SCRAM-SHA-256"
+	// An upstream that is partitioned from this VM does not close its
+	// connections. Unanswered packets end them within 5 s, which is below the
+	// 7 s within which writes must continue after a failure.
+	unansweredTime    = 5 * time.Second
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
 
 // Credentials are the proxy's own user and password. They cache the keys that
 // SCRAM derives, because the derivation takes milliseconds.
@@ -63,7 +74,12 @@
 }
 
 func dialSocket(ctx context.Context, config *Config) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{
+		Control: limitUnanswered,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", config.Address)
 	if err != nil || config.TLS == nil {
 		return conn, err
@@ -76,6 +92,15 @@
 	return secured, nil
 }
 
+// limitUnanswered bounds how long sent bytes may stay without acknowledgment.
+func limitUnanswered(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unansweredTime.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
 func startTLS(ctx context.Context, conn net.Conn, config *tls.Config) (net.Conn, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -6,10 +6,12 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sys/unix"
 )
 
 // testProcess is the process id of every connection of a server.
@@ -273,3 +275,20 @@
 		t.Fatal("connected without TLS")
 	}
 }
+
+// Guards against connections to a partitioned upstream that wait for minutes.
+func TestUnansweredTime(t *testing.T) {
+	p := newTestPool(t, startServer(t).Addr().String(), 1, 0)
+	c := mustGet(t, p)
+	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var limit int
+	err = raw.Control(func(fd uintptr) {
+		limit, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	})
+	if err != nil || limit != int(unansweredTime.Milliseconds()) {
+		t.Fatalf("limit %d ms, error %v", limit, err)
+	}
+}
