Run process tests in parallel on ports that nothing else takes

Cause: a daemon's port was taken by an outgoing connection between its choice and the start of the daemon (bind: address already in use). Change: ports below the range of outgoing connections, in a growing sequence; three process tests at a time. Conclusion: none further.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	go tool staticcheck $(PACKAGES)
 
 test:
-	go test -count=1 $(PACKAGES)
+	go test -count=1 -parallel 3 $(PACKAGES)
 
 # Needs Debian's protobuf-compiler; the plug-ins are tools of the test module.
 # The generated code is committed, so that the build does not need them.
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -47,14 +48,32 @@
 	return d, writeJSON(d.settings, c.settingsOf(d))
 }
 
-// freeAddress returns an address that was free a moment ago.
+// Ports of daemons lie below the range from which the system takes ports of
+// outgoing connections; otherwise such a connection could take a port between
+// its choice and the start of the daemon.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
+// lastPort is the port that was chosen last. Test processes start at
+// different ports.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(int64(os.Getpid()) * 211) }
+
+// freeAddress returns an address that was free a moment ago and is not
+// returned again soon.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("%w: no free port", ErrNotReady)
 }
 
 func (c *Cluster) settingsOf(d *Daemon) map[string]any {
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -14,14 +13,6 @@
 	"github.com/chervilhatch/chervilhatch/test/cluster"
 )
 
-func sqlState(err error) string {
-	var refused *pgconn.PgError
-	if errors.As(err, &refused) {
-		return refused.Code
-	}
-	return ""
-}
-
 // Guards against a withdrawn key that goes on working on a live connection or
 // on a VM that did not take part in the change.
 func TestKeyWithdrawn(t *testing.T) {
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -28,6 +28,7 @@
 // startCluster starts four daemons in two zones with one database.
 func startCluster(t *testing.T, change func(*cluster.Options)) *cluster.Cluster {
 	t.Helper()
+	t.Parallel()
 	o := cluster.Options{
 		Dir:         t.TempDir(),
 		Zones:       []string{"zone-a", "zone-b"},
