Keep a zone's outage when a report does not speak of the store

Cause: during a store outage of four zones keyed requests were refused with 57R04 after key_grace. A relay's summary became reports without an outage, each of which deleted the zone's outage, so the zones were hardly ever known to be out at the same time. Change: a report without an outage takes nothing back. What a zone knew at its last outage stays true, so nothing that was confirmed becomes wrong. The process test of a store outage runs with four zones and eight VMs.

--- a/core/confsync/confsync.go
+++ b/core/confsync/confsync.go
@@ -254,11 +254,11 @@
 	return append(out, Effect{Kind: Request, VM: ev.VM, Version: ev.Version})
 }
 
-// zoneReport records whether the peer's zone reaches the store. One VM of the
-// zone that reaches it is enough to make a change there.
+// zoneReport records when the peer's zone last could not reach the store. A
+// report without an outage takes nothing back: what the zone knew at its last
+// outage stays true, and only the time of a newer one confirms more.
 func (s *State) zoneReport(ev *Event) {
 	if !ev.StoreUnreachable {
-		delete(s.outages, ev.Zone)
 		return
 	}
 	previous := s.outages[ev.Zone]
--- a/core/confsync/confsync_test.go
+++ b/core/confsync/confsync_test.go
@@ -119,6 +119,16 @@
 			{9, own(9), "", 3},
 			{10, unreachable("b1", 1, 10), "", 3},
 		},
+		// Guards against an outage that is forgotten when a VM of the zone, or a
+		// relay's summary, reports a version without speaking of the store.
+		"a report without an outage takes none back": {
+			{1, all, "", -1},
+			{1, read(1, 1), "apply:1 ", 0},
+			{5, unreachable("b1", 1, 5), "", 4},
+			{5.5, report("b1", 1, -1), "", 4.5},
+			{6, unreachable("c1", 1, 6), "", 5},
+			{6, own(6), "", 1},
+		},
 		// Guards against continuing when a zone can still make changes.
 		"a zone that reaches the store ends the evidence": {
 			{1, all, "", -1},
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -96,7 +96,10 @@
 // Guards against a store outage that all zones see together and that stops the
 // service, and against a change that is reported as accepted meanwhile.
 func TestStoreOutage(t *testing.T) {
-	c := startCluster(t, nil)
+	c := startCluster(t, func(o *cluster.Options) {
+		o.Zones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
+		o.VMs = 8
+	})
 	w := newWriter(t, c, 0, 1, 2, 3)
 	stop := w.start(t)
 	w.awaitAcks(t, 20)
