End what waits and runs on a primary when another one is confirmed

Cause: eight writers stood still for 5.28 s after a suspended primary, although another upstream was promoted after 1 s: seven of them waited for the slots and connections of the old primary, whose statements only ended by the TCP user timeout of 5 s. (The first try closed only the running statements; the queue behind them then took each free slot and hung in turn: still 5.28 s.) Change: the holder closes the connections of statements that run on a primary of a lower term, and refuses what is queued for it as not run, when another primary is confirmed. A position or freshness check that an upstream cannot satisfy is refused after 100 ms (reads) or 300 ms (writes), so that the router tries another upstream instead of waiting for the deadline.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -27,7 +27,8 @@
 // Holder implements executor.Holders for the upstreams whose connections this
 // VM holds.
 type Holder struct {
-	options Options
+	options    Options
+	interrupts interrupts
 }
 
 var _ executor.Holders = (*Holder)(nil)
@@ -37,7 +38,7 @@
 	if options.IdleInTransaction <= 0 {
 		options.IdleInTransaction = defaultIdleInTransaction
 	}
-	return &Holder{options: options}
+	return &Holder{options: options, interrupts: newInterrupts()}
 }
 
 // Open returns a stream for one caller session on upstream u. The upstream is
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -9,6 +9,7 @@
 
 // giveBack returns the connection and the slot.
 func (t *seat) giveBack(decider Decider, outcome Outcome) {
+	t.holder.interrupts.ran(t)
 	if t.conn != nil {
 		t.pool.Put(t.conn)
 	}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -49,6 +49,7 @@
 	assignment Assignment
 	pool       *backend.Pool
 	conn       *backend.Conn
+	holder     *Holder
 }
 
 // Run implements executor.Stream.
@@ -122,11 +123,13 @@
 // acquire waits for a slot and a connection.
 func (s *stream) acquire(ctx context.Context, b *executor.Batch) (*seat, error) {
 	decider := s.holder.options.Decider
+	s.holder.interrupts.wait(s, s.stopQueue)
+	defer s.holder.interrupts.waited(s)
 	assignment, err := decider.Schedule(ctx, s.request(b))
 	if err != nil {
 		return nil, refusal(ctx, err)
 	}
-	next := &seat{assignment: assignment}
+	next := &seat{assignment: assignment, holder: s.holder}
 	outcome, err := s.connect(ctx, next)
 	if err != nil {
 		next.giveBack(decider, outcome)
@@ -135,6 +138,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seat = next
+	s.holder.interrupts.run(s.hello.Database, next)
 	return next, nil
 }
 
@@ -173,11 +177,15 @@
 
 // refusal returns the error of a batch that did not leave the queue.
 func refusal(ctx context.Context, err error) *sqlstate.Error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errSuperseded) {
+		return sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
+	}
 	var own *sqlstate.Error
 	if errors.As(err, &own) {
 		return own
 	}
-	if errors.Is(context.Cause(ctx), errCanceled) {
+	if errors.Is(cause, errCanceled) {
 		return sqlstate.Refuse(sqlstate.QueryCanceled, "canceled by the caller while queued")
 	}
 	return sqlstate.Refuse(sqlstate.DeadlineTooClose, "the deadline passed while queued")
--- a/node/decider.go
+++ b/node/decider.go
@@ -43,6 +43,22 @@
 	return a, err
 }
 
+// Times after which an upstream that cannot satisfy a request refuses it, so
+// that the caller side can try another one.
+const (
+	readPatience  = 100 * time.Millisecond
+	writePatience = 300 * time.Millisecond
+)
+
+// patience returns the deadline of the check of a request.
+func (d *decider) patience(r *holder.Request) model.Time {
+	wait := readPatience
+	if r.Class == model.Write {
+		wait = writePatience
+	}
+	return min(d.loop.clock.At(r.Deadline), d.loop.clock.Now().Add(wait))
+}
+
 // check waits until the upstream satisfies the request.
 func (d *decider) check(ctx context.Context, r *holder.Request) (holder.Assignment, error) {
 	id := d.loop.newID()
@@ -54,7 +70,7 @@
 		Floor:    r.Floor,
 		HasFloor: r.HasFloor,
 		MaxAge:   r.MaxAge,
-		Deadline: d.loop.clock.At(r.Deadline),
+		Deadline: d.patience(r),
 	}
 	if r.Class == model.Write {
 		ev.Kind = replication.WriteCheck
--- a/node/effects.go
+++ b/node/effects.go
@@ -170,6 +170,9 @@
 }
 
 func (x *effectExecutor) replication(ctx context.Context, e *replication.Effect) {
+	if e.Kind == replication.PrimaryChanged {
+		x.node.holder.Interrupt(e.Database, e.Upstream, e.Term)
+	}
 	if e.Kind != replication.PollRound {
 		return
 	}
@@ -217,6 +220,7 @@
 	switch e.Kind {
 	case failover.PrimaryChanged:
 		x.count("failover.primary_changed")
+		x.node.holder.Interrupt(e.Database, e.Primary, e.Term)
 		line.Msg("primary changed")
 	case failover.SwitchoverBegun:
 		line.Str("candidate", string(e.Upstream)).Msg("planned switchover begun")
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 	exchanger *peer.Exchanger
 	clients   *peer.Clients
 	tokens    *tokens
+	holder    *holder.Holder
 	pools     *budgets
 	control   *pgcontrol.Control
 	executor  *effectExecutor
@@ -132,11 +133,11 @@
 		loop: n.loop, pools: pools, access: n.access, credentials: credentials,
 		log: n.log, held: map[model.UpstreamID]heldPool{},
 	}
-	local := holder.New(holder.Options{
+	n.holder = holder.New(holder.Options{
 		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
 		Pools:   pools,
 	})
-	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: local, clients: n.clients}
+	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: n.holder, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
 	n.callers = &callerServer{
 		log: n.log,
@@ -150,7 +151,7 @@
 		},
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
-		peerv1.RegisterPeerServer(s, peer.NewServer(local, n.exchanger, n.tokens))
+		peerv1.RegisterPeerServer(s, peer.NewServer(n.holder, n.exchanger, n.tokens))
 		platformv1.RegisterPlatformServer(s, oprelay.NewServer(n.options.Store, n.routeToRelay, n.learnRecord))
 	})
 	if n.options.Operator == nil {
--- a/test/integration/failover_test.go
+++ b/test/integration/failover_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/dbgroup"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
 )
 
 // Guards against an acknowledged write that is lost, or a write that runs
@@ -58,3 +61,38 @@
 	stop()
 	w.check(t, connect(t, c.URL(3, "skov", "entries")))
 }
+
+// Guards against statements that hang on a primary that no longer answers
+// after another one was promoted: a session would not go on before its
+// statement timeout, which is longer than the test here.
+func TestRunningWritesEndWithThePrimary(t *testing.T) {
+	c := startCluster(t, func(o *cluster.Options) {
+		o.Jobs[0].StatementTimeout = config.Duration(5 * time.Minute)
+	})
+	setup := connect(t, c.URL(0, "skov", "entries"))
+	exec(t, setup, "CREATE TABLE entry (id int)")
+	group := c.Groups["entries1"]
+	old := group.Primary()
+	var running []*writer
+	for i := range 8 {
+		w := &writer{cluster: c, table: "entry", base: 1 + 1_000_000*i, vms: []int{i % 4}}
+		defer w.start(t)()
+		running = append(running, w)
+	}
+	for _, w := range running {
+		w.awaitAcks(t, 10)
+	}
+	old.Partition(true)
+	old.Pause()
+	suspended := time.Now()
+	for _, w := range running {
+		w.awaitAcks(t, 10)
+	}
+	t.Logf("all writers went on after %v", time.Since(suspended))
+	if group.Primary() == old {
+		t.Fatal("writes were acknowledged without a new primary")
+	}
+	old.Resume()
+	old.Partition(false)
+	await(t, "old primary as a replica", func() bool { return old.Status().Role == dbgroup.Replica })
+}
