Wait for acknowledgements before a planned switchover; end statements on silent upstreams

(3) A read on an upstream that no longer answers lasted until its deadline. Change: Decider.EndWrite comes after the acknowledgement; a seat of an earlier term is given back before it waits for a connection; reads on an upstream that answered no poll for 1 s are interrupted and tried elsewhere. The holder's test fails when EndWrite comes with Done.

--- a/holder/core.go
+++ b/holder/core.go
@@ -58,6 +58,10 @@
 	Schedule(ctx context.Context, r *Request) (Assignment, error)
 	// Done gives the slot back.
 	Done(a Assignment, outcome Outcome)
+	// EndWrite ends a write for which Schedule was called. It comes after Done
+	// and, where the write is acknowledged, after AwaitMajority, so that a
+	// planned switchover waits for the acknowledgement.
+	EndWrite(a Assignment)
 	// AwaitMajority returns nil once a majority of the group holds p in p's
 	// term, and an OutcomeUnknown error when that fails or ctx ends.
 	AwaitMajority(ctx context.Context, db model.Database, p model.Position) error
--- a/holder/fakes_test.go
+++ b/holder/fakes_test.go
@@ -38,7 +38,11 @@
 	held    int
 	done    []holder.Outcome
 	awaited []model.Position
-	keyErr  error
+	// ended counts the writes that ended, and endedEarly those that ended
+	// before their majority was awaited.
+	ended      int
+	endedEarly int
+	keyErr     error
 	// queueKeyErr becomes keyErr while a batch is queued.
 	queueKeyErr error
 }
@@ -66,6 +70,15 @@
 	d.done = append(d.done, outcome)
 }
 
+func (d *decider) EndWrite(holder.Assignment) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended++
+	if len(d.awaited) < d.ended {
+		d.endedEarly++
+	}
+}
+
 func (d *decider) AwaitMajority(_ context.Context, _ model.Database, p model.Position) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -42,7 +42,8 @@
 }
 
 // Guards against a write that is acknowledged at another position than the one
-// after its commit, or without asking for the majority.
+// after its commit, or without asking for the majority, and against a planned
+// switchover that does not wait for the acknowledgement.
 func TestWriteWaitsForMajority(t *testing.T) {
 	b := newBench(t, true)
 	types, result, err := answerOf(t, b.stream(t), model.Write, "INSERT 1")
@@ -53,6 +54,9 @@
 	if result.Position != want || len(b.decider.awaited) != 1 || b.decider.awaited[0] != want {
 		t.Fatalf("position %v, awaited %v", result.Position, b.decider.awaited)
 	}
+	if b.decider.ended != 1 || b.decider.endedEarly != 0 {
+		t.Fatalf("%d writes ended, %d before their majority was awaited", b.decider.ended, b.decider.endedEarly)
+	}
 	if result.Applied.Pos != 99 || result.Primary != "primary" || b.decider.slots() != 0 {
 		t.Fatalf("hint %+v, slots held %d", result, b.decider.slots())
 	}
--- a/holder/interrupt.go
+++ b/holder/interrupt.go
@@ -12,13 +12,17 @@
 // upstream has become the primary.
 var errSuperseded = errors.New("another upstream has become the primary")
 
-// interrupts knows what runs and waits on primaries, so that it ends when
-// another upstream becomes the primary. On a primary that no longer answers it
+// errSilent is the cause when a queued batch is refused because the upstream
+// does not answer.
+var errSilent = errors.New("the upstream does not answer")
+
+// interrupts knows what runs and waits on upstreams, so that it ends when
+// another upstream becomes the primary or an upstream no longer answers. It
 // would otherwise last until its deadline.
 type interrupts struct {
 	mu sync.Mutex
-	// running are the seats in use on primaries.
-	running map[*seat]model.Database
+	// running are the seats in use.
+	running map[*seat]*stream
 	// queued are the streams that wait for a slot or a connection.
 	queued map[*stream]context.CancelCauseFunc
 	// primaries are the newest known ones.
@@ -33,7 +37,7 @@
 
 func newInterrupts() interrupts {
 	return interrupts{
-		running:   map[*seat]model.Database{},
+		running:   map[*seat]*stream{},
 		queued:    map[*stream]context.CancelCauseFunc{},
 		primaries: map[model.Database]reign{},
 	}
@@ -52,16 +56,21 @@
 	delete(i.queued, s)
 }
 
-// run registers a seat on a primary, and interrupts it at once when its term
-// has ended since it was scheduled.
-func (i *interrupts) run(db model.Database, t *seat) {
-	if !t.assignment.Primary {
-		return
-	}
+// superseded reports whether another term has begun since an assignment on a
+// primary was made.
+func (i *interrupts) superseded(db model.Database, a Assignment) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.running[t] = db
-	if t.assignment.Term.Less(i.primaries[db].term) {
+	return a.Primary && a.Term.Less(i.primaries[db].term)
+}
+
+// run registers a seat, and interrupts it at once when it is on a primary
+// whose term has ended since it was scheduled.
+func (i *interrupts) run(s *stream, t *seat) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running[t] = s
+	if t.assignment.Primary && t.assignment.Term.Less(i.primaries[s.hello.Database].term) {
 		t.conn.Close()
 	}
 }
@@ -84,8 +93,8 @@
 		return
 	}
 	i.primaries[db] = reign{t, primary}
-	for seat, used := range i.running {
-		if used == db && seat.assignment.Term.Less(t) {
+	for seat, s := range i.running {
+		if s.hello.Database == db && seat.assignment.Primary && seat.assignment.Term.Less(t) {
 			seat.conn.Close()
 		}
 	}
@@ -98,3 +107,21 @@
 		}
 	}
 }
+
+// InterruptReads ends what runs and waits on a replica that no longer answers.
+// The router sends reads that passed nothing on to another upstream.
+func (h *Holder) InterruptReads(u model.UpstreamID) {
+	i := &h.interrupts
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for seat, s := range i.running {
+		if s.upstream == u && !seat.assignment.Primary {
+			seat.conn.Close()
+		}
+	}
+	for s, stop := range i.queued {
+		if s.upstream == u {
+			stop(errSilent)
+		}
+	}
+}
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -14,6 +14,9 @@
 		t.pool.Put(t.conn)
 	}
 	decider.Done(t.assignment, outcome)
+	if !t.awaits {
+		decider.EndWrite(t.assignment)
+	}
 }
 
 // abandon gives back the seat of a batch that did not run and returns the
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -50,6 +50,9 @@
 	pool       *backend.Pool
 	conn       *backend.Conn
 	holder     *Holder
+	// awaits is true when the write waits for its majority after the seat is
+	// given back.
+	awaits bool
 }
 
 // Run implements executor.Stream.
@@ -88,6 +91,10 @@
 	upstream := s.startHop(ctx, upstreamSpan, b.TraceParent)
 	failure := x.run(ctx)
 	upstream.end(failure != nil)
+	if failure == nil && x.needsMajority() {
+		seat.awaits = true
+		defer s.holder.options.Decider.EndWrite(seat.assignment)
+	}
 	status := s.finish(x, failure)
 	if failure != nil {
 		return executor.Result{TxStatus: status}, failure
@@ -130,6 +137,10 @@
 		return nil, refusal(ctx, err)
 	}
 	next := &seat{assignment: assignment, holder: s.holder}
+	if s.holder.interrupts.superseded(s.hello.Database, assignment) {
+		next.giveBack(decider, Completed)
+		return nil, sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
+	}
 	outcome, err := s.connect(ctx, next)
 	if err != nil {
 		next.giveBack(decider, outcome)
@@ -138,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seat = next
-	s.holder.interrupts.run(s.hello.Database, next)
+	s.holder.interrupts.run(s, next)
 	return next, nil
 }
 
@@ -181,6 +192,9 @@
 	if errors.Is(cause, errSuperseded) {
 		return sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
 	}
+	if errors.Is(cause, errSilent) {
+		return sqlstate.Refuse(sqlstate.UpstreamUnavail, errSilent.Error())
+	}
 	var own *sqlstate.Error
 	if errors.As(err, &own) {
 		return own
--- a/node/decider.go
+++ b/node/decider.go
@@ -148,9 +148,11 @@
 func (d *decider) Done(a holder.Assignment, _ holder.Outcome) {
 	ev := fairness.Event{Kind: fairness.EventFinished, ID: a.ID}
 	d.loop.apply(&core.Event{Fairness: &ev})
-	d.gates.release(a.ID)
 }
 
+// EndWrite implements holder.Decider.
+func (d *decider) EndWrite(a holder.Assignment) { d.gates.release(a.ID) }
+
 // AwaitMajority implements holder.Decider.
 func (d *decider) AwaitMajority(ctx context.Context, db model.Database, p model.Position) error {
 	id := d.loop.newID()
--- a/node/effects.go
+++ b/node/effects.go
@@ -35,6 +35,7 @@
 	control dbgroup.Control
 	log     zerolog.Logger
 	metrics metrics.Registry
+	silence *silence
 	calls   sync.WaitGroup
 }
 
@@ -238,6 +239,7 @@
 	defer cancel()
 	sentAt := x.loop.clock.Now()
 	status, err := x.control.Status(ctx, e.Upstream)
+	x.silence.note(e.Upstream, sentAt, err == nil)
 	x.answer(e, failover.StatusAnswered, failover.StatusFailed, err, failover.Event{SentAt: sentAt, Status: status})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,7 @@
 	n.control = pgcontrol.New(n.access.upstreamAddress, pgcontrol.Credentials{User: o.UpstreamUser, Password: o.UpstreamPassword})
 	n.executor = &effectExecutor{node: n, loop: n.loop, control: n.control, log: o.Log, metrics: o.Metrics}
 	n.composeDataPath(credentials)
+	n.executor.silence = newSilence(n.holder.InterruptReads)
 	return n, nil
 }
 
