Let proposers die before their requests leave; record the mutations

Cause: with fewer polls the failover property no longer reached a proposer that dies and proposes the same counter again, so it passed with a term that lacks the incarnation. Change: the model pauses or kills the last proposer, in half of the cases before its requests have left. The properties' comments list the mutations.

--- /dev/null
+++ b/test/property/failoverworld_test.go
@@ -0,0 +1,384 @@
+package property
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/failover"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// testDetect is the detection time of the simulated groups.
+const testDetect = 100 * time.Millisecond
+
+// watcherModel is a VM with its failover state.
+type watcherModel struct {
+	id          model.VMID
+	incarnation uint64
+	state       *failover.State
+	paused      bool
+	gateClosed  bool
+	// cut[i] is true while the VM cannot reach upstream i.
+	cut [3]bool
+}
+
+// message is a request to an upstream, or an event for a watcher.
+type message struct {
+	watcher     int
+	incarnation uint64
+	request     bool
+	effect      failover.Effect
+	event       failover.Event
+}
+
+// failoverWorld connects watchers, upstreams and a network that loses,
+// duplicates and reorders.
+type failoverWorld struct {
+	dice
+	t        *rapid.T
+	now      model.Time
+	group    *groupModel
+	watchers []*watcherModel
+	flight   []message
+	out      []failover.Effect
+	// faults is the percentage of steps that are faults.
+	faults int
+	// proposer is the watcher that proposed last, -1 when it was disturbed since.
+	proposer int
+	// candidates and proposers have what was sent in the name of each term.
+	candidates map[model.Term]model.UpstreamID
+	proposers  map[model.Term]string
+}
+
+func newFailoverWorld(t *rapid.T) *failoverWorld {
+	w := &failoverWorld{
+		t: t, now: model.Time(time.Hour), group: newGroupModel(t), proposer: -1,
+		candidates: make(map[model.Term]model.UpstreamID), proposers: make(map[model.Term]string),
+	}
+	for i := range 3 {
+		w.watchers = append(w.watchers, &watcherModel{id: model.VMID("vm" + strconv.Itoa(i))})
+		w.restart(i)
+	}
+	return w
+}
+
+// restart replaces a watcher by one that has forgotten everything.
+func (w *failoverWorld) restart(i int) {
+	v := w.watchers[i]
+	v.incarnation++
+	v.gateClosed = false
+	v.state = failover.New(v.id, v.incarnation)
+	w.configure(i, -1)
+}
+
+// configure sends the group's configuration, with one upstream drained if
+// drained is not negative.
+func (w *failoverWorld) configure(i, drained int) {
+	ev := failover.Event{
+		Kind: failover.GroupConfigured, Database: "db", Watcher: true, Detect: testDetect,
+		BackoffMin: 20 * time.Millisecond, BackoffMax: 200 * time.Millisecond,
+	}
+	for j, u := range w.group.upstreams {
+		ev.Upstreams = append(ev.Upstreams, failover.Upstream{ID: u.id, Holder: w.watchers[min(j, len(w.watchers)-1)].id, Drained: j == drained})
+	}
+	for _, other := range []model.VMID{"vm0", "vm1", "vm2"} {
+		if other != w.watchers[i].id {
+			ev.Peers = append(ev.Peers, other)
+		}
+	}
+	w.apply(i, &ev)
+}
+
+// apply gives an event to a watcher and puts its effects on the network.
+func (w *failoverWorld) apply(i int, ev *failover.Event) {
+	v := w.watchers[i]
+	ev.Database = "db"
+	w.out = v.state.Apply(w.now, ev, w.out[:0])
+	for _, e := range w.out {
+		m := message{watcher: i, incarnation: v.incarnation, request: true, effect: e}
+		switch e.Kind {
+		case failover.SendStatus, failover.SendFollow:
+			m.event.SentAt = w.now
+			w.flight = append(w.flight, m)
+		case failover.SendFence, failover.SendPromote:
+			w.checkTerm(v, &e)
+			w.proposer = i
+			w.flight = append(w.flight, m)
+		case failover.PublishHealth:
+			w.publish(i, &e)
+		case failover.CloseGate, failover.OpenGate:
+			w.setGate(i, e.Kind == failover.CloseGate)
+		}
+	}
+}
+
+// checkTerm checks that no two proposers, and no two candidates, share a term.
+func (w *failoverWorld) checkTerm(v *watcherModel, e *failover.Effect) {
+	name := string(v.id) + "/" + strconv.FormatUint(v.incarnation, 10)
+	if other, found := w.proposers[e.Term]; found && other != name {
+		w.t.Fatalf("term %v is used by %s and %s", e.Term, other, name)
+	}
+	w.proposers[e.Term] = name
+	if e.Kind != failover.SendPromote {
+		return
+	}
+	if other, found := w.candidates[e.Term]; found && other != e.Upstream {
+		w.t.Fatalf("term %v has the candidates %s and %s", e.Term, other, e.Upstream)
+	}
+	w.candidates[e.Term] = e.Upstream
+}
+
+func (w *failoverWorld) publish(i int, e *failover.Effect) {
+	for j, v := range w.watchers {
+		if j != i {
+			ev := failover.Event{Kind: failover.PeerHealth, From: w.watchers[i].id, Primary: e.Primary, Term: e.Term, Age: e.Age}
+			w.flight = append(w.flight, message{watcher: j, incarnation: v.incarnation, event: ev})
+		}
+	}
+}
+
+func (w *failoverWorld) setGate(i int, closed bool) {
+	v := w.watchers[i]
+	if v.gateClosed == closed {
+		w.t.Fatalf("the gate of %s is set to closed=%v twice", v.id, closed)
+	}
+	v.gateClosed = closed
+	if closed {
+		w.flight = append(w.flight, message{watcher: i, incarnation: v.incarnation, event: failover.Event{Kind: failover.WritesDrained}})
+	}
+}
+
+// deliver takes one message to its receiver. lost is true when the answer of a
+// request is lost after it took effect.
+func (w *failoverWorld) deliver(m *message, lost bool) {
+	v := w.watchers[m.watcher]
+	if v.incarnation != m.incarnation && !m.request {
+		return
+	}
+	if !m.request {
+		ev := m.event
+		w.apply(m.watcher, &ev)
+		return
+	}
+	i := w.group.index(m.effect.Upstream)
+	answer := message{watcher: m.watcher, incarnation: m.incarnation, event: m.event}
+	done := w.group.upstreams[i].up && !v.cut[i] && w.execute(i, &m.effect)
+	answer.event.Kind = answerKind(m.effect.Kind, done)
+	answer.event.Upstream = m.effect.Upstream
+	answer.event.Term = m.effect.Term
+	answer.event.Status = w.group.upstreams[i].status()
+	if !lost {
+		w.flight = append(w.flight, answer)
+	}
+}
+
+// execute runs a request on an upstream and returns whether it succeeded.
+func (w *failoverWorld) execute(i int, e *failover.Effect) bool {
+	switch e.Kind {
+	case failover.SendFence:
+		w.group.upstreams[i].fence(e.Term)
+	case failover.SendPromote:
+		return w.group.promote(i, e.Term)
+	case failover.SendFollow:
+		return w.group.follow(i, e.Term, e.Primary)
+	}
+	return true
+}
+
+func answerKind(k failover.EffectKind, done bool) failover.EventKind {
+	switch k {
+	case failover.SendFence:
+		return pick(done, failover.FenceAnswered, failover.FenceFailed)
+	case failover.SendPromote:
+		return pick(done, failover.PromoteAnswered, failover.PromoteFailed)
+	case failover.SendFollow:
+		return pick(done, failover.FollowAnswered, failover.FollowFailed)
+	}
+	return pick(done, failover.StatusAnswered, failover.StatusFailed)
+}
+
+func pick(first bool, a, b failover.EventKind) failover.EventKind {
+	if first {
+		return a
+	}
+	return b
+}
+
+// step does one random thing.
+func (w *failoverWorld) step() {
+	w.now += model.Time(w.below(4)) * model.Time(time.Millisecond)
+	if w.proposer >= 0 && w.percent(2*w.faults) {
+		w.disturbProposer()
+	}
+	if w.percent(w.faults) {
+		w.disturb()
+		return
+	}
+	switch n := w.below(90); {
+	case n < 25:
+		for i := range w.watchers {
+			w.tick(i)
+		}
+	case n < 65:
+		w.deliverRandom()
+	case n < 80:
+		w.group.flow(&w.dice)
+	default:
+		w.group.commit(w.below(3))
+	}
+}
+
+func (w *failoverWorld) disturb() {
+	if w.percent(40) {
+		w.group.disturb(&w.dice)
+	} else {
+		w.disturbWatcher()
+	}
+}
+
+func (w *failoverWorld) tick(i int) {
+	if !w.watchers[i].paused {
+		w.apply(i, &failover.Event{Kind: failover.Tick, Seed: w.uint64()})
+	}
+}
+
+// deliverRandom delivers some messages in random order; some are lost, some
+// stay to be delivered again.
+func (w *failoverWorld) deliverRandom() {
+	for range min(len(w.flight), 12) {
+		k := w.below(len(w.flight))
+		m := w.flight[k]
+		if w.watchers[m.watcher].paused && !m.request {
+			continue
+		}
+		if !w.percent(5) {
+			w.flight[k] = w.flight[len(w.flight)-1]
+			w.flight = w.flight[:len(w.flight)-1]
+		}
+		if !w.percent(5) {
+			w.deliver(&m, w.percent(5))
+		}
+	}
+	if len(w.flight) > 200 {
+		w.flight = slices.Delete(w.flight, 0, 100)
+	}
+}
+
+// disturbProposer pauses a watcher between fence and promote, or lets it die,
+// in half of the cases before its requests have left.
+func (w *failoverWorld) disturbProposer() {
+	i := w.proposer
+	w.proposer = -1
+	if w.percent(40) {
+		w.watchers[i].paused = true
+		return
+	}
+	if w.percent(50) {
+		w.flight = slices.DeleteFunc(w.flight, func(m message) bool { return m.request && m.watcher == i })
+	}
+	w.restart(i)
+}
+
+func (w *failoverWorld) disturbWatcher() {
+	i := w.below(3)
+	v := w.watchers[i]
+	switch w.below(8) {
+	case 0:
+		v.paused = true
+	case 1, 2:
+		v.paused = false
+	case 3, 4:
+		v.cut[w.below(3)] = w.percent(40)
+	case 5:
+		w.restart(i)
+	case 6:
+		w.apply(i, &failover.Event{Kind: failover.SwitchoverRequested})
+	case 7:
+		w.configure(i, w.below(4)-1)
+	}
+}
+
+// calm ends all faults and runs until the condition holds. It returns how
+// long that took.
+func (w *failoverWorld) calm(limit time.Duration, done func() bool) time.Duration {
+	start := w.now
+	for !done() {
+		w.now += model.Time(5 * time.Millisecond)
+		if w.now.Sub(start) > limit {
+			w.t.Fatalf("not recovered after %v: %s", limit, w.describe())
+		}
+		for i := range w.watchers {
+			w.tick(i)
+		}
+		for len(w.flight) > 0 {
+			m := w.flight[0]
+			w.flight = w.flight[1:]
+			w.deliver(&m, false)
+		}
+		for i := range w.group.upstreams {
+			w.group.replicate(i, 100)
+		}
+	}
+	return w.now.Sub(start)
+}
+
+func (w *failoverWorld) heal() {
+	w.group.heal()
+	for i, v := range w.watchers {
+		v.paused = false
+		v.cut = [3]bool{}
+		w.configure(i, -1)
+	}
+}
+
+// primary returns the upstream that is the primary of the highest term that a
+// majority has accepted, -1 if there is none.
+func (w *failoverWorld) primary() int {
+	for i, p := range w.group.upstreams {
+		n := 0
+		for _, u := range w.group.upstreams {
+			if u.promised.Compare(p.promised) <= 0 {
+				n++
+			}
+		}
+		if p.role == dbgroup.Primary && n >= 2 {
+			return i
+		}
+	}
+	return -1
+}
+
+// settled reports whether one primary is followed by all, with equal logs, and
+// known to all watchers.
+func (w *failoverWorld) settled() bool {
+	i := w.primary()
+	if i < 0 {
+		return false
+	}
+	p := w.group.upstreams[i]
+	for j, u := range w.group.upstreams {
+		if u.promised != p.promised || !slices.Equal(u.log, p.log) || (j != i && u.role != dbgroup.Replica) {
+			return false
+		}
+	}
+	for _, v := range w.watchers {
+		id, term := v.state.Primary("db")
+		if id != p.id || term != p.promised || v.gateClosed {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *failoverWorld) describe() string {
+	text := ""
+	for _, u := range w.group.upstreams {
+		text += string(u.id) + " " + u.role.String() + " promised " + u.promised.String() +
+			" last " + u.lastTerm().String() + " at " + strconv.Itoa(len(u.log)) + "; "
+	}
+	return text
+}
--- a/test/property/replication_test.go
+++ b/test/property/replication_test.go
@@ -326,6 +326,15 @@
 // majority does not hold or that is lost later, against reads below the floor
 // or older than their bound, on a replica or an old primary, and against
 // requests that end twice or never.
+//
+// Mutations of core/replication that it was seen to reject, and how:
+//   - a later term, the primary alone, or a fenced upstream counts for a write:
+//     "acknowledged without a majority"
+//   - a round confirmed by the primary alone; a round that started before the
+//     check counts; MaxAge ignored; answers of an older round kept: "read
+//     misses write"
+//   - the floor ignored; every replica counts as fresh after a round: "sees ...,
+//     below its floor"
 func TestReplication(t *testing.T) {
 	granted, held := 0, 0
 	checkFixed(t, replicationChecks, func(rt *rapid.T) {
--- a/test/property/routing_test.go
+++ b/test/property/routing_test.go
@@ -280,6 +280,15 @@
 // "not run", reads on drained or leaving upstreams, the standby holder in use
 // beside the main one, retries above the budget, answers that count twice,
 // and batches that end twice or never.
+//
+// Mutations of core/routing that it was seen to reject, and how:
+//   - any batch is repeated after bytes may have been sent; a refusal with
+//     25006 after such an attempt is retried: "may have run and is sent again"
+//   - the attempt's number ignored: "attempt 3 while attempt 2 is in progress"
+//   - drained and leaving upstreams chosen: "sent to ..., which is drained"
+//   - the budget not debited: "110 retries for 47 requests"
+//   - every failure reported as not run: "refused as not run but may have run"
+//   - deadlines ignored while waiting: "waits beyond its deadline"
 func TestRouting(t *testing.T) {
 	checkFixed(t, routingChecks, func(rt *rapid.T) {
 		w := newRoutingWorld(rt)
