Check that replication recovers once faults have stopped

Cause: the replication property did not notice a holder that stops polling. Change: after the random steps the model heals and each holder must get a write acknowledged and a read granted on every upstream within half a request's time. The table test checks that a round under way delays the next one.

--- a/core/replication/replication_test.go
+++ b/core/replication/replication_test.go
@@ -149,6 +149,9 @@
 	if second := find(apply(s, 501*ms, readCheck(2, "b", 12)), PollRound); first == nil || second != nil {
 		t.Fatalf("rounds %+v and %+v, want one", first, second)
 	}
+	if at := s.NextTick(501 * ms); at != (500 * ms).Add(roundPatience) {
+		t.Errorf("next round at %v although one is under way", at)
+	}
 	// The second check arrived after the round had started.
 	out := answerAll(s, 502*ms, first.Round, status(0, 1, 12), status(0, 1, 11), status(0, 1, 12))
 	next := find(out, PollRound)
--- /dev/null
+++ b/test/property/replicationworld_test.go
@@ -0,0 +1,325 @@
+package property
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replication"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+)
+
+// requestTimeout is the time from a request to its deadline.
+const requestTimeout = 150 * time.Millisecond
+
+// ack is a write whose success was reported to a caller.
+type ack struct {
+	write uint64
+	at    model.Time
+}
+
+// request is a check or a waiting write of a session at a holder.
+type request struct {
+	holder  int
+	session int
+	ev      replication.Event
+	arrival model.Time
+	// writes are those of the session at the arrival.
+	writes []uint64
+	// entry is the entry of a write that has run.
+	entry entry
+}
+
+// session is one caller: what it has written and read.
+type session struct {
+	floor    model.Position
+	hasFloor bool
+	writes   []uint64
+}
+
+// poll is a status request of a holder, or its answer.
+type poll struct {
+	holder int
+	answer bool
+	ev     replication.Event
+}
+
+// fenceModel is a proposal of a term, with what the upstreams answered.
+type fenceModel struct {
+	term     model.Term
+	accepted []int
+	best     int
+}
+
+// replicationWorld has two holders, callers, and a proposer that changes the
+// primary at random.
+type replicationWorld struct {
+	dice
+	t        *rapid.T
+	now      model.Time
+	group    *groupModel
+	holders  []*replication.State
+	flight   []poll
+	open     map[uint64]*request
+	nextID   uint64
+	sessions [3]session
+	acks     []ack
+	fence    *fenceModel
+	// isolated is an upstream that the proposer cannot reach, 3 for none. An
+	// old primary there does not learn that it was replaced.
+	isolated int
+	granted  int
+	held     int
+}
+
+func newReplicationWorld(t *rapid.T) *replicationWorld {
+	w := &replicationWorld{t: t, now: model.Time(time.Hour), group: newGroupModel(t), open: make(map[uint64]*request)}
+	for range 2 {
+		w.holders = append(w.holders, replication.New())
+	}
+	ev := replication.Event{Kind: replication.GroupConfigured, ConfirmationTimeout: 30 * time.Millisecond}
+	for _, u := range w.group.upstreams {
+		ev.Upstreams = append(ev.Upstreams, replication.Upstream{ID: u.id})
+	}
+	for h := range w.holders {
+		w.apply(h, ev)
+	}
+	return w
+}
+
+func (w *replicationWorld) apply(h int, ev replication.Event) {
+	ev.Database = "db"
+	for _, e := range w.holders[h].Apply(w.now, &ev, nil) {
+		switch e.Kind {
+		case replication.PollRound:
+			for _, u := range w.group.upstreams {
+				ask := replication.Event{Upstream: u.id, Round: e.Round}
+				w.flight = append(w.flight, poll{holder: h, ev: ask})
+			}
+		case replication.PrimaryChanged, replication.RoundConfirmed:
+		default:
+			w.end(h, &e)
+		}
+	}
+}
+
+// end checks the final effect of a request.
+func (w *replicationWorld) end(h int, e *replication.Effect) {
+	r := w.open[e.ID]
+	if r == nil || r.holder != h {
+		w.t.Fatalf("effect %d for request %d, which is not open at holder %d", e.Kind, e.ID, h)
+	}
+	delete(w.open, e.ID)
+	switch e.Kind {
+	case replication.ReadReady:
+		w.checkRead(r, e)
+	case replication.WriteReady:
+		w.runWrite(r)
+	case replication.WriteHeld:
+		w.checkHeld(r)
+	}
+}
+
+// checkRead runs a read that was granted, and checks what it sees.
+func (w *replicationWorld) checkRead(r *request, e *replication.Effect) {
+	u := w.group.upstreams[w.group.index(r.ev.Upstream)]
+	if !u.up {
+		return
+	}
+	w.granted++
+	st := u.status()
+	seen := model.Position{Term: st.AppliedTerm, Pos: st.Applied}
+	if seen.Compare(e.Floor) < 0 || (r.ev.HasFloor && seen.Compare(r.ev.Floor) < 0) {
+		w.t.Fatalf("read on %s sees %v, below its floor %v", u.id, seen, e.Floor)
+	}
+	cutoff := w.now.Add(-r.ev.MaxAge)
+	if r.ev.MaxAge == 0 || !r.ev.HasFloor {
+		cutoff = r.arrival
+	}
+	for _, a := range w.acks {
+		if a.at < cutoff && !contains(u.log[:u.applied], a.write) {
+			w.t.Fatalf("read on %s misses write %d, acknowledged %v before its bound", u.id, a.write, cutoff.Sub(a.at))
+		}
+	}
+	s := &w.sessions[r.session]
+	for _, write := range r.writes {
+		if r.ev.HasFloor && !contains(u.log[:u.applied], write) {
+			w.t.Fatalf("read on %s misses write %d of its own session", u.id, write)
+		}
+	}
+	s.floor = s.floor.Max(seen)
+	s.hasFloor = true
+}
+
+func contains(log []entry, write uint64) bool {
+	return slices.ContainsFunc(log, func(e entry) bool { return e.write == write })
+}
+
+// runWrite runs a write that was admitted, and waits for its majority.
+func (w *replicationWorld) runWrite(r *request) {
+	i := w.group.index(r.ev.Upstream)
+	p, done := w.group.commit(i)
+	if !done {
+		return
+	}
+	u := w.group.upstreams[i]
+	ev := replication.Event{Kind: replication.WriteWaiting, Position: p, Deadline: w.now.Add(requestTimeout)}
+	w.begin(&request{holder: r.holder, session: r.session, ev: ev, entry: u.log[len(u.log)-1]})
+}
+
+// checkHeld checks that an acknowledged write is in the majority's log.
+func (w *replicationWorld) checkHeld(r *request) {
+	p := int(r.ev.Position.Pos)
+	if len(w.group.committed) < p || w.group.committed[p-1] != r.entry {
+		w.t.Fatalf("write %d at %v was acknowledged without a majority", r.entry.write, r.ev.Position)
+	}
+	w.held++
+	w.acks = append(w.acks, ack{write: r.entry.write, at: w.now})
+	s := &w.sessions[r.session]
+	s.writes = append(s.writes, r.entry.write)
+	s.floor = s.floor.Max(r.ev.Position)
+	s.hasFloor = true
+}
+
+func (w *replicationWorld) begin(r *request) {
+	w.nextID++
+	r.ev.ID = w.nextID
+	r.arrival = w.now
+	r.writes = w.sessions[r.session].writes
+	w.open[w.nextID] = r
+	w.apply(r.holder, r.ev)
+}
+
+// startRequest starts a read or a write of a random session.
+func (w *replicationWorld) startRequest() {
+	n := w.below(len(w.sessions))
+	r := &request{holder: w.below(len(w.holders)), session: n}
+	r.ev = replication.Event{Kind: replication.WriteCheck, Upstream: w.group.upstreams[w.below(3)].id, Deadline: w.now.Add(requestTimeout)}
+	if i := w.highestPrimary(); i >= 0 && w.percent(80) {
+		r.ev.Upstream = w.group.upstreams[i].id
+	}
+	if w.percent(60) {
+		r.ev.Upstream = w.group.upstreams[w.below(3)].id
+		ages := []time.Duration{0, 5, 20, 100}
+		r.ev.Kind = replication.ReadCheck
+		r.ev.MaxAge = ages[w.below(len(ages))] * time.Millisecond
+		r.ev.Floor = w.sessions[n].floor
+		r.ev.HasFloor = w.sessions[n].hasFloor && w.percent(80)
+	}
+	w.begin(r)
+}
+
+// deliver takes a random poll or answer to its receiver; some are lost, some
+// stay to be delivered again.
+func (w *replicationWorld) deliver() {
+	if len(w.flight) == 0 {
+		return
+	}
+	k := w.below(len(w.flight))
+	p := w.flight[k]
+	if !w.percent(5) {
+		w.flight[k] = w.flight[len(w.flight)-1]
+		w.flight = w.flight[:len(w.flight)-1]
+	}
+	if w.percent(4) {
+		return
+	}
+	w.carry(&p)
+}
+
+// carry takes one poll or answer to its receiver.
+func (w *replicationWorld) carry(p *poll) {
+	if p.answer {
+		w.apply(p.holder, p.ev)
+		return
+	}
+	u := w.group.upstreams[w.group.index(p.ev.Upstream)]
+	p.answer = true
+	p.ev.Kind = replication.StatusFailed
+	if u.up {
+		p.ev.Kind = replication.StatusAnswered
+		p.ev.Status = u.status()
+	}
+	w.flight = append(w.flight, *p)
+}
+
+// changePrimary does one step of a correct change of the primary.
+func (w *replicationWorld) changePrimary() {
+	if w.fence == nil {
+		w.beginFence()
+		return
+	}
+	f := w.fence
+	i := w.below(3)
+	u := w.group.upstreams[i]
+	switch {
+	case i == w.isolated:
+	case u.up && !slices.Contains(f.accepted, i) && u.promised.Less(f.term):
+		u.fence(f.term)
+		f.accepted = append(f.accepted, i)
+		if f.best < 0 || w.group.upstreams[f.best].position().Compare(u.position()) < 0 {
+			f.best = i
+		}
+	case len(f.accepted) >= 2 && w.group.upstreams[f.best].up:
+		w.group.promote(f.best, f.term)
+		w.fence = nil
+	case w.percent(10):
+		w.fence = nil
+	}
+}
+
+func (w *replicationWorld) beginFence() {
+	w.isolated = w.below(4)
+	var highest model.Term
+	for _, u := range w.group.upstreams {
+		if highest.Less(u.promised) {
+			highest = u.promised
+		}
+	}
+	w.fence = &fenceModel{term: highest.Next("p" + strconv.Itoa(w.below(3))), best: -1}
+}
+
+func (w *replicationWorld) highestPrimary() int {
+	best := -1
+	for i, u := range w.group.upstreams {
+		if u.role == dbgroup.Primary && (best < 0 || w.group.upstreams[best].promised.Less(u.promised)) {
+			best = i
+		}
+	}
+	return best
+}
+
+// followPrimary tells a random upstream to follow the highest primary.
+func (w *replicationWorld) followPrimary() {
+	i := w.below(3)
+	if best := w.highestPrimary(); best >= 0 && i != w.isolated {
+		w.group.follow(i, w.group.upstreams[best].promised, w.group.upstreams[best].id)
+	}
+}
+
+func (w *replicationWorld) step(changes int) {
+	w.now += model.Time(w.below(1000)) * model.Time(time.Microsecond)
+	switch n := w.below(100); {
+	case n < changes:
+		w.changePrimary()
+	case n < 15:
+		w.followPrimary()
+	case n < 17:
+		w.group.disturb(&w.dice)
+	case n < 35:
+		w.group.flow(&w.dice)
+	case n < 50:
+		w.startRequest()
+	case n < 60:
+		w.apply(w.below(len(w.holders)), replication.Event{Kind: replication.Tick})
+	case n < 61:
+		w.now = w.now.Add(30 * time.Millisecond)
+	default:
+		for range 1 + w.below(4) {
+			w.deliver()
+		}
+	}
+}
