Wire queue bounds and zones, count requests, drop unused timing fields

Cause: timing.epoch_ttl and timing.clock_margin were accepted and had no effect, and changing them in service would be unsafe, since an old and a new owner could use different values; the presets' queue length did not reach the queues; seats of zones without VMs were confirmed by the wrong zone; nothing counted requests. Change: the two fields are removed (constants of core/membership); fairness.EventConfigure; connshare learns the zone of each upstream; counters of writes, reads by primary and replica, failures by SQLSTATE, and a latency histogram; the mock secret for unknown workspaces is the same on all VMs.

--- a/core/config/check_items.go
+++ b/core/config/check_items.go
@@ -37,8 +37,6 @@
 func (c *checker) checkTiming() {
 	t := &c.doc.Timing
 	c.duration("timing.detect", t.Detect, 50*time.Millisecond, 5*time.Second)
-	c.duration("timing.epoch_ttl", t.EpochTTL, time.Second, 30*time.Second)
-	c.duration("timing.clock_margin", t.ClockMargin, 10*time.Millisecond, 5*time.Second)
 	c.duration("timing.confirmation_timeout", t.ConfirmationTimeout, 100*time.Millisecond, 30*time.Second)
 	c.number("timing.queue_length", float64(t.QueueLength), 1, maxQueueLength)
 }
--- a/core/config/types.go
+++ b/core/config/types.go
@@ -19,8 +19,6 @@
 	DefaultWeight              = 1.0
 	DefaultStatementTimeout    = 30 * time.Second
 	DefaultDetect              = 600 * time.Millisecond
-	DefaultEpochTTL            = 3 * time.Second
-	DefaultClockMargin         = 100 * time.Millisecond
 	DefaultQueueLength         = 256
 	DefaultConfirmationTimeout = time.Second
 )
@@ -62,11 +60,6 @@
 type Timing struct {
 	// Detect is how long a primary must be silent before a new one is proposed.
 	Detect Duration `json:"detect"`
-	// EpochTTL is how long an owner may act after its zone record was confirmed.
-	EpochTTL Duration `json:"epoch_ttl"`
-	// ClockMargin is added to EpochTTL before a new owner starts; it covers the
-	// difference in speed between two VMs' clocks.
-	ClockMargin Duration `json:"clock_margin"`
 	// QueueLength is the most requests of one workspace that wait for one upstream.
 	QueueLength int `json:"queue_length"`
 	// ConfirmationTimeout is the age of the last confirmed round above which
@@ -78,8 +71,6 @@
 func (t *Timing) SetDefaults() {
 	*t = Timing{
 		Detect:              Duration(DefaultDetect),
-		EpochTTL:            Duration(DefaultEpochTTL),
-		ClockMargin:         Duration(DefaultClockMargin),
 		QueueLength:         DefaultQueueLength,
 		ConfirmationTimeout: Duration(DefaultConfirmationTimeout),
 	}
--- a/core/fairness/state.go
+++ b/core/fairness/state.go
@@ -52,6 +52,10 @@
 		s.cancel(ev.ID)
 	case EventWithdraw:
 		return s.withdraw(ev, out)
+	case EventConfigure:
+		if ev.QueueLimit > 0 {
+			s.config.QueueLimit = ev.QueueLimit
+		}
 	}
 	return out
 }
--- a/core/fairness/types.go
+++ b/core/fairness/types.go
@@ -41,6 +41,9 @@
 	// EventCancel removes ID from its queue without an effect; it does nothing
 	// to a running request.
 	EventCancel
+	// EventConfigure sets the bound of the queue of one workspace at one
+	// upstream: QueueLimit. Requests that wait already stay.
+	EventConfigure
 	// EventWithdraw refuses what waits for Key of Workspace.
 	EventWithdraw
 )
@@ -54,7 +57,9 @@
 	Key       model.KeyID
 	Weight    int64
 	Slots     int
-	Deadline  model.Time
+	// QueueLimit is used by EventConfigure.
+	QueueLimit int
+	Deadline   model.Time
 }
 
 // Reason tells why a request is refused.
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -57,11 +57,14 @@
 	s.setSlots(now, u, out)
 }
 
-// confirmed extends all ownership.
+// confirmed extends the ownership of a zone's items. Tokens of other zones are
+// never owned here.
 func (s *State) confirmed(now model.Time, e *membership.Effect, out *Effects) {
-	lev := limits.Event{Kind: limits.EventConfirmed, Until: e.Until}
-	out.Limits = s.Limits.Apply(now, &lev, out.Limits)
-	cev := connshare.Event{Kind: connshare.EventConfirmed, Until: e.Until}
+	if e.Zone == s.config.Zone {
+		lev := limits.Event{Kind: limits.EventConfirmed, Until: e.Until}
+		out.Limits = s.Limits.Apply(now, &lev, out.Limits)
+	}
+	cev := connshare.Event{Kind: connshare.EventConfirmed, Zone: e.Zone, Until: e.Until}
 	out.ConnShare = s.ConnShare.Apply(now, &cev, out.ConnShare)
 }
 
--- a/core/wiring.go
+++ b/core/wiring.go
@@ -50,6 +50,8 @@
 	s.wiring.document = d
 	s.wiring.version = version
 	s.configureZones(now, out)
+	queues := fairness.Event{Kind: fairness.EventConfigure, QueueLimit: d.QueueLength()}
+	out.Fairness = s.Fairness.Apply(now, &queues, out.Fairness)
 	s.configureTracking(now, old, out)
 	s.configureLimits(now, old, out)
 	s.withdrawKeys(now, old, out)
@@ -189,7 +191,7 @@
 		db := &d.Databases[i]
 		s.configureRouting(now, db, out)
 		for _, u := range db.Upstreams {
-			ev := connshare.Event{Kind: connshare.EventUpstreamSet, Upstream: u.ID, Limit: db.Connections, Slots: db.Slots}
+			ev := connshare.Event{Kind: connshare.EventUpstreamSet, Upstream: u.ID, Zone: u.Zone, Limit: db.Connections, Slots: db.Slots}
 			out.ConnShare = s.ConnShare.Apply(now, &ev, out.ConnShare)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -112,7 +114,7 @@
 	n.access = &access{loop: n.loop}
 	n.gates = newGates(n.writesDrained)
 	n.directory = newDirectory(n.loop, n.updateTargets)
-	n.tokens = newTokens(n.loop)
+	n.tokens = newTokens(n.loop, n.access)
 	n.clients = peer.NewClients(n.directory.address, o.PeerClientTLS)
 	n.exchange = &exchange{node: n, heard: newHeard()}
 	n.exchanger = peer.NewExchanger(ctx, n.exchange, n.clients)
@@ -140,14 +142,16 @@
 	})
 	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: n.holder, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
+	counters := newRequestMetrics(n.metrics)
 	n.callers = &callerServer{
 		log: n.log,
 		options: frontend.Options{
 			Directory:  ports,
-			Admitter:   ports,
-			Executor:   router.New(&routes{loop: n.loop, access: n.access}, dial),
+			Admitter:   countedAdmitter{ports, counters},
+			Executor:   countedExecutor{router.New(&routes{loop: n.loop, access: n.access}, dial), counters},
 			TLS:        n.options.CallerTLS,
 			RequireTLS: n.options.RequireCallerTLS,
+			MockSecret: mockSecret(n.options.UpstreamPassword),
 			Tracer:     otel.Tracer("chervilhatch"),
 		},
 	}
@@ -164,6 +168,14 @@
 	})
 }
 
+// mockSecret makes the secret for the logins of unknown workspaces from the
+// password of the upstreams, which is the same on all VMs.
+func mockSecret(password string) []byte {
+	mac := hmac.New(sha256.New, []byte(password))
+	mac.Write([]byte("chervilhatch mock verifier"))
+	return mac.Sum(nil)
+}
+
 func (n *Node) serveGRPC(l net.Listener, creds credentials.TransportCredentials, register func(*grpc.Server)) {
 	s := grpc.NewServer(grpc.Creds(creds))
 	register(s)
--- /dev/null
+++ b/node/requests.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+	"github.com/chervilhatch/chervilhatch/frontend"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+)
+
+// requestMetrics counts callers' requests: how they were served, and each
+// SQLSTATE with which chervilhatch itself ended one.
+type requestMetrics struct {
+	registry metrics.Registry
+	writes   metrics.Counter
+	primary  metrics.Counter
+	replica  metrics.Counter
+	latency  metrics.Histogram
+}
+
+// latencySamples is how many of the newest requests the latency histogram
+// represents.
+const latencySamples = 1028
+
+func newRequestMetrics(r metrics.Registry) *requestMetrics {
+	m := &requestMetrics{
+		registry: r,
+		writes:   metrics.NewCounter(),
+		primary:  metrics.NewCounter(),
+		replica:  metrics.NewCounter(),
+		latency:  metrics.NewHistogram(metrics.NewUniformSample(latencySamples)),
+	}
+	named := map[string]any{
+		"requests.writes":               m.writes,
+		"requests.reads_by_primary":     m.primary,
+		"requests.reads_by_replica":     m.replica,
+		"requests.latency_microseconds": m.latency,
+	}
+	for name, metric := range named {
+		// Register fails only for a name that is taken, which no other part uses.
+		_ = r.Register(name, metric)
+	}
+	return m
+}
+
+// failed counts a request that chervilhatch ended with an error.
+func (m *requestMetrics) failed(err error) {
+	var own *sqlstate.Error
+	if errors.As(err, &own) {
+		countMetric(m.registry, "requests.failed."+string(own.Code))
+	}
+}
+
+func (m *requestMetrics) served(b *executor.Batch, r executor.Result, took time.Duration) {
+	m.latency.Update(took.Microseconds())
+	switch {
+	case b.Class == model.Write:
+		m.writes.Inc(1)
+	case r.Replica:
+		m.replica.Inc(1)
+	default:
+		m.primary.Inc(1)
+	}
+}
+
+// countedExecutor counts the batches of an executor.
+type countedExecutor struct {
+	executor.Executor
+	metrics *requestMetrics
+}
+
+// Open implements executor.Executor.
+func (e countedExecutor) Open(ctx context.Context, h executor.Hello) (executor.Stream, error) {
+	s, err := e.Executor.Open(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	return countedStream{s, e.metrics}, nil
+}
+
+type countedStream struct {
+	executor.Stream
+	metrics *requestMetrics
+}
+
+// Run implements executor.Stream.
+func (s countedStream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	start := time.Now()
+	result, err := s.Stream.Run(ctx, b, sink)
+	if err != nil {
+		s.metrics.failed(err)
+		return result, err
+	}
+	s.metrics.served(b, result, time.Since(start))
+	return result, nil
+}
+
+// countedAdmitter counts refusals by rate.
+type countedAdmitter struct {
+	frontend.Admitter
+	metrics *requestMetrics
+}
+
+// Admit implements frontend.Admitter.
+func (a countedAdmitter) Admit(ctx context.Context, w model.Workspace, cost int) error {
+	err := a.Admitter.Admit(ctx, w, cost)
+	if err != nil {
+		a.metrics.failed(err)
+	}
+	return err
+}
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -23,7 +23,8 @@
 
 // tokens implements peer.TokenHandler over the reducer.
 type tokens struct {
-	loop *loop
+	loop   *loop
+	access *access
 
 	mu sync.Mutex
 	// waiting has a channel for each call that was not answered yet; a repeated
@@ -38,8 +39,8 @@
 
 var _ peer.TokenHandler = (*tokens)(nil)
 
-func newTokens(l *loop) *tokens {
-	return &tokens{loop: l, waiting: map[tokenCall]*tokenWait{}}
+func newTokens(l *loop, a *access) *tokens {
+	return &tokens{loop: l, access: a, waiting: map[tokenCall]*tokenWait{}}
 }
 
 // Tokens implements peer.TokenHandler.
@@ -108,17 +109,29 @@
 	peerv1.ReleaseRequest_KIND_TOKENS:       membership.Tokens,
 }
 
+// itemZone returns the zone of a released item. A seat's zone is that of the
+// upstream; it differs from the releasing owner's zone when the upstream's zone
+// has no VM.
+func (t *tokens) itemZone(kind membership.ItemKind, r *peerv1.ReleaseRequest) model.Zone {
+	zone := model.Zone(r.GetZone())
+	if d := t.access.current(); d != nil && kind != membership.Tokens {
+		if u, _ := d.Upstream(model.UpstreamID(r.GetName())); u != nil {
+			return u.Zone
+		}
+	}
+	return zone
+}
+
 // Release implements peer.TokenHandler.
 func (t *tokens) Release(_ context.Context, r *peerv1.ReleaseRequest) error {
 	kind, ok := itemKinds[r.GetKind()]
 	if !ok {
 		return status.Error(codes.InvalidArgument, "unknown kind of item")
 	}
-	zone := model.Zone(r.GetZone())
 	ev := membership.Event{
 		Kind:    membership.EventRelease,
-		Item:    membership.Item{Kind: kind, Zone: zone, Name: r.GetName()},
-		Zone:    zone,
+		Item:    membership.Item{Kind: kind, Zone: t.itemZone(kind, r), Name: r.GetName()},
+		Zone:    model.Zone(r.GetZone()),
 		Epoch:   r.GetEpoch(),
 		Balance: r.GetBalanceMilli(),
 	}
