Let chervilhatchd dev write its certificate for chervilhatchctl

Cause: chervilhatchctl needs the certificate that dev kept in memory. Measured: status, preset, job, key and config history of chervilhatchctl against dev, by hand.

--- a/cmd/chervilhatchd/internal/dev/certs.go
+++ b/cmd/chervilhatchd/internal/dev/certs.go
@@ -7,9 +7,12 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"fmt"
 	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"time"
 
 	"google.golang.org/grpc/credentials"
@@ -58,6 +61,26 @@
 	}, nil
 }
 
+func (c *certificates) certPath(dir string) string { return filepath.Join(dir, "dev.pem") }
+
+func (c *certificates) keyPath(dir string) string { return filepath.Join(dir, "dev.key") }
+
+// write stores the certificate and its key in dir; an empty dir stores nothing.
+func (c *certificates) write(dir string) error {
+	if dir == "" {
+		return nil
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(c.cert.PrivateKey)
+	if err != nil {
+		return fmt.Errorf("encode key: %w", err)
+	}
+	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.cert.Certificate[0]})
+	if err := os.WriteFile(c.certPath(dir), cert, 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(c.keyPath(dir), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}), 0o600)
+}
+
 func (c *certificates) server() credentials.TransportCredentials {
 	return credentials.NewTLS(&tls.Config{
 		Certificates: []tls.Certificate{c.cert},
--- a/cmd/chervilhatchd/internal/dev/dev.go
+++ b/cmd/chervilhatchd/internal/dev/dev.go
@@ -45,6 +45,8 @@
 	Listen   string
 	Admin    string
 	Operator string
+	// CertDir gets the certificate for chervilhatchctl; empty means none.
+	CertDir string
 }
 
 // Run runs until ctx ends.
@@ -93,6 +95,13 @@
 		return err
 	}
 	n.Start()
+	if err := certs.write(o.CertDir); err != nil {
+		return err
+	}
+	if o.CertDir != "" {
+		fmt.Printf("operators: chervilhatchctl --daemon %s --cert %s --key %s --ca %s status\n",
+			options.Operator.Addr(), certs.certPath(o.CertDir), certs.keyPath(o.CertDir), certs.certPath(o.CertDir))
+	}
 	if waitReady(ctx, n) {
 		fmt.Printf("ready: psql \"postgresql://%s:%s@%s/%s\"\n", workspace, key, options.Callers.Addr(), job)
 	}
--- a/cmd/chervilhatchd/main.go
+++ b/cmd/chervilhatchd/main.go
@@ -41,6 +41,7 @@
 	devCommand.Flag("listen", "Address for callers; port 0 takes a free one.").Default("127.0.0.1:6432").StringVar(&devOptions.Listen)
 	devCommand.Flag("admin", "Address of the health and metrics pages.").Default("127.0.0.1:0").StringVar(&devOptions.Admin)
 	devCommand.Flag("operator", "Address for chervilhatchctl.").Default("127.0.0.1:0").StringVar(&devOptions.Operator)
+	devCommand.Flag("cert-dir", "Directory that gets the certificate for chervilhatchctl; none by default.").StringVar(&devOptions.CertDir)
 
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
