Try a read elsewhere when its replica rewinds

Cause: after a zone drain, 1 to 3 callers got 57P03 from a replica that rewound its log. Change: 57P03 as the first error of a batch outside a transaction is a refusal as not run (57R06), so the router tries another upstream. Conclusion: none further.

--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -58,8 +58,9 @@
 	holding bool
 	// preamble is true until a message shows that the statement runs.
 	preamble bool
-	// refused is true after the first error told that only the primary can run the batch.
-	refused     bool
+	// refusal is set when the upstream's first error tells that it did not run
+	// the batch and that another upstream can.
+	refusal     *sqlstate.Error
 	completions int
 	rollback    bool
 	status      byte
@@ -106,10 +107,7 @@
 	if err != nil {
 		return x.broke(ctx, err)
 	}
-	if x.refused {
-		return &sqlstate.Error{Code: sqlstate.ReadOnly, Message: "the statement needs the primary (not run)", NotRun: true}
-	}
-	return nil
+	return x.refusal
 }
 
 func (x *exchange) talk() error {
@@ -238,8 +236,8 @@
 func (x *exchange) takeError(frame wire.Frame) {
 	x.plan.Failed()
 	code := backend.ErrorCode(frame)
-	if x.preamble && !x.inTx && code == string(sqlstate.ReadOnly) {
-		x.refused = true
+	if x.preamble && !x.inTx {
+		x.refusal = refusalOf(sqlstate.Code(code))
 	}
 	stale := code == string(sqlstate.NotSupported) || code == string(sqlstate.UnknownStatement)
 	if stale && x.plan.ReusedStatements() {
@@ -249,6 +247,18 @@
 	x.preamble = false
 }
 
+// refusalOf returns the refusal that an upstream's error stands for, or nil if
+// the error is the caller's answer.
+func refusalOf(code sqlstate.Code) *sqlstate.Error {
+	switch code {
+	case sqlstate.ReadOnly:
+		return sqlstate.Refuse(sqlstate.ReadOnly, "the statement needs the primary")
+	case sqlstate.CannotConnectNow:
+		return sqlstate.Refuse(sqlstate.UpstreamUnavail, "the upstream does not serve statements now")
+	}
+	return nil
+}
+
 // takeCompletion holds back everything from the first CommandComplete of a
 // write on, since it tells success.
 func (x *exchange) takeCompletion(frame wire.Frame) {
@@ -263,7 +273,7 @@
 
 // emit adds a message to the answer.
 func (x *exchange) emit(frame []byte) error {
-	if x.refused {
+	if x.refusal != nil {
 		return nil
 	}
 	if !x.holding {
@@ -280,7 +290,7 @@
 // flush passes the collected messages to the sink.
 func (x *exchange) flush() error {
 	waits := x.preamble && len(x.out) < maxPreamble
-	if len(x.out) == 0 || waits || x.refused {
+	if len(x.out) == 0 || waits || x.refusal != nil {
 		return nil
 	}
 	err := x.sink(x.out)
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -147,6 +147,17 @@
 	}
 }
 
+// Guards against a caller that gets the error of a replica which rewinds its
+// log, although another upstream can serve the read.
+func TestRewindingReplicaIsNotRun(t *testing.T) {
+	b := newBench(t, false)
+	types, _, err := answerOf(t, b.stream(t), model.Read, "SELECT rewinding")
+	own, ok := err.(*sqlstate.Error)
+	if !ok || own.Code != sqlstate.UpstreamUnavail || !own.NotRun || types != "" {
+		t.Fatalf("answer %q, error %v", types, err)
+	}
+}
+
 // Guards against a read that loses the position of its assignment.
 func TestReadReturnsFloor(t *testing.T) {
 	b := newBench(t, false)
--- a/sqlstate/sqlstate.go
+++ b/sqlstate/sqlstate.go
@@ -30,6 +30,9 @@
 	AdminShutdown     Code = "57P01"
 	QueryCanceled     Code = "57014"
 	ReadOnly          Code = "25006"
+	// CannotConnectNow is what an upstream answers while it serves no
+	// statements, for example a replica that rewinds its log.
+	CannotConnectNow Code = "57P03"
 )
 
 // Error is an error of chervilhatch that is sent to a caller.
