Add a benchmark of the request path

test/bench starts one daemon process for each given directory of binaries, with a stand-in database group, and measures them in turn: statements per second of the daemon's processor time for simple and prepared reads and for writes, added latency against a direct connection, and memory per idle caller. So one run compares versions under the same conditions.

cluster.Options gets Bin, a directory of binaries built before, and Daemon gets PID.

--- /dev/null
+++ b/test/bench/measure.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// warmUp precedes each measurement.
+	warmUp = 300 * time.Millisecond
+	// idlePause is longer than an idle session keeps its buffers.
+	idlePause = 4 * time.Second
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+	// utimeField and stimeField count from the field behind the process name.
+	utimeField = 11
+	stimeField = 12
+	kilobyte   = 1024
+)
+
+var errProc = errors.New("unexpected content in /proc")
+
+// throughput counts statements for each second of the daemon's processor time.
+func (t *target) throughput(ctx context.Context, o *options, mode string, first, request []byte) error {
+	load, err := startLoad(ctx, t.proxyURL(), o.callers, first, request)
+	if err != nil {
+		return err
+	}
+	time.Sleep(warmUp)
+	before, err := t.processorTime()
+	if err != nil {
+		return err
+	}
+	start, count := time.Now(), load.done.Load()
+	time.Sleep(o.duration)
+	elapsed := time.Since(start)
+	count = load.done.Load() - count
+	after, err := t.processorTime()
+	if err != nil {
+		return err
+	}
+	if err := load.stop(); err != nil {
+		return err
+	}
+	used := after - before
+	fmt.Printf("%-10s %-9s %9.0f statements/s, %9.0f per core of the daemon, %6.1f us of processor time each\n",
+		t.name, mode, float64(count)/elapsed.Seconds(), float64(count)/used.Seconds(),
+		float64(used.Microseconds())/float64(count))
+	return nil
+}
+
+// load are callers that repeat one request.
+type load struct {
+	done    atomic.Int64
+	ended   atomic.Bool
+	callers sync.WaitGroup
+	mu      sync.Mutex
+	err     error
+}
+
+func startLoad(ctx context.Context, url string, callers int, first, request []byte) (*load, error) {
+	l := &load{}
+	for range callers {
+		c, err := dial(ctx, url)
+		if err != nil {
+			return nil, errors.Join(err, l.stop())
+		}
+		l.callers.Go(func() { l.repeat(c, first, request) })
+	}
+	return l, nil
+}
+
+func (l *load) repeat(c *caller, first, request []byte) {
+	defer c.close()
+	if len(first) > 0 {
+		l.note(c.do(first))
+	}
+	for !l.ended.Load() {
+		l.note(c.do(request))
+		l.done.Add(1)
+	}
+}
+
+// note ends the load after an error.
+func (l *load) note(err error) {
+	if err == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.err = errors.Join(l.err, err)
+	l.ended.Store(true)
+}
+
+func (l *load) stop() error {
+	l.ended.Store(true)
+	l.callers.Wait()
+	return l.err
+}
+
+// latency compares the times of single reads with those of a direct connection.
+func (t *target) latency(ctx context.Context, o *options) error {
+	direct, err := t.sample(ctx, o, t.directURL())
+	if err != nil {
+		return err
+	}
+	proxy, err := t.sample(ctx, o, t.proxyURL())
+	if err != nil {
+		return err
+	}
+	added50 := percentile(proxy, 50) - percentile(direct, 50)
+	added99 := percentile(proxy, 99) - percentile(direct, 99)
+	fmt.Printf("%-10s latency   median %v direct, %v proxy, %v added; 99th percentile %v direct, %v proxy, %v added\n",
+		t.name, percentile(direct, 50), percentile(proxy, 50), added50, percentile(direct, 99), percentile(proxy, 99), added99)
+	return nil
+}
+
+// sample returns the sorted times of reads by one caller.
+func (t *target) sample(ctx context.Context, o *options, url string) ([]time.Duration, error) {
+	c, err := dial(ctx, url)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	var times []time.Duration
+	request := simple(readSQL)
+	for end := time.Now().Add(o.duration); time.Now().Before(end); {
+		start := time.Now()
+		if err := c.do(request); err != nil {
+			return nil, err
+		}
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	return times, nil
+}
+
+func percentile(sorted []time.Duration, p int) time.Duration {
+	return sorted[len(sorted)*p/100]
+}
+
+// idle measures the daemon's resident memory for each idle caller.
+func (t *target) idle(ctx context.Context, o *options) error {
+	before, err := t.residentKB()
+	if err != nil {
+		return err
+	}
+	callers := make([]*caller, 0, o.idle)
+	defer func() {
+		for _, c := range callers {
+			c.close()
+		}
+	}()
+	for range o.idle {
+		c, err := dial(ctx, t.proxyURL())
+		if err != nil {
+			return err
+		}
+		callers = append(callers, c)
+		if err := c.do(simple(readSQL)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(idlePause)
+	after, err := t.residentKB()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%-10s idle      %.1f KB for each of %d idle callers\n", t.name, float64(after-before)/float64(o.idle), o.idle)
+	return nil
+}
+
+// processorTime returns the user and system time of the daemon.
+func (t *target) processorTime() (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", t.cluster.Daemons[0].PID()))
+	if err != nil {
+		return 0, err
+	}
+	// The process name is in parentheses and may have spaces.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) <= stimeField {
+		return 0, errProc
+	}
+	user, userErr := strconv.Atoi(fields[utimeField])
+	system, systemErr := strconv.Atoi(fields[stimeField])
+	return time.Duration(user+system) * time.Second / ticksPerSecond, errors.Join(userErr, systemErr)
+}
+
+// residentKB returns the resident memory of the daemon.
+func (t *target) residentKB() (int, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", t.cluster.Daemons[0].PID()))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, errProc
+	}
+	pages, err := strconv.Atoi(fields[1])
+	return pages * os.Getpagesize() / kilobyte, err
+}
--- /dev/null
+++ b/test/bench/target.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+const (
+	workspace = "skov"
+	job       = "entries"
+	database  = "entries1"
+	// slots and connections are so many that no statement waits for one.
+	slots       = 100
+	connections = 200
+	// rate admits everything.
+	rate = 10_000_000
+	// settleTime lets the daemon open its connections.
+	settleTime = 500 * time.Millisecond
+)
+
+var errMode = errors.New("unknown mode")
+
+// target is one daemon with its own database group.
+type target struct {
+	name    string
+	dir     string
+	cluster *cluster.Cluster
+}
+
+// startTarget starts the daemon of a directory of binaries.
+func startTarget(ctx context.Context, bin string) (*target, error) {
+	bin, err := filepath.Abs(bin)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return nil, err
+	}
+	t := &target{name: filepath.Base(bin), dir: dir}
+	t.cluster, err = cluster.Start(ctx, cluster.Options{
+		Dir: dir, Bin: bin,
+		Zones: []string{"zone-a"}, VMs: 1, Databases: []string{database},
+		Slots: slots, Connections: connections,
+		Workspaces: []cluster.Workspace{{Name: workspace, Key: "skov-key-7f3a9b", Rate: rate, Burst: 2 * rate}},
+		Jobs: []config.Job{{
+			Name: job, Database: database, Workspaces: []model.Workspace{workspace},
+			Freshness: config.Duration(5 * time.Second), Class: config.ClassAuto,
+			StatementTimeout: config.Duration(10 * time.Second),
+		}},
+	})
+	if err != nil {
+		return t, err
+	}
+	time.Sleep(settleTime)
+	return t, t.createTable(ctx)
+}
+
+func (t *target) stop() {
+	t.cluster.Stop()
+	_ = os.RemoveAll(t.dir)
+}
+
+// proxyURL is the address of the daemon, directURL that of an upstream.
+func (t *target) proxyURL() string { return t.cluster.URL(0, workspace, job) }
+
+func (t *target) directURL() string {
+	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable",
+		cluster.UpstreamUser, cluster.UpstreamPassword, t.cluster.Groups[database].Upstreams[1].Address(), database)
+}
+
+func (t *target) createTable(ctx context.Context) error {
+	c, err := dial(ctx, t.proxyURL())
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	if err := c.do(simple("CREATE TABLE entry (id int, note text)")); err != nil {
+		return err
+	}
+	return c.do(simple("INSERT INTO entry VALUES (1, 'one')"))
+}
+
+func (t *target) measure(ctx context.Context, o *options, mode string) error {
+	switch mode {
+	case "simple":
+		return t.throughput(ctx, o, mode, nil, simple(readSQL))
+	case "prepared":
+		return t.throughput(ctx, o, mode, parse(readSQL), execute())
+	case "write":
+		return t.throughput(ctx, o, mode, nil, simple(writeSQL))
+	case "latency":
+		return t.latency(ctx, o)
+	case "idle":
+		return t.idle(ctx, o)
+	}
+	return errMode
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -41,6 +41,8 @@
 type Options struct {
 	// Dir gets the binaries, settings and certificates.
 	Dir string
+	// Bin has binaries that were built before; empty builds them into Dir.
+	Bin string
 	// Zones name the availability zones; VMs and upstreams are spread over them.
 	Zones []string
 	// VMs is the number of daemons.
@@ -95,8 +97,12 @@
 	return c, nil
 }
 
-// build compiles the two binaries into the cluster's directory.
+// build compiles the two binaries into the cluster's directory, if none were given.
 func (c *Cluster) build(ctx context.Context) error {
+	if c.options.Bin != "" {
+		c.bin = c.options.Bin
+		return nil
+	}
 	c.bin = c.options.Dir
 	module := "github.com/chervilhatch/chervilhatch/cmd"
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", c.bin+"/", module+"/chervilhatchd", module+"/chervilhatchctl")
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -143,6 +143,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// PID returns the id of the process.
+func (d *Daemon) PID() int { return d.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (d *Daemon) Signal(s syscall.Signal) error { return d.cmd.Process.Signal(s) }
 
