Create spans only when traces are exported

Cause: node always passed a tracer to frontend. The holder got no tracer at all, so its spans were never recorded with an exporter.

Change: telemetry.Tracer returns nil unless StartTraces installed an exporter; node passes it to frontend and to holder.

--- a/node/node.go
+++ b/node/node.go
@@ -13,7 +13,6 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -32,6 +31,7 @@
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
 	"github.com/chervilhatch/chervilhatch/router"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
 // Options configure a Node.
@@ -135,6 +135,7 @@
 	local := holder.New(holder.Options{
 		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
 		Pools:   pools,
+		Tracer:  telemetry.Tracer(),
 	})
 	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: local, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
@@ -146,7 +147,7 @@
 			Executor:   router.New(&routes{loop: n.loop, access: n.access}, dial),
 			TLS:        n.options.CallerTLS,
 			RequireTLS: n.options.RequireCallerTLS,
-			Tracer:     otel.Tracer("chervilhatch"),
+			Tracer:     telemetry.Tracer(),
 		},
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync/atomic"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -16,6 +17,9 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
+// tracerName names the instrumentation in the traces.
+const tracerName = "chervilhatch"
+
 // Exporter is where traces go.
 type Exporter string
 
@@ -60,6 +64,7 @@
 		)),
 	)
 	otel.SetTracerProvider(provider)
+	exporting.Store(true)
 	stop := func(ctx context.Context) error {
 		err := provider.Shutdown(ctx)
 		if closer != nil {
@@ -70,6 +75,19 @@
 	return stop, nil
 }
 
+// exporting is true once StartTraces has installed an exporter.
+var exporting atomic.Bool
+
+// Tracer returns the tracer of the request path. It is nil without an
+// exporter, because spans that nobody records still cost several allocations
+// per statement.
+func Tracer() trace.Tracer {
+	if !exporting.Load() {
+		return nil
+	}
+	return otel.Tracer(tracerName)
+}
+
 func newExporter(ctx context.Context, o TraceOptions) (sdktrace.SpanExporter, io.Closer, error) {
 	switch o.Exporter {
 	case ExportStdout:
@@ -112,5 +130,5 @@
 
 // Span starts the span of one hop, for example "upstream".
 func Span(ctx context.Context, hop string) (context.Context, trace.Span) {
-	return otel.Tracer("chervilhatch").Start(ctx, hop)
+	return otel.Tracer(tracerName).Start(ctx, hop)
 }
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -66,6 +66,9 @@
 				}
 			}
 		}
+		for _, t := range targets {
+			t.summarize(mode)
+		}
 	}
 	return nil
 }
--- a/test/bench/measure.go
+++ b/test/bench/measure.go
@@ -51,12 +51,25 @@
 		return err
 	}
 	used := after - before
-	fmt.Printf("%-10s %-9s %9.0f statements/s, %9.0f per core of the daemon, %6.1f us of processor time each\n",
-		t.name, mode, float64(count)/elapsed.Seconds(), float64(count)/used.Seconds(),
-		float64(used.Microseconds())/float64(count))
+	perCore := float64(count) / used.Seconds()
+	t.perCore[mode] = append(t.perCore[mode], perCore)
+	fmt.Printf("%-10s %-9s %9.0f statements/s, %9.0f per core of the daemon\n",
+		t.name, mode, float64(count)/elapsed.Seconds(), perCore)
 	return nil
 }
 
+// summarize prints the median of a throughput measurement.
+func (t *target) summarize(mode string) {
+	results := t.perCore[mode]
+	if len(results) == 0 {
+		return
+	}
+	slices.Sort(results)
+	middle := results[len(results)/2]
+	fmt.Printf("%-10s %-9s median of %d rounds: %.0f per core of the daemon, %.1f us of processor time each\n",
+		t.name, mode, len(results), middle, float64(time.Second/time.Microsecond)/middle)
+}
+
 // load are callers that repeat one request.
 type load struct {
 	done    atomic.Int64
--- a/test/bench/target.go
+++ b/test/bench/target.go
@@ -33,6 +33,8 @@
 	name    string
 	dir     string
 	cluster *cluster.Cluster
+	// perCore has the results of the throughput measurements by mode.
+	perCore map[string][]float64
 }
 
 // startTarget starts the daemon of a directory of binaries.
@@ -45,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{name: filepath.Base(bin), dir: dir}
+	t := &target{name: filepath.Base(bin), dir: dir, perCore: map[string][]float64{}}
 	t.cluster, err = cluster.Start(ctx, cluster.Options{
 		Dir: dir, Bin: bin,
 		Zones: []string{"zone-a"}, VMs: 1, Databases: []string{database},
