Use one context and one timer per batch; renew write deadlines on a write

Cause: each read made a context with a timer for admission, one for the run, a cancelable one with a timer for the watch of its caller, and one with a timer in the holder, and set the write deadline of the caller's connection.

Also, a write deadline was set only when a batch ran on an upstream. A session that paused for longer than the statement timeout and 10 s, and then sent a statement that the proxy answers itself, was closed, because the write deadline of its last batch had passed.

Change: one context bounds the batch from its arrival on, the wait for tokens included. The timer of the watch is kept with the session. The holder makes no context where the caller's ends by the deadline anyway. The write deadline is renewed on a write, when half of writeGrace has passed. TestWriteAfterLongPause fails without the renewal.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -47,8 +47,7 @@
 		}
 	}
 	if len(s.out) == 0 && !endsWithReady(messages) {
-		_, err := s.conn.Write(messages)
-		return err
+		return s.write(messages)
 	}
 	s.out = append(s.out, messages...)
 	if endsWithReady(s.out) {
@@ -148,7 +147,7 @@
 	if len(s.out) == 0 {
 		return nil
 	}
-	_, err := s.conn.Write(s.out)
+	err := s.write(s.out)
 	if cap(s.out) > answerBuffer {
 		s.out = nil
 	}
@@ -156,6 +155,27 @@
 	return err
 }
 
+// write sends p. The deadline is renewed only when half of it has passed,
+// since that is cheaper than a new one for each answer.
+func (s *session) write(p []byte) error {
+	if now := time.Now(); s.writable.Sub(now) < writeGrace/2 {
+		s.renewWrite(now.Add(writeGrace))
+	}
+	_, err := s.conn.Write(p)
+	return err
+}
+
+// renewWrite sets the write deadline, unless the session has to end.
+func (s *session) renewWrite(deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing != nil {
+		return
+	}
+	s.writable = deadline
+	_ = s.conn.SetWriteDeadline(deadline)
+}
+
 func errorResponse(err *sqlstate.Error) *pgproto3.ErrorResponse {
 	severity := severityError
 	if err.Fatal {
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -131,14 +131,38 @@
 	return s.runRemote(&b)
 }
 
-// runRemote sends the batch to the executor.
+// runRemote sends the batch to the executor. One context and its timer bound
+// the whole batch, the wait for tokens included.
 func (s *session) runRemote(b *batch) error {
-	timeout, refusal := s.admit(b)
-	if refusal != nil {
+	if refusal := s.confirmAccess(); refusal != nil {
+		s.refuseBatch(refusal)
+		return s.fatalOf(refusal)
+	}
+	deadline := time.Now().Add(s.timeout())
+	ctx, done := context.WithDeadline(s.ctx, deadline)
+	defer done()
+	if err := s.server.options.Admitter.Admit(ctx, s.workspace, max(b.cost, 1)); err != nil {
+		refusal := asError(err)
 		s.refuseBatch(refusal)
 		return s.fatalOf(refusal)
 	}
 	class := s.classOf(b)
+	request := s.executorBatch(b, class, deadline)
+	ctx, span := s.startSpan(ctx, request)
+	result, err := s.run(ctx, done, request)
+	span.end(err)
+	if err != nil {
+		s.moved(result.Position)
+		return s.failed(result, err)
+	}
+	s.dropReady()
+	s.moved(result.Position)
+	s.enter(result.TxStatus, class)
+	return nil
+}
+
+// executorBatch returns the batch in the executor's form.
+func (s *session) executorBatch(b *batch, class model.Class, deadline time.Time) *executor.Batch {
 	s.batchID++
 	request := &executor.Batch{
 		ID:         s.batchID,
@@ -146,38 +170,27 @@
 		Class:      class,
 		Idempotent: s.access.Idempotent,
 		MaxAge:     s.access.MaxAge,
-		Deadline:   time.Now().Add(timeout),
+		Deadline:   deadline,
 		Prepared:   b.prepared,
 	}
 	if s.position.Database == s.access.Database && !s.position.IsZero() {
 		request.Floor, request.HasFloor = s.position.Position, true
 	}
-	ctx, span := s.startSpan(request)
-	_ = s.conn.SetWriteDeadline(request.Deadline.Add(writeGrace))
-	result, err := s.run(ctx, request)
-	span.end(err)
-	if err != nil {
-		s.moved(result.Position)
-		return s.failed(result, err)
-	}
-	s.dropReady()
-	s.moved(result.Position)
-	s.enter(result.TxStatus, class)
-	return nil
+	return request
 }
 
-// run opens the stream if needed and runs the batch on it.
-func (s *session) run(ctx context.Context, request *executor.Batch) (executor.Result, error) {
+// run opens the stream if needed and runs the batch on it. cancel ends ctx.
+func (s *session) run(ctx context.Context, cancel context.CancelFunc, request *executor.Batch) (executor.Result, error) {
 	stream, err := s.openStream(ctx)
 	if err != nil {
 		return executor.Result{}, err
 	}
 	s.setRunning(true)
 	defer s.setRunning(false)
-	ctx, done := context.WithDeadline(ctx, request.Deadline)
-	defer done()
-	ctx, stop := s.watchCaller(ctx, request.Class)
-	defer stop()
+	if request.Class == model.Read {
+		s.watchCaller(cancel)
+		defer s.endWatch()
+	}
 	return stream.Run(ctx, request, s.sink)
 }
 
@@ -207,22 +220,13 @@
 	s.running = running
 }
 
-// admit looks up the job again outside a transaction, because the
-// configuration may have changed, and takes the workspace's tokens. It returns
-// the time that the batch may take.
-func (s *session) admit(b *batch) (time.Duration, *sqlstate.Error) {
-	if s.tx == wire.Idle {
-		if refusal := s.refreshAccess(); refusal != nil {
-			return 0, refusal
-		}
-	}
-	timeout := s.timeout()
-	ctx, done := context.WithTimeout(s.ctx, timeout)
-	defer done()
-	if err := s.server.options.Admitter.Admit(ctx, s.workspace, max(b.cost, 1)); err != nil {
-		return 0, asError(err)
+// confirmAccess looks up the job again outside a transaction, because the
+// configuration may have changed.
+func (s *session) confirmAccess() *sqlstate.Error {
+	if s.tx != wire.Idle {
+		return nil
 	}
-	return timeout, nil
+	return s.refreshAccess()
 }
 
 // refreshAccess takes over the configuration in force and checks that the key
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -59,6 +59,10 @@
 	lastCalled bool
 	batchID    uint64
 	answer     answer
+	watch      watch
+	// writable is how long the connection may be written to without a new
+	// write deadline.
+	writable time.Time
 
 	ctx  context.Context
 	stop context.CancelCauseFunc
@@ -249,6 +253,7 @@
 	s.closeStream()
 	s.reader.Release()
 	s.out = nil
+	s.watch = watch{}
 	s.dropBatch()
 }
 
--- a/frontend/span.go
+++ b/frontend/span.go
@@ -23,14 +23,14 @@
 
 // startSpan starts the span of a batch below the caller's own trace and puts
 // its identity into the batch.
-func (s *session) startSpan(b *executor.Batch) (context.Context, callSpan) {
+func (s *session) startSpan(ctx context.Context, b *executor.Batch) (context.Context, callSpan) {
 	tracer := s.server.options.Tracer
 	if tracer == nil {
 		b.TraceParent = s.traceParent
-		return s.ctx, callSpan{}
+		return ctx, callSpan{}
 	}
 	var format propagation.TraceContext
-	ctx := format.Extract(s.ctx, propagation.MapCarrier{traceParentHeader: s.traceParent})
+	ctx = format.Extract(ctx, propagation.MapCarrier{traceParentHeader: s.traceParent})
 	ctx, span := tracer.Start(ctx, callerSpan, trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
 		attribute.String("chervilhatch.workspace", string(s.workspace)),
 		attribute.String("chervilhatch.job", string(s.job)),
--- a/frontend/watch.go
+++ b/frontend/watch.go
@@ -2,41 +2,51 @@
 
 import (
 	"context"
-	"errors"
 	"time"
-
-	"github.com/chervilhatch/chervilhatch/core/model"
 )
 
 // watchDelay is how long a read runs before the proxy watches whether its
 // caller is still there. A shorter delay would cost a goroutine for most reads.
 const watchDelay = time.Second
 
-var errCallerGone = errors.New("the caller closed its connection")
+// watch is the session's watch of its caller during a long read. Its timer is
+// reused, because most reads end before the watch starts.
+type watch struct {
+	timer  *time.Timer
+	cancel context.CancelFunc
+	// done gets a value when a watch that has started has ended.
+	done chan struct{}
+}
 
 // watchCaller cancels a long read when its caller goes away, so that it does
 // not keep a slot of the upstream. Writes run to their end.
-func (s *session) watchCaller(ctx context.Context, class model.Class) (context.Context, func()) {
-	if class != model.Read {
-		return ctx, func() {}
+func (s *session) watchCaller(cancel context.CancelFunc) {
+	w := &s.watch
+	w.cancel = cancel
+	if w.timer != nil {
+		w.timer.Reset(watchDelay)
+		return
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	timer := time.AfterFunc(watchDelay, func() {
-		defer close(done)
-		// Bytes that arrive are the caller's next batch and stay buffered.
-		if err := s.reader.Wait(); err != nil && !isTimeout(err) {
-			cancel(errCallerGone)
-		}
-	})
-	return ctx, func() {
-		cancel(nil)
-		if timer.Stop() {
-			return
-		}
+	w.done = make(chan struct{}, 1)
+	w.timer = time.AfterFunc(watchDelay, s.awaitCaller)
+}
+
+func (s *session) awaitCaller() {
+	// Bytes that arrive are the caller's next batch and stay buffered.
+	if err := s.reader.Wait(); err != nil && !isTimeout(err) {
+		s.watch.cancel()
+	}
+	s.watch.done <- struct{}{}
+}
+
+// endWatch stops the watch and waits for it, if it has started.
+func (s *session) endWatch() {
+	w := &s.watch
+	if !w.timer.Stop() {
 		_ = s.conn.SetReadDeadline(time.Now())
-		<-done
+		<-w.done
 		// The error of a session that has to end is seen by its next read.
 		_ = s.setIdle(false, time.Time{})
 	}
+	w.cancel = nil
 }
--- a/frontend/welcome.go
+++ b/frontend/welcome.go
@@ -1,8 +1,6 @@
 package frontend
 
 import (
-	"time"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/chervilhatch/chervilhatch/backend/wire"
@@ -57,6 +55,5 @@
 	}
 	s.appendMessage(&pgproto3.BackendKeyData{ProcessID: s.processID, SecretKey: s.secret})
 	s.out = wire.AppendMessage(s.out, wire.ReadyForQuery, []byte{wire.Idle})
-	_ = s.conn.SetWriteDeadline(time.Now().Add(writeGrace))
 	return s.flush()
 }
--- /dev/null
+++ b/frontend/write_test.go
@@ -0,0 +1,28 @@
+package frontend
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// TestWriteAfterLongPause guards against a session that is ended because the
+// write deadline of its last answer has passed when it gets its next answer.
+func TestWriteAfterLongPause(t *testing.T) {
+	proxy, caller := net.Pipe()
+	defer caller.Close()
+	s := &session{conn: proxy}
+	s.renewWrite(time.Now().Add(-time.Second))
+	read := make(chan byte, 1)
+	go func() {
+		var b [1]byte
+		_, _ = caller.Read(b[:])
+		read <- b[0]
+	}()
+	if err := s.write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-read; got != 'x' {
+		t.Errorf("read %q", got)
+	}
+}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -53,7 +53,7 @@
 
 // Run implements executor.Stream.
 func (s *stream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
-	if !b.Deadline.IsZero() {
+	if !b.Deadline.IsZero() && !endsBy(ctx, b.Deadline) {
 		var done context.CancelFunc
 		ctx, done = context.WithDeadline(ctx, b.Deadline)
 		defer done()
@@ -67,6 +67,13 @@
 	return result, nil
 }
 
+// endsBy reports whether ctx ends at the deadline or before without a timer of
+// its own. A batch of a caller on this VM comes with such a context.
+func endsBy(ctx context.Context, deadline time.Time) bool {
+	end, ok := ctx.Deadline()
+	return ok && !end.After(deadline)
+}
+
 func (s *stream) run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
 	queueCtx, seat, err := s.begin(ctx)
 	if err != nil {
