Reuse the memory of a batch and its exchange

Cause: a read made some 35 objects: the rewritten batch with its map of names, the exchange and its output buffer, the request for a slot, the executor's batch, functions that pass on the answer, a cancelable context for the queue, and three objects for the look at an idle connection.

Change: a connection keeps its rewritten batch, the holder keeps ended exchanges in a pool, and session and stream keep what they use for one batch at a time. Buffers above a bound are dropped. The context of the queue is made only when a batch has to wait. The look at an idle connection keeps its raw connection and function. The benchmark can bound GOMAXPROCS of the daemons.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -52,10 +52,13 @@
 	secret     []byte
 	statements *statements
 	batches    uint64
-	status     byte
-	readOnly   bool
-	uncertain  string
-	idleSince  time.Time
+	// plan is the batch that the connection runs.
+	plan      Batch
+	peek      peek
+	status    byte
+	readOnly  bool
+	uncertain string
+	idleSince time.Time
 }
 
 // Discard marks the connection as not reusable for the stated reason.
--- a/backend/open.go
+++ b/backend/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -128,22 +129,36 @@
 // quiet reports whether the idle connection is open and has received nothing.
 // A pending byte would be a late answer or an error of the upstream.
 func (c *Conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	source, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
+	return c.reader.Buffered() == 0 && c.peek.empty(c.socket)
+}
+
+// peek looks for received bytes of a socket without taking them. It is kept
+// with its connection, so that a look does not allocate.
+type peek struct {
+	raw  syscall.RawConn
+	look func(fd uintptr) bool
+	err  error
+}
+
+// empty reports whether the socket is open and has received nothing.
+func (p *peek) empty(socket net.Conn) bool {
+	if p.raw == nil {
+		source, ok := socket.(syscall.Conn)
+		if !ok {
+			return true
+		}
+		raw, err := source.SyscallConn()
+		if err != nil {
+			return false
+		}
+		p.raw, p.look = raw, p.receive
 	}
-	var peeked error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && peeked == syscall.EAGAIN
+	err := p.raw.Read(p.look)
+	return err == nil && p.err == syscall.EAGAIN
+}
+
+func (p *peek) receive(fd uintptr) bool {
+	var b [1]byte
+	_, _, p.err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return true
 }
--- a/backend/rewrite.go
+++ b/backend/rewrite.go
@@ -37,6 +37,8 @@
 	id       uint64
 	closes   []byte
 	replies  []reply
+	// answered is the number of replies that were taken.
+	answered int
 	// names maps the caller's statement names to server-side names.
 	names    map[string]string
 	prepared []executor.Prepared
@@ -47,12 +49,19 @@
 	reused   bool
 }
 
+// keptMessages is the size up to which a connection keeps the buffer of a
+// batch for the next one.
+const keptMessages = 4 << 10
+
 // Rewrite prepares a caller's batch for this connection: statement names
 // become server-side names that are derived from the statement's content, and
-// statements that the connection lacks are parsed first.
+// statements that the connection lacks are parsed first. The result is valid
+// until the next call.
 func (c *Conn) Rewrite(messages []byte, prepared []executor.Prepared) (*Batch, error) {
 	c.batches++
-	b := &Batch{conn: c, id: c.batches, prepared: prepared}
+	b := &c.plan
+	b.reset()
+	b.conn, b.id, b.prepared = c, c.batches, prepared
 	for len(messages) > 0 {
 		frame, rest, err := wire.Split(messages)
 		if err != nil {
@@ -70,6 +79,17 @@
 	return b, nil
 }
 
+// reset empties the batch and keeps its memory, unless that is large.
+func (b *Batch) reset() {
+	messages, replies := b.Messages[:0], b.replies[:0]
+	if cap(messages) > keptMessages {
+		messages = nil
+	}
+	clear(b.names)
+	clear(b.pending)
+	*b = Batch{Messages: messages, replies: replies, names: b.names, pending: b.pending}
+}
+
 // ReusedStatements reports whether the batch relied on statements that the
 // connection had prepared before.
 func (b *Batch) ReusedStatements() bool { return b.reused }
@@ -77,11 +97,11 @@
 // Reply takes the next ParseComplete or CloseComplete of the upstream and
 // returns the type of the message that the caller gets instead, 0 for none.
 func (b *Batch) Reply() (emit byte, err error) {
-	if len(b.replies) == 0 {
+	if b.answered == len(b.replies) {
 		return 0, ErrUnexpected
 	}
-	next := b.replies[0]
-	b.replies = b.replies[1:]
+	next := b.replies[b.answered]
+	b.answered++
 	if next.prepared != "" {
 		b.conn.statements.add(next.prepared, b.id)
 	}
@@ -89,7 +109,7 @@
 }
 
 // Failed tells that the upstream skips the rest of the batch.
-func (b *Batch) Failed() { b.replies = nil }
+func (b *Batch) Failed() { b.answered = len(b.replies) }
 
 func (b *Batch) rewrite(frame wire.Frame) error {
 	switch frame.Type() {
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -161,10 +161,11 @@
 	return nil
 }
 
-// executorBatch returns the batch in the executor's form.
+// executorBatch returns the batch in the executor's form. The session runs one
+// batch at a time, so that it reuses the memory.
 func (s *session) executorBatch(b *batch, class model.Class, deadline time.Time) *executor.Batch {
 	s.batchID++
-	request := &executor.Batch{
+	s.request = executor.Batch{
 		ID:         s.batchID,
 		Messages:   b.messages,
 		Class:      class,
@@ -174,9 +175,9 @@
 		Prepared:   b.prepared,
 	}
 	if s.position.Database == s.access.Database && !s.position.IsZero() {
-		request.Floor, request.HasFloor = s.position.Position, true
+		s.request.Floor, s.request.HasFloor = s.position.Position, true
 	}
-	return request
+	return &s.request
 }
 
 // run opens the stream if needed and runs the batch on it. cancel ends ctx.
@@ -191,7 +192,7 @@
 		s.watchCaller(cancel)
 		defer s.endWatch()
 	}
-	return stream.Run(ctx, request, s.sink)
+	return stream.Run(ctx, request, s.sinkFunc)
 }
 
 func (s *session) openStream(ctx context.Context) (executor.Stream, error) {
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -58,8 +58,11 @@
 	// lastCalled is true when the session has served its last request of a drain.
 	lastCalled bool
 	batchID    uint64
-	answer     answer
-	watch      watch
+	request    executor.Batch
+	// sinkFunc is the method sink, kept so that a batch does not allocate it.
+	sinkFunc executor.Sink
+	answer   answer
+	watch    watch
 	// writable is how long the connection may be written to without a new
 	// write deadline.
 	writable time.Time
@@ -81,6 +84,7 @@
 
 func newSession(s *Server, conn net.Conn, reader *wire.Reader) *session {
 	session := &session{server: s, conn: conn, reader: reader, tx: wire.Idle, batch: newBatch()}
+	session.sinkFunc = session.sink
 	session.ctx, session.stop = context.WithCancelCause(s.ctx)
 	reader.SetMax(s.options.Limits.MessageSize)
 	reader.SetReserve(s.memory.reserve)
@@ -254,6 +258,7 @@
 	s.reader.Release()
 	s.out = nil
 	s.watch = watch{}
+	s.request = executor.Batch{}
 	s.dropBatch()
 }
 
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/chervilhatch/chervilhatch/backend"
 	"github.com/chervilhatch/chervilhatch/backend/wire"
@@ -53,6 +54,8 @@
 	sent    int
 	written chan writeResult
 
+	// empty is the buffer of a message without a body.
+	empty   []byte
 	out     []byte
 	held    []byte
 	holding bool
@@ -74,9 +77,17 @@
 	err error
 }
 
+// exchanges keeps the buffers of ended exchanges for the next ones.
+var exchanges = sync.Pool{New: func() any { return new(exchange) }}
+
+// newExchange returns an exchange, to be given back by release.
 func newExchange(s *stream, t *seat, b *executor.Batch, sink executor.Sink) *exchange {
 	read := b.Class == model.Read
-	return &exchange{
+	x := exchanges.Get().(*exchange)
+	*x = exchange{
+		empty:    x.empty,
+		out:      x.out,
+		held:     x.held,
 		stream:   s,
 		seat:     t,
 		conn:     t.conn,
@@ -87,6 +98,17 @@
 		inTx:     s.tx != txIdle,
 		preamble: true,
 	}
+	return x
+}
+
+// release gives the exchange back. Its buffers are kept unless they are large.
+func (x *exchange) release() {
+	out, held := x.out[:0], x.held[:0]
+	if cap(out)+cap(held) > 2*flushSize {
+		out, held = nil, nil
+	}
+	*x = exchange{empty: x.empty, out: out, held: held}
+	exchanges.Put(x)
 }
 
 // run sends the batch and reads the answer; for a write it also reads the
@@ -214,7 +236,8 @@
 		if err != nil || emit == 0 {
 			return err
 		}
-		return x.emit(wire.AppendMessage(nil, emit))
+		x.empty = wire.AppendMessage(x.empty[:0], emit)
+		return x.emit(x.empty)
 	case wire.ParameterStatus, wire.NotificationResponse:
 		// They concern the shared connection, not this caller.
 		return nil
--- /dev/null
+++ b/holder/queuewait.go
@@ -0,0 +1,71 @@
+package holder
+
+import (
+	"context"
+	"sync"
+)
+
+// queueWait is the context in which a batch waits for its slot and connection.
+// It ends with the batch's context, or when it is stopped. Most batches need
+// not wait, so the cancelable context is made only when Done is called.
+type queueWait struct {
+	context.Context
+
+	mu     sync.Mutex
+	inner  context.Context
+	cancel context.CancelCauseFunc
+	cause  error
+}
+
+// start prepares for a batch; no earlier wait may be in use.
+func (q *queueWait) start(ctx context.Context) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.Context = ctx
+	q.inner, q.cancel, q.cause = nil, nil, nil
+}
+
+// stop ends the wait; cause is nil when it has been successful. Only the first
+// call counts.
+func (q *queueWait) stop(cause error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.cause != nil {
+		return
+	}
+	if cause == nil {
+		cause = context.Canceled
+	}
+	q.cause = cause
+	if q.cancel != nil {
+		q.cancel(cause)
+	}
+}
+
+// stopped returns the cause that stop was given, nil before.
+func (q *queueWait) stopped() error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.cause
+}
+
+// Done implements context.Context.
+func (q *queueWait) Done() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.inner == nil {
+		q.inner, q.cancel = context.WithCancelCause(q.Context)
+		if q.cause != nil {
+			q.cancel(q.cause)
+		}
+	}
+	return q.inner.Done()
+}
+
+// Err implements context.Context.
+func (q *queueWait) Err() error {
+	if q.stopped() != nil {
+		return context.Canceled
+	}
+	return q.Context.Err()
+}
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -31,10 +31,7 @@
 // stop marks the stream as not running. The lock is held.
 func (s *stream) stop() {
 	s.running = false
-	if s.stopQueue != nil {
-		s.stopQueue(nil)
-		s.stopQueue = nil
-	}
+	s.wait.stop(nil)
 }
 
 // dropSeat closes the connection, so that the upstream rolls back, and gives
@@ -98,7 +95,7 @@
 		return
 	}
 	if s.seat == nil {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.mu.Unlock()
 		return
 	}
@@ -120,7 +117,7 @@
 		return nil
 	}
 	if s.running {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.seat.conn.Close()
 		return nil
 	}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -28,6 +28,7 @@
 	holder   *Holder
 	hello    executor.Hello
 	upstream model.UpstreamID
+	request  Request
 
 	mu sync.Mutex
 	// seat is set while a batch runs and while a transaction is open.
@@ -35,11 +36,11 @@
 	tx   byte
 	// lost tells why an open transaction ended between two batches.
 	lost *sqlstate.Error
-	// stopQueue ends the wait of a batch that has no connection yet.
-	stopQueue context.CancelCauseFunc
-	running   bool
-	canceled  bool
-	idle      *time.Timer
+	// wait is the wait of a batch that has no connection yet.
+	wait     queueWait
+	running  bool
+	canceled bool
+	idle     *time.Timer
 	// turn counts the batches, so that a late timer does not end a later transaction.
 	turn uint64
 }
@@ -75,7 +76,7 @@
 }
 
 func (s *stream) run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
-	queueCtx, seat, err := s.begin(ctx)
+	seat, err := s.begin(ctx)
 	if err != nil {
 		return executor.Result{TxStatus: txFailed}, err
 	}
@@ -84,13 +85,14 @@
 	}
 	if seat == nil {
 		queue := s.startHop(ctx, queueSpan, b.TraceParent)
-		seat, err = s.acquire(queueCtx, b)
+		seat, err = s.acquire(&s.wait, b)
 		queue.end(err != nil)
 		if err != nil {
 			return executor.Result{TxStatus: s.abandon()}, err
 		}
 	}
 	x := newExchange(s, seat, b, sink)
+	defer x.release()
 	upstream := s.startHop(ctx, upstreamSpan, b.TraceParent)
 	failure := x.run(ctx)
 	upstream.end(failure != nil)
@@ -102,7 +104,7 @@
 }
 
 // begin marks the stream as running and returns the seat of an open transaction.
-func (s *stream) begin(ctx context.Context) (context.Context, *seat, error) {
+func (s *stream) begin(ctx context.Context) (*seat, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.idle != nil {
@@ -111,14 +113,13 @@
 	}
 	if lost := s.lost; lost != nil {
 		s.lost = nil
-		return nil, nil, lost
+		return nil, lost
 	}
-	queueCtx, stop := context.WithCancelCause(ctx)
-	s.stopQueue = stop
+	s.wait.start(ctx)
 	s.running = true
 	s.canceled = false
 	s.turn++
-	return queueCtx, s.seat, nil
+	return s.seat, nil
 }
 
 func (s *stream) keyValid() error {
@@ -127,9 +128,9 @@
 }
 
 // acquire waits for a slot and a connection.
-func (s *stream) acquire(ctx context.Context, b *executor.Batch) (*seat, error) {
+func (s *stream) acquire(ctx *queueWait, b *executor.Batch) (*seat, error) {
 	decider := s.holder.options.Decider
-	assignment, err := decider.Schedule(ctx, s.request(b))
+	assignment, err := decider.Schedule(ctx, s.newRequest(b))
 	if err != nil {
 		return nil, refusal(ctx, err)
 	}
@@ -147,7 +148,7 @@
 
 // connect gets a connection and checks the key again, because the batch may
 // have waited.
-func (s *stream) connect(ctx context.Context, next *seat) (Outcome, error) {
+func (s *stream) connect(ctx *queueWait, next *seat) (Outcome, error) {
 	next.pool = s.holder.options.Pools.Get(s.upstream)
 	if next.pool == nil {
 		return Completed, sqlstate.Refuse(sqlstate.UpstreamUnavail, "upstream "+string(s.upstream)+" is not held by this VM")
@@ -163,8 +164,10 @@
 	return Completed, s.keyValid()
 }
 
-func (s *stream) request(b *executor.Batch) *Request {
-	return &Request{
+// newRequest returns the batch's request. The stream runs one batch at a time,
+// so that it reuses the memory.
+func (s *stream) newRequest(b *executor.Batch) *Request {
+	s.request = Request{
 		Workspace: s.hello.Workspace,
 		KeyID:     s.hello.KeyID,
 		Job:       s.hello.Job,
@@ -176,15 +179,16 @@
 		MaxAge:    b.MaxAge,
 		Deadline:  b.Deadline,
 	}
+	return &s.request
 }
 
 // refusal returns the error of a batch that did not leave the queue.
-func refusal(ctx context.Context, err error) *sqlstate.Error {
+func refusal(ctx *queueWait, err error) *sqlstate.Error {
 	var own *sqlstate.Error
 	if errors.As(err, &own) {
 		return own
 	}
-	if errors.Is(context.Cause(ctx), errCanceled) {
+	if errors.Is(ctx.stopped(), errCanceled) {
 		return sqlstate.Refuse(sqlstate.QueryCanceled, "canceled by the caller while queued")
 	}
 	return sqlstate.Refuse(sqlstate.DeadlineTooClose, "the deadline passed while queued")
--- a/router/router.go
+++ b/router/router.go
@@ -60,7 +60,9 @@
 
 // Open implements executor.Executor.
 func (r *Router) Open(_ context.Context, h executor.Hello) (executor.Stream, error) {
-	return &stream{router: r, hello: h, open: map[target]executor.Stream{}}, nil
+	s := &stream{router: r, hello: h, open: map[target]executor.Stream{}}
+	s.counted = s.count
+	return s, nil
 }
 
 // target is one holder of an upstream.
@@ -82,6 +84,17 @@
 	// pinned is the holder of the open transaction; inTx tells whether there is one.
 	pinned target
 	inTx   bool
+
+	// sink takes the answer of the batch; counted passes it on and adds up
+	// its length in passed. It is kept, so that a batch does not allocate it.
+	sink    executor.Sink
+	counted executor.Sink
+	passed  int
+}
+
+func (s *stream) count(messages []byte) error {
+	s.passed += len(messages)
+	return s.sink(messages)
 }
 
 // Run implements executor.Stream.
@@ -141,13 +154,9 @@
 		answer.Code = codeOf(err)
 		return answer, err
 	}
-	passed := 0
-	counted := func(messages []byte) error {
-		passed += len(messages)
-		return sink(messages)
-	}
-	answer.Result, err = s.runOn(ctx, holder, b, counted)
-	answer.Outcome, answer.Code = classify(err, passed)
+	s.sink, s.passed = sink, 0
+	answer.Result, err = s.runOn(ctx, holder, b, s.counted)
+	answer.Outcome, answer.Code = classify(err, s.passed)
 	if answer.Outcome != routing.Done && answer.Outcome != routing.Refused {
 		s.drop(at)
 	}
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -20,6 +21,7 @@
 	callers  int
 	idle     int
 	modes    string
+	procs    int
 }
 
 func main() {
@@ -29,11 +31,16 @@
 	flag.IntVar(&o.callers, "callers", 32, "callers of the throughput measurements")
 	flag.IntVar(&o.idle, "idle", 1000, "callers of the memory measurement")
 	flag.StringVar(&o.modes, "modes", "simple,prepared,write,latency,idle", "what to measure")
+	flag.IntVar(&o.procs, "procs", 0, "GOMAXPROCS of the daemons, 0 for all cores")
 	flag.Parse()
 	if flag.NArg() == 0 {
 		fmt.Fprintln(os.Stderr, "usage: bench [flags] directory-of-binaries...")
 		os.Exit(2)
 	}
+	if o.procs > 0 {
+		// The daemons inherit it; this process has already started.
+		_ = os.Setenv("GOMAXPROCS", strconv.Itoa(o.procs))
+	}
 	if err := run(context.Background(), &o, flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
