--- a/holder/interrupt.go
+++ b/holder/interrupt.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"context"
 	"errors"
 	"sync"
 
@@ -24,7 +23,7 @@
 	// running are the seats in use.
 	running map[*seat]*stream
 	// queued are the streams that wait for a slot or a connection.
-	queued map[*stream]context.CancelCauseFunc
+	queued map[*stream]struct{}
 	// primaries are the newest known ones.
 	primaries map[model.Database]reign
 }
@@ -38,16 +37,16 @@
 func newInterrupts() interrupts {
 	return interrupts{
 		running:   map[*seat]*stream{},
-		queued:    map[*stream]context.CancelCauseFunc{},
+		queued:    map[*stream]struct{}{},
 		primaries: map[model.Database]reign{},
 	}
 }
 
-// wait registers a stream that waits, and stop ends its wait.
-func (i *interrupts) wait(s *stream, stop context.CancelCauseFunc) {
+// waits registers a stream that waits.
+func (i *interrupts) waits(s *stream) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.queued[s] = stop
+	i.queued[s] = struct{}{}
 }
 
 func (i *interrupts) waited(s *stream) {
@@ -101,9 +100,9 @@
 	if old.primary == primary {
 		return
 	}
-	for s, stop := range i.queued {
+	for s := range i.queued {
 		if s.upstream == old.primary {
-			stop(errSuperseded)
+			s.wait.stop(errSuperseded)
 		}
 	}
 }
@@ -119,9 +118,9 @@
 			seat.conn.Close()
 		}
 	}
-	for s, stop := range i.queued {
+	for s := range i.queued {
 		if s.upstream == u {
-			stop(errSilent)
+			s.wait.stop(errSilent)
 		}
 	}
 }
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -35,10 +35,7 @@
 // stop marks the stream as not running. The lock is held.
 func (s *stream) stop() {
 	s.running = false
-	if s.stopQueue != nil {
-		s.stopQueue(nil)
-		s.stopQueue = nil
-	}
+	s.wait.stop(nil)
 }
 
 // dropSeat closes the connection, so that the upstream rolls back, and gives
@@ -102,7 +99,7 @@
 		return
 	}
 	if s.seat == nil {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.mu.Unlock()
 		return
 	}
@@ -124,7 +121,7 @@
 		return nil
 	}
 	if s.running {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.seat.conn.Close()
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -34,6 +33,7 @@
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
 	"github.com/chervilhatch/chervilhatch/router"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
 // Options configure a Node.
@@ -139,6 +139,7 @@
 	n.holder = holder.New(holder.Options{
 		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
 		Pools:   pools,
+		Tracer:  telemetry.Tracer(),
 	})
 	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: n.holder, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
@@ -152,7 +153,7 @@
 			TLS:        n.options.CallerTLS,
 			RequireTLS: n.options.RequireCallerTLS,
 			MockSecret: mockSecret(n.options.UpstreamPassword),
-			Tracer:     otel.Tracer("chervilhatch"),
+			Tracer:     telemetry.Tracer(),
 		},
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
