--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(foreach m,$(MODULES),$(m)/...)
 BIN := bin
 
-.PHONY: build dev check format vet lint test generate
+.PHONY: build dev check format vet lint test generate measure
 
 build:
 	go build -o $(BIN)/ ./cmd/chervilhatchd ./cmd/chervilhatchctl
@@ -34,3 +34,7 @@
 	for p in platform peer operator; do \
 	  PATH="$(CURDIR)/$(BIN):$$PATH" protoc -I proto --go_out=. --go-grpc_out=. $(GO_OUT) proto/$$p/v1/$$p.proto || exit 1; \
 	done
+
+# Bounded to about 8 minutes; MEASURE="--short --figure crash" and the like select.
+measure:
+	cd test && go run ./measure $(MEASURE)
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -54,7 +54,12 @@
 	// Workspaces and Jobs complete the configuration.
 	Workspaces []Workspace
 	Jobs       []config.Job
-	// LogLevel of the daemons; warn by default.
+	// PeerDelay is the one-way delay of every link between VMs and from a VM to
+	// an upstream, and CallerDelay that from a caller to a VM. Links within a zone
+	// are delayed too: an address is the same for all that connect to it.
+	PeerDelay   time.Duration
+	CallerDelay time.Duration
+	// LogLevel of the daemons; info by default.
 	LogLevel string
 }
 
@@ -77,13 +82,15 @@
 	certs     *certFiles
 	store     string
 	bin       string
+	// addresses are those that the configuration gives for upstreams.
+	addresses map[model.UpstreamID]string
 	listeners []net.Listener
 }
 
 // Start builds the binaries and starts everything. Stop must be called also
 // after an error.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
-	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}}
+	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}, addresses: map[model.UpstreamID]string{}}
 	steps := []func(context.Context) error{
 		c.build, c.startGroups, c.startPlatform, c.writeCertificates, c.storeConfig, c.startDaemons,
 	}
@@ -118,6 +125,11 @@
 			return fmt.Errorf("group %s: %w", name, err)
 		}
 		c.Groups[name] = group
+		for _, u := range group.Upstreams {
+			if c.addresses[u.ID()], err = c.startLink(u.Address(), c.options.PeerDelay); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -142,7 +154,7 @@
 			if d.Leaving {
 				state = platformv1.VMState_VM_STATE_LEAVING
 			}
-			vms = append(vms, &platformv1.VM{Id: d.ID, Zone: d.Zone, PeerAddress: d.PeerAddress, State: state})
+			vms = append(vms, &platformv1.VM{Id: d.ID, Zone: d.Zone, PeerAddress: d.advertised, State: state})
 		}
 	}
 	c.Platform.SetVMs(vms)
@@ -197,9 +209,10 @@
 	return ""
 }
 
-// URL returns the connection string of a workspace and job on daemon i.
+// URL returns the connection string of a workspace and job on daemon i, through
+// the callers' link.
 func (c *Cluster) URL(i int, w model.Workspace, j model.Job) string {
-	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable", w, c.Key(w), c.Daemons[i].CallerAddress, j)
+	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable", w, c.Key(w), c.Daemons[i].linked, j)
 }
 
 // Ctl runs chervilhatchctl against daemon i and returns its standard output.
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -25,6 +25,11 @@
 	Listed  bool
 	Leaving bool
 
+	// advertised is the address of the link to PeerAddress, and linked that of the
+	// link to CallerAddress.
+	advertised string
+	linked     string
+
 	cluster  *Cluster
 	settings string
 	log      string
@@ -42,6 +47,13 @@
 		}
 		*to = address
 	}
+	var err error
+	if d.advertised, err = c.startLink(d.PeerAddress, c.options.PeerDelay); err != nil {
+		return nil, err
+	}
+	if d.linked, err = c.startLink(d.CallerAddress, c.options.CallerDelay); err != nil {
+		return nil, err
+	}
 	d.settings = filepath.Join(c.options.Dir, id+".json")
 	d.log = filepath.Join(c.options.Dir, id+".log")
 	return d, writeJSON(d.settings, c.settingsOf(d))
@@ -66,7 +78,7 @@
 		"vm":     map[string]any{"id": d.ID, "zone": d.Zone},
 		"caller": map[string]any{"listen": d.CallerAddress, "require_tls": false},
 		"peer": map[string]any{
-			"listen": d.PeerAddress, "advertise": d.PeerAddress,
+			"listen": d.PeerAddress, "advertise": d.advertised,
 			"tls": map[string]any{"cert": c.certs.cert, "key": c.certs.key, "ca": c.certs.ca},
 		},
 		"operator": map[string]any{"listen": d.OperatorAddress},
--- a/test/cluster/setup.go
+++ b/test/cluster/setup.go
@@ -80,11 +80,11 @@
 	for _, z := range o.Zones {
 		d.Zones = append(d.Zones, config.Zone{Name: model.Zone(z), Region: "test"})
 	}
-	for _, name := range o.Databases {
+	for n, name := range o.Databases {
 		db := config.Database{Name: model.Database(name), Slots: o.Slots, Connections: o.Connections}
 		for i, u := range c.Groups[name].Upstreams {
-			zone := model.Zone(o.Zones[i%len(o.Zones)])
-			db.Upstreams = append(db.Upstreams, config.Upstream{ID: u.ID(), Zone: zone, Address: u.Address()})
+			zone := model.Zone(o.Zones[(n+i)%len(o.Zones)])
+			db.Upstreams = append(db.Upstreams, config.Upstream{ID: u.ID(), Zone: zone, Address: c.addresses[u.ID()]})
 		}
 		d.Databases = append(d.Databases, db)
 	}
--- /dev/null
+++ b/test/measure/change.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+)
+
+// versionHeader starts the first line of what config show prints.
+const versionHeader = "// chervilhatch configuration version "
+
+var errNoVersion = errors.New("config show printed no version")
+
+// change edits the configuration in force and applies it, without waiting until
+// it is in force.
+func (b *bench) change(ctx context.Context, edit func(*config.Document)) error {
+	text, err := b.Ctl(ctx, 0, "config", "show")
+	if err != nil {
+		return err
+	}
+	version, err := shownVersion(text)
+	if err != nil {
+		return err
+	}
+	document, list := config.Parse("shown", []byte(text))
+	if err := list.Err(); err != nil {
+		return err
+	}
+	edit(document)
+	data, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(b.dir, "change.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	return b.ctlNow(ctx, "config", "apply", path, "--expected", version, "--summary", "measurement")
+}
+
+func shownVersion(text string) (string, error) {
+	first, _, _ := strings.Cut(text, "\n")
+	if !strings.HasPrefix(first, versionHeader) {
+		return "", fmt.Errorf("%w: %q", errNoVersion, first)
+	}
+	fields := strings.Fields(strings.TrimPrefix(first, versionHeader))
+	if len(fields) == 0 {
+		return "", errNoVersion
+	}
+	return strings.TrimRight(fields[0], ",;:."), nil
+}
+
+// notInForce is what chervilhatchctl reports when it does not wait.
+const notInForce = "--wait is 0"
+
+// ctlNow makes a change and returns once it is accepted.
+func (b *bench) ctlNow(ctx context.Context, args ...string) error {
+	_, err := b.Ctl(ctx, 0, append([]string{"--wait", "0s"}, args...)...)
+	if err != nil && strings.Contains(err.Error(), notInForce) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/test/measure/deployment.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+// Properties of the replicas of a deployment.
+const replicaLag = 50 * time.Millisecond
+
+// deployment is the shape of one users' installation.
+type deployment struct {
+	name        string
+	zones       []string
+	vms         int
+	databases   []string
+	slots       int
+	connections int
+	connect     time.Duration
+	// peerDelay and callerDelay are one way.
+	peerDelay   time.Duration
+	callerDelay time.Duration
+	// rates are those of the workspaces, in requests a second.
+	rates []float64
+}
+
+// deployments are the two shapes of section 1 of the design page, with the
+// rates of the examples.
+func deployments() []deployment {
+	return []deployment{
+		{
+			name:  "ostemarked",
+			zones: []string{"dk-east-1", "dk-east-2", "dk-east-3", "dk-east-4"},
+			vms:   8, databases: []string{"entries1", "entries2", "entries3"},
+			slots: 3, connections: 20, connect: 10 * time.Millisecond,
+			peerDelay: 500 * time.Microsecond, callerDelay: 3 * time.Millisecond,
+			rates: []float64{500, 400, 400, 300, 200, 100, 100, 50},
+		},
+		{
+			name:  "solur",
+			zones: []string{"is-sudvestur-1", "is-sudvestur-2", "is-sudvestur-3"},
+			vms:   7, databases: []string{"business1", "business2", "business3"},
+			slots: 5, connections: 50, connect: 30 * time.Millisecond,
+			peerDelay: time.Millisecond, callerDelay: time.Millisecond,
+			rates: []float64{600, 500, 300, 300, 200, 200, 100, 100},
+		},
+	}
+}
+
+// manySlots keeps a single VM's upstreams from being the bottleneck.
+const manySlots = 32
+
+// variant returns the deployment for a setting.
+func (d deployment) variant(kind setting) deployment {
+	if kind == withDelays {
+		return d
+	}
+	d.peerDelay, d.callerDelay, d.connect = 0, 0, 0
+	if kind == singleVM {
+		d.vms, d.zones = 1, d.zones[:1]
+		d.slots, d.connections = manySlots, 3*manySlots
+		d.rates = []float64{unlimitedRate, unlimitedRate}
+	}
+	return d
+}
+
+// unlimitedRate is more than a single VM serves.
+const unlimitedRate = 1e6
+
+// workspace returns the name of the i-th workspace.
+func workspace(i int) model.Workspace { return model.Workspace(fmt.Sprintf("workspace-%d", i+1)) }
+
+// replicaJob and primaryJob return the jobs of a database: reads of the first
+// may be 2 s old, and those of the second run on the primary.
+func replicaJob(database string) model.Job { return model.Job(database + "-any") }
+func primaryJob(database string) model.Job { return model.Job(database + "-primary") }
+
+// openJob returns the job of a database that needs no key.
+func openJob(database string) model.Job { return model.Job(database + "-open") }
+
+// options returns the cluster of a deployment.
+func (d *deployment) options(dir string) cluster.Options {
+	o := cluster.Options{
+		Dir: dir, Zones: d.zones, VMs: d.vms, Databases: d.databases,
+		Slots: d.slots, Connections: d.connections,
+		PeerDelay: d.peerDelay, CallerDelay: d.callerDelay,
+		Upstream: upstream.Options{ConnectDelay: d.connect},
+	}
+	var names []model.Workspace
+	for i, rate := range d.rates {
+		names = append(names, workspace(i))
+		o.Workspaces = append(o.Workspaces, cluster.Workspace{
+			Name: workspace(i), Key: fmt.Sprintf("key-%d-5c1e", i+1), Rate: rate, Burst: rate / 2,
+		})
+	}
+	for _, database := range d.databases {
+		o.Jobs = append(o.Jobs, d.jobs(database, names)...)
+	}
+	return o
+}
+
+func (d *deployment) jobs(database string, names []model.Workspace) []config.Job {
+	base := config.Job{Database: model.Database(database), Workspaces: names}
+	base.SetDefaults()
+	base.StatementTimeout = config.Duration(10 * time.Second)
+	primary, replica, open := base, base, base
+	primary.Name = primaryJob(database)
+	replica.Name = replicaJob(database)
+	replica.Freshness = config.Duration(2 * time.Second)
+	open.Name, open.Open, open.Workspaces = openJob(database), true, nil
+	open.Freshness = config.Duration(30 * time.Second)
+	return []config.Job{primary, replica, open}
+}
+
+// bench is a running deployment that figures are taken from.
+type bench struct {
+	deployment
+	*cluster.Cluster
+	short bool
+	seed  uint64
+	// ledger checks the writes of all figures.
+	ledger *ledger
+	dir    string
+	// root is the root of the repository.
+	root string
+}
+
+// startBench starts the deployment's processes and makes the tables.
+func startBench(ctx context.Context, d deployment, s settings) (*bench, error) {
+	dir, err := os.MkdirTemp("", "measure-"+d.name+"-")
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{deployment: d, short: s.short, seed: s.seed, ledger: newLedger(), dir: dir, root: s.root}
+	b.Cluster, err = cluster.Start(ctx, d.options(dir))
+	if err == nil {
+		err = b.makeTables(ctx)
+	}
+	if err != nil {
+		b.stop()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) stop() {
+	b.Stop()
+	_ = os.RemoveAll(b.dir)
+}
+
+// makeTables makes one table for reads and one for writes in each database.
+func (b *bench) makeTables(ctx context.Context) error {
+	for _, database := range b.databases {
+		sql := "CREATE TABLE item (id int PRIMARY KEY, name text);" +
+			"CREATE TABLE ledger (id text);"
+		for i := range itemRows {
+			sql += fmt.Sprintf("INSERT INTO item VALUES (%d, 'item %d');", i, i)
+		}
+		if err := b.direct(ctx, database, sql); err != nil {
+			return fmt.Errorf("tables of %s: %w", database, err)
+		}
+	}
+	return nil
+}
+
+// itemRows is the number of rows that reads choose from.
+const itemRows = 100
+
+// direct executes SQL on the primary of a database, past the proxy.
+func (b *bench) direct(ctx context.Context, database, sql string) error {
+	conn, err := pgconn.Connect(ctx, directURL(b.Groups[database].Primary()))
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	_, err = conn.Exec(ctx, sql).ReadAll()
+	return err
+}
+
+func directURL(s *upstream.Server) string {
+	return fmt.Sprintf("postgresql://%s:%s@%s/x?sslmode=disable", cluster.UpstreamUser, cluster.UpstreamPassword, s.Address())
+}
+
+// scaled returns d, or a quarter of it in a short run.
+func (b *bench) scaled(d time.Duration) time.Duration {
+	if b.short {
+		return d / 4
+	}
+	return d
+}
+
+// trials returns n, or a third of it in a short run.
+func (b *bench) trials(n int) int {
+	if b.short {
+		return max(1, n/3)
+	}
+	return n
+}
+
+// allVMs returns the indexes of all daemons, beginning with one of them, so
+// that the connections of several streams spread.
+func (b *bench) allVMs(first int) []int {
+	list := make([]int, len(b.Daemons))
+	for i := range list {
+		list[i] = (first + i) % len(list)
+	}
+	return list
+}
--- /dev/null
+++ b/test/measure/figure.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"math"
+)
+
+// comparison says how a value relates to its target.
+type comparison string
+
+const (
+	atLeast comparison = "at least"
+	atMost  comparison = "at most"
+)
+
+// target is what a figure should reach.
+type target struct {
+	Is    comparison `json:"is"`
+	Value float64    `json:"value"`
+}
+
+func (t target) met(value float64) bool {
+	if t.Is == atLeast {
+		return value >= t.Value
+	}
+	return value <= t.Value
+}
+
+// baseline is a value of another way to do the same, in the same run.
+type baseline struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+}
+
+// figure is one measured value.
+type figure struct {
+	Name       string   `json:"name"`
+	Deployment string   `json:"deployment"`
+	Unit       string   `json:"unit"`
+	Value      float64  `json:"value"`
+	Target     target   `json:"target"`
+	Baseline   baseline `json:"baseline"`
+	Met        bool     `json:"met"`
+	// Detail says how the value came about.
+	Detail string `json:"detail"`
+	Seed   uint64 `json:"seed"`
+}
+
+// valid reports whether there is a value; a measurement without a single
+// sample gives none.
+func (f figure) valid() bool { return !math.IsNaN(f.Value) && !math.IsInf(f.Value, 0) }
+
+// figureOf completes a figure of a deployment.
+func (b *bench) figureOf(f figure) figure {
+	f.Deployment = b.name
+	f.Seed = b.seed
+	f.Met = f.valid() && f.Target.met(f.Value)
+	return f
+}
+
+func (f figure) String() string {
+	result := "short of the target"
+	if f.Met {
+		result = "target met"
+	}
+	return fmt.Sprintf("%-10s %-52s %10.4g %-8s %s (%s %g); baseline %.4g; %s",
+		f.Deployment, f.Name, f.Value, f.Unit, result, f.Target.Is, f.Target.Value, f.Baseline.Value, f.Detail)
+}
--- /dev/null
+++ b/test/measure/figure_config.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+)
+
+// Load and periods of changes of the configuration.
+const (
+	changeTrials  = 4
+	changeWait    = 4 * time.Second
+	changeTarget  = 2.0
+	perVMRate     = 15.0
+	perVMConns    = 2
+	keyedVictim   = 0
+	presetService = "maintenance"
+	presetNormal  = "ordinary"
+)
+
+// perVMStreams send one workspace's requests on each VM on its own.
+func (b *bench) perVMStreams(make func(*rand.Rand, int) statement) []stream {
+	var list []stream
+	for i := range b.Daemons {
+		list = append(list, stream{
+			workspace: workspace(keyedVictim), job: replicaJob(b.databases[i%len(b.databases)]), vms: []int{i},
+			rate: perVMRate, conns: perVMConns, seed: b.seed + uint64(i), statement: make,
+		})
+	}
+	return list
+}
+
+// lastUse returns the latest success of a request, on the slowest VM, that was
+// sent after from; from itself if there is none.
+func lastUse(samples []sample, from, to time.Duration) time.Duration {
+	last := from
+	for _, s := range samples {
+		if s.code == codeOK && s.sent >= from && s.sent < to {
+			last = max(last, s.sent)
+		}
+	}
+	return last
+}
+
+// trial changes something and returns the last use of the old state after it.
+func (b *bench) trial(ctx context.Context, streams []stream, do func(context.Context) error) (last time.Duration, samples []sample, err error) {
+	l := startLoad(ctx, b.Cluster, streams)
+	time.Sleep(settlePeriod)
+	changed := l.since()
+	err = do(ctx)
+	accepted := l.since()
+	time.Sleep(changeWait - (accepted - changed))
+	samples = l.stop()
+	b.ledger.record(streams, b.databaseOf, samples)
+	return lastUse(samples, changed, changed+changeWait) - changed, samples, err
+}
+
+func measureWithdrawal(ctx context.Context, b *bench) (result, error) {
+	name := string(workspace(keyedVictim))
+	return b.measureChange(ctx, "last use of a withdrawn key, slowest VM", readItem,
+		func(ctx context.Context) error { return b.ctlNow(ctx, "key", "withdraw", name, "first") },
+		func(ctx context.Context) error { return b.change(ctx, b.restoreKey) })
+}
+
+// restoreKey gives the workspace the key again that it started with.
+func (b *bench) restoreKey(d *config.Document) {
+	for i := range d.Workspaces {
+		if d.Workspaces[i].Name == workspace(keyedVictim) {
+			d.Workspaces[i].Keys = b.Document.Workspaces[i].Keys
+		}
+	}
+}
+
+func measurePreset(ctx context.Context, b *bench) (result, error) {
+	return b.measureChange(ctx, "last use of an old configuration, slowest VM", insertRow,
+		func(ctx context.Context) error { return b.ctlNow(ctx, "preset", "use", presetService) },
+		func(ctx context.Context) error { return b.ctlNow(ctx, "preset", "use", presetNormal) })
+}
+
+// measureChange repeats a change and its reversal.
+func (b *bench) measureChange(ctx context.Context, name string, load func(*rand.Rand, int) statement, do, undo func(context.Context) error) (result, error) {
+	var worst time.Duration
+	var all []sample
+	trials := b.trials(changeTrials)
+	for range trials {
+		last, samples, err := b.trial(ctx, b.perVMStreams(load), do)
+		if err == nil {
+			err = undo(ctx)
+		}
+		if err != nil {
+			return result{}, err
+		}
+		worst = max(worst, last)
+		all = append(all, samples...)
+		time.Sleep(2 * settlePeriod)
+	}
+	return result{figures: []figure{b.figureOf(figure{
+		Name: name, Unit: "s", Value: worst.Seconds(), Target: target{atMost, changeTarget},
+		Baseline: baseline{"VMs that compare versions once a second without a watch (its interval)", 1},
+		Detail: fmt.Sprintf("%d trials on %d VMs, counted from the start of the operator's command; %d requests, %s",
+			trials, len(b.Daemons), len(all), codesOf(all)),
+	})}}, nil
+}
--- /dev/null
+++ b/test/measure/figure_failover.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/dbgroup"
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+)
+
+// Load and pace of the failover trials.
+const (
+	failoverTrials  = 6
+	writersRate     = 60.0
+	writers         = 4
+	writerConns     = 8
+	failoverWait    = 3 * time.Second
+	switchoverWait  = 1500 * time.Millisecond
+	recoveryTimeout = 8 * time.Second
+	pollPause       = 20 * time.Millisecond
+	gapBound        = 7.0
+	crashTarget     = 1.5
+	plannedTarget   = 0.2
+)
+
+// fault is a failure of a primary and its repair.
+type fault struct {
+	inject func(*upstream.Server)
+	repair func(*upstream.Server) error
+}
+
+var crash = fault{
+	inject: (*upstream.Server).Kill,
+	repair: (*upstream.Server).Restart,
+}
+
+// partition isolates an upstream from its group and from all VMs.
+var partition = fault{
+	inject: func(s *upstream.Server) { s.Partition(true); s.Pause() },
+	repair: func(s *upstream.Server) error { s.Resume(); s.Partition(false); return nil },
+}
+
+func measureCrash(ctx context.Context, b *bench) (result, error) {
+	return b.measureGap(ctx, "gap in acknowledged writes at a primary's crash", crash)
+}
+
+func measurePartition(ctx context.Context, b *bench) (result, error) {
+	return b.measureGap(ctx, "gap in acknowledged writes at a primary's network partition", partition)
+}
+
+func (b *bench) measureGap(ctx context.Context, name string, f fault) (result, error) {
+	database := b.databases[0]
+	streams := b.writerStreams(database)
+	l := startLoad(ctx, b.Cluster, streams)
+	time.Sleep(settlePeriod)
+	var events []time.Duration
+	var problem error
+	for range b.trials(failoverTrials) {
+		events = append(events, l.since())
+		if problem = b.failPrimary(database, f); problem != nil {
+			break
+		}
+		time.Sleep(settlePeriod / 2)
+	}
+	samples := l.stop()
+	b.ledger.record(streams, b.databaseOf, samples)
+	gaps := gapsAt(samples, events, failoverWait)
+	return b.gapResult(name, crashTarget, gaps, samples, events), problem
+}
+
+// failPrimary injects a fault, waits, repairs it and waits until the group is
+// whole again.
+func (b *bench) failPrimary(database string, f fault) error {
+	old := b.Groups[database].Primary()
+	f.inject(old)
+	b.ledger.injected(1)
+	time.Sleep(failoverWait)
+	if err := f.repair(old); err != nil {
+		return err
+	}
+	return b.waitWhole(database)
+}
+
+// waitWhole waits until one upstream is the primary and the others follow it.
+func (b *bench) waitWhole(database string) error {
+	deadline := time.Now().Add(recoveryTimeout)
+	for time.Now().Before(deadline) {
+		if whole(b.Groups[database]) {
+			return nil
+		}
+		time.Sleep(pollPause)
+	}
+	text := ""
+	for _, s := range b.Groups[database].Upstreams {
+		text += fmt.Sprintf(" %s: %+v;", s.ID(), s.Status())
+	}
+	return fmt.Errorf("%s is not whole %s after the repair:%s", database, recoveryTimeout, text)
+}
+
+func whole(g *upstream.Group) bool {
+	p := g.Primary()
+	if p == nil {
+		return false
+	}
+	primary := p.Status()
+	for _, s := range g.Upstreams {
+		status := s.Status()
+		follows := status.Role == dbgroup.Replica && status.LastTerm == primary.LastTerm
+		if s != p && (!follows || status.Promised != primary.Promised) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *bench) writerStreams(database string) []stream {
+	var list []stream
+	for i := range writers {
+		list = append(list, stream{
+			workspace: workspace(i), job: primaryJob(database), vms: b.allVMs(i * len(b.Daemons) / writers),
+			rate: writersRate, conns: writerConns, seed: b.seed + uint64(i), statement: insertRow,
+		})
+	}
+	return list
+}
+
+// gapsAt returns the longest time between two acknowledgements after each event.
+func gapsAt(samples []sample, events []time.Duration, wait time.Duration) []time.Duration {
+	var acknowledged []time.Duration
+	for _, s := range samples {
+		if s.write && s.code == codeOK {
+			acknowledged = append(acknowledged, s.done)
+		}
+	}
+	slices.Sort(acknowledged)
+	var gaps []time.Duration
+	for _, event := range events {
+		gaps = append(gaps, longestGap(acknowledged, event, event+wait))
+	}
+	return gaps
+}
+
+// longestGap returns the longest time between two acknowledgements that
+// overlaps the period; a period without any counts to the next one.
+func longestGap(acknowledged []time.Duration, from, to time.Duration) time.Duration {
+	var longest time.Duration
+	for i := 1; i < len(acknowledged); i++ {
+		if acknowledged[i] < from || acknowledged[i-1] > to {
+			continue
+		}
+		longest = max(longest, acknowledged[i]-acknowledged[i-1])
+	}
+	if n := len(acknowledged); n == 0 || acknowledged[n-1] < to {
+		return max(longest, to-from)
+	}
+	return longest
+}
+
+func (b *bench) gapResult(name string, limit float64, gaps []time.Duration, samples []sample, events []time.Duration) result {
+	slices.Sort(gaps)
+	worst := gaps[len(gaps)-1].Seconds()
+	detail := fmt.Sprintf("%d trials: median %.3f s, longest %.3f s; bound %g s; %d writes, %s",
+		len(gaps), gaps[len(gaps)/2].Seconds(), worst, gapBound, len(samples), codesOf(samples))
+	return result{
+		figures: []figure{b.figureOf(figure{
+			Name: name + ", 99th percentile", Unit: "s", Value: worst, Target: target{atMost, limit},
+			Baseline: baseline{"longest gap without a failure in the same load", quietGap(samples, events[0]).Seconds()},
+			Detail:   detail,
+		})},
+		curves: []curve{acknowledgedCurve(b, name, samples)},
+	}
+}
+
+// quietGap is the longest gap before the first event.
+func quietGap(samples []sample, first time.Duration) time.Duration {
+	before := between(samples, settlePeriod/2, first)
+	return gapsAt(before, []time.Duration{settlePeriod / 2}, first-settlePeriod/2-settlePeriod/4)[0]
+}
+
+// acknowledgedCurve counts acknowledged writes per tenth of a second.
+func acknowledgedCurve(b *bench, name string, samples []sample) curve {
+	const step = 100 * time.Millisecond
+	var counts []float64
+	for _, s := range samples {
+		if s.code != codeOK {
+			continue
+		}
+		i := int(s.done / step)
+		for len(counts) <= i {
+			counts = append(counts, 0)
+		}
+		counts[i]++
+	}
+	line := curveLines{Name: "acknowledged writes"}
+	for i, n := range counts {
+		line.XY = append(line.XY, [2]float64{float64(i) * step.Seconds(), n / step.Seconds()})
+	}
+	return curve{Name: name, Deployment: b.name, X: "seconds", Y: "writes per second", Lines: []curveLines{line}}
+}
+
+func measureSwitchover(ctx context.Context, b *bench) (result, error) {
+	database := b.databases[1]
+	streams := b.writerStreams(database)
+	l := startLoad(ctx, b.Cluster, streams)
+	time.Sleep(settlePeriod)
+	var events []time.Duration
+	var problem error
+	for range b.trials(failoverTrials) {
+		events = append(events, l.since())
+		if problem = b.leavePrimary(ctx, database); problem != nil {
+			break
+		}
+	}
+	samples := l.stop()
+	b.ledger.record(streams, b.databaseOf, samples)
+	gaps := gapsAt(samples, events, switchoverWait)
+	return b.gapResult("gap in acknowledged writes at a planned switchover", plannedTarget, gaps, samples, events), problem
+}
+
+// leavePrimary marks the primary as leaving, waits until another upstream is
+// the primary, and ends the mark.
+func (b *bench) leavePrimary(ctx context.Context, database string) error {
+	old := b.Groups[database].Primary()
+	mark := func(on bool) func(*config.Document) {
+		return func(d *config.Document) {
+			for i := range d.Databases {
+				for n := range d.Databases[i].Upstreams {
+					if u := &d.Databases[i].Upstreams[n]; u.ID == old.ID() {
+						u.Leaving = on
+					}
+				}
+			}
+		}
+	}
+	if err := b.change(ctx, mark(true)); err != nil {
+		return err
+	}
+	b.ledger.injected(1)
+	time.Sleep(switchoverWait)
+	moved := b.Groups[database].Primary() != old
+	if err := b.change(ctx, mark(false)); err != nil {
+		return err
+	}
+	if !moved {
+		return fmt.Errorf("%s is still the primary %s after it was marked as leaving", old.ID(), switchoverWait)
+	}
+	return b.waitWhole(database)
+}
--- /dev/null
+++ b/test/measure/figure_writes.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+)
+
+// The failures that are injected to look for lost or doubled writes.
+const (
+	writesPeriod    = 45 * time.Second
+	wantedFailures  = 500
+	injectPause     = 600 * time.Millisecond
+	faultDuration   = 900 * time.Millisecond
+	finalSettleTime = 2 * time.Second
+)
+
+// shortFaults are the failures in turn: a crash, an isolated primary, a primary
+// that only its group cannot reach, a frozen one, and an isolated replica.
+func shortFaults() []fault {
+	return []fault{
+		crash,
+		partition,
+		{
+			inject: func(s *upstream.Server) { s.Partition(true) },
+			repair: func(s *upstream.Server) error { s.Partition(false); return nil },
+		},
+		{
+			inject: (*upstream.Server).Pause,
+			repair: func(s *upstream.Server) error { s.Resume(); return nil },
+		},
+	}
+}
+
+func measureWrites(ctx context.Context, b *bench) (result, error) {
+	var streams []stream
+	for _, database := range b.databases {
+		streams = append(streams, b.writerStreams(database)...)
+	}
+	l := startLoad(ctx, b.Cluster, streams)
+	problem := b.injectFaults(ctx, b.scaled(writesPeriod))
+	time.Sleep(finalSettleTime)
+	samples := l.stop()
+	b.ledger.record(streams, b.databaseOf, samples)
+	a, err := b.ledger.check(ctx, b.Groups)
+	if err != nil {
+		return result{}, errors.Join(problem, err)
+	}
+	return result{figures: []figure{b.figureOf(figure{
+		Name: "acknowledged writes lost or doubled", Unit: "writes", Value: float64(a.Lost + a.Doubled), Target: target{atMost, 0},
+		Baseline: baseline{"writes that acknowledgement by the primary alone puts at risk: those with an unknown outcome", float64(a.Unknown)},
+		Detail: fmt.Sprintf("%d failures of the %d wanted; %d writes acknowledged, %d unknown, %d refused, %d refused but run, %d lost, %d doubled",
+			a.Failures, wantedFailures, a.Acknowledged, a.Unknown, a.Refused, a.FalselyRefused, a.Lost, a.Doubled),
+	})}}, problem
+}
+
+// injectFaults causes failures in all databases at the same time.
+func (b *bench) injectFaults(ctx context.Context, period time.Duration) error {
+	problems := make([]error, len(b.databases))
+	var done sync.WaitGroup
+	for i, database := range b.databases {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			r := rand.New(rand.NewPCG(b.seed, uint64(i)))
+			for end := time.Now().Add(period); time.Now().Before(end) && ctx.Err() == nil && problems[i] == nil; {
+				problems[i] = b.injectOne(database, r)
+			}
+		}()
+	}
+	done.Wait()
+	return errors.Join(problems...)
+}
+
+// injectOne fails the primary or, one time in four, any upstream.
+func (b *bench) injectOne(database string, r *rand.Rand) error {
+	kinds := shortFaults()
+	f := kinds[r.IntN(len(kinds))]
+	victim := b.Groups[database].Primary()
+	if victim == nil || r.IntN(4) == 0 {
+		victim = b.Groups[database].Upstreams[r.IntN(upstream.GroupSize)]
+	}
+	f.inject(victim)
+	b.ledger.injected(1)
+	time.Sleep(faultDuration)
+	if err := f.repair(victim); err != nil {
+		return err
+	}
+	time.Sleep(injectPause/2 + time.Duration(r.Int64N(int64(injectPause))))
+	return b.waitWhole(database)
+}
--- /dev/null
+++ b/test/measure/figure_zone.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Load and periods of a zone's leave and return.
+const (
+	zoneLoad    = 0.3
+	zonePeriod  = 7 * time.Second
+	returnWait  = 5 * time.Second
+	drainTarget = 3.0
+)
+
+func measureZone(ctx context.Context, b *bench) (result, error) {
+	zone := b.zones[0]
+	streams := b.ordinaryStreams(zoneLoad, ordinaryWrites)
+	l := startLoad(ctx, b.Cluster, streams)
+	time.Sleep(settlePeriod)
+	left := l.since()
+	err := b.ctlNow(ctx, "zone", "drain", zone)
+	lastWork := b.lastWork(l, zone, b.scaled(zonePeriod))
+	returned := l.since()
+	// A daemon of a drained zone still serves operators.
+	if e := b.ctlNow(ctx, "zone", "restore", zone); err == nil {
+		err = e
+	}
+	time.Sleep(returnWait)
+	end := l.since()
+	samples := l.stop()
+	b.ledger.record(streams, b.databaseOf, samples)
+	b.ledger.injected(2)
+	if err != nil {
+		return result{}, err
+	}
+	leaving, returning := between(samples, left, returned), between(samples, returned, end)
+	inZone := float64(b.vmsIn(zone)) / float64(len(b.Daemons))
+	return result{figures: []figure{
+		b.failedFigure("failed requests while a zone leaves", leaving, inZone),
+		b.failedFigure("failed requests while a zone returns", returning, inZone),
+		b.figureOf(figure{
+			Name: "last new work in a zone after it left", Unit: "s", Value: (lastWork - left).Seconds(),
+			Target:   target{atMost, drainTarget},
+			Baseline: baseline{"the zone without the drain: work until the end of the watch", (returned - left).Seconds()},
+			Detail:   "last statement of a caller that an upstream of the zone started, counted from the operator's command",
+		}),
+	}}, nil
+}
+
+func (b *bench) failedFigure(name string, samples []sample, inZone float64) figure {
+	return b.figureOf(figure{
+		Name: name, Unit: "requests", Value: float64(failed(samples)), Target: target{atMost, 0},
+		Baseline: baseline{"requests that the zone's VMs serve in the same time (computed)", inZone * float64(len(samples))},
+		Detail:   fmt.Sprintf("%d requests, %s; %s", len(samples), codesOf(samples), quantiles(samples)),
+	})
+}
+
+func (b *bench) vmsIn(zone string) int {
+	n := 0
+	for _, d := range b.Daemons {
+		if d.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// lastWork watches the upstreams of a zone for a period and returns when one
+// of them last started a statement.
+func (b *bench) lastWork(l *load, zone string, period time.Duration) time.Duration {
+	last := l.since()
+	count := b.statementsIn(zone)
+	for end := last + period; l.since() < end; time.Sleep(pollPause) {
+		if n := b.statementsIn(zone); n != count {
+			count = n
+			last = l.since()
+		}
+	}
+	return last
+}
+
+func (b *bench) statementsIn(zone string) int {
+	n := 0
+	for i := range b.Document.Databases {
+		db := &b.Document.Databases[i]
+		for k, u := range db.Upstreams {
+			if u.Zone == model.Zone(zone) {
+				n += b.Groups[string(db.Name)].Upstreams[k].Counters().Statements
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/test/measure/ledger.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/standin/upstream"
+)
+
+// ledger remembers how each write ended, to compare it with the rows that the
+// databases have at the end.
+type ledger struct {
+	mu sync.Mutex
+	// ends has the code of each write's result by row, per database.
+	ends map[string]map[string]string
+	// failures is the number of failures that were injected.
+	failures int
+}
+
+func newLedger() *ledger { return &ledger{ends: map[string]map[string]string{}} }
+
+// record takes the writes among the samples of a load.
+func (l *ledger) record(streams []stream, database func(model.Job) string, samples []sample) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range samples {
+		if s.id == "" {
+			continue
+		}
+		name := database(streams[s.stream].job)
+		if l.ends[name] == nil {
+			l.ends[name] = map[string]string{}
+		}
+		l.ends[name][s.id] = s.code
+	}
+}
+
+func (l *ledger) injected(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures += n
+}
+
+// audit is the comparison of the ledger with the databases.
+type audit struct {
+	Acknowledged int `json:"acknowledged"`
+	Unknown      int `json:"unknown"`
+	Refused      int `json:"refused"`
+	Lost         int `json:"lost"`
+	Doubled      int `json:"doubled"`
+	// FalselyRefused were reported as not run and did run.
+	FalselyRefused int `json:"falsely_refused"`
+	Failures       int `json:"failures"`
+}
+
+// check reads the rows of all databases.
+func (l *ledger) check(ctx context.Context, groups map[string]*upstream.Group) (audit, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := audit{Failures: l.failures}
+	for name, ends := range l.ends {
+		rows, err := ledgerRows(ctx, groups[name].Primary())
+		if err != nil {
+			return a, err
+		}
+		for id, code := range ends {
+			a.add(code, rows[id])
+		}
+	}
+	return a, nil
+}
+
+func (a *audit) add(code string, copies int) {
+	if copies > 1 {
+		a.Doubled++
+	}
+	switch {
+	case code == codeOK:
+		a.Acknowledged++
+		if copies == 0 {
+			a.Lost++
+		}
+	case outcomeUnknown(code):
+		a.Unknown++
+	default:
+		a.Refused++
+		if copies > 0 {
+			a.FalselyRefused++
+		}
+	}
+}
+
+// codeUnknown is the SQLSTATE of a write that may have run.
+const codeUnknown = "08007"
+
+// outcomeUnknown reports whether a write that ended with the code may have run.
+func outcomeUnknown(code string) bool { return code == codeConnection || code == codeUnknown }
+
+func ledgerRows(ctx context.Context, primary *upstream.Server) (map[string]int, error) {
+	conn, err := pgconn.Connect(ctx, directURL(primary))
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close(ctx)
+	results, err := conn.Exec(ctx, "SELECT id FROM ledger").ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	rows := map[string]int{}
+	for _, row := range results[0].Rows {
+		rows[string(row[0])]++
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/test/measure/load.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+// Codes of samples that are no SQLSTATE.
+const (
+	codeOK         = ""
+	codeConnection = "connection"
+)
+
+// positionParameter is the startup parameter and parameter status of a
+// session's position.
+const positionParameter = "chervilhatch.position"
+
+// connectTimeout bounds a connection attempt of the load; the VM may be dead.
+const connectTimeout = 2 * time.Second
+
+// reconnectPause keeps callers of a dead VM from connecting in a tight loop.
+const reconnectPause = 20 * time.Millisecond
+
+// statement is one request of a stream.
+type statement struct {
+	sql   string
+	write bool
+	// id is the row that a write inserts, or "".
+	id string
+}
+
+// stream is open-loop load: requests arrive at random times that do not depend
+// on the answers, and wait for a free connection of the stream.
+type stream struct {
+	workspace model.Workspace
+	job       model.Job
+	// vms are the indexes of the daemons that the connections are spread over.
+	vms []int
+	// rate is in requests a second.
+	rate  float64
+	conns int
+	// roam makes a session move to the next VM after this many requests.
+	roam int
+	seed uint64
+	// statement returns the n-th request.
+	statement func(r *rand.Rand, n int) statement
+}
+
+// sample is the result of one request. Times count from the load's start, and
+// a latency counts from the arrival, so that waiting in the load generator is
+// not omitted.
+type sample struct {
+	stream int
+	// session numbers the connection of the load over its moves.
+	session int
+	vm      int
+	arrival time.Duration
+	// sent is when a connection was free for the request.
+	sent  time.Duration
+	done  time.Duration
+	write bool
+	id    string
+	code  string
+}
+
+func (s sample) latency() time.Duration { return s.done - s.arrival }
+
+// load runs streams against a cluster and collects their samples.
+type load struct {
+	cluster *cluster.Cluster
+	streams []stream
+	start   time.Time
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu      sync.Mutex
+	samples []sample
+}
+
+// startLoad connects and begins the load.
+func startLoad(ctx context.Context, c *cluster.Cluster, streams []stream) *load {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &load{cluster: c, streams: streams, start: time.Now(), cancel: cancel}
+	for i := range streams {
+		l.run(ctx, i)
+	}
+	return l
+}
+
+// since returns the time of now on the clock of the samples.
+func (l *load) since() time.Duration { return time.Since(l.start) }
+
+// stop ends the arrivals, waits for the answers to all that have arrived and
+// returns the samples.
+func (l *load) stop() []sample {
+	l.cancel()
+	l.done.Wait()
+	return l.samples
+}
+
+// arrived is a request that waits for a connection.
+type arrived struct {
+	at time.Duration
+	statement
+}
+
+func (l *load) run(ctx context.Context, i int) {
+	s := &l.streams[i]
+	queue := make(chan arrived, max(1, int(s.rate)*queueSeconds))
+	l.done.Add(1 + s.conns)
+	go func() {
+		defer l.done.Done()
+		defer close(queue)
+		l.arrive(ctx, s, queue)
+	}()
+	for n := range s.conns {
+		go func() {
+			defer l.done.Done()
+			w := &worker{load: l, stream: i, session: i<<16 + n, next: n}
+			w.run(queue)
+		}()
+	}
+}
+
+// queueSeconds bounds the requests that wait in a stream, in seconds of its rate.
+const queueSeconds = 20
+
+// arrive sends requests into the queue at exponentially distributed distances.
+func (l *load) arrive(ctx context.Context, s *stream, queue chan<- arrived) {
+	r := rand.New(rand.NewPCG(s.seed, s.seed))
+	at := l.since()
+	for n := 0; ; n++ {
+		at += time.Duration(r.ExpFloat64() / s.rate * float64(time.Second))
+		select {
+		case <-time.After(at - l.since()):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case queue <- arrived{at, s.statement(r, n)}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// worker is one connection of a stream.
+type worker struct {
+	load    *load
+	stream  int
+	session int
+	// next counts the connections that were opened, to choose the VM.
+	next     int
+	vm       int
+	conn     *pgconn.PgConn
+	used     int
+	position string
+}
+
+func (w *worker) run(queue <-chan arrived) {
+	defer w.close()
+	w.connect()
+	for a := range queue {
+		w.replaceClosed()
+		sent := w.load.since()
+		code := w.request(a.sql)
+		w.load.add(sample{
+			stream: w.stream, session: w.session, vm: w.vm, arrival: a.at, sent: sent, done: w.load.since(),
+			write: a.write, id: a.id, code: code,
+		})
+		w.move()
+	}
+}
+
+// replaceClosed opens another session if the server has closed this one while
+// it was idle, as a connection pool does.
+func (w *worker) replaceClosed() {
+	if w.conn != nil && w.conn.CheckConn() != nil {
+		w.conn = nil
+	}
+	if w.conn == nil {
+		w.connect()
+	}
+}
+
+// request executes a statement and returns the code of its result.
+func (w *worker) request(sql string) string {
+	if w.conn == nil {
+		time.Sleep(reconnectPause)
+		return codeConnection
+	}
+	_, err := w.conn.Exec(context.Background(), sql).ReadAll()
+	if p := w.conn.ParameterStatus(positionParameter); p != "" {
+		w.position = p
+	}
+	code := codeOf(err)
+	if w.conn.IsClosed() {
+		w.conn = nil
+	}
+	return code
+}
+
+// codeOf returns the SQLSTATE of an error.
+func codeOf(err error) string {
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
+		return codeOK
+	case errors.As(err, &answer):
+		return answer.Code
+	}
+	return codeConnection
+}
+
+// connect opens the session on the next VM, with the position that it had on
+// the last one.
+func (w *worker) connect() bool {
+	s := &w.load.streams[w.stream]
+	w.vm = s.vms[w.next%len(s.vms)]
+	w.next++
+	config, err := pgconn.ParseConfig(w.load.cluster.URL(w.vm, s.workspace, s.job))
+	if err != nil {
+		return false
+	}
+	if w.position != "" {
+		config.RuntimeParams[positionParameter] = w.position
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	w.conn, err = pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		w.conn = nil
+	}
+	w.used = 0
+	return err == nil
+}
+
+// move ends the session on this VM when it has to roam.
+func (w *worker) move() {
+	w.used++
+	if every := w.load.streams[w.stream].roam; every > 0 && w.used >= every {
+		w.close()
+		w.connect()
+	}
+}
+
+func (w *worker) close() {
+	if w.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	_ = w.conn.Close(ctx)
+	w.conn = nil
+}
+
+func (l *load) add(s sample) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = append(l.samples, s)
+}
--- /dev/null
+++ b/test/measure/main.go
@@ -0,0 +1,74 @@
+// Command measure runs the deployments of docs/design.md as real processes on
+// loopback, measures the figures of its section 1 and writes them to a JSON
+// record and to docs/MEASUREMENTS.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// settings are the flags.
+type settings struct {
+	figures     []string
+	deployments []string
+	seed        uint64
+	short       bool
+	record      string
+	page        string
+	root        string
+}
+
+func parseFlags() settings {
+	s := settings{}
+	app := kingpin.New("measure", "Measures chervilhatch on this machine.")
+	app.Flag("figure", "Measure only this one; may be repeated: "+strings.Join(names(), ", ")+".").
+		EnumsVar(&s.figures, names()...)
+	app.Flag("deployment", "Only this one; may be repeated.").EnumsVar(&s.deployments, "ostemarked", "solur")
+	app.Flag("seed", "Seed of the load.").Default("1").Uint64Var(&s.seed)
+	app.Flag("short", "Shorter periods and fewer trials.").BoolVar(&s.short)
+	app.Flag("root", "Root of the repository.").Default("..").StringVar(&s.root)
+	app.Flag("record", "JSON record to write.").Default("../docs/measurements/record.json").StringVar(&s.record)
+	app.Flag("page", "Page to write; empty for none.").Default("../docs/MEASUREMENTS.md").StringVar(&s.page)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	return s
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, parseFlags()); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, s settings) error {
+	started := time.Now()
+	r := newRecord(s)
+	for _, d := range deployments() {
+		if len(s.deployments) == 0 || slices.Contains(s.deployments, d.name) {
+			r.measure(ctx, s, d)
+		}
+	}
+	r.Duration = time.Since(started).Round(time.Second).String()
+	if err := r.save(s.record); err != nil {
+		return err
+	}
+	if s.page == "" {
+		return nil
+	}
+	return r.writePage(s.page)
+}
+
+// progress shows what is being done.
+func progress(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, time.Now().Format("15:04:05 ")+format+"\n", args...)
+}
--- /dev/null
+++ b/test/measure/record.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"time"
+)
+
+// skipped is a measurement that gave no value.
+type skipped struct {
+	Name       string `json:"name"`
+	Deployment string `json:"deployment"`
+	Reason     string `json:"reason"`
+}
+
+// curve is a plot's data.
+type curve struct {
+	Name       string       `json:"name"`
+	Deployment string       `json:"deployment"`
+	X          string       `json:"x"`
+	Y          string       `json:"y"`
+	Lines      []curveLines `json:"lines"`
+}
+
+// curveLines is one line of a plot.
+type curveLines struct {
+	Name string       `json:"name"`
+	XY   [][2]float64 `json:"xy"`
+}
+
+// record is everything that a run measured.
+type record struct {
+	Started  time.Time `json:"started"`
+	Duration string    `json:"duration"`
+	Seed     uint64    `json:"seed"`
+	Short    bool      `json:"short"`
+	Cores    int       `json:"cores"`
+	Go       string    `json:"go"`
+	Figures  []figure  `json:"figures"`
+	Skipped  []skipped `json:"not_measured"`
+	Curves   []curve   `json:"curves"`
+}
+
+func newRecord(s settings) *record {
+	return &record{
+		Started: time.Now().UTC().Truncate(time.Second), Seed: s.seed, Short: s.short,
+		Cores: runtime.NumCPU(), Go: runtime.Version(),
+	}
+}
+
+// measurement measures one or more figures of a deployment.
+type measurement struct {
+	name string
+	// setting says which cluster the measurement needs.
+	setting setting
+	measure func(ctx context.Context, b *bench) (result, error)
+}
+
+// result is what a measurement returns.
+type result struct {
+	figures []figure
+	curves  []curve
+}
+
+// setting is a variant of a deployment's cluster.
+type setting int
+
+const (
+	// withDelays has the deployment's links and connection times.
+	withDelays setting = iota
+	// withoutDelays has neither.
+	withoutDelays
+	// singleVM is one VM without delays and with many slots.
+	singleVM
+)
+
+// measurements are all measurements, in the order in which they run.
+func measurements() []measurement {
+	return []measurement{
+		{"reads", withDelays, measureReads},
+		{"fairness", withDelays, measureFairness},
+		{"overrate", withDelays, measureOverRate},
+		{"refused", withDelays, measureRefused},
+		{"store", withDelays, measureStore},
+		{"withdrawal", withDelays, measureWithdrawal},
+		{"preset", withDelays, measurePreset},
+		{"crash", withDelays, measureCrash},
+		{"partition", withDelays, measurePartition},
+		{"switchover", withDelays, measureSwitchover},
+		{"zone", withDelays, measureZone},
+		{"vmdeath", withDelays, measureVMDeath},
+		{"writes", withDelays, measureWrites},
+		{"latency", withoutDelays, measureLatency},
+		{"throughput", singleVM, measureThroughput},
+		{"memory", singleVM, measureMemory},
+		{"reducer", singleVM, measureReducer},
+	}
+}
+
+func names() []string {
+	var list []string
+	for _, m := range measurements() {
+		list = append(list, m.name)
+	}
+	return list
+}
+
+// measure runs the selected measurements of one deployment, those of one
+// setting in one cluster.
+func (r *record) measure(ctx context.Context, s settings, d deployment) {
+	for _, kind := range []setting{withDelays, withoutDelays, singleVM} {
+		var selected []measurement
+		for _, m := range measurements() {
+			if m.setting == kind && (len(s.figures) == 0 || slices.Contains(s.figures, m.name)) {
+				selected = append(selected, m)
+			}
+		}
+		if len(selected) > 0 {
+			r.measureIn(ctx, s, d.variant(kind), selected)
+		}
+	}
+}
+
+func (r *record) measureIn(ctx context.Context, s settings, d deployment, selected []measurement) {
+	progress("%s: starting %d VMs", d.name, d.vms)
+	b, err := startBench(ctx, d, s)
+	if err != nil {
+		for _, m := range selected {
+			r.skip(m.name, d.name, err)
+		}
+		return
+	}
+	defer b.stop()
+	for _, m := range selected {
+		progress("%s: %s", d.name, m.name)
+		result, err := m.measure(ctx, b)
+		if err != nil {
+			r.skip(m.name, d.name, err)
+		}
+		for _, f := range result.figures {
+			r.take(f)
+		}
+		r.Curves = append(r.Curves, result.curves...)
+	}
+}
+
+func (r *record) take(f figure) {
+	if !f.valid() {
+		r.Skipped = append(r.Skipped, skipped{f.Name, f.Deployment, "no samples; " + f.Detail})
+		return
+	}
+	progress("%s", f)
+	r.Figures = append(r.Figures, f)
+}
+
+func (r *record) skip(name, deployment string, err error) {
+	progress("%s: %s not measured: %v", deployment, name, err)
+	r.Skipped = append(r.Skipped, skipped{name, deployment, err.Error()})
+}
+
+func (r *record) save(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
--- /dev/null
+++ b/test/measure/samples.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Range and precision of latencies.
+const (
+	lowestLatency  = time.Microsecond
+	highestLatency = time.Minute
+	latencyDigits  = 3
+)
+
+// histogramOf returns the latencies of the requests that succeeded, in
+// microseconds.
+func histogramOf(samples []sample) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(lowestLatency.Microseconds(), highestLatency.Microseconds(), latencyDigits)
+	for _, s := range samples {
+		if s.code == codeOK {
+			// Latencies beyond the range are counted as the highest one.
+			_ = h.RecordValue(min(s.latency(), highestLatency).Microseconds())
+		}
+	}
+	return h
+}
+
+// milliseconds returns a quantile of a histogram of microseconds.
+func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func quantiles(samples []sample) string {
+	h := histogramOf(samples)
+	return fmt.Sprintf("latency %.2f ms median, %.2f ms 99th percentile", milliseconds(h, 50), milliseconds(h, 99))
+}
+
+// codesOf lists how many requests ended with which error.
+func codesOf(samples []sample) string {
+	counts := map[string]int{}
+	for _, s := range samples {
+		if s.code != codeOK {
+			counts[s.code]++
+		}
+	}
+	var list []string
+	for code, n := range counts {
+		list = append(list, fmt.Sprintf("%d x %s", n, code))
+	}
+	if len(list) == 0 {
+		return "no errors"
+	}
+	sort.Strings(list)
+	return "errors: " + strings.Join(list, ", ")
+}
+
+// between returns the samples that arrived in a period.
+func between(samples []sample, from, to time.Duration) []sample {
+	var list []sample
+	for _, s := range samples {
+		if s.arrival >= from && s.arrival < to {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// failed counts the requests that did not succeed.
+func failed(samples []sample) int {
+	n := 0
+	for _, s := range samples {
+		if s.code != codeOK {
+			n++
+		}
+	}
+	return n
+}
+
+// databaseOf returns the database of a job.
+func (b *bench) databaseOf(j model.Job) string {
+	for _, database := range b.databases {
+		if strings.HasPrefix(string(j), database+"-") {
+			return database
+		}
+	}
+	return ""
+}
+
+// latencyCurve returns the latencies by quantile.
+func latencyCurve(b *bench, name string, samples []sample) curve {
+	h := histogramOf(samples)
+	line := curveLines{Name: name}
+	for _, q := range []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9} {
+		line.XY = append(line.XY, [2]float64{q, milliseconds(h, q)})
+	}
+	return curve{
+		Name: name + ": latency with the links' delays", Deployment: b.name, X: "percentile", Y: "milliseconds",
+		Lines: []curveLines{line},
+	}
+}
--- /dev/null
+++ b/test/measure/statements.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// Each write of a run inserts another row.
+var lastRow atomic.Uint64
+
+func readItem(r *rand.Rand, _ int) statement {
+	return statement{sql: fmt.Sprintf("SELECT name FROM item WHERE id = %d", r.IntN(itemRows))}
+}
+
+func insertRow(*rand.Rand, int) statement {
+	id := fmt.Sprintf("row-%d", lastRow.Add(1))
+	return statement{sql: "INSERT INTO ledger VALUES ('" + id + "')", write: true, id: id}
+}
+
+// mixed returns statements of which a share are writes.
+func mixed(writes float64) func(*rand.Rand, int) statement {
+	return func(r *rand.Rand, n int) statement {
+		if r.Float64() < writes {
+			return insertRow(r, n)
+		}
+		return readItem(r, n)
+	}
+}
