--- a/standin/upstream/control_test.go
+++ b/standin/upstream/control_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -140,19 +141,21 @@
 	if n := queryInt(t, other, "SELECT count(*) FROM item"); n != 1 {
 		t.Fatalf("%d rows, want 1", n)
 	}
-	var position string
-	err := other.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position)
-	if err != nil || position != "2.vm-a/4" {
-		t.Fatalf("position %q (%v) after a read in the new term, want 2.vm-a/4", position, err)
+	var position int64
+	var term string
+	err := other.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&term, &position)
+	if err != nil || term != "2.vm-a" || position != 4 {
+		t.Fatalf("position %q, %d (%v) after a read in the new term, want 2.vm-a, 4", term, position, err)
 	}
 }
 
 func refusesPosition(t *testing.T, conn *pgx.Conn) {
 	t.Helper()
-	var position string
-	err := conn.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&position)
+	var position int64
+	var term string
+	err := conn.QueryRow(testContext(t), "SELECT chervilhatch_position()").Scan(&term, &position)
 	if sqlState(err) != codeNotInRequiredState {
-		t.Fatalf("position %q of an old term: %v", position, err)
+		t.Fatalf("position %q, %d of an old term: %v", term, position, err)
 	}
 }
 
@@ -216,6 +219,9 @@
 	if status.TermStart != shared+1 {
 		t.Fatalf("the new term starts at %d, want %d", status.TermStart, shared+1)
 	}
+	if c.Primary() != c.Upstreams[1] {
+		t.Fatalf("the primary of the highest term is %v", c.Primary().ID())
+	}
 	c.follow(2, term2a, 1)
 	current := connect(t, c.Upstreams[1])
 	exec(t, current, "INSERT INTO item VALUES ($1, $2)", 2, "kept")
@@ -264,8 +270,30 @@
 	if err != nil || status.Promised != term3 {
 		t.Fatalf("status %+v, %v: the fence took effect although its answer was lost", status, err)
 	}
-	if _, err := c.control.Status(testContext(t), "unknown"); err == nil {
-		t.Fatal("an unknown upstream answered")
+	if _, err := c.control.Status(testContext(t), "unknown"); !errors.Is(err, pgcontrol.ErrUnknownUpstream) {
+		t.Fatalf("status of an unknown upstream: %v", err)
+	}
+}
+
+// Guards against a call that goes on after the client was closed.
+func TestControlClose(t *testing.T) {
+	c := startControlled(t)
+	id := c.Upstreams[0].ID()
+	if _, err := c.control.Status(testContext(t), id); err != nil {
+		t.Fatal(err)
+	}
+	c.Upstreams[0].Pause()
+	result := make(chan error)
+	go func() {
+		_, err := c.control.Status(testContext(t), id)
+		result <- err
+	}()
+	c.control.Close()
+	if err := <-result; err == nil {
+		t.Fatal("a paused upstream answered")
+	}
+	if _, err := c.control.Status(testContext(t), id); !errors.Is(err, pgcontrol.ErrClosed) {
+		t.Fatalf("call after Close: %v", err)
 	}
 }
 
--- a/test/measure/figure_config.go
+++ b/test/measure/figure_config.go
@@ -14,8 +14,8 @@
 	changeTrials  = 4
 	changeWait    = 4 * time.Second
 	changeTarget  = 2.0
-	perVMRate     = 15.0
-	perVMConns    = 2
+	perVMRate     = 50.0
+	perVMConns    = 4
 	keyedVictim   = 0
 	presetService = "maintenance"
 	presetNormal  = "ordinary"
@@ -33,13 +33,13 @@
 	return list
 }
 
-// lastUse returns the latest success of a request, on the slowest VM, that was
-// sent after from; from itself if there is none.
+// lastUse returns the latest answer to a request that succeeded, on the slowest
+// VM, in a period; from itself if there is none.
 func lastUse(samples []sample, from, to time.Duration) time.Duration {
 	last := from
 	for _, s := range samples {
-		if s.code == codeOK && s.sent >= from && s.sent < to {
-			last = max(last, s.sent)
+		if s.code == codeOK && s.done >= from && s.done < to {
+			last = max(last, s.done)
 		}
 	}
 	return last
@@ -100,7 +100,7 @@
 	return result{figures: []figure{b.figureOf(figure{
 		Name: name, Unit: "s", Value: worst.Seconds(), Target: target{atMost, changeTarget},
 		Baseline: baseline{"VMs that compare versions once a second without a watch (its interval)", 1},
-		Detail: fmt.Sprintf("%d trials on %d VMs, counted from the start of the operator's command; %d requests, %s",
-			trials, len(b.Daemons), len(all), codesOf(all)),
+		Detail: fmt.Sprintf("%d trials on %d VMs, counted from the start of the operator's command, %g requests/s on each VM; %d requests, %s",
+			trials, len(b.Daemons), perVMRate, len(all), codesOf(all)),
 	})}}, nil
 }
--- a/test/measure/load.go
+++ b/test/measure/load.go
@@ -83,6 +83,8 @@
 
 	mu      sync.Mutex
 	samples []sample
+	// unsent is the number of requests that had no connection before the end.
+	unsent int
 }
 
 // startLoad connects and begins the load.
@@ -98,8 +100,9 @@
 // since returns the time of now on the clock of the samples.
 func (l *load) since() time.Duration { return time.Since(l.start) }
 
-// stop ends the arrivals, waits for the answers to all that have arrived and
-// returns the samples.
+// stop ends the arrivals, waits for the answers to all requests that were sent
+// and returns the samples. Requests that still wait for a connection then are
+// counted as unsent.
 func (l *load) stop() []sample {
 	l.cancel()
 	l.done.Wait()
@@ -125,7 +128,7 @@
 		go func() {
 			defer l.done.Done()
 			w := &worker{load: l, stream: i, session: i<<16 + n, next: n}
-			w.run(queue)
+			w.run(ctx, queue)
 		}()
 	}
 }
@@ -165,11 +168,14 @@
 	position string
 }
 
-func (w *worker) run(queue <-chan arrived) {
+func (w *worker) run(ctx context.Context, queue <-chan arrived) {
 	defer w.close()
 	w.connect()
 	for a := range queue {
-		w.replaceClosed()
+		if ctx.Err() != nil {
+			w.load.drop()
+			continue
+		}
 		sent := w.load.since()
 		code := w.request(a.sql)
 		w.load.add(sample{
@@ -180,32 +186,37 @@
 	}
 }
 
-// replaceClosed opens another session if the server has closed this one while
-// it was idle, as a connection pool does.
-func (w *worker) replaceClosed() {
-	if w.conn != nil && w.conn.CheckConn() != nil {
-		w.conn = nil
-	}
-	if w.conn == nil {
-		w.connect()
-	}
-}
+// codeStopping ends an idle session of a VM that stops or drains.
+const codeStopping = "57P01"
 
-// request executes a statement and returns the code of its result.
+// request executes a statement and returns the code of its result. As a
+// connection pool does, it connects again and sends the statement once more if
+// the session had ended before the statement was sent.
 func (w *worker) request(sql string) string {
-	if w.conn == nil {
-		time.Sleep(reconnectPause)
-		return codeConnection
+	for try := 0; ; try++ {
+		if w.conn == nil && !w.connect() {
+			time.Sleep(reconnectPause)
+			return codeConnection
+		}
+		err := w.send(sql)
+		code := codeOf(err)
+		ended := code == codeStopping || code == codeConnection && pgconn.SafeToRetry(err)
+		if !ended || try > 0 {
+			return code
+		}
 	}
+}
+
+// send executes a statement on the open connection.
+func (w *worker) send(sql string) error {
 	_, err := w.conn.Exec(context.Background(), sql).ReadAll()
 	if p := w.conn.ParameterStatus(positionParameter); p != "" {
 		w.position = p
 	}
-	code := codeOf(err)
 	if w.conn.IsClosed() {
 		w.conn = nil
 	}
-	return code
+	return err
 }
 
 // codeOf returns the SQLSTATE of an error.
@@ -262,6 +273,12 @@
 	w.conn = nil
 }
 
+func (l *load) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsent++
+}
+
 func (l *load) add(s sample) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
