--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -74,14 +74,14 @@
 
 // Cluster is a running deployment.
 type Cluster struct {
-	Platform  *platform.Server
-	Groups    map[string]*upstream.Group
-	Daemons   []*Daemon
-	Document  *config.Document
-	options   Options
-	certs     *certFiles
-	store     string
-	bin       string
+	Platform *platform.Server
+	Groups   map[string]*upstream.Group
+	Daemons  []*Daemon
+	Document *config.Document
+	options  Options
+	certs    *certFiles
+	store    string
+	bin      string
 	// addresses are those that the configuration gives for upstreams.
 	addresses map[model.UpstreamID]string
 	listeners []net.Listener
