List where requests fail, and count requests that were not sent

Cause: a share of failed requests did not tell which VMs refused them, and demand was counted without requests that had no connection. Change: details name the VMs; connections that could not be opened and ones that were lost are told apart; unsent requests count as demand.

--- a/test/measure/figure.go
+++ b/test/measure/figure.go
@@ -48,7 +48,9 @@
 
 // valid reports whether there is a value; a measurement without a single
 // sample gives none.
-func (f figure) valid() bool { return !math.IsNaN(f.Value) && !math.IsInf(f.Value, 0) }
+func (f figure) valid() bool { return finite(f.Value) && finite(f.Baseline.Value) }
+
+func finite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
 
 // figureOf completes a figure of a deployment.
 func (b *bench) figureOf(f figure) figure {
--- a/test/measure/figure_fairness.go
+++ b/test/measure/figure_fairness.go
@@ -42,7 +42,7 @@
 	served := servedRates(samples, len(streams), fairnessSettle, end)
 	for i, s := range streams {
 		if i != noisyWorkspace {
-			demand[i] = arrivalRate(samples, i, fairnessSettle, end, s.rate)
+			demand[i] = arrivalRate(append(l.unsent, samples...), i, fairnessSettle, end, s.rate)
 		}
 	}
 	return b.fairnessResult(served, demand, samples), nil
--- a/test/measure/figure_rates.go
+++ b/test/measure/figure_rates.go
@@ -87,7 +87,7 @@
 	return b.figureOf(figure{
 		Name: name, Unit: "share", Value: float64(refused(samples)) / float64(len(samples)), Target: target{atMost, limit},
 		Baseline: baseline{"a fixed part of the rate on each VM (computed)", static},
-		Detail:   fmt.Sprintf("%d requests at %g of each rate, %s; %s", len(samples), insideRate, codesOf(samples), quantiles(samples)),
+		Detail:   fmt.Sprintf("%d requests at %g of each rate, %s; VMs with errors: %s; %s", len(samples), insideRate, codesOf(samples), b.vmsWithErrors(samples), quantiles(samples)),
 	})
 }
 
@@ -124,7 +124,7 @@
 	samples := l.stop()
 	var admitted []sample
 	for _, s := range samples {
-		if s.code != codeRate && s.code != codeConnection {
+		if s.code != codeRate && s.code != codeConnect {
 			admitted = append(admitted, s)
 		}
 	}
--- a/test/measure/figure_store.go
+++ b/test/measure/figure_store.go
@@ -36,7 +36,7 @@
 		Value:    1 - float64(failed(during))/float64(len(during)),
 		Target:   target{atLeast, storeTarget},
 		Baseline: baseline{"service under a lease of 5 s in the store (computed)", leaseLifetime.Seconds() / outage.Seconds()},
-		Detail: fmt.Sprintf("outage of %s instead of %s, the product's own times unscaled: it is above the 5 s and 3 s that bound service without evidence; %d requests at half of each rate, %s; %s",
-			outage, statedOutage, len(during), codesOf(during), quantiles(during)),
+		Detail: fmt.Sprintf("outage of %s instead of %s, the product's own times unscaled: it is above the 5 s and 3 s that bound service without evidence; %d requests at half of each rate, %s; VMs with errors: %s; %s",
+			outage, statedOutage, len(during), codesOf(during), b.vmsWithErrors(during), quantiles(during)),
 	})}}, nil
 }
--- a/test/measure/figure_zone.go
+++ b/test/measure/figure_zone.go
@@ -60,7 +60,7 @@
 	return b.figureOf(figure{
 		Name: name, Unit: "requests", Value: float64(failed(samples)), Target: target{atMost, 0},
 		Baseline: baseline{"requests that the zone's VMs serve in the same time (computed)", inZone * float64(len(samples))},
-		Detail:   fmt.Sprintf("%d requests, %s; %s", len(samples), codesOf(samples), quantiles(samples)),
+		Detail:   fmt.Sprintf("%d requests, %s; VMs with errors: %s; %s", len(samples), codesOf(samples), b.vmsWithErrors(samples), quantiles(samples)),
 	})
 }
 
--- a/test/measure/ledger.go
+++ b/test/measure/ledger.go
@@ -97,7 +97,7 @@
 const codeUnknown = "08007"
 
 // outcomeUnknown reports whether a write that ended with the code may have run.
-func outcomeUnknown(code string) bool { return code == codeConnection || code == codeUnknown }
+func outcomeUnknown(code string) bool { return code == codeLost || code == codeUnknown }
 
 func ledgerRows(ctx context.Context, primary *upstream.Server) (map[string]int, error) {
 	conn, err := pgconn.Connect(ctx, directURL(primary))
--- a/test/measure/load.go
+++ b/test/measure/load.go
@@ -15,8 +15,11 @@
 
 // Codes of samples that are no SQLSTATE.
 const (
-	codeOK         = ""
-	codeConnection = "connection"
+	codeOK = ""
+	// codeLost is a connection that ended without an answer, so that the
+	// outcome is unknown, and codeConnect one that could not be opened.
+	codeLost    = "connection lost"
+	codeConnect = "no connection"
 )
 
 // positionParameter is the startup parameter and parameter status of a
@@ -83,8 +86,8 @@
 
 	mu      sync.Mutex
 	samples []sample
-	// unsent is the number of requests that had no connection before the end.
-	unsent int
+	// unsent are the requests that had no connection before the end.
+	unsent []sample
 }
 
 // startLoad connects and begins the load.
@@ -170,10 +173,10 @@
 
 func (w *worker) run(ctx context.Context, queue <-chan arrived) {
 	defer w.close()
-	w.connect()
+	_ = w.connect() // The first request tries again and reports the error.
 	for a := range queue {
 		if ctx.Err() != nil {
-			w.load.drop()
+			w.load.drop(sample{stream: w.stream, arrival: a.at})
 			continue
 		}
 		sent := w.load.since()
@@ -194,13 +197,15 @@
 // the session had ended before the statement was sent.
 func (w *worker) request(sql string) string {
 	for try := 0; ; try++ {
-		if w.conn == nil && !w.connect() {
-			time.Sleep(reconnectPause)
-			return codeConnection
+		if w.conn == nil {
+			if err := w.connect(); err != nil {
+				time.Sleep(reconnectPause)
+				return codeOf(err, codeConnect)
+			}
 		}
 		err := w.send(sql)
-		code := codeOf(err)
-		ended := code == codeStopping || code == codeConnection && pgconn.SafeToRetry(err)
+		code := codeOf(err, codeLost)
+		ended := code == codeStopping || code == codeLost && pgconn.SafeToRetry(err)
 		if !ended || try > 0 {
 			return code
 		}
@@ -219,8 +224,8 @@
 	return err
 }
 
-// codeOf returns the SQLSTATE of an error.
-func codeOf(err error) string {
+// codeOf returns the SQLSTATE of an error, or other if it has none.
+func codeOf(err error, other string) string {
 	var answer *pgconn.PgError
 	switch {
 	case err == nil:
@@ -228,18 +233,18 @@
 	case errors.As(err, &answer):
 		return answer.Code
 	}
-	return codeConnection
+	return other
 }
 
 // connect opens the session on the next VM, with the position that it had on
 // the last one.
-func (w *worker) connect() bool {
+func (w *worker) connect() error {
 	s := &w.load.streams[w.stream]
 	w.vm = s.vms[w.next%len(s.vms)]
 	w.next++
 	config, err := pgconn.ParseConfig(w.load.cluster.URL(w.vm, s.workspace, s.job))
 	if err != nil {
-		return false
+		return err
 	}
 	if w.position != "" {
 		config.RuntimeParams[positionParameter] = w.position
@@ -251,7 +256,7 @@
 		w.conn = nil
 	}
 	w.used = 0
-	return err == nil
+	return err
 }
 
 // move ends the session on this VM when it has to roam.
@@ -259,7 +264,7 @@
 	w.used++
 	if every := w.load.streams[w.stream].roam; every > 0 && w.used >= every {
 		w.close()
-		w.connect()
+		_ = w.connect() // The next request tries again and reports the error.
 	}
 }
 
@@ -273,10 +278,10 @@
 	w.conn = nil
 }
 
-func (l *load) drop() {
+func (l *load) drop(s sample) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unsent++
+	l.unsent = append(l.unsent, s)
 }
 
 func (l *load) add(s sample) {
--- a/test/measure/samples.go
+++ b/test/measure/samples.go
@@ -60,6 +60,26 @@
 	return "errors: " + strings.Join(list, ", ")
 }
 
+// vmsWithErrors lists on which VMs requests did not succeed.
+func (b *bench) vmsWithErrors(samples []sample) string {
+	counts := make([]int, len(b.Daemons))
+	for _, s := range samples {
+		if s.code != codeOK {
+			counts[s.vm]++
+		}
+	}
+	var list []string
+	for i, n := range counts {
+		if n > 0 {
+			list = append(list, fmt.Sprintf("%s (%s) %d", b.Daemons[i].ID, b.Daemons[i].Zone, n))
+		}
+	}
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
+
 // between returns the samples that arrived in a period.
 func between(samples []sample, from, to time.Duration) []sample {
 	var list []sample
