Measure slopes for capacity planning

Cause: the capacity page derives its figures from measured slopes. Conclusion: the slopes can be taken after the figures, on an idle machine.

--- /dev/null
+++ b/test/cluster/link_test.go
@@ -0,0 +1,61 @@
+package cluster
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against a link that loses data or its order, forwards without its
+// delay, or stays open after one side has closed.
+func TestLink(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go echo(target)
+	c := &Cluster{}
+	address, err := c.startLink(target.Addr().String(), delay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	start := time.Now()
+	if _, err := conn.Write([]byte("first second.")); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(conn)
+	if err != nil || string(got) != "first second." {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if took := time.Since(start); took < 2*delay {
+		t.Errorf("there and back in %s, one way is %s", took, delay)
+	}
+}
+
+// echo returns what it receives up to a full stop and then closes.
+func echo(l net.Listener) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	buffer := make([]byte, 64)
+	for {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		if _, err := conn.Write(buffer[:n]); err != nil || buffer[n-1] == '.' {
+			return
+		}
+	}
+}
--- a/test/measure/figure_vm.go
+++ b/test/measure/figure_vm.go
@@ -57,24 +57,20 @@
 // time of the daemon alone counts, so the load generator may be slower.
 func (b *bench) throughput(ctx context.Context, name string, do request) (figure, error) {
 	database := b.databases[0]
-	before, err := b.Daemons[0].Usage()
-	if err != nil {
-		return figure{}, err
-	}
-	proxied, err := closedLoop(ctx, b.URL(0, workspace(0), primaryJob(database)), b.scaled(throughputPeriod), do)
-	if err != nil {
-		return figure{}, err
-	}
-	after, err := b.Daemons[0].Usage()
+	proxied := int64(0)
+	used, err := b.usedBy(func() (err error) {
+		proxied, err = closedLoop(ctx, b.URL(0, workspace(0), primaryJob(database)), throughputConns, b.scaled(throughputPeriod), do)
+		return err
+	})
 	if err != nil {
 		return figure{}, err
 	}
-	direct, err := closedLoop(ctx, directURL(b.Groups[database].Primary()), b.scaled(throughputPeriod), do)
+	direct, err := closedLoop(ctx, directURL(b.Groups[database].Primary()), throughputConns, b.scaled(throughputPeriod), do)
 	if err != nil {
 		return figure{}, err
 	}
 	seconds := b.scaled(throughputPeriod).Seconds()
-	cores := (after.Processor - before.Processor).Seconds()
+	cores := used.Seconds()
 	return b.figureOf(figure{
 		Name: "statements a second per core of the daemon, " + name, Unit: "1/s", Value: float64(proxied) / cores,
 		Target:   target{atLeast, throughputTarget},
@@ -85,12 +81,12 @@
 }
 
 // closedLoop sends requests on several connections for a period.
-func closedLoop(ctx context.Context, url string, period time.Duration, do request) (int64, error) {
+func closedLoop(ctx context.Context, url string, conns int, period time.Duration, do request) (int64, error) {
 	var count atomic.Int64
 	var done sync.WaitGroup
-	problems := make(chan error, throughputConns)
+	problems := make(chan error, conns)
 	end := time.Now().Add(period)
-	for range throughputConns {
+	for range conns {
 		done.Add(1)
 		go func() {
 			defer done.Done()
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -25,6 +25,8 @@
 	page        string
 	faultPeriod time.Duration
 	root        string
+	slopes      bool
+	capacity    string
 }
 
 func parseFlags() settings {
@@ -39,6 +41,8 @@
 	app.Flag("root", "Root of the repository.").Default("..").StringVar(&s.root)
 	app.Flag("record", "JSON record to write.").Default("../docs/measurements/record.json").StringVar(&s.record)
 	app.Flag("page", "Page to write; empty for none.").Default("../docs/MEASUREMENTS.md").StringVar(&s.page)
+	app.Flag("slopes", "Measure the slopes for capacity planning instead.").BoolVar(&s.slopes)
+	app.Flag("capacity", "Page that gets the section with the slopes.").Default("../docs/CAPACITY.md").StringVar(&s.capacity)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	return s
 }
@@ -53,6 +57,9 @@
 }
 
 func run(ctx context.Context, s settings) error {
+	if s.slopes {
+		return measureSlopes(ctx, s)
+	}
 	started := time.Now()
 	r := newRecord(s)
 	for _, d := range deployments() {
--- /dev/null
+++ b/test/measure/slopes/exchange.go
@@ -0,0 +1,221 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
+	"github.com/chervilhatch/chervilhatch/core/membership"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+)
+
+// Shape of the exchange as packages peer and node have it.
+const (
+	// roundsPerSecond is how often each side of a stream sends.
+	roundsPerSecond = 4
+	// relayCandidates is how many VMs of its zone a VM keeps streams to.
+	relayCandidates = 3
+	// foreignRelays is how many VMs of each other zone a relay keeps streams to.
+	foreignRelays = 2
+	// stateDatabases is the size of the document that the states have in force.
+	stateDatabases = 3
+)
+
+// zone is a zone of VMs that exchange reports, seen from its relay and from one
+// other member.
+type zone struct {
+	vms, zones    int
+	relay, member *core.State
+	reports       []*peerv1.ConfigReport
+	records       []*peerv1.RecordReport
+	effects       core.Effects
+	now           model.Time
+	bytes         int
+}
+
+func vmName(zone, i int) model.VMID { return model.VMID(fmt.Sprintf("vm-%02d-%04d", zone, i)) }
+
+func newZone(vms, zones int) (*zone, error) {
+	z := &zone{vms: vms, zones: zones, now: model.Time(time.Second)}
+	text, document, err := parsed(stateDatabases, max(zones, groupSize))
+	if err != nil {
+		return nil, err
+	}
+	z.relay = z.newState(0)
+	z.member = z.newState(vms - 1)
+	for _, s := range []*core.State{z.relay, z.member} {
+		z.apply(s, &core.Event{Confsync: &confsync.Event{
+			Kind: confsync.StoreRead, Version: 1, Document: text, Config: document, At: z.now,
+		}})
+	}
+	for i := range vms {
+		z.reports = append(z.reports, configReport(0, i))
+		z.records = append(z.records, recordReport(0, i))
+	}
+	return z, nil
+}
+
+// newState returns the state of a VM that knows all others.
+func (z *zone) newState(i int) *core.State {
+	s := core.New(core.Config{Self: vmName(0, i), Zone: zoneName(0), Incarnation: 1})
+	list := membership.Event{Kind: membership.EventVMList, Version: 1}
+	live := confsync.Event{Kind: confsync.Members}
+	record := membership.Record{Zone: zoneName(0), Epoch: 1}
+	for n := range z.zones {
+		for k := range z.vms {
+			list.VMs = append(list.VMs, membership.VM{ID: vmName(n, k), Zone: zoneName(n)})
+			live.Members = append(live.Members, confsync.Member{VM: vmName(n, k), Zone: zoneName(n)})
+		}
+	}
+	for k := range z.vms {
+		record.Members = append(record.Members, membership.Member{VM: vmName(0, k), Incarnation: 1})
+	}
+	z.apply(s, &core.Event{Membership: &list})
+	z.apply(s, &core.Event{Confsync: &live})
+	z.apply(s, &core.Event{Membership: &membership.Event{Kind: membership.EventRecordRead, Record: record, Revision: 1, SentAt: z.now}})
+	return s
+}
+
+func (z *zone) apply(s *core.State, ev *core.Event) {
+	z.effects.Reset()
+	s.Apply(z.now, ev, &z.effects)
+}
+
+func configReport(zone, i int) *peerv1.ConfigReport {
+	return &peerv1.ConfigReport{Vm: string(vmName(zone, i)), Zone: string(zoneName(zone)), Version: 1, HasEvidence: true, AgeUs: 350000}
+}
+
+func recordReport(zone, i int) *peerv1.RecordReport {
+	return &peerv1.RecordReport{
+		Vm: string(vmName(zone, i)), VmZone: string(zoneName(zone)), Zone: string(zoneName(zone)), Incarnation: 1,
+		Record:    &peerv1.ZoneRecord{Zone: string(zoneName(zone)), Epoch: 1},
+		Confirmed: true, RecordAgeUs: 350000, Steady: true, SteadyAgeUs: 1000,
+	}
+}
+
+// own is the message of a VM about itself.
+func own(zone, i int) *peerv1.ExchangeMessage {
+	return &peerv1.ExchangeMessage{
+		Vm: string(vmName(zone, i)), Zone: string(zoneName(zone)),
+		Config:  []*peerv1.ConfigReport{configReport(zone, i)},
+		Records: []*peerv1.RecordReport{recordReport(zone, i)},
+	}
+}
+
+// passedOn is the relay's message to a member: its own reports and copies of
+// those of all other members and of the other relays.
+func (z *zone) passedOn() *peerv1.ExchangeMessage {
+	m := own(0, 0)
+	m.Summary = &peerv1.ZoneSummary{Zone: string(zoneName(0)), MinVersion: 1}
+	for i := range z.vms {
+		m.Config = append(m.Config, proto.Clone(z.reports[i]).(*peerv1.ConfigReport))
+		m.Records = append(m.Records, proto.Clone(z.records[i]).(*peerv1.RecordReport))
+	}
+	for n := 1; n < z.zones; n++ {
+		m.Config = append(m.Config, configReport(n, 0))
+	}
+	return m
+}
+
+func (z *zone) encode(m *peerv1.ExchangeMessage) []byte {
+	// Messages that this package builds can be encoded.
+	data, _ := proto.Marshal(m)
+	z.bytes += len(data)
+	return data
+}
+
+// receive decodes a message and applies its reports.
+func (z *zone) receive(s *core.State, data []byte) {
+	m := &peerv1.ExchangeMessage{}
+	if proto.Unmarshal(data, m) != nil {
+		return
+	}
+	for _, r := range m.GetConfig() {
+		z.apply(s, &core.Event{Confsync: &confsync.Event{
+			Kind: confsync.PeerReport, VM: model.VMID(r.GetVm()), Zone: model.Zone(r.GetZone()),
+			Version: r.GetVersion(), HasEvidence: r.GetHasEvidence(), At: z.now,
+		}})
+	}
+	for _, r := range m.GetRecords() {
+		z.apply(s, &core.Event{Membership: &membership.Event{Kind: membership.EventReport, SentAt: z.now, Report: z.report(s, r)}})
+	}
+}
+
+func (z *zone) report(s *core.State, r *peerv1.RecordReport) membership.Report {
+	return membership.Report{
+		From: model.VMID(r.GetVm()), FromZone: model.Zone(r.GetVmZone()), Incarnation: r.GetIncarnation(),
+		Record:    s.Membership.Record(model.Zone(r.GetZone())),
+		Confirmed: r.GetConfirmed(), RecordAge: time.Duration(r.GetRecordAgeUs()) * time.Microsecond,
+		Steady: r.GetSteady(), SteadyAge: time.Duration(r.GetSteadyAgeUs()) * time.Microsecond,
+	}
+}
+
+// relayRound is what the relay does in one round: it hears every member and
+// the other relays, and answers them.
+func (z *zone) relayRound() {
+	z.now = z.now.Add(time.Second / roundsPerSecond)
+	for i := 1; i < z.vms; i++ {
+		z.receive(z.relay, z.encode(own(0, i)))
+		z.encode(z.passedOn())
+	}
+	for n := 1; n < z.zones; n++ {
+		for range foreignRelays {
+			z.receive(z.relay, z.encode(own(n, 0)))
+			z.encode(own(0, 0))
+		}
+	}
+}
+
+// memberRound is what any other VM does in one round.
+func (z *zone) memberRound() {
+	z.now = z.now.Add(time.Second / roundsPerSecond)
+	z.receive(z.member, z.encode(z.passedOn()))
+	for range relayCandidates {
+		z.encode(own(0, z.vms-1))
+	}
+	for range relayCandidates - 1 {
+		z.receive(z.member, z.encode(own(0, 1)))
+	}
+}
+
+// ExchangeByVMs measures the exchange by the number of VMs in a zone.
+func ExchangeByVMs(sizes []int) (Slope, error) {
+	const zones = 4
+	return exchange("Exchange by VMs in a zone", "VMs in the zone (4 zones)", sizes, func(n int) (*zone, error) { return newZone(n, zones) })
+}
+
+// ExchangeByZones measures the exchange by the number of zones.
+func ExchangeByZones(sizes []int) (Slope, error) {
+	const vms = 20
+	return exchange("Exchange by zones", "zones (20 VMs each)", sizes, func(n int) (*zone, error) { return newZone(vms, n) })
+}
+
+func exchange(name, size string, sizes []int, make func(int) (*zone, error)) (Slope, error) {
+	s := Slope{
+		Name: name, Size: size,
+		Columns: []string{"relay, ms of processor time a second", "relay, KB a second", "other VM, ms a second", "other VM, KB a second"},
+		Note: "Messages are composed as packages peer and node do, 4 a second on each stream, encoded, decoded and applied to the " +
+			"states of a relay and of one other VM; bytes count both directions without gRPC and TLS, whose cost is not included. " +
+			"The relay sends the reports of all VMs of its zone to each of them, so its cost grows with the square of their number. " +
+			"A VM's member column includes composing the relay's message, so it is an upper bound.",
+	}
+	for _, n := range sizes {
+		z, err := make(n)
+		if err != nil {
+			return s, err
+		}
+		row := Row{Size: float64(n)}
+		for _, round := range []func(){z.relayRound, z.memberRound} {
+			z.bytes = 0
+			round()
+			bytes := z.bytes
+			row.Costs = append(row.Costs, milliseconds(cost(round))*roundsPerSecond, float64(bytes*roundsPerSecond)/1000)
+		}
+		s.Rows = append(s.Rows, row)
+	}
+	return s, nil
+}
