Record how many cores each measurement used

Cause: the page has to tell whether the machine was the bottleneck. Change: the record and the page list the cores of the measuring process and of the daemons for each measurement.

--- a/test/measure/page.go
+++ b/test/measure/page.go
@@ -51,6 +51,7 @@
 	r.writeStandins(&out)
 	r.writeFigures(&out)
 	r.writeSkipped(&out)
+	r.writeProcessors(&out)
 	if err := r.writePlots(&out, filepath.Dir(path)); err != nil {
 		return err
 	}
--- a/test/measure/record.go
+++ b/test/measure/record.go
@@ -43,6 +43,8 @@
 	Figures  []figure  `json:"figures"`
 	Skipped  []skipped `json:"not_measured"`
 	Curves   []curve   `json:"curves"`
+	// Processors tells how busy the machine was.
+	Processors []processors `json:"processors"`
 }
 
 func newRecord(s settings) *record {
@@ -137,7 +139,9 @@
 	defer b.stop()
 	for _, m := range selected {
 		progress("%s: %s", d.name, m.name)
+		observed := b.observe()
 		result, err := m.measure(ctx, b)
+		r.Processors = append(r.Processors, observed.result(m.name))
 		if err != nil {
 			r.skip(m.name, d.name, err)
 		}
--- a/test/measure/standins.go
+++ b/test/measure/standins.go
@@ -8,7 +8,8 @@
 // writeStandins tells whether the stand-ins could be the bottleneck.
 func (r *record) writeStandins(out *strings.Builder) {
 	out.WriteString("\nThe stand-ins are compared with the load in the same run: a stand-in is no bottleneck where it serves\n" +
-		"several times what a deployment's load asks of it, or where only the daemon's processor time counts.\n\n")
+		"several times what a deployment's load asks of it, where only the daemon's processor time counts, or where\n" +
+		"its slots are meant to be short (fair share). The table at the end shows that cores were left.\n\n")
 	direct := 0
 	for _, f := range r.Figures {
 		if strings.HasPrefix(f.Name, "statements a second per core") {
