Start the membership property with replaced owners and members

Cause: random faults rarely replaced an owner while its delayed messages arrived. Change: half of the checks first cut an owner, or all members, off.

--- a/test/property/cluster_test.go
+++ b/test/property/cluster_test.go
@@ -289,6 +289,25 @@
 	c.side[v.id] = c.rng.Intn(2)
 }
 
+// cutOwner cuts the owner of an item off and drops it from the list, so that
+// another VM of its zone becomes the owner while it runs.
+func (c *cluster) cutOwner(it membership.Item) {
+	for _, id := range c.owners(it) {
+		c.find(id).listed = false
+		c.side[id] = 1
+	}
+}
+
+// cutMembers cuts the members of a zone off from the store while a VM that has
+// left the record starts again.
+func (c *cluster) cutMembers(newcomer *vm) {
+	newcomer.crash()
+	c.advance(settleTime)
+	c.cutZone(newcomer.zone, 1)
+	c.side[newcomer.id] = 0
+	newcomer.start()
+}
+
 // relist corrects the list about the running VMs of a zone.
 func (c *cluster) relist(z model.Zone) {
 	for _, w := range c.vms {
--- a/test/property/membership_test.go
+++ b/test/property/membership_test.go
@@ -43,6 +43,15 @@
 		}
 		c.startAll()
 		c.check = c.checkOwners
+		c.advance(10 * time.Second)
+		switch rapid.IntRange(0, 3).Draw(t, "start") {
+		case 0:
+			c.cutOwner(c.items[0])
+			c.advance(10 * time.Second)
+		case 1:
+			c.cutMembers(c.vms[rapid.IntRange(0, 2).Draw(t, "newcomer")])
+			c.advance(10 * time.Second)
+		}
 		for range clusterSteps {
 			c.step(t)
 		}
