--- a/core/membership/state.go
+++ b/core/membership/state.go
@@ -28,7 +28,8 @@
 // among the others. Their owner needs evidence, and waits, for the empty
 // records as for its own one.
 //
-// The package is pure: Apply is its only way to change.
+// The package is pure: Apply is its only way to change. A State, its queries
+// included, is for one goroutine at a time.
 package membership
 
 import (
@@ -105,6 +106,22 @@
 // backwards counts as standing still.
 func (s *State) Apply(now model.Time, ev *Event, out []Effect) []Effect {
 	s.advance(now)
+	out = s.take(ev, out)
+	s.noteReleased()
+	s.confirmByMembers()
+	if s.changed || (ev.Kind == EventTick && s.waiting > 0) {
+		out = s.updateItems(out)
+	}
+	out = s.tellConfirmed(out)
+	if ev.Kind == EventReport || ev.Kind == EventTrack {
+		// These are frequent, and the next tick is soon enough for the relay.
+		return out
+	}
+	return s.runRelay(out)
+}
+
+// take processes what an event tells.
+func (s *State) take(ev *Event, out []Effect) []Effect {
 	switch ev.Kind {
 	case EventVMList:
 		s.setList(ev)
@@ -134,17 +151,7 @@
 		s.stopped = true
 		s.changed = true
 	}
-	s.noteReleased()
-	s.confirmByMembers()
-	if s.changed || (ev.Kind == EventTick && s.waiting > 0) {
-		out = s.updateItems(out)
-	}
-	out = s.tellConfirmed(out)
-	if ev.Kind == EventReport || ev.Kind == EventTrack {
-		// These are frequent, and the next tick is soon enough for the relay.
-		return out
-	}
-	return s.runRelay(out)
+	return out
 }
 
 // advance moves the time on and notices a pause of this VM.
--- a/test/property/cluster_test.go
+++ b/test/property/cluster_test.go
@@ -34,8 +34,9 @@
 	listVersion uint64
 	zones       []model.Zone
 	items       []membership.Item
-	// check runs after every event.
-	check func()
+	// check runs after events, at most once in checkEvery.
+	check   func()
+	checked int64
 }
 
 // stored is a record in the store.
@@ -70,6 +71,7 @@
 }
 
 const (
+	checkEvery  = 5 * time.Millisecond
 	tickEvery   = 20 * time.Millisecond
 	reportEvery = 250 * time.Millisecond
 	listEvery   = 500 * time.Millisecond
@@ -130,7 +132,10 @@
 		a := heap.Pop(&c.queue).(action)
 		c.now = a.at
 		a.run()
-		c.check()
+		if c.now-c.checked >= int64(checkEvery) {
+			c.checked = c.now
+			c.check()
+		}
 	}
 	c.now = end
 	c.check()
