Count the time without contact from before a VM is missing

Cause: a dead VM was removed EpochTTL after it was missing from the lagging list, although it had not been heard of for longer. Change: the time counts from the last contact; without any, from the list. Conclusion: until a dead owner is replaced, its zone's share is missing.

--- a/core/membership/relay.go
+++ b/core/membership/relay.go
@@ -93,7 +93,8 @@
 }
 
 // isGone reports whether a member no longer runs: it was restarted, or it is
-// missing from the list and was not heard of for EpochTTL.
+// missing from the list and was not heard of for EpochTTL. The list lags, so the
+// time without contact counts from before it is missing.
 func (s *State) isGone(m Member) bool {
 	if m.VM == s.config.Self {
 		return m.Incarnation < s.config.Incarnation
@@ -109,8 +110,8 @@
 		return false
 	}
 	since := s.missingSince[m.VM]
-	if p != nil {
-		since = max(since, p.contact)
+	if p != nil && p.contact > 0 {
+		since = p.contact
 	}
 	return s.now.Sub(since) >= s.wait()
 }
