--- a/test/property/cluster_test.go
+++ b/test/property/cluster_test.go
@@ -34,8 +34,9 @@
 	listVersion uint64
 	zones       []model.Zone
 	items       []membership.Item
-	// check runs after every event.
-	check func()
+	// check runs after events, at most once in checkEvery.
+	check   func()
+	checked int64
 }
 
 // stored is a record in the store.
@@ -70,6 +71,7 @@
 }
 
 const (
+	checkEvery  = 5 * time.Millisecond
 	tickEvery   = 20 * time.Millisecond
 	reportEvery = 250 * time.Millisecond
 	listEvery   = 500 * time.Millisecond
@@ -130,7 +132,10 @@
 		a := heap.Pop(&c.queue).(action)
 		c.now = a.at
 		a.run()
-		c.check()
+		if c.now-c.checked >= int64(checkEvery) {
+			c.checked = c.now
+			c.check()
+		}
 	}
 	c.now = end
 	c.check()
@@ -289,6 +294,25 @@
 	c.side[v.id] = c.rng.Intn(2)
 }
 
+// cutOwner cuts the owner of an item off and drops it from the list, so that
+// another VM of its zone becomes the owner while it runs.
+func (c *cluster) cutOwner(it membership.Item) {
+	for _, id := range c.owners(it) {
+		c.find(id).listed = false
+		c.side[id] = 1
+	}
+}
+
+// cutMembers cuts the members of a zone off from the store while a VM that has
+// left the record starts again.
+func (c *cluster) cutMembers(newcomer *vm) {
+	newcomer.crash()
+	c.advance(settleTime)
+	c.cutZone(newcomer.zone, 1)
+	c.side[newcomer.id] = 0
+	newcomer.start()
+}
+
 // relist corrects the list about the running VMs of a zone.
 func (c *cluster) relist(z model.Zone) {
 	for _, w := range c.vms {
