--- a/core/wiring.go
+++ b/core/wiring.go
@@ -52,10 +52,11 @@
 	s.configureZones(now, out)
 	queues := fairness.Event{Kind: fairness.EventConfigure, QueueLimit: d.QueueLength()}
 	out.Fairness = s.Fairness.Apply(now, &queues, out.Fairness)
-	s.configureTracking(now, old, out)
-	s.configureLimits(now, old, out)
 	s.withdrawKeys(now, old, out)
+	// The parts must know a workspace or an upstream before they can gain it.
+	s.configureLimits(now, old, out)
 	s.configureUpstreams(now, old, out)
+	s.configureTracking(now, old, out)
 	s.placementChanged(now, out)
 }
 
