Send health reports only to VMs that watch the same databases

Cause: a watcher sent the health of all its databases, and its zone's record, on every stream; at 31 streams that would be about 265 KB a second by calculation. Change: health by shared database; records only inside of the zone and between relays. Measured: the integration tests pass; the bytes of these streams are not measured yet.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -38,7 +38,9 @@
 	m := &peerv1.ExchangeMessage{Vm: string(n.self), Zone: string(n.zone)}
 	n.loop.view(func(now model.Time, s *core.State) {
 		m.Config = append(m.Config, x.ownConfig(now, s))
-		x.composeRecords(now, s, l, m)
+		if s.Membership.Relay() || n.directory.zoneOf(vm) == n.zone {
+			x.composeRecords(now, s, l, m)
+		}
 		if s.Membership.Relay() {
 			x.rememberSummary(x.summary(s))
 		}
@@ -51,7 +53,7 @@
 		x.passOn(vm, m)
 		x.composeSummaries(vm, l, m)
 	}
-	m.Health = x.healthFrom(n.self, x.Now())
+	m.Health = x.healthFrom(n.self, x.Now(), n.sharedWith(vm))
 	if list := n.directory.list(); l.SendsFirst("vms", list.GetVersion()) {
 		m.Vms = list
 	}
--- a/node/heard.go
+++ b/node/heard.go
@@ -120,12 +120,17 @@
 	h.health[e.Database] = healthReport{e, now}
 }
 
-// healthFrom returns the own health reports as they are at now.
-func (h *heard) healthFrom(self model.VMID, now model.Time) []*peerv1.HealthReport {
+// healthFrom returns the own health reports of the given databases as they are
+// at now.
+func (h *heard) healthFrom(self model.VMID, now model.Time, databases []model.Database) []*peerv1.HealthReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make([]*peerv1.HealthReport, 0, len(h.health))
-	for _, r := range h.health {
+	out := make([]*peerv1.HealthReport, 0, len(databases))
+	for _, db := range databases {
+		r, known := h.health[db]
+		if !known {
+			continue
+		}
 		age := r.effect.Age
 		if age >= 0 {
 			age += now.Sub(r.at)
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	grpc   []*grpc.Server
+	// shared has the databases that this VM watches, by the VMs that watch
+	// them as well.
+	shared atomic.Pointer[map[model.VMID][]model.Database]
 	// owning is true once the VM has been able to act on what it owns.
 	owning atomic.Bool
 	// poolMu guards pools, which the executor and the demand reports use.
--- a/node/work.go
+++ b/node/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"google.golang.org/grpc"
@@ -131,30 +132,47 @@
 				add(candidates, foreignRelays)
 			}
 		}
-		watchers := n.fellowWatchers(s)
+		shared := n.findShared(s)
+		watchers := slices.Sorted(maps.Keys(shared))
 		add(watchers, len(watchers))
+		n.shared.Store(&shared)
 	})
 	n.exchanger.SetTargets(targets)
 }
 
-// fellowWatchers returns the main holders of the databases that this VM
-// watches. The streams to them carry health reports.
-func (n *Node) fellowWatchers(s *core.State) []model.VMID {
-	var out []model.VMID
+// sharedWith returns the databases that this VM watches together with vm.
+func (n *Node) sharedWith(vm model.VMID) []model.Database {
+	shared := n.shared.Load()
+	if shared == nil {
+		return nil
+	}
+	return (*shared)[vm]
+}
+
+// findShared returns the databases that this VM watches, by the VMs that watch
+// them as well: the main holders of their upstreams.
+func (n *Node) findShared(s *core.State) map[model.VMID][]model.Database {
+	out := map[model.VMID][]model.Database{}
 	d := n.access.current()
 	if d == nil {
-		return nil
+		return out
 	}
 	for i := range d.Databases {
 		var holders []model.VMID
 		for _, u := range d.Databases[i].Upstreams {
 			item := membership.Item{Kind: membership.MainSeat, Zone: u.Zone, Name: string(u.ID)}
-			if vm, _, ok := s.Membership.Owner(item); ok {
+			vm, _, ok := s.Membership.Owner(item)
+			if ok && !slices.Contains(holders, vm) {
 				holders = append(holders, vm)
 			}
 		}
-		if slices.Contains(holders, n.self) {
-			out = append(out, holders...)
+		if !slices.Contains(holders, n.self) {
+			continue
+		}
+		for _, vm := range holders {
+			if vm != n.self {
+				out[vm] = append(out[vm], d.Databases[i].Name)
+			}
 		}
 	}
 	return out
