Use the standby while a main holder does not answer

Cause: (1) writes stopped for as long as the VM that holds the primary was suspended: its kernel acknowledges, and gRPC's keepalive needs 12 s; (2) the router's report of an unreachable holder lacked the database, so core/routing ignored it and never chose the standby; (3) a write waited at a closed gate, or behind the one batch that asks for the primary and waited there, up to its statement timeout (10 s).

--- a/node/gates.go
+++ b/node/gates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/sqlstate"
@@ -37,6 +38,10 @@
 	return g.gates[db]
 }
 
+// gatePatience bounds how long a write waits at a closed gate. After a
+// switchover another VM holds the primary, so the write has to be sent there.
+const gatePatience = 200 * time.Millisecond
+
 // enter waits until the gate is open and counts a write.
 func (g *gates) enter(ctx context.Context, db model.Database) error {
 	for {
@@ -49,14 +54,25 @@
 			return nil
 		}
 		g.mu.Unlock()
-		select {
-		case <-opened:
-		case <-ctx.Done():
+		if !waitAtGate(ctx, opened) {
 			return sqlstate.Refuse(sqlstate.NoPrimary, "the primary is being handed over")
 		}
 	}
 }
 
+// waitAtGate returns false when the gate was not opened in time.
+func waitAtGate(ctx context.Context, opened <-chan struct{}) bool {
+	timer := time.NewTimer(gatePatience)
+	defer timer.Stop()
+	select {
+	case <-opened:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // leave ends a write.
 func (g *gates) leave(db model.Database) {
 	g.mu.Lock()
--- a/node/ports.go
+++ b/node/ports.go
@@ -172,8 +172,8 @@
 }
 
 // Unreachable implements router.Core.
-func (r *routes) Unreachable(u model.UpstreamID, standby bool) {
-	ev := routing.Event{Kind: routing.HolderUnreachable, Upstream: u, Standby: standby}
+func (r *routes) Unreachable(db model.Database, u model.UpstreamID, standby bool) {
+	ev := routing.Event{Kind: routing.HolderUnreachable, Database: db, Upstream: u, Standby: standby}
 	r.loop.apply(&core.Event{Routing: &ev})
 }
 
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -46,6 +46,8 @@
 
 	mu    sync.Mutex
 	conns map[model.VMID]peerConn
+
+	liveness *liveness
 }
 
 type peerConn struct {
@@ -55,7 +57,9 @@
 
 // NewClients returns an empty set. resolve gives a VM's peer address.
 func NewClients(resolve func(model.VMID) (string, bool), creds credentials.TransportCredentials) *Clients {
-	return &Clients{resolve: resolve, creds: creds, conns: map[model.VMID]peerConn{}}
+	c := &Clients{resolve: resolve, creds: creds, conns: map[model.VMID]peerConn{}}
+	c.liveness = newLiveness(c.ping)
+	return c
 }
 
 // client returns the client of vm.
@@ -94,10 +98,11 @@
 	return conn, nil
 }
 
-// Close closes all connections.
+// Close closes all connections. It is called once.
 func (c *Clients) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	close(c.liveness.done)
 	for vm, p := range c.conns {
 		_ = p.conn.Close()
 		delete(c.conns, vm)
--- a/peer/execute_client.go
+++ b/peer/execute_client.go
@@ -14,6 +14,9 @@
 
 // OpenOn opens a stream to upstream u on the VM that holds its connections.
 func (c *Clients) OpenOn(ctx context.Context, vm model.VMID, h executor.Hello, u model.UpstreamID) (executor.Stream, error) {
+	if c.liveness.silent(vm) {
+		return nil, silentError(vm)
+	}
 	client, err := c.client(vm)
 	if err != nil {
 		return nil, sqlstate.Refuse(sqlstate.UpstreamUnavail, err.Error())
@@ -32,7 +35,13 @@
 		cancel()
 		return nil, sqlstate.Refuse(sqlstate.UpstreamUnavail, fmt.Sprintf("cannot reach VM %s", vm))
 	}
-	return &remoteStream{rpc: rpc, cancel: cancel, vm: vm}, nil
+	return &remoteStream{rpc: rpc, cancel: cancel, vm: vm, liveness: c.liveness}, nil
+}
+
+// silentError refuses a batch for a VM that does not answer. The router tries
+// the other holder of the upstream.
+func silentError(vm model.VMID) error {
+	return sqlstate.Refuse(sqlstate.ConnectionFailure, fmt.Sprintf("VM %s does not answer", vm))
 }
 
 // remoteStream runs batches on a peer.
@@ -40,6 +49,8 @@
 	rpc    peerv1.Peer_ExecuteClient
 	cancel context.CancelFunc
 	vm     model.VMID
+	// liveness interrupts the batch when the VM does not answer.
+	liveness *liveness
 
 	mu      sync.Mutex
 	running uint64
@@ -48,6 +59,11 @@
 
 // Run implements executor.Stream.
 func (s *remoteStream) Run(ctx context.Context, b *executor.Batch, sink executor.Sink) (executor.Result, error) {
+	if s.liveness.silent(s.vm) {
+		return executor.Result{}, silentError(s.vm)
+	}
+	s.liveness.begin(s)
+	defer s.liveness.end(s)
 	s.setRunning(b.ID)
 	defer s.setRunning(0)
 	stop := context.AfterFunc(ctx, s.cancel)
--- a/peer/server.go
+++ b/peer/server.go
@@ -32,6 +32,11 @@
 	return s.tokens.Tokens(ctx, r)
 }
 
+// Ping implements peerv1.PeerServer.
+func (s *Server) Ping(context.Context, *peerv1.PingRequest) (*peerv1.PingResponse, error) {
+	return &peerv1.PingResponse{}, nil
+}
+
 // Release implements peerv1.PeerServer.
 func (s *Server) Release(ctx context.Context, r *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
 	if err := s.tokens.Release(ctx, r); err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -41,7 +41,7 @@
 	// Finish ends a batch.
 	Finish(a Answer)
 	// Unreachable reports that a holder could not be reached.
-	Unreachable(u model.UpstreamID, standby bool)
+	Unreachable(db model.Database, u model.UpstreamID, standby bool)
 }
 
 // Dialer opens a stream to the main or standby holder of an upstream.
@@ -149,7 +149,7 @@
 	at := target{a.Upstream, a.Standby}
 	holder, err := s.holder(ctx, at)
 	if err != nil {
-		s.router.core.Unreachable(a.Upstream, a.Standby)
+		s.router.core.Unreachable(s.hello.Database, a.Upstream, a.Standby)
 		answer.Outcome = routing.FailedNotSent
 		answer.Code = codeOf(err)
 		return answer, err
@@ -160,6 +160,9 @@
 	if answer.Outcome != routing.Done && answer.Outcome != routing.Refused {
 		s.drop(at)
 	}
+	if answer.Outcome == routing.FailedNotSent {
+		s.router.core.Unreachable(s.hello.Database, a.Upstream, a.Standby)
+	}
 	return answer, err
 }
 
@@ -170,6 +173,8 @@
 	}
 	var known *sqlstate.Error
 	switch {
+	case errors.As(err, &known) && known.NotRun && known.Code == sqlstate.ConnectionFailure:
+		return routing.FailedNotSent, known.Code
 	case errors.As(err, &known) && known.NotRun:
 		return routing.Refused, known.Code
 	case passed > 0:
--- a/test/integration/vm_test.go
+++ b/test/integration/vm_test.go
@@ -1,7 +1,9 @@
 package integration
 
 import (
+	"syscall"
 	"testing"
+	"time"
 )
 
 // Guards against lost or doubled writes when a VM dies, whichever roles it has.
@@ -62,3 +64,33 @@
 		t.Errorf("a planned stop interrupted a request: %v", err)
 	}
 }
+
+// Guards against writes that stop while the VM that holds the primary's
+// connections is suspended: its kernel still acknowledges what it is sent.
+func TestSuspendedHolder(t *testing.T) {
+	c := startCluster(t, nil)
+	w := newWriter(t, c, 0, 1, 2, 3)
+	for _, d := range c.Daemons {
+		w.vms = nil
+		for i, other := range c.Daemons {
+			if other != d {
+				w.vms = append(w.vms, i)
+			}
+		}
+		stop := w.start(t)
+		w.awaitAcks(t, 20)
+		if err := d.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		suspended := time.Now()
+		w.awaitAcks(t, 20)
+		t.Logf("%s: writes went on after %v", d.ID, time.Since(suspended))
+		if err := d.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		w.awaitAcks(t, 20)
+		stop()
+		w.base += 1_000_000
+	}
+	w.check(t, connect(t, c.URL(0, "skov", "entries")))
+}
