--- a/test/cluster/sockdiag.go
+++ b/test/cluster/sockdiag.go
@@ -18,7 +18,8 @@
 
 // socketInode asks the kernel for the inode of the other end's socket of a
 // loopback connection. Reading /proc/net/tcp instead takes up to 40 ms for
-// each connection on a machine with many sockets. It is "" when there is none.
+// each connection on a machine with many sockets. It is "" when
+// no process has that end any more.
 func socketInode(conn net.Conn) string {
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, sockDiag)
 	if err != nil {
@@ -39,6 +40,9 @@
 		return ""
 	}
 	inode := binary.NativeEndian.Uint32(messages[0].Data[diagInodeOffset:])
+	if inode == 0 {
+		return ""
+	}
 	return strconv.FormatUint(uint64(inode), 10)
 }
 
--- a/test/integration/workload_test.go
+++ b/test/integration/workload_test.go
@@ -31,7 +31,12 @@
 	vms []int
 }
 
-// counts returns how many inserts were acknowledged.
+// failurePause is the pause after an insert that failed. Refusals cost a VM
+// little, so that a writer without a pause would take the machine's processors
+// from the daemons.
+const failurePause = 20 * time.Millisecond
+
+// ackedCount returns how many inserts were acknowledged.
 func (w *writer) ackedCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -49,7 +54,11 @@
 		if conn == nil {
 			break
 		}
+		before := w.ackedCount()
 		conn = w.insert(ctx, conn, id)
+		if w.ackedCount() == before {
+			time.Sleep(failurePause)
+		}
 	}
 	if conn != nil {
 		_ = conn.Close(context.Background())
