Check histories of registers through faults of primaries

Four sessions read and write six registers and move between VMs while primaries crash, are suspended and are partitioned; porcupine checks that the history is linearizable under a freshness of 0. Writes of unknown outcome may take effect at any later time.

--- /dev/null
+++ b/test/integration/history_test.go
@@ -0,0 +1,266 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+const (
+	registers = 6
+	sessions  = 4
+	// sessionOperations is after how many operations a session moves.
+	sessionOperations = 15
+	// operationPause bounds the length of the history.
+	operationPause = 10 * time.Millisecond
+	checkTimeout   = 30 * time.Second
+	// applyDelay makes every read of a replica stale, so that one shows.
+	applyDelay = 200 * time.Millisecond
+)
+
+// registerInput is an operation on one register.
+type registerInput struct {
+	register int
+	write    bool
+	value    int
+}
+
+// registerModel is a set of independent registers that start at 0.
+func registerModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: partitionByRegister,
+		Init:      func() any { return 0 },
+		Step: func(state, input, output any) (bool, any) {
+			in := input.(registerInput)
+			if in.write {
+				return true, in.value
+			}
+			return output.(int) == state.(int), state
+		},
+	}
+}
+
+func partitionByRegister(history []porcupine.Operation) [][]porcupine.Operation {
+	out := make([][]porcupine.Operation, registers)
+	for _, op := range history {
+		register := op.Input.(registerInput).register
+		out[register] = append(out[register], op)
+	}
+	return out
+}
+
+// history collects the operations of all sessions.
+type history struct {
+	cluster *cluster.Cluster
+	start   time.Time
+
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	reads      int
+	writes     int
+	unknown    int
+	lastValue  int
+}
+
+// session works on random registers and moves to another VM now and then. It
+// passes on its position.
+func (h *history) session(ctx context.Context, id int) {
+	random := rand.New(rand.NewPCG(1, uint64(id)))
+	var conn *pgx.Conn
+	position := ""
+	for n := 0; ctx.Err() == nil; n++ {
+		if conn != nil && n%sessionOperations == 0 {
+			_ = conn.Close(ctx)
+			conn = nil
+		}
+		if conn == nil {
+			conn = h.connect(ctx, random.IntN(len(h.cluster.Daemons)), position)
+		}
+		if conn != nil {
+			h.operate(ctx, conn, id, random)
+			if known := conn.PgConn().ParameterStatus("chervilhatch.position"); known != "" {
+				position = known
+			}
+			if conn.IsClosed() {
+				conn = nil
+			}
+		}
+		time.Sleep(operationPause)
+	}
+}
+
+func (h *history) connect(ctx context.Context, vm int, position string) *pgx.Conn {
+	target := h.cluster.URL(vm, "skov", "entries")
+	if position != "" {
+		target += "&chervilhatch.position=" + url.QueryEscape(position)
+	}
+	conn, err := pgx.Connect(ctx, target)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+func (h *history) operate(ctx context.Context, conn *pgx.Conn, id int, random *rand.Rand) {
+	in := registerInput{register: random.IntN(registers), write: random.IntN(2) == 0}
+	if in.write {
+		in.value = h.newValue()
+	}
+	op := porcupine.Operation{ClientId: id, Input: in, Call: time.Since(h.start).Nanoseconds()}
+	value := 0
+	var err error
+	if in.write {
+		_, err = conn.Exec(ctx, "UPDATE register SET value = $1 WHERE id = $2", in.value, in.register)
+	} else {
+		err = conn.QueryRow(ctx, "SELECT value FROM register WHERE id = $1", in.register).Scan(&value)
+	}
+	op.Return = time.Since(h.start).Nanoseconds()
+	op.Output = value
+	h.add(op, in.write, err)
+}
+
+// newValue returns a value that no other write has.
+func (h *history) newValue() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastValue++
+	return h.lastValue
+}
+
+// add takes in an operation. A write of unknown outcome may take effect at any
+// later time, or never: then it is as if it came after all reads.
+func (h *history) add(op porcupine.Operation, write bool, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case err == nil && write:
+		h.writes++
+	case err == nil:
+		h.reads++
+	case !write, refusedNotRun(err), pgconn.SafeToRetry(err):
+		return
+	default:
+		h.unknown++
+		op.Return = math.MaxInt64
+	}
+	h.operations = append(h.operations, op)
+}
+
+// progressed returns how many operations succeeded.
+func (h *history) progressed() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reads + h.writes
+}
+
+func (h *history) awaitProgress(t *testing.T, n int) {
+	t.Helper()
+	target := h.progressed() + n
+	await(t, "operations", func() bool { return h.progressed() >= target })
+}
+
+// Guards against a history of reads and writes that no single copy of the data
+// could have produced, while primaries crash, are suspended and are partitioned
+// and sessions move between VMs. Reads have a freshness of 0.
+func TestRegisterHistory(t *testing.T) {
+	c := startCluster(t, func(o *cluster.Options) {
+		threeZones(o)
+		o.Jobs[0].Freshness = 0
+	})
+	setup := connect(t, c.URL(0, "skov", "entries"))
+	exec(t, setup, "CREATE TABLE register (id int PRIMARY KEY, value int)")
+	for i := range registers {
+		exec(t, setup, "INSERT INTO register VALUES ($1, 0)", i)
+	}
+	for _, u := range c.Groups["entries1"].Upstreams {
+		u.SetApplyDelay(applyDelay)
+	}
+	h := &history{cluster: c, start: time.Now()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for id := range sessions {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h.session(ctx, id)
+		}()
+	}
+	stop := sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	t.Cleanup(stop)
+	for _, fault := range []func(*testing.T, *cluster.Cluster, *history) error{crash, suspend, partition, crash} {
+		h.awaitProgress(t, 100)
+		if err := fault(t, c, h); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.awaitProgress(t, 100)
+	stop()
+	t.Logf("%d reads, %d writes, %d writes of unknown outcome", h.reads, h.writes, h.unknown)
+	if result := porcupine.CheckOperationsTimeout(registerModel(), h.operations, checkTimeout); result != porcupine.Ok {
+		t.Errorf("the history is not linearizable: %s", result)
+	}
+}
+
+var errNoPrimary = errors.New("the group has no primary")
+
+// crash ends the primary's process and starts it again as a replica.
+func crash(t *testing.T, c *cluster.Cluster, h *history) error {
+	old := c.Groups["entries1"].Primary()
+	if old == nil {
+		return errNoPrimary
+	}
+	old.Kill()
+	h.awaitProgress(t, 50)
+	return old.Restart()
+}
+
+// suspend holds back the primary's answers until another one works.
+func suspend(t *testing.T, c *cluster.Cluster, h *history) error {
+	old := c.Groups["entries1"].Primary()
+	if old == nil {
+		return errNoPrimary
+	}
+	old.Pause()
+	await(t, "new primary", func() bool { return c.Groups["entries1"].Primary() != old })
+	h.awaitProgress(t, 50)
+	old.Resume()
+	return nil
+}
+
+// partition cuts the primary's zone from everything until another one works.
+func partition(t *testing.T, c *cluster.Cluster, h *history) error {
+	old := c.Groups["entries1"].Primary()
+	if old == nil {
+		return errNoPrimary
+	}
+	others := []string{cluster.PlatformSite}
+	zone := ""
+	for i, u := range c.Groups["entries1"].Upstreams {
+		if u == old {
+			zone = string(c.Document.Databases[0].Upstreams[i].Zone)
+		} else {
+			others = append(others, string(c.Document.Databases[0].Upstreams[i].Zone))
+		}
+	}
+	c.Network.Isolate(zone, others...)
+	old.Partition(true)
+	await(t, "new primary", func() bool { return c.Groups["entries1"].Primary() != old })
+	h.awaitProgress(t, 50)
+	c.Network.Heal()
+	old.Partition(false)
+	return nil
+}
