Test rates and fair shares over all VMs with real processes

The requests that certainly were admitted inside a window are compared with rate x window + burst, for each window, while a VM is killed and another one suspended and while the store is down. A workspace at a quarter of its rate must see no refusal.

--- /dev/null
+++ b/test/integration/rate_test.go
@@ -0,0 +1,205 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+// admission is a request that was admitted between two times.
+type admission struct{ call, done time.Duration }
+
+// callers send requests of a workspace and remember which were admitted.
+type callers struct {
+	cluster   *cluster.Cluster
+	workspace model.Workspace
+	// pause is the time between two requests of a caller.
+	pause time.Duration
+	start time.Time
+
+	mu       sync.Mutex
+	admitted []admission
+	refused  int
+}
+
+// run starts one caller for each entry of vms and returns a function that
+// stops them.
+func (c *callers) run(vms ...int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, vm := range vms {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.call(ctx, vm)
+		}()
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func (c *callers) call(ctx context.Context, vm int) {
+	var conn *pgx.Conn
+	for ctx.Err() == nil {
+		if conn == nil || conn.IsClosed() {
+			conn, _ = pgx.Connect(ctx, c.cluster.URL(vm, c.workspace, "entries"))
+		}
+		if conn != nil {
+			one := admission{call: time.Since(c.start)}
+			_, err := conn.Exec(ctx, "SELECT 1")
+			one.done = time.Since(c.start)
+			c.add(one, err)
+		}
+		time.Sleep(c.pause)
+	}
+	if conn != nil {
+		_ = conn.Close(context.Background())
+	}
+}
+
+func (c *callers) add(one admission, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var refusal *pgconn.PgError
+	switch {
+	case err == nil:
+		c.admitted = append(c.admitted, one)
+	case errors.As(err, &refusal) && refusal.Code == string(sqlstate.RateExceeded):
+		c.refused++
+	}
+}
+
+func (c *callers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.admitted)
+}
+
+func (c *callers) awaitAdmitted(t *testing.T, n int) {
+	t.Helper()
+	target := c.count() + n
+	await(t, "admitted requests", func() bool { return c.count() >= target })
+}
+
+// checkRate checks each window that starts with a call and ends with an answer.
+// The requests that lie inside were certainly admitted in the window.
+func (c *callers) checkRate(t *testing.T, rate, burst float64) {
+	t.Helper()
+	slices.SortFunc(c.admitted, func(a, b admission) int { return int(a.done - b.done) })
+	for _, first := range c.admitted {
+		n := 0
+		for _, one := range c.admitted {
+			if one.call < first.call {
+				continue
+			}
+			n++
+			window := one.done - first.call
+			if limit := rate*window.Seconds() + burst; float64(n) > limit {
+				t.Fatalf("%d requests were admitted in the %s from %s on, at most %.1f may be", n, window, first.call, limit)
+			}
+		}
+	}
+}
+
+// Guards against a workspace that gets more than its rate over all VMs, also
+// while VMs die, are suspended and return and while the store is down.
+func TestRateOverAllVMs(t *testing.T) {
+	const rate, burst = 100, 100
+	c := startCluster(t, func(o *cluster.Options) {
+		o.Workspaces[0].Rate, o.Workspaces[0].Burst = rate, burst
+	})
+	skov := &callers{cluster: c, workspace: "skov", pause: 5 * time.Millisecond, start: time.Now()}
+	stop := sync.OnceFunc(skov.run(0, 1, 2, 3, 0, 1, 2, 3))
+	t.Cleanup(stop)
+	skov.awaitAdmitted(t, 2*burst)
+	c.Daemons[0].Kill()
+	skov.awaitAdmitted(t, burst)
+	if err := c.Daemons[0].Restart(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	skov.awaitAdmitted(t, burst)
+	signal(t, c.Daemons[1], syscall.SIGSTOP)
+	time.Sleep(5 * time.Second)
+	signal(t, c.Daemons[1], syscall.SIGCONT)
+	skov.awaitAdmitted(t, burst)
+	c.Platform.SetDown(true)
+	skov.awaitAdmitted(t, 3*burst)
+	c.Platform.SetDown(false)
+	skov.awaitAdmitted(t, burst)
+	stop()
+	t.Logf("%d admitted, %d refused", len(skov.admitted), skov.refused)
+	if skov.refused == 0 {
+		t.Error("no request was refused, so the callers did not reach the rate")
+	}
+	skov.checkRate(t, rate, burst)
+}
+
+func signal(t *testing.T, d *cluster.Daemon, s syscall.Signal) {
+	t.Helper()
+	if err := d.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against refusals for the rate of a workspace that sends a quarter of
+// it, spread over all VMs or all on one.
+func TestInsideRate(t *testing.T) {
+	c := startCluster(t, func(o *cluster.Options) {
+		o.Workspaces[0].Rate, o.Workspaces[0].Burst = 200, 200
+	})
+	for name, vms := range map[string][]int{"even": {0, 1, 2, 3}, "skewed": {0, 0, 0, 0}} {
+		skov := &callers{cluster: c, workspace: "skov", pause: 80 * time.Millisecond, start: time.Now()}
+		stop := skov.run(vms...)
+		skov.awaitAdmitted(t, 200)
+		stop()
+		if skov.refused > 0 {
+			t.Errorf("%s: %d of %d requests were refused", name, skov.refused, skov.refused+len(skov.admitted))
+		}
+	}
+}
+
+// Guards against a workspace that takes another's share of the slots by
+// sending eight times as many requests.
+func TestFairShare(t *testing.T) {
+	c := startCluster(t, func(o *cluster.Options) {
+		o.Upstream.StatementDuration = 50 * time.Millisecond
+		o.Jobs[0].Freshness = 0
+	})
+	const quiet, factor, requests = 12, 8, 150
+	// least is 0.95 of the half that each workspace's weight gives it.
+	const least = 0.95 / 2
+	skov := &callers{cluster: c, workspace: "skov", start: time.Now()}
+	aaby := &callers{cluster: c, workspace: "aaby", start: time.Now()}
+	var vms []int
+	for i := range quiet {
+		vms = append(vms, i%len(c.Daemons))
+	}
+	stopSkov := sync.OnceFunc(skov.run(slices.Repeat(vms, factor)...))
+	t.Cleanup(stopSkov)
+	stopAaby := sync.OnceFunc(aaby.run(vms...))
+	t.Cleanup(stopAaby)
+	aaby.awaitAdmitted(t, quiet)
+	skov.awaitAdmitted(t, quiet)
+	beforeSkov, beforeAaby := skov.count(), aaby.count()
+	aaby.awaitAdmitted(t, requests)
+	gotSkov, gotAaby := skov.count()-beforeSkov, aaby.count()-beforeAaby
+	stopAaby()
+	stopSkov()
+	t.Logf("%d and %d requests, %d refused", gotSkov, gotAaby, skov.refused+aaby.refused)
+	if share := float64(gotAaby) / float64(gotSkov+gotAaby); share < least {
+		t.Errorf("the quieter workspace got %.3f of the slots, want at least %.3f", share, least)
+	}
+}
