Ask seed peers for the configuration at the start

A VM found its peers only through the platform's list, so one that started while the platform was down and that no peer knew learned nothing. peer.seeds names addresses that it exchanges state with until it knows the list of VMs and a configuration.

--- a/cmd/chervilhatchd/internal/run/run.go
+++ b/cmd/chervilhatchd/internal/run/run.go
@@ -87,6 +87,7 @@
 	o := node.Options{
 		VM:               s.VM.ID,
 		Zone:             s.VM.Zone,
+		Seeds:            s.Peer.Seeds,
 		RequireCallerTLS: s.Caller.RequireTLS,
 		UpstreamUser:     s.Upstream.User,
 		UpstreamPassword: s.Upstream.Password.Reveal(),
--- a/node/node.go
+++ b/node/node.go
@@ -50,7 +50,9 @@
 	// PeerServerTLS and PeerClientTLS are those of mutual TLS between VMs.
 	PeerServerTLS credentials.TransportCredentials
 	PeerClientTLS credentials.TransportCredentials
-	OperatorTLS   credentials.TransportCredentials
+	// Seeds are peer addresses that are asked at the start.
+	Seeds       []string
+	OperatorTLS credentials.TransportCredentials
 
 	Store     platform.Store
 	Inventory platform.Inventory
@@ -195,8 +197,14 @@
 // the configuration after the start.
 const bootstrapInterval = 200 * time.Millisecond
 
-// bootstrap reads the list of VMs and the configuration until both are known.
+// bootstrap asks the platform and the seeds for the list of VMs and the
+// configuration until both are known.
 func (n *Node) bootstrap() {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	for _, address := range n.options.Seeds {
+		n.background(func() { n.exchanger.RunSeed(ctx, address) })
+	}
 	for n.ctx.Err() == nil {
 		n.relay.bootstrap(n.ctx)
 		if n.access.current() != nil && len(n.directory.list().GetVms()) > 0 {
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -82,11 +82,7 @@
 	if ok {
 		_ = known.conn.Close()
 	}
-	conn, err := grpc.NewClient(address,
-		grpc.WithTransportCredentials(c.creds),
-		grpc.WithConnectParams(connectParams),
-		grpc.WithKeepaliveParams(keepaliveParams),
-	)
+	conn, err := c.dial(address)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", vm, err)
 	}
@@ -94,6 +90,14 @@
 	return conn, nil
 }
 
+func (c *Clients) dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(address,
+		grpc.WithTransportCredentials(c.creds),
+		grpc.WithConnectParams(connectParams),
+		grpc.WithKeepaliveParams(keepaliveParams),
+	)
+}
+
 // Close closes all connections.
 func (c *Clients) Close() {
 	c.mu.Lock()
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -68,6 +68,22 @@
 	}()
 }
 
+// RunSeed keeps a stream to a peer of which only the address is known, until
+// ctx ends.
+func (e *Exchanger) RunSeed(ctx context.Context, address string) {
+	conn, err := e.clients.dial(address)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for ctx.Err() == nil {
+		if rpc, err := peerv1.NewPeerClient(conn).Exchange(ctx); err == nil {
+			e.serve(ctx, newLink(e.handler, "", rpc.Send, rpc.Recv))
+		}
+		sleep(ctx, exchangeRetry)
+	}
+}
+
 func (e *Exchanger) connect(ctx context.Context, vm model.VMID) {
 	client, err := e.clients.client(vm)
 	if err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -51,6 +51,9 @@
 func (c checker) checkPeer(v *Peer) {
 	c.listen("peer.listen", v.Listen)
 	c.address("peer.advertise", v.Advertise)
+	for i, address := range v.Seeds {
+		c.address(fmt.Sprintf("peer.seeds[%d]", i), address)
+	}
 	c.tls("peer.tls", &v.TLS)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,6 +76,9 @@
 	// Advertise is the address at which other VMs reach the listener.
 	Advertise string `json:"advertise"`
 	TLS       TLS    `json:"tls"`
+	// Seeds are peer addresses that are asked for the list of VMs and the
+	// configuration at the start, besides the platform.
+	Seeds []string `json:"seeds"`
 }
 
 // Admin is the HTTP listener for health pages and metrics.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -66,6 +66,7 @@
 		{`"zone": "a"`, `"zone": "a/b"`, "vm.zone"},
 		{`":5432"`, `"5432"`, "caller.listen"},
 		{`"cert": "tls/caller.pem", `, ``, "caller"},
+		{`"advertise": "127.0.0.1:7432"`, `"advertise": "127.0.0.1:7432", "seeds": ["vm2"]`, "peer.seeds[0]"},
 		{`"advertise": "127.0.0.1:7432"`, `"advertise": ":7432"`, "peer.advertise"},
 		{`, "ca": "ca.pem"`, ``, "peer.tls.ca"},
 		{`":7433"`, `":99999"`, "operator.listen"},
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -59,6 +59,8 @@
 	// Network puts relays on all links of the daemons but those of callers, so
 	// that tests can cut and delay them.
 	Network bool
+	// Seeds puts the peer addresses of the first two daemons into the settings.
+	Seeds bool
 }
 
 // Workspace is a workspace with its key in the clear.
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -39,6 +39,9 @@
 // their keepalive.
 const peerUserTimeout = 2 * time.Second
 
+// seedDaemons is how many daemons are seeds of the later ones.
+const seedDaemons = 2
+
 // newDaemon chooses addresses and writes the settings.
 func (c *Cluster) newDaemon(id, zone string) (*Daemon, error) {
 	d := &Daemon{ID: id, Zone: zone, Listed: true, cluster: c}
@@ -91,11 +94,17 @@
 	if level == "" {
 		level = "info"
 	}
+	seeds := []string{}
+	if c.options.Seeds {
+		for _, seed := range c.Daemons[:min(seedDaemons, len(c.Daemons))] {
+			seeds = append(seeds, seed.Advertised)
+		}
+	}
 	return map[string]any{
 		"vm":     map[string]any{"id": d.ID, "zone": d.Zone},
 		"caller": map[string]any{"listen": d.CallerAddress, "require_tls": false},
 		"peer": map[string]any{
-			"listen": d.PeerAddress, "advertise": d.Advertised,
+			"listen": d.PeerAddress, "advertise": d.Advertised, "seeds": seeds,
 			"tls": map[string]any{"cert": c.certs.cert, "key": c.certs.key, "ca": c.certs.ca},
 		},
 		"operator": map[string]any{"listen": d.OperatorAddress},
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -212,3 +212,23 @@
 	}
 	return n
 }
+
+// Guards against a VM that starts while the store is down and does not learn
+// the newest configuration from its peers.
+func TestStartDuringStoreOutage(t *testing.T) {
+	c := startCluster(t, func(o *cluster.Options) { o.Seeds = true })
+	late := c.Daemons[3]
+	late.Kill()
+	late.Remove()
+	if out, err := c.Ctl(testContext(t), 0, "preset", "use", "peak"); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	c.Platform.SetDown(true)
+	if err := late.Start(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "newest configuration on a VM that started late", func() bool {
+		out, err := c.Ctl(testContext(t), 3, "--output", "json", "status")
+		return err == nil && strings.Contains(out, "peak")
+	})
+}
