--- /dev/null
+++ b/test/integration/suspend_test.go
@@ -0,0 +1,57 @@
+package integration
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/test/cluster"
+)
+
+// suspension is longer than all times after which roles move to other VMs.
+const suspension = 10 * time.Second
+
+// Guards against a VM that goes on with its old roles after it was suspended:
+// the main seat, tokens and relay role of a zone are on one of its two VMs.
+// Doubled or lost writes and connections beyond the upstreams' limit show it.
+func TestVMSuspended(t *testing.T) {
+	c := startCluster(t, nil)
+	writers := []*writer{newWriter(t, c, 0)}
+	for vm := 1; vm < len(c.Daemons); vm++ {
+		writers = append(writers, &writer{cluster: c, table: "entry", base: vm * outsideBase, vms: []int{vm}})
+	}
+	var stops []func()
+	for _, w := range writers {
+		stops = append(stops, w.start(t))
+	}
+	for _, suspended := range []int{0, 2} {
+		writers[suspended].awaitAcks(t, 20)
+		signal(t, c.Daemons[suspended], syscall.SIGSTOP)
+		time.Sleep(suspension)
+		writers[1].awaitAcks(t, 20)
+		signal(t, c.Daemons[suspended], syscall.SIGCONT)
+		writers[1].awaitAcks(t, 20)
+		writers[suspended].awaitAcks(t, 20)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+	conn := connect(t, c.URL(3, "skov", "entries"))
+	for _, w := range writers {
+		w.check(t, conn)
+	}
+	checkConnections(t, c)
+}
+
+// checkConnections checks that no upstream had more connections than its limit.
+func checkConnections(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	limit := c.Document.Databases[0].Connections
+	for _, u := range c.Groups["entries1"].Upstreams {
+		counters := u.Counters()
+		if counters.MaxConnections > limit || counters.RefusedConnections > 0 {
+			t.Errorf("%s had up to %d connections and refused %d, the limit is %d",
+				u.ID(), counters.MaxConnections, counters.RefusedConnections, limit)
+		}
+	}
+}
