--- a/core/confsync/confsync.go
+++ b/core/confsync/confsync.go
@@ -43,6 +43,9 @@
 	// PeerDocument is a document that a peer sent. Uses VM, Version,
 	// Document, Config, HasEvidence, At.
 	PeerDocument
+	// VersionSeen says that a VM has Version or a higher one in force, as a relay
+	// summarized it. It is no evidence and has no effect. Uses VM, Version.
+	VersionSeen
 	// Members replaces the list of live VMs and of the zones that can accept a
 	// change. Uses Members.
 	Members
@@ -167,6 +170,10 @@
 		out = s.adopt(now, ev, out)
 		s.confirmByPeer(ev)
 		s.confirmByOutage()
+	case VersionSeen:
+		p := s.peer(ev.VM)
+		p.version = max(p.version, ev.Version)
+		p.heard = now
 	case Members:
 		s.setMembers(ev.Members)
 	}
@@ -254,11 +261,11 @@
 	return append(out, Effect{Kind: Request, VM: ev.VM, Version: ev.Version})
 }
 
-// zoneReport records whether the peer's zone reaches the store. One VM of the
-// zone that reaches it is enough to make a change there.
+// zoneReport records when the peer's zone last could not reach the store. A
+// report without an outage takes nothing back: what the zone knew at its last
+// outage stays true, and only the time of a newer one confirms more.
 func (s *State) zoneReport(ev *Event) {
 	if !ev.StoreUnreachable {
-		delete(s.outages, ev.Zone)
 		return
 	}
 	previous := s.outages[ev.Zone]
--- a/core/fairness/state.go
+++ b/core/fairness/state.go
@@ -52,6 +52,10 @@
 		s.cancel(ev.ID)
 	case EventWithdraw:
 		return s.withdraw(ev, out)
+	case EventConfigure:
+		if ev.QueueLimit > 0 {
+			s.config.QueueLimit = ev.QueueLimit
+		}
 	}
 	return out
 }
@@ -249,6 +253,9 @@
 		if u.waiting > 0 && now >= u.minDeadline {
 			out = s.expire(now, u, out)
 		}
+		if len(u.order) > maxIdleFlows && u.waiting == 0 {
+			u.prune()
+		}
 	}
 	return out
 }
--- a/core/limits/state.go
+++ b/core/limits/state.go
@@ -151,7 +151,7 @@
 	if w.version > s.usable {
 		next = w.bucket.share.min(w.target)
 	}
-	w.bucket.setShare(s.now, next, fillTime(w.validity(s.config.Validity), next.rate, next.burst))
+	w.bucket.setShare(s.now, next, w.validityOf(next, s.config.Validity))
 }
 
 func (s *State) insert(w *workspace) {
@@ -244,6 +244,10 @@
 func (s *State) tick(out []Effect) []Effect {
 	s.raise()
 	for _, w := range s.order {
+		if w.idle() {
+			w.demand.last = s.now
+			continue
+		}
 		w.grants.expire(s.now)
 		w.bucket.refill(s.now)
 		w.demand.update(s.now)
--- a/holder/core.go
+++ b/holder/core.go
@@ -35,6 +35,9 @@
 	// Floor is the request's floor, or the confirmed position of the primary
 	// that stands in for a missing floor.
 	Floor model.Position
+	// Gated is the database whose planned switchovers wait until the
+	// assignment is given back, "" for a read.
+	Gated model.Database
 }
 
 // Outcome tells how a batch on an assignment ended.
@@ -58,6 +61,10 @@
 	Schedule(ctx context.Context, r *Request) (Assignment, error)
 	// Done gives the slot back.
 	Done(a Assignment, outcome Outcome)
+	// EndWrite ends a write for which Schedule was called. It comes after Done
+	// and, where the write is acknowledged, after AwaitMajority, so that a
+	// planned switchover waits for the acknowledgement.
+	EndWrite(a Assignment)
 	// AwaitMajority returns nil once a majority of the group holds p in p's
 	// term, and an OutcomeUnknown error when that fails or ctx ends.
 	AwaitMajority(ctx context.Context, db model.Database, p model.Position) error
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/chervilhatch/chervilhatch/backend"
 	"github.com/chervilhatch/chervilhatch/backend/wire"
@@ -53,13 +54,16 @@
 	sent    int
 	written chan writeResult
 
+	// empty is the buffer of a message without a body.
+	empty   []byte
 	out     []byte
 	held    []byte
 	holding bool
 	// preamble is true until a message shows that the statement runs.
 	preamble bool
-	// refused is true after the first error told that only the primary can run the batch.
-	refused     bool
+	// refusal is set when the upstream's first error tells that it did not run
+	// the batch and that another upstream can.
+	refusal     *sqlstate.Error
 	completions int
 	rollback    bool
 	status      byte
@@ -74,9 +78,17 @@
 	err error
 }
 
+// exchanges keeps the buffers of ended exchanges for the next ones.
+var exchanges = sync.Pool{New: func() any { return new(exchange) }}
+
+// newExchange returns an exchange, to be given back by release.
 func newExchange(s *stream, t *seat, b *executor.Batch, sink executor.Sink) *exchange {
 	read := b.Class == model.Read
-	return &exchange{
+	x := exchanges.Get().(*exchange)
+	*x = exchange{
+		empty:    x.empty,
+		out:      x.out,
+		held:     x.held,
 		stream:   s,
 		seat:     t,
 		conn:     t.conn,
@@ -87,6 +99,17 @@
 		inTx:     s.tx != txIdle,
 		preamble: true,
 	}
+	return x
+}
+
+// release gives the exchange back. Its buffers are kept unless they are large.
+func (x *exchange) release() {
+	out, held := x.out[:0], x.held[:0]
+	if cap(out)+cap(held) > 2*flushSize {
+		out, held = nil, nil
+	}
+	*x = exchange{empty: x.empty, out: out, held: held}
+	exchanges.Put(x)
 }
 
 // run sends the batch and reads the answer; for a write it also reads the
@@ -106,10 +129,7 @@
 	if err != nil {
 		return x.broke(ctx, err)
 	}
-	if x.refused {
-		return &sqlstate.Error{Code: sqlstate.ReadOnly, Message: "the statement needs the primary (not run)", NotRun: true}
-	}
-	return nil
+	return x.refusal
 }
 
 func (x *exchange) talk() error {
@@ -214,7 +234,8 @@
 		if err != nil || emit == 0 {
 			return err
 		}
-		return x.emit(wire.AppendMessage(nil, emit))
+		x.empty = wire.AppendMessage(x.empty[:0], emit)
+		return x.emit(x.empty)
 	case wire.ParameterStatus, wire.NotificationResponse:
 		// They concern the shared connection, not this caller.
 		return nil
@@ -238,8 +259,8 @@
 func (x *exchange) takeError(frame wire.Frame) {
 	x.plan.Failed()
 	code := backend.ErrorCode(frame)
-	if x.preamble && !x.inTx && code == string(sqlstate.ReadOnly) {
-		x.refused = true
+	if x.preamble && !x.inTx {
+		x.refusal = refusalOf(sqlstate.Code(code))
 	}
 	stale := code == string(sqlstate.NotSupported) || code == string(sqlstate.UnknownStatement)
 	if stale && x.plan.ReusedStatements() {
@@ -249,6 +270,18 @@
 	x.preamble = false
 }
 
+// refusalOf returns the refusal that an upstream's error stands for, or nil if
+// the error is the caller's answer.
+func refusalOf(code sqlstate.Code) *sqlstate.Error {
+	switch code {
+	case sqlstate.ReadOnly:
+		return sqlstate.Refuse(sqlstate.ReadOnly, "the statement needs the primary")
+	case sqlstate.CannotConnectNow:
+		return sqlstate.Refuse(sqlstate.UpstreamUnavail, "the upstream does not serve statements now")
+	}
+	return nil
+}
+
 // takeCompletion holds back everything from the first CommandComplete of a
 // write on, since it tells success.
 func (x *exchange) takeCompletion(frame wire.Frame) {
@@ -263,7 +296,7 @@
 
 // emit adds a message to the answer.
 func (x *exchange) emit(frame []byte) error {
-	if x.refused {
+	if x.refusal != nil {
 		return nil
 	}
 	if !x.holding {
@@ -280,7 +313,7 @@
 // flush passes the collected messages to the sink.
 func (x *exchange) flush() error {
 	waits := x.preamble && len(x.out) < maxPreamble
-	if len(x.out) == 0 || waits || x.refused {
+	if len(x.out) == 0 || waits || x.refusal != nil {
 		return nil
 	}
 	err := x.sink(x.out)
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -9,10 +9,14 @@
 
 // giveBack returns the connection and the slot.
 func (t *seat) giveBack(decider Decider, outcome Outcome) {
+	t.holder.interrupts.ran(t)
 	if t.conn != nil {
 		t.pool.Put(t.conn)
 	}
 	decider.Done(t.assignment, outcome)
+	if !t.awaits {
+		decider.EndWrite(t.assignment)
+	}
 }
 
 // abandon gives back the seat of a batch that did not run and returns the
@@ -31,10 +35,7 @@
 // stop marks the stream as not running. The lock is held.
 func (s *stream) stop() {
 	s.running = false
-	if s.stopQueue != nil {
-		s.stopQueue(nil)
-		s.stopQueue = nil
-	}
+	s.wait.stop(nil)
 }
 
 // dropSeat closes the connection, so that the upstream rolls back, and gives
@@ -98,7 +99,7 @@
 		return
 	}
 	if s.seat == nil {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.mu.Unlock()
 		return
 	}
@@ -120,7 +121,7 @@
 		return nil
 	}
 	if s.running {
-		s.stopQueue(errCanceled)
+		s.wait.stop(errCanceled)
 		s.seat.conn.Close()
 		return nil
 	}
--- a/node/effects.go
+++ b/node/effects.go
@@ -35,6 +35,7 @@
 	control dbgroup.Control
 	log     zerolog.Logger
 	metrics metrics.Registry
+	silence *silence
 	calls   sync.WaitGroup
 }
 
@@ -170,6 +171,9 @@
 }
 
 func (x *effectExecutor) replication(ctx context.Context, e *replication.Effect) {
+	if e.Kind == replication.PrimaryChanged {
+		x.node.holder.Interrupt(e.Database, e.Upstream, e.Term)
+	}
 	if e.Kind != replication.PollRound {
 		return
 	}
@@ -217,6 +221,7 @@
 	switch e.Kind {
 	case failover.PrimaryChanged:
 		x.count("failover.primary_changed")
+		x.node.holder.Interrupt(e.Database, e.Primary, e.Term)
 		line.Msg("primary changed")
 	case failover.SwitchoverBegun:
 		line.Str("candidate", string(e.Upstream)).Msg("planned switchover begun")
@@ -234,6 +239,7 @@
 	defer cancel()
 	sentAt := x.loop.clock.Now()
 	status, err := x.control.Status(ctx, e.Upstream)
+	x.silence.note(e.Upstream, sentAt, err == nil)
 	x.answer(e, failover.StatusAnswered, failover.StatusFailed, err, failover.Event{SentAt: sentAt, Status: status})
 }
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -41,6 +41,8 @@
 type Options struct {
 	// Dir gets the binaries, settings and certificates.
 	Dir string
+	// Bin has binaries that were built before; empty builds them into Dir.
+	Bin string
 	// Zones name the availability zones; VMs and upstreams are spread over them.
 	Zones []string
 	// VMs is the number of daemons.
@@ -54,7 +56,12 @@
 	// Workspaces and Jobs complete the configuration.
 	Workspaces []Workspace
 	Jobs       []config.Job
-	// LogLevel of the daemons; warn by default.
+	// PeerDelay is the one-way delay of every link between VMs and from a VM to
+	// an upstream, and CallerDelay that from a caller to a VM. Links within a zone
+	// are delayed too: an address is the same for all that connect to it.
+	PeerDelay   time.Duration
+	CallerDelay time.Duration
+	// LogLevel of the daemons; info by default.
 	LogLevel string
 	// Network puts relays on all links of the daemons but those of callers, so
 	// that tests can cut and delay them.
@@ -79,18 +86,20 @@
 	Daemons  []*Daemon
 	Document *config.Document
 	// Network is nil unless the options ask for it.
-	Network   *Network
-	options   Options
-	certs     *certFiles
-	store     string
-	bin       string
+	Network *Network
+	options Options
+	certs   *certFiles
+	store   string
+	bin     string
+	// addresses are those that the configuration gives for upstreams.
+	addresses map[model.UpstreamID]string
 	listeners []net.Listener
 }
 
 // Start builds the binaries and starts everything. Stop must be called also
 // after an error.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
-	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}}
+	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}, addresses: map[model.UpstreamID]string{}}
 	if o.Network {
 		c.Network = newNetwork()
 	}
@@ -105,8 +114,12 @@
 	return c, nil
 }
 
-// build compiles the two binaries into the cluster's directory.
+// build compiles the two binaries into the cluster's directory, if none were given.
 func (c *Cluster) build(ctx context.Context) error {
+	if c.options.Bin != "" {
+		c.bin = c.options.Bin
+		return nil
+	}
 	c.bin = c.options.Dir
 	module := "github.com/chervilhatch/chervilhatch/cmd"
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", c.bin+"/", module+"/chervilhatchd", module+"/chervilhatchctl")
@@ -128,6 +141,11 @@
 			return fmt.Errorf("group %s: %w", name, err)
 		}
 		c.Groups[name] = group
+		for _, u := range group.Upstreams {
+			if c.addresses[u.ID()], err = c.startLink(u.Address(), c.options.PeerDelay); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -153,7 +171,7 @@
 			if d.Leaving {
 				state = platformv1.VMState_VM_STATE_LEAVING
 			}
-			vms = append(vms, &platformv1.VM{Id: d.ID, Zone: d.Zone, PeerAddress: d.Advertised, State: state})
+			vms = append(vms, &platformv1.VM{Id: d.ID, Zone: d.Zone, PeerAddress: d.advertised, State: state})
 		}
 	}
 	c.Platform.SetVMs(vms)
@@ -220,9 +238,10 @@
 	return ""
 }
 
-// URL returns the connection string of a workspace and job on daemon i.
+// URL returns the connection string of a workspace and job on daemon i, through
+// the callers' link.
 func (c *Cluster) URL(i int, w model.Workspace, j model.Job) string {
-	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable", w, c.Key(w), c.Daemons[i].CallerAddress, j)
+	return fmt.Sprintf("postgresql://%s:%s@%s/%s?sslmode=disable", w, c.Key(w), c.Daemons[i].linked, j)
 }
 
 // Ctl runs chervilhatchctl against daemon i and returns its standard output.
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -18,16 +18,19 @@
 	ID   string
 	Zone string
 
-	CallerAddress string
-	PeerAddress   string
-	// Advertised is where other daemons reach PeerAddress.
-	Advertised      string
+	CallerAddress   string
+	PeerAddress     string
 	AdminAddress    string
 	OperatorAddress string
 	// Listed and Leaving are what the platform's list says.
 	Listed  bool
 	Leaving bool
 
+	// advertised is the address of the link to PeerAddress, and linked that of the
+	// link to CallerAddress.
+	advertised string
+	linked     string
+
 	cluster  *Cluster
 	settings string
 	log      string
@@ -53,7 +56,13 @@
 		*to = address
 	}
 	var err error
-	if d.Advertised, err = c.through(zone, d.PeerAddress, peerUserTimeout); err != nil {
+	if d.advertised, err = c.startLink(d.PeerAddress, c.options.PeerDelay); err != nil {
+		return nil, err
+	}
+	if d.advertised, err = c.through(zone, d.advertised, peerUserTimeout); err != nil {
+		return nil, err
+	}
+	if d.linked, err = c.startLink(d.CallerAddress, c.options.CallerDelay); err != nil {
 		return nil, err
 	}
 	d.settings = filepath.Join(c.options.Dir, id+".json")
@@ -97,14 +106,14 @@
 	seeds := []string{}
 	if c.options.Seeds {
 		for _, seed := range c.Daemons[:min(seedDaemons, len(c.Daemons))] {
-			seeds = append(seeds, seed.Advertised)
+			seeds = append(seeds, seed.advertised)
 		}
 	}
 	return map[string]any{
 		"vm":     map[string]any{"id": d.ID, "zone": d.Zone},
 		"caller": map[string]any{"listen": d.CallerAddress, "require_tls": false},
 		"peer": map[string]any{
-			"listen": d.PeerAddress, "advertise": d.Advertised, "seeds": seeds,
+			"listen": d.PeerAddress, "advertise": d.advertised, "seeds": seeds,
 			"tls": map[string]any{"cert": c.certs.cert, "key": c.certs.key, "ca": c.certs.ca},
 		},
 		"operator": map[string]any{"listen": d.OperatorAddress},
@@ -165,6 +174,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// PID returns the id of the process.
+func (d *Daemon) PID() int { return d.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (d *Daemon) Signal(s syscall.Signal) error { return d.cmd.Process.Signal(s) }
 
--- a/test/cluster/network.go
+++ b/test/cluster/network.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"time"
 )
@@ -12,8 +11,8 @@
 // the availability zones.
 const PlatformSite = "platform"
 
-// link is one direction between two sites.
-type link struct{ from, to string }
+// route is one direction between two sites.
+type route struct{ from, to string }
 
 // Network relays the connections from daemons to each other, to the platform
 // and to the upstreams, and cuts or delays the links between their sites. A
@@ -21,8 +20,8 @@
 // they arrive when the link is restored, unless an end has given up.
 type Network struct {
 	mu      sync.Mutex
-	cut     map[link]bool
-	delay   map[link]time.Duration
+	cut     map[route]bool
+	delay   map[route]time.Duration
 	sites   map[int]string
 	changed chan struct{}
 	closed  bool
@@ -33,8 +32,8 @@
 
 func newNetwork() *Network {
 	return &Network{
-		cut:     map[link]bool{},
-		delay:   map[link]time.Duration{},
+		cut:     map[route]bool{},
+		delay:   map[route]time.Duration{},
 		sites:   map[int]string{},
 		changed: make(chan struct{}),
 		conns:   map[net.Conn]bool{},
@@ -42,21 +41,21 @@
 }
 
 // Cut stops what from sends to to. The other direction stays as it is.
-func (n *Network) Cut(from, to string) { n.set(func() { n.cut[link{from, to}] = true }) }
+func (n *Network) Cut(from, to string) { n.set(func() { n.cut[route{from, to}] = true }) }
 
 // Isolate cuts both directions between a site and others.
 func (n *Network) Isolate(site string, others ...string) {
 	n.set(func() {
 		for _, other := range others {
-			n.cut[link{site, other}] = true
-			n.cut[link{other, site}] = true
+			n.cut[route{site, other}] = true
+			n.cut[route{other, site}] = true
 		}
 	})
 }
 
 // SetDelay delays what from sends to to.
 func (n *Network) SetDelay(from, to string, d time.Duration) {
-	n.set(func() { n.delay[link{from, to}] = d })
+	n.set(func() { n.delay[route{from, to}] = d })
 }
 
 // Heal ends all cuts and delays.
@@ -120,7 +119,7 @@
 	}
 	defer n.drop(near)
 	from, ok := n.siteOf(near)
-	if !ok || !n.pass(link{from, site}, near, userTimeout) {
+	if !ok || !n.pass(route{from, site}, near, userTimeout) {
 		return
 	}
 	far, err := net.Dial("tcp", target)
@@ -129,8 +128,8 @@
 	}
 	defer n.drop(far)
 	done := make(chan struct{}, 2)
-	go n.copy(far, near, link{from, site}, userTimeout, done)
-	go n.copy(near, far, link{site, from}, 0, done)
+	go n.copy(far, near, route{from, site}, userTimeout, done)
+	go n.copy(near, far, route{site, from}, 0, done)
 	<-done
 	<-done
 }
@@ -139,11 +138,11 @@
 const relayBufferBytes = 32 << 10
 
 // copy relays one direction. The end of the stream passes the link too.
-func (n *Network) copy(to, from net.Conn, l link, userTimeout time.Duration, done chan<- struct{}) {
+func (n *Network) copy(to, from net.Conn, r route, userTimeout time.Duration, done chan<- struct{}) {
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		size, err := from.Read(buffer)
-		if !n.pass(l, from, userTimeout) {
+		if !n.pass(r, from, userTimeout) {
 			break
 		}
 		if size > 0 {
@@ -172,7 +171,7 @@
 // when the network is closed. The sender's connection is reset when the wait
 // takes longer than its userTimeout; the other end does not learn of it before
 // the cut ends.
-func (n *Network) pass(l link, sender net.Conn, userTimeout time.Duration) bool {
+func (n *Network) pass(r route, sender net.Conn, userTimeout time.Duration) bool {
 	var expired <-chan time.Time
 	if userTimeout > 0 {
 		timer := time.NewTimer(userTimeout)
@@ -181,7 +180,7 @@
 	}
 	for {
 		n.mu.Lock()
-		cut, delay, changed, closed := n.cut[l], n.delay[l], n.changed, n.closed
+		cut, delay, changed, closed := n.cut[r], n.delay[r], n.changed, n.closed
 		n.mu.Unlock()
 		if closed {
 			return false
@@ -227,7 +226,7 @@
 	n.set(func() { n.closed = true })
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, l := range slices.Clone(n.listeners) {
+	for _, l := range n.listeners {
 		_ = l.Close()
 	}
 	for conn := range n.conns {
