--- a/test/integration/history_test.go
+++ b/test/integration/history_test.go
@@ -201,7 +201,7 @@
 		wg.Wait()
 	})
 	t.Cleanup(stop)
-	for _, fault := range []func(*testing.T, *cluster.Cluster, *history) error{crash, suspend, partition, crash} {
+	for _, fault := range []func(*testing.T, *cluster.Cluster, *history) error{crash, suspend, partition, crash, muffle} {
 		h.awaitProgress(t, 100)
 		if err := fault(t, c, h); err != nil {
 			t.Fatal(err)
@@ -243,20 +243,35 @@
 
 // partition cuts the primary's zone from everything until another one works.
 func partition(t *testing.T, c *cluster.Cluster, h *history) error {
+	return cutPrimary(t, c, h, c.Network.Isolate)
+}
+
+// muffle cuts only what the primary's zone sends, so that requests still arrive
+// there and no answer comes back.
+func muffle(t *testing.T, c *cluster.Cluster, h *history) error {
+	return cutPrimary(t, c, h, func(site string, others ...string) {
+		for _, other := range others {
+			c.Network.Cut(site, other)
+		}
+	})
+}
+
+func cutPrimary(t *testing.T, c *cluster.Cluster, h *history, cut func(site string, others ...string)) error {
 	old := c.Groups["entries1"].Primary()
 	if old == nil {
 		return errNoPrimary
 	}
 	others := []string{cluster.PlatformSite}
-	zone := ""
+	site := ""
 	for i, u := range c.Groups["entries1"].Upstreams {
+		zone := string(c.Document.Databases[0].Upstreams[i].Zone)
 		if u == old {
-			zone = string(c.Document.Databases[0].Upstreams[i].Zone)
+			site = zone
 		} else {
-			others = append(others, string(c.Document.Databases[0].Upstreams[i].Zone))
+			others = append(others, zone)
 		}
 	}
-	c.Network.Isolate(zone, others...)
+	cut(site, others...)
 	old.Partition(true)
 	await(t, "new primary", func() bool { return c.Groups["entries1"].Primary() != old })
 	h.awaitProgress(t, 50)
