--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -38,6 +38,13 @@
 	exited   chan struct{}
 }
 
+// peerUserTimeout is what gRPC sets on connections to peers: the timeout of
+// their keepalive.
+const peerUserTimeout = 2 * time.Second
+
+// seedDaemons is how many daemons are seeds of the later ones.
+const seedDaemons = 2
+
 // newDaemon chooses addresses and writes the settings.
 func (c *Cluster) newDaemon(id, zone string) (*Daemon, error) {
 	d := &Daemon{ID: id, Zone: zone, Listed: true, cluster: c}
@@ -52,6 +59,9 @@
 	if d.advertised, err = c.startLink(d.PeerAddress, c.options.PeerDelay); err != nil {
 		return nil, err
 	}
+	if d.advertised, err = c.through(zone, d.advertised, peerUserTimeout); err != nil {
+		return nil, err
+	}
 	if d.linked, err = c.startLink(d.CallerAddress, c.options.CallerDelay); err != nil {
 		return nil, err
 	}
@@ -93,11 +103,17 @@
 	if level == "" {
 		level = "info"
 	}
+	seeds := []string{}
+	if c.options.Seeds {
+		for _, seed := range c.Daemons[:min(seedDaemons, len(c.Daemons))] {
+			seeds = append(seeds, seed.advertised)
+		}
+	}
 	return map[string]any{
 		"vm":     map[string]any{"id": d.ID, "zone": d.Zone},
 		"caller": map[string]any{"listen": d.CallerAddress, "require_tls": false},
 		"peer": map[string]any{
-			"listen": d.PeerAddress, "advertise": d.advertised,
+			"listen": d.PeerAddress, "advertise": d.advertised, "seeds": seeds,
 			"tls": map[string]any{"cert": c.certs.cert, "key": c.certs.key, "ca": c.certs.ca},
 		},
 		"operator": map[string]any{"listen": d.OperatorAddress},
@@ -120,6 +136,9 @@
 	if err := d.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", d.ID, err)
 	}
+	if d.cluster.Network != nil {
+		d.cluster.Network.register(d.cmd.Process.Pid, d.Zone)
+	}
 	cmd, exited := d.cmd, make(chan struct{})
 	d.exited = exited
 	go func() {
