--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -13,7 +15,6 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -32,6 +33,7 @@
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
 	"github.com/chervilhatch/chervilhatch/router"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
 // Options configure a Node.
@@ -88,6 +90,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	grpc   []*grpc.Server
+	// shared has the databases that this VM watches, by the VMs that watch
+	// them as well.
+	shared atomic.Pointer[map[model.VMID][]model.Database]
 	// owning is true once the VM has been able to act on what it owns.
 	owning atomic.Bool
 	// poolMu guards pools, which the executor and the demand reports use.
@@ -112,7 +117,7 @@
 	n.access = &access{loop: n.loop}
 	n.gates = newGates(n.writesDrained)
 	n.directory = newDirectory(n.loop, n.updateTargets)
-	n.tokens = newTokens(n.loop)
+	n.tokens = newTokens(n.loop, n.access)
 	n.clients = peer.NewClients(n.directory.address, o.PeerClientTLS)
 	n.exchange = &exchange{node: n, heard: newHeard()}
 	n.exchanger = peer.NewExchanger(ctx, n.exchange, n.clients)
@@ -137,18 +142,21 @@
 	n.holder = holder.New(holder.Options{
 		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
 		Pools:   pools,
+		Tracer:  telemetry.Tracer(),
 	})
 	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: n.holder, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
+	counters := newRequestMetrics(n.metrics)
 	n.callers = &callerServer{
 		log: n.log,
 		options: frontend.Options{
 			Directory:  ports,
-			Admitter:   ports,
-			Executor:   router.New(&routes{loop: n.loop, access: n.access}, dial),
+			Admitter:   countedAdmitter{ports, counters},
+			Executor:   countedExecutor{router.New(&routes{loop: n.loop, access: n.access}, dial), counters},
 			TLS:        n.options.CallerTLS,
 			RequireTLS: n.options.RequireCallerTLS,
-			Tracer:     otel.Tracer("chervilhatch"),
+			MockSecret: mockSecret(n.options.UpstreamPassword),
+			Tracer:     telemetry.Tracer(),
 		},
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
@@ -164,6 +172,14 @@
 	})
 }
 
+// mockSecret makes the secret for the logins of unknown workspaces from the
+// password of the upstreams, which is the same on all VMs.
+func mockSecret(password string) []byte {
+	mac := hmac.New(sha256.New, []byte(password))
+	mac.Write([]byte("chervilhatch mock verifier"))
+	return mac.Sum(nil)
+}
+
 func (n *Node) serveGRPC(l net.Listener, creds credentials.TransportCredentials, register func(*grpc.Server)) {
 	s := grpc.NewServer(grpc.Creds(creds))
 	register(s)
