Report unreachable holders with their database

Cause: routes.Unreachable sent HolderUnreachable without a database. The reducer found no group for it and ignored it, so batches went to an unreachable main holder again instead of to the standby.

Change: the event names the upstream's database. TestUnreachableMainHolders fails without it: the batch goes to the unreachable main holder.

--- a/node/ports.go
+++ b/node/ports.go
@@ -173,7 +173,15 @@
 
 // Unreachable implements router.Core.
 func (r *routes) Unreachable(u model.UpstreamID, standby bool) {
-	ev := routing.Event{Kind: routing.HolderUnreachable, Upstream: u, Standby: standby}
+	document := r.access.current()
+	if document == nil {
+		return
+	}
+	_, db := document.Upstream(u)
+	if db == nil {
+		return
+	}
+	ev := routing.Event{Kind: routing.HolderUnreachable, Database: db.Name, Upstream: u, Standby: standby}
 	r.loop.apply(&core.Event{Routing: &ev})
 }
 
--- /dev/null
+++ b/node/ports_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core"
+	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/core/confsync"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/executor"
+)
+
+// exampleDocument returns the first example's configuration.
+func exampleDocument(t *testing.T) *config.Document {
+	t.Helper()
+	text, err := os.ReadFile("../examples/ostemarked/config.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, list := config.Parse("example", text)
+	if len(list) > 0 {
+		t.Fatal(list)
+	}
+	return d
+}
+
+// TestUnreachableMainHolders guards against a report of an unreachable holder
+// that names no database and so has no effect: batches would be sent to it
+// again instead of to the standby holder.
+func TestUnreachableMainHolders(t *testing.T) {
+	d := exampleDocument(t)
+	l := newLoop(clock{start: time.Now()}, core.New(core.Config{Self: "vm-1", Zone: d.Zones[0].Name}))
+	a := &access{loop: l}
+	a.set(d)
+	l.apply(&core.Event{Confsync: &confsync.Event{Kind: confsync.StoreRead, Version: 1, Config: d}})
+	r := &routes{loop: l, access: a}
+	for _, u := range d.Databases[0].Upstreams {
+		r.Unreachable(u.ID, false)
+	}
+	read := &executor.Batch{Class: model.Read, MaxAge: time.Second, Deadline: time.Now().Add(time.Minute)}
+	attempt, err := r.Route(t.Context(), executor.Hello{Database: d.Databases[0].Name}, read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !attempt.Standby {
+		t.Errorf("the batch goes to the unreachable main holder of %s", attempt.Upstream)
+	}
+}
