Answer requests without map and channel where their event has the effect

Cause: a read made four requests to the reducer. Each entered a map of waiters under the mutex and got its answer through a channel, although nearly all are answered by their own event. The classifier turned every short word of a statement into upper case on the heap. The watch of an upstream connection allocated two functions per batch.

Change: the waiter of the event being applied is found without the map and needs no channel. The classifier looks words up from a buffer on the stack. The function that interrupts a connection is kept with it.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -53,8 +53,11 @@
 	statements *statements
 	batches    uint64
 	// plan is the batch that the connection runs.
-	plan      Batch
-	peek      peek
+	plan Batch
+	peek peek
+	// interrupt ends reads and writes; it is kept, so that a watch does not
+	// allocate it.
+	interrupt func()
 	status    byte
 	readOnly  bool
 	uncertain string
@@ -74,16 +77,20 @@
 // SetStatus records the transaction status of a ReadyForQuery.
 func (c *Conn) SetStatus(status byte) { c.status = status }
 
-// Watch ends reads and writes of the connection when ctx ends. The returned
-// function stops the watch; if ctx ended before, the connection is no longer usable.
-func (c *Conn) Watch(ctx context.Context) (stop func()) {
-	end := context.AfterFunc(ctx, func() {
-		_ = c.net.SetDeadline(time.Unix(1, 0))
-	})
-	return func() {
-		if !end() {
-			c.Discard("context ended")
-		}
+// Watch ends reads and writes of the connection when ctx ends. The result is
+// to be passed to EndWatch.
+func (c *Conn) Watch(ctx context.Context) (watch func() bool) {
+	if c.interrupt == nil {
+		c.interrupt = func() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+	}
+	return context.AfterFunc(ctx, c.interrupt)
+}
+
+// EndWatch stops a watch. If its context ended before, the connection is no
+// longer usable.
+func (c *Conn) EndWatch(watch func() bool) {
+	if !watch() {
+		c.Discard("context ended")
 	}
 }
 
@@ -141,8 +148,8 @@
 // Simple runs one simple query and returns the columns of its only row as
 // text. It fails on an error of the upstream.
 func (c *Conn) Simple(ctx context.Context, query string) ([]string, error) {
-	stop := c.Watch(ctx)
-	defer stop()
+	watch := c.Watch(ctx)
+	defer c.EndWatch(watch)
 	if _, err := c.Write(AppendQuery(nil, query)); err != nil {
 		return nil, err
 	}
--- a/backend/dial.go
+++ b/backend/dial.go
@@ -59,9 +59,9 @@
 		reader:     wire.NewReader(socket, readBuffer, maxMessage),
 		statements: newStatements(config.MaxStatements),
 	}
-	stop := c.Watch(ctx)
+	watch := c.Watch(ctx)
 	err = c.login()
-	stop()
+	c.EndWatch(watch)
 	if err == nil && c.uncertain != "" {
 		err = context.Cause(ctx)
 	}
--- a/backend/open.go
+++ b/backend/open.go
@@ -112,8 +112,8 @@
 func (c *Conn) check(ctx context.Context) {
 	ctx, done := context.WithTimeout(ctx, checkTimeout)
 	defer done()
-	stop := c.Watch(ctx)
-	defer stop()
+	watch := c.Watch(ctx)
+	defer c.EndWatch(watch)
 	if _, err := c.Write(wire.AppendMessage(nil, wire.Sync)); err != nil {
 		return
 	}
--- a/frontend/classify.go
+++ b/frontend/classify.go
@@ -34,7 +34,7 @@
 type scan struct {
 	lead  [leadLen]token
 	count int
-	// previous is the last word in upper case.
+	// previous is the last word in upper case, if it is one of noted.
 	previous string
 	refusal  string
 	words    wordSet
@@ -82,6 +82,21 @@
 	}
 }
 
+// noted has the words that note looks for and their predecessors. The lookup
+// turns a word into upper case without an allocation.
+var noted = map[string]string{
+	"ONLY": "ONLY", "WRITE": "WRITE", "WITH": "WITH", "HOLD": "HOLD", "STDIN": "STDIN",
+	"TO": "TO", "COMMIT": "COMMIT", "DROP": "DROP", "ANALYZE": "ANALYZE",
+	"INTO": "INTO", "TEMP": "TEMP", "TEMPORARY": "TEMPORARY",
+}
+
+func upperCase(c byte) byte {
+	if 'a' <= c && c <= 'z' {
+		return c - ('a' - 'A')
+	}
+	return c
+}
+
 // note records a keyword.
 func (c *scan) note(text string) {
 	previous := c.previous
@@ -89,7 +104,11 @@
 	if len(text) > longestNoted {
 		return
 	}
-	word := strings.ToUpper(text)
+	var upper [longestNoted]byte
+	for i := range len(text) {
+		upper[i] = upperCase(text[i])
+	}
+	word := noted[string(upper[:len(text)])]
 	c.previous = word
 	switch word {
 	case "ONLY":
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -119,12 +119,12 @@
 		return x.malformed(err)
 	}
 	x.plan = plan
-	stop := x.conn.Watch(ctx)
+	watch := x.conn.Watch(ctx)
 	err = x.talk()
 	if err == nil {
 		x.joinWriter()
 	}
-	stop()
+	x.conn.EndWatch(watch)
 	if err != nil {
 		return x.broke(ctx, err)
 	}
--- a/node/loop.go
+++ b/node/loop.go
@@ -32,7 +32,10 @@
 type waiter struct {
 	ready chan struct{}
 	done  bool
-	reply reply
+	// direct is true when the event itself had the effect; then ready gets
+	// nothing. Only the waiting goroutine uses it.
+	direct bool
+	reply  reply
 }
 
 // loop owns the reducer: it applies events under one mutex, hands effects that
@@ -45,6 +48,10 @@
 	state   *core.State
 	effects core.Effects
 	waiters map[uint64]*waiter
+	// starting is the waiter of the event being applied. Nearly all requests
+	// are answered by their own event and never enter the map.
+	starting   *waiter
+	startingID uint64
 	// wake is when the next tick is due.
 	wake  model.Time
 	timer *time.Timer
@@ -138,17 +145,20 @@
 func (l *loop) startLocked(id uint64, ev *core.Event) *waiter {
 	w := l.waiterPool.Get().(*waiter)
 	w.done = false
-	l.waiters[id] = w
+	l.starting, l.startingID = w, id
 	l.applyLocked(ev)
+	l.starting = nil
+	w.direct = w.done
+	if !w.done {
+		l.waiters[id] = w
+	}
 	return w
 }
 
 // await waits for the effect that answers a started request.
 func (l *loop) await(ctx context.Context, id uint64, w *waiter, abandon *core.Event) (reply, bool) {
-	select {
-	case <-w.ready:
+	if w.direct {
 		return l.finish(w), true
-	default:
 	}
 	select {
 	case <-w.ready:
@@ -183,6 +193,12 @@
 
 // answer hands an effect to the waiter with the id, if there is one.
 func (l *loop) answer(id uint64, set func(*reply)) {
+	if w := l.starting; w != nil && id == l.startingID {
+		l.starting = nil
+		set(&w.reply)
+		w.done = true
+		return
+	}
 	w := l.waiters[id]
 	if w == nil {
 		return
