Return the hint of an upstream with the end of its slot

Cause: after each batch the holder took the reducer's mutex once to give the slot back and once more for the hint of the result.

Change: Decider.Done returns the hint; Decider.Hint is only used for batches that keep or never had a slot. holder.Hint replaces three results.

--- a/holder/core.go
+++ b/holder/core.go
@@ -35,9 +35,19 @@
 	// Floor is the request's floor, or the confirmed position of the primary
 	// that stands in for a missing floor.
 	Floor model.Position
-	// Gated is the database whose planned switchovers wait until the
-	// assignment is given back, "" for a read.
-	Gated model.Database
+	// Database and Upstream are those of the request.
+	Database model.Database
+	Upstream model.UpstreamID
+	// Gated is true for a write, for which planned switchovers of the database
+	// wait until the assignment is given back.
+	Gated bool
+}
+
+// Hint is what is known of an upstream and its group, for executor.Result.
+type Hint struct {
+	Applied model.Position
+	Primary model.UpstreamID
+	Term    model.Term
 }
 
 // Outcome tells how a batch on an assignment ended.
@@ -59,14 +69,13 @@
 	// Schedule waits until the upstream satisfies the request and a slot is
 	// free in the workspace's turn. It refuses as not run otherwise.
 	Schedule(ctx context.Context, r *Request) (Assignment, error)
-	// Done gives the slot back.
-	Done(a Assignment, outcome Outcome)
+	// Done gives the slot back and returns the hint of its upstream.
+	Done(a Assignment, outcome Outcome) Hint
 	// AwaitMajority returns nil once a majority of the group holds p in p's
 	// term, and an OutcomeUnknown error when that fails or ctx ends.
 	AwaitMajority(ctx context.Context, db model.Database, p model.Position) error
-	// Hint returns what is known of the upstream and its group, for
-	// executor.Result.
-	Hint(db model.Database, u model.UpstreamID) (applied model.Position, primary model.UpstreamID, term model.Term)
+	// Hint returns what is known of the upstream and its group.
+	Hint(db model.Database, u model.UpstreamID) Hint
 	// KeyValid reports whether the key may still be used for the job, and is
 	// asked again before each statement runs. An error says why not.
 	KeyValid(w model.Workspace, k model.KeyID, j model.Job) error
--- a/holder/fakes_test.go
+++ b/holder/fakes_test.go
@@ -59,11 +59,14 @@
 	return holder.Assignment{Primary: d.primary, Term: term, Floor: floor}, nil
 }
 
-func (d *decider) Done(_ holder.Assignment, outcome holder.Outcome) {
+var fakeHint = holder.Hint{Applied: model.Position{Pos: 99}, Primary: "primary", Term: model.Term{Counter: 7}}
+
+func (d *decider) Done(_ holder.Assignment, outcome holder.Outcome) holder.Hint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.held--
 	d.done = append(d.done, outcome)
+	return fakeHint
 }
 
 func (d *decider) AwaitMajority(_ context.Context, _ model.Database, p model.Position) error {
@@ -73,8 +76,8 @@
 	return d.majority
 }
 
-func (d *decider) Hint(model.Database, model.UpstreamID) (model.Position, model.UpstreamID, model.Term) {
-	return model.Position{Pos: 99}, "primary", model.Term{Counter: 7}
+func (d *decider) Hint(model.Database, model.UpstreamID) holder.Hint {
+	return fakeHint
 }
 
 func (d *decider) KeyValid(model.Workspace, model.KeyID, model.Job) error {
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -8,11 +8,11 @@
 )
 
 // giveBack returns the connection and the slot.
-func (t *seat) giveBack(decider Decider, outcome Outcome) {
+func (t *seat) giveBack(decider Decider, outcome Outcome) Hint {
 	if t.conn != nil {
 		t.pool.Put(t.conn)
 	}
-	decider.Done(t.assignment, outcome)
+	return decider.Done(t.assignment, outcome)
 }
 
 // abandon gives back the seat of a batch that did not run and returns the
@@ -63,7 +63,8 @@
 	}
 	s.tx = x.status
 	if s.tx == txIdle {
-		s.seat.giveBack(s.holder.options.Decider, Completed)
+		s.hint = s.seat.giveBack(s.holder.options.Decider, Completed)
+		s.hinted = true
 		s.seat = nil
 		return txIdle
 	}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -29,6 +29,10 @@
 	hello    executor.Hello
 	upstream model.UpstreamID
 	request  Request
+	// hint came with the end of the batch's slot, if hinted is true. Only Run
+	// uses them.
+	hint   Hint
+	hinted bool
 
 	mu sync.Mutex
 	// seat is set while a batch runs and while a transaction is open.
@@ -59,13 +63,13 @@
 		ctx, done = context.WithDeadline(ctx, b.Deadline)
 		defer done()
 	}
+	s.hinted = false
 	result, err := s.run(ctx, b, sink)
-	decider := s.holder.options.Decider
-	result.Applied, result.Primary, result.PrimaryTerm = decider.Hint(s.hello.Database, s.upstream)
-	if err != nil {
-		return result, err
+	if !s.hinted {
+		s.hint = s.holder.options.Decider.Hint(s.hello.Database, s.upstream)
 	}
-	return result, nil
+	result.Applied, result.Primary, result.PrimaryTerm = s.hint.Applied, s.hint.Primary, s.hint.Term
+	return result, err
 }
 
 // endsBy reports whether ctx ends at the deadline or before without a timer of
--- a/node/decider.go
+++ b/node/decider.go
@@ -36,7 +36,7 @@
 		d.gates.leave(r.Database)
 		return a, err
 	}
-	a.Gated = r.Database
+	a.Gated = true
 	return a, nil
 }
 
@@ -56,7 +56,10 @@
 	if queued == nil {
 		queued, primary = d.enqueue(id, r)
 	}
-	a := holder.Assignment{ID: id, Term: e.Term, Floor: e.Floor, Primary: primary == r.Upstream}
+	a := holder.Assignment{
+		ID: id, Term: e.Term, Floor: e.Floor, Primary: primary == r.Upstream,
+		Database: r.Database, Upstream: r.Upstream,
+	}
 	a.Address, _ = d.access.upstreamAddress(r.Upstream)
 	return a, d.awaitSlot(ctx, id, queued)
 }
@@ -72,7 +75,7 @@
 	if !checked.done || !allowed(&checked.reply) {
 		return checked, nil, ""
 	}
-	return checked, d.loop.startLocked(id, &core.Event{Fairness: &enter}), d.primaryLocked(r)
+	return checked, d.loop.startLocked(id, &core.Event{Fairness: &enter}), d.hintLocked(r.Database, r.Upstream).Primary
 }
 
 // enqueue puts a request whose check had to wait into the queue.
@@ -80,13 +83,7 @@
 	enter := d.queueEvent(id, r)
 	d.loop.mu.Lock()
 	defer d.loop.mu.Unlock()
-	return d.loop.startLocked(id, &core.Event{Fairness: &enter}), d.primaryLocked(r)
-}
-
-// primaryLocked returns the primary of the request's database, if it is known.
-func (d *decider) primaryLocked(r *holder.Request) model.UpstreamID {
-	_, primary, _ := d.loop.state.Replication.Hint(r.Database, r.Upstream)
-	return primary
+	return d.loop.startLocked(id, &core.Event{Fairness: &enter}), d.hintLocked(r.Database, r.Upstream).Primary
 }
 
 // allowed reports whether a check lets its request run.
@@ -162,12 +159,20 @@
 }
 
 // Done implements holder.Decider.
-func (d *decider) Done(a holder.Assignment, _ holder.Outcome) {
+func (d *decider) Done(a holder.Assignment, _ holder.Outcome) holder.Hint {
 	ev := fairness.Event{Kind: fairness.EventFinished, ID: a.ID}
-	d.loop.apply(&core.Event{Fairness: &ev})
-	if a.Gated != "" {
-		d.gates.leave(a.Gated)
+	hint := d.finish(&ev, &a)
+	if a.Gated {
+		d.gates.leave(a.Database)
 	}
+	return hint
+}
+
+func (d *decider) finish(ev *fairness.Event, a *holder.Assignment) holder.Hint {
+	d.loop.mu.Lock()
+	defer d.loop.mu.Unlock()
+	d.loop.applyLocked(&core.Event{Fairness: ev})
+	return d.hintLocked(a.Database, a.Upstream)
 }
 
 // AwaitMajority implements holder.Decider.
@@ -201,11 +206,15 @@
 }
 
 // Hint implements holder.Decider.
-func (d *decider) Hint(db model.Database, u model.UpstreamID) (applied model.Position, primary model.UpstreamID, term model.Term) {
-	d.loop.view(func(_ model.Time, s *core.State) {
-		applied, primary, term = s.Replication.Hint(db, u)
-	})
-	return applied, primary, term
+func (d *decider) Hint(db model.Database, u model.UpstreamID) holder.Hint {
+	d.loop.mu.Lock()
+	defer d.loop.mu.Unlock()
+	return d.hintLocked(db, u)
+}
+
+func (d *decider) hintLocked(db model.Database, u model.UpstreamID) holder.Hint {
+	applied, primary, term := d.loop.state.Replication.Hint(db, u)
+	return holder.Hint{Applied: applied, Primary: primary, Term: term}
 }
 
 // KeyValid implements holder.Decider.
