--- a/backend/rewrite.go
+++ b/backend/rewrite.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -187,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := b.resolve(string(name))
+	server, err := b.resolve(name)
 	if err != nil {
 		return err
 	}
@@ -206,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := b.resolve(string(name))
+	server, err := b.resolve(name)
 	if err != nil {
 		return err
 	}
@@ -240,12 +239,12 @@
 
 // resolve returns the server-side name of a statement that the batch uses. A
 // statement that is not known never resolves to one of another caller.
-func (b *Batch) resolve(name string) (string, error) {
-	if server, ok := b.names[name]; ok {
+func (b *Batch) resolve(name []byte) (string, error) {
+	if server, ok := b.names[string(name)]; ok {
 		return server, nil
 	}
 	for _, p := range b.prepared {
-		if p.Name != name {
+		if p.Name != string(name) {
 			continue
 		}
 		content, err := parseContent(p.Parse)
@@ -253,7 +252,7 @@
 			return "", err
 		}
 		server := b.ensure(content, 0)
-		b.setName(name, server)
+		b.setName(p.Name, server)
 		return server, nil
 	}
 	return missingStatement, nil
@@ -279,8 +278,8 @@
 // serverName derives the server-side name from the query and the parameter types.
 func serverName(content []byte) string {
 	sum := sha256.Sum256(content)
-	var name bytes.Buffer
-	name.WriteString(statementPrefix)
-	name.WriteString(hex.EncodeToString(sum[:statementHashLen]))
-	return name.String()
+	var name [len(statementPrefix) + 2*statementHashLen]byte
+	copy(name[:], statementPrefix)
+	hex.Encode(name[len(statementPrefix):], sum[:statementHashLen])
+	return string(name[:])
 }
--- a/frontend/batch.go
+++ b/frontend/batch.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if name != "" && s.lookup(name) != nil {
+	if name != "" && s.lookup([]byte(name)) != nil {
 		return sqlstate.Refuse(sqlstate.DuplicateStatement, "prepared statement \""+name+"\" already exists"), nil
 	}
 	if refusal := s.checkRoom(name, statement); refusal != nil {
@@ -115,28 +115,28 @@
 }
 
 // lookup returns the statement that a name means at this place of the batch.
-func (s *session) lookup(name string) *preparedStatement {
-	if statement, ok := s.batch.parsed[name]; ok {
+func (s *session) lookup(name []byte) *preparedStatement {
+	if statement, ok := s.batch.parsed[string(name)]; ok {
 		return statement
 	}
-	return s.statements.get(name)
+	return s.statements.byName[string(name)]
 }
 
 // use makes sure that the batch carries the statement.
-func (s *session) use(name string) (*preparedStatement, *sqlstate.Error) {
+func (s *session) use(name []byte) (*preparedStatement, *sqlstate.Error) {
 	statement := s.lookup(name)
 	if statement == nil {
-		return nil, sqlstate.Refuse(sqlstate.UnknownStatement, "prepared statement \""+name+"\" does not exist")
+		return nil, sqlstate.Refuse(sqlstate.UnknownStatement, "prepared statement \""+string(name)+"\" does not exist")
 	}
-	if _, ok := s.batch.parsed[name]; ok {
+	if _, ok := s.batch.parsed[string(name)]; ok {
 		return statement, nil
 	}
 	for i := range s.batch.prepared {
-		if s.batch.prepared[i].Name == name {
+		if s.batch.prepared[i].Name == statement.name {
 			return statement, nil
 		}
 	}
-	s.batch.prepared = append(s.batch.prepared, executor.Prepared{Name: name, Parse: statement.parse})
+	s.batch.prepared = append(s.batch.prepared, executor.Prepared{Name: statement.name, Parse: statement.parse})
 	return statement, s.batch.include(&statement.info)
 }
 
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	statement, refusal := s.use(string(name))
+	statement, refusal := s.use(name)
 	if refusal != nil {
 		return refusal, nil
 	}
@@ -171,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	_, refusal := s.use(string(name))
+	_, refusal := s.use(name)
 	return refusal, nil
 }
 
--- a/frontend/prepared.go
+++ b/frontend/prepared.go
@@ -7,6 +7,7 @@
 
 // preparedStatement is a statement as the caller parsed it.
 type preparedStatement struct {
+	name  string
 	parse []byte
 	info  statementInfo
 }
@@ -69,10 +70,11 @@
 		return "", nil, err
 	}
 	statement = &preparedStatement{
+		name:  string(nameBytes),
 		parse: append([]byte(nil), frame...),
 		info:  analyze(string(sql)),
 	}
-	return string(nameBytes), statement, nil
+	return statement.name, statement, nil
 }
 
 // checkRoom refuses a Parse that would exceed the session's limits.
--- a/frontend/run.go
+++ b/frontend/run.go
@@ -115,6 +115,9 @@
 	if cap(b.messages) <= keptBuffer {
 		s.batch.messages = b.messages[:0]
 	}
+	if cap(b.prepared) <= keptPrepared {
+		s.batch.prepared = b.prepared[:0]
+	}
 	s.answer.changes = b.changes
 	s.answer.failed = false
 	switch {
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -25,6 +25,9 @@
 	drainGrace = 20 * time.Millisecond
 	// keptBuffer is the largest buffer that an idle session keeps.
 	keptBuffer = 1024
+	// keptPrepared is the longest list of prepared statements that a session
+	// keeps for its next batch.
+	keptPrepared = 4
 )
 
 // session is one authenticated caller.
@@ -253,6 +256,10 @@
 }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		// The common case; errors.As would allocate.
+		return false
+	}
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -37,7 +37,9 @@
 	mu sync.Mutex
 	// seat is set while a batch runs and while a transaction is open.
 	seat *seat
-	tx   byte
+	// own is the memory of seat.
+	own seat
+	tx  byte
 	// lost tells why an open transaction ended between two batches.
 	lost *sqlstate.Error
 	// wait is the wait of a batch that has no connection yet.
@@ -138,7 +140,8 @@
 	if err != nil {
 		return nil, refusal(ctx, err)
 	}
-	next := &seat{assignment: assignment}
+	s.own = seat{assignment: assignment}
+	next := &s.own
 	outcome, err := s.connect(ctx, next)
 	if err != nil {
 		next.giveBack(decider, outcome)
