--- /dev/null
+++ b/holder/interrupt.go
@@ -0,0 +1,126 @@
+package holder
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// errSuperseded is the cause when a queued batch is refused because another
+// upstream has become the primary.
+var errSuperseded = errors.New("another upstream has become the primary")
+
+// errSilent is the cause when a queued batch is refused because the upstream
+// does not answer.
+var errSilent = errors.New("the upstream does not answer")
+
+// interrupts knows what runs and waits on upstreams, so that it ends when
+// another upstream becomes the primary or an upstream no longer answers. It
+// would otherwise last until its deadline.
+type interrupts struct {
+	mu sync.Mutex
+	// running are the seats in use.
+	running map[*seat]*stream
+	// queued are the streams that wait for a slot or a connection.
+	queued map[*stream]struct{}
+	// primaries are the newest known ones.
+	primaries map[model.Database]reign
+}
+
+// reign is the primary of a term.
+type reign struct {
+	term    model.Term
+	primary model.UpstreamID
+}
+
+func newInterrupts() interrupts {
+	return interrupts{
+		running:   map[*seat]*stream{},
+		queued:    map[*stream]struct{}{},
+		primaries: map[model.Database]reign{},
+	}
+}
+
+// waits registers a stream that waits.
+func (i *interrupts) waits(s *stream) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.queued[s] = struct{}{}
+}
+
+func (i *interrupts) waited(s *stream) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.queued, s)
+}
+
+// superseded reports whether another term has begun since an assignment on a
+// primary was made.
+func (i *interrupts) superseded(db model.Database, a Assignment) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return a.Primary && a.Term.Less(i.primaries[db].term)
+}
+
+// run registers a seat, and interrupts it at once when it is on a primary
+// whose term has ended since it was scheduled.
+func (i *interrupts) run(s *stream, t *seat) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running[t] = s
+	if t.assignment.Primary && t.assignment.Term.Less(i.primaries[s.hello.Database].term) {
+		t.conn.Close()
+	}
+}
+
+func (i *interrupts) ran(t *seat) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.running, t)
+}
+
+// Interrupt ends what an earlier primary of db still does: what runs there ends
+// as outcome unknown, unless the upstream has answered already, and what is
+// queued is refused as not run.
+func (h *Holder) Interrupt(db model.Database, primary model.UpstreamID, t model.Term) {
+	i := &h.interrupts
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	old := i.primaries[db]
+	if !old.term.Less(t) {
+		return
+	}
+	i.primaries[db] = reign{t, primary}
+	for seat, s := range i.running {
+		if s.hello.Database == db && seat.assignment.Primary && seat.assignment.Term.Less(t) {
+			seat.conn.Close()
+		}
+	}
+	if old.primary == primary {
+		return
+	}
+	for s := range i.queued {
+		if s.upstream == old.primary {
+			s.wait.stop(errSuperseded)
+		}
+	}
+}
+
+// InterruptReads ends what runs and waits on a replica that no longer answers.
+// The router sends reads that passed nothing on to another upstream.
+func (h *Holder) InterruptReads(u model.UpstreamID) {
+	i := &h.interrupts
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for seat, s := range i.running {
+		if s.upstream == u && !seat.assignment.Primary {
+			seat.conn.Close()
+		}
+	}
+	for s := range i.queued {
+		if s.upstream == u {
+			s.wait.stop(errSilent)
+		}
+	}
+}
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -9,10 +9,15 @@
 
 // giveBack returns the connection and the slot.
 func (t *seat) giveBack(decider Decider, outcome Outcome) Hint {
+	t.holder.interrupts.ran(t)
 	if t.conn != nil {
 		t.pool.Put(t.conn)
 	}
-	return decider.Done(t.assignment, outcome)
+	hint := decider.Done(t.assignment, outcome)
+	if !t.awaits {
+		decider.EndWrite(t.assignment)
+	}
+	return hint
 }
 
 // abandon gives back the seat of a batch that did not run and returns the
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -56,6 +56,10 @@
 	assignment Assignment
 	pool       *backend.Pool
 	conn       *backend.Conn
+	holder     *Holder
+	// awaits is true when the write waits for its majority after the seat is
+	// given back.
+	awaits bool
 }
 
 // Run implements executor.Stream.
@@ -102,6 +106,10 @@
 	upstream := s.startHop(ctx, upstreamSpan, b.TraceParent)
 	failure := x.run(ctx)
 	upstream.end(failure != nil)
+	if failure == nil && x.needsMajority() {
+		seat.awaits = true
+		defer s.holder.options.Decider.EndWrite(seat.assignment)
+	}
 	status := s.finish(x, failure)
 	if failure != nil {
 		return executor.Result{TxStatus: status}, failure
@@ -136,12 +144,18 @@
 // acquire waits for a slot and a connection.
 func (s *stream) acquire(ctx *queueWait, b *executor.Batch) (*seat, error) {
 	decider := s.holder.options.Decider
+	s.holder.interrupts.waits(s)
+	defer s.holder.interrupts.waited(s)
 	assignment, err := decider.Schedule(ctx, s.newRequest(b))
 	if err != nil {
 		return nil, refusal(ctx, err)
 	}
-	s.own = seat{assignment: assignment}
+	s.own = seat{assignment: assignment, holder: s.holder}
 	next := &s.own
+	if s.holder.interrupts.superseded(s.hello.Database, assignment) {
+		next.giveBack(decider, Completed)
+		return nil, sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
+	}
 	outcome, err := s.connect(ctx, next)
 	if err != nil {
 		next.giveBack(decider, outcome)
@@ -150,6 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seat = next
+	s.holder.interrupts.run(s, next)
 	return next, nil
 }
 
@@ -191,11 +206,18 @@
 
 // refusal returns the error of a batch that did not leave the queue.
 func refusal(ctx *queueWait, err error) *sqlstate.Error {
+	cause := ctx.stopped()
+	if errors.Is(cause, errSuperseded) {
+		return sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
+	}
+	if errors.Is(cause, errSilent) {
+		return sqlstate.Refuse(sqlstate.UpstreamUnavail, errSilent.Error())
+	}
 	var own *sqlstate.Error
 	if errors.As(err, &own) {
 		return own
 	}
-	if errors.Is(ctx.stopped(), errCanceled) {
+	if errors.Is(cause, errCanceled) {
 		return sqlstate.Refuse(sqlstate.QueryCanceled, "canceled by the caller while queued")
 	}
 	return sqlstate.Refuse(sqlstate.DeadlineTooClose, "the deadline passed while queued")
--- a/node/decider.go
+++ b/node/decider.go
@@ -40,6 +40,22 @@
 	return a, nil
 }
 
+// Times after which an upstream that cannot satisfy a request refuses it, so
+// that the caller side can try another one.
+const (
+	readPatience  = 100 * time.Millisecond
+	writePatience = 300 * time.Millisecond
+)
+
+// patience returns the deadline of the check of a request.
+func (d *decider) patience(r *holder.Request) model.Time {
+	wait := readPatience
+	if r.Class == model.Write {
+		wait = writePatience
+	}
+	return min(d.loop.clock.At(r.Deadline), d.loop.clock.Now().Add(wait))
+}
+
 // schedule waits until the upstream satisfies the request and a slot is free.
 func (d *decider) schedule(ctx context.Context, r *holder.Request) (holder.Assignment, error) {
 	id := d.loop.newID()
@@ -101,7 +117,7 @@
 		Floor:    r.Floor,
 		HasFloor: r.HasFloor,
 		MaxAge:   r.MaxAge,
-		Deadline: d.loop.clock.At(r.Deadline),
+		Deadline: d.patience(r),
 	}
 	if r.Class == model.Write {
 		ev.Kind = replication.WriteCheck
@@ -161,20 +177,19 @@
 // Done implements holder.Decider.
 func (d *decider) Done(a holder.Assignment, _ holder.Outcome) holder.Hint {
 	ev := fairness.Event{Kind: fairness.EventFinished, ID: a.ID}
-	hint := d.finish(&ev, &a)
-	if a.Gated {
-		d.gates.leave(a.Database)
-	}
-	return hint
-}
-
-func (d *decider) finish(ev *fairness.Event, a *holder.Assignment) holder.Hint {
 	d.loop.mu.Lock()
 	defer d.loop.mu.Unlock()
-	d.loop.applyLocked(&core.Event{Fairness: ev})
+	d.loop.applyLocked(&core.Event{Fairness: &ev})
 	return d.hintLocked(a.Database, a.Upstream)
 }
 
+// EndWrite implements holder.Decider.
+func (d *decider) EndWrite(a holder.Assignment) {
+	if a.Gated {
+		d.gates.leave(a.Database)
+	}
+}
+
 // AwaitMajority implements holder.Decider.
 func (d *decider) AwaitMajority(ctx context.Context, db model.Database, p model.Position) error {
 	id := d.loop.newID()
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -79,6 +81,7 @@
 	exchanger *peer.Exchanger
 	clients   *peer.Clients
 	tokens    *tokens
+	holder    *holder.Holder
 	pools     *budgets
 	control   *pgcontrol.Control
 	executor  *effectExecutor
@@ -111,7 +114,7 @@
 	n.access = &access{loop: n.loop}
 	n.gates = newGates(n.writesDrained)
 	n.directory = newDirectory(n.loop, n.updateTargets)
-	n.tokens = newTokens(n.loop)
+	n.tokens = newTokens(n.loop, n.access)
 	n.clients = peer.NewClients(n.directory.address, o.PeerClientTLS)
 	n.exchange = &exchange{node: n, heard: newHeard()}
 	n.exchanger = peer.NewExchanger(ctx, n.exchange, n.clients)
@@ -122,6 +125,7 @@
 	n.control = pgcontrol.New(n.access.upstreamAddress, pgcontrol.Credentials{User: o.UpstreamUser, Password: o.UpstreamPassword})
 	n.executor = &effectExecutor{node: n, loop: n.loop, control: n.control, log: o.Log, metrics: o.Metrics}
 	n.composeDataPath(credentials)
+	n.executor.silence = newSilence(n.holder.InterruptReads)
 	return n, nil
 }
 
@@ -132,26 +136,28 @@
 		loop: n.loop, pools: pools, access: n.access, credentials: credentials,
 		log: n.log, held: map[model.UpstreamID]heldPool{},
 	}
-	local := holder.New(holder.Options{
+	n.holder = holder.New(holder.Options{
 		Decider: &decider{loop: n.loop, access: n.access, gates: n.gates},
 		Pools:   pools,
 		Tracer:  telemetry.Tracer(),
 	})
-	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: local, clients: n.clients}
+	dial := &dialer{loop: n.loop, access: n.access, self: n.self, local: n.holder, clients: n.clients}
 	ports := &callers{loop: n.loop, access: n.access}
+	counters := newRequestMetrics(n.metrics)
 	n.callers = &callerServer{
 		log: n.log,
 		options: frontend.Options{
 			Directory:  ports,
-			Admitter:   ports,
-			Executor:   router.New(&routes{loop: n.loop, access: n.access}, dial),
+			Admitter:   countedAdmitter{ports, counters},
+			Executor:   countedExecutor{router.New(&routes{loop: n.loop, access: n.access}, dial), counters},
 			TLS:        n.options.CallerTLS,
 			RequireTLS: n.options.RequireCallerTLS,
+			MockSecret: mockSecret(n.options.UpstreamPassword),
 			Tracer:     telemetry.Tracer(),
 		},
 	}
 	n.serveGRPC(n.options.Peers, n.options.PeerServerTLS, func(s *grpc.Server) {
-		peerv1.RegisterPeerServer(s, peer.NewServer(local, n.exchanger, n.tokens))
+		peerv1.RegisterPeerServer(s, peer.NewServer(n.holder, n.exchanger, n.tokens))
 		platformv1.RegisterPlatformServer(s, oprelay.NewServer(n.options.Store, n.routeToRelay, n.learnRecord))
 	})
 	if n.options.Operator == nil {
@@ -163,6 +169,14 @@
 	})
 }
 
+// mockSecret makes the secret for the logins of unknown workspaces from the
+// password of the upstreams, which is the same on all VMs.
+func mockSecret(password string) []byte {
+	mac := hmac.New(sha256.New, []byte(password))
+	mac.Write([]byte("chervilhatch mock verifier"))
+	return mac.Sum(nil)
+}
+
 func (n *Node) serveGRPC(l net.Listener, creds credentials.TransportCredentials, register func(*grpc.Server)) {
 	s := grpc.NewServer(grpc.Creds(creds))
 	register(s)
