--- a/frontend/session.go
+++ b/frontend/session.go
@@ -25,6 +25,9 @@
 	drainGrace = 20 * time.Millisecond
 	// keptBuffer is the largest buffer that an idle session keeps.
 	keptBuffer = 1024
+	// keptPrepared is the longest list of prepared statements that a session
+	// keeps for its next batch.
+	keptPrepared = 4
 )
 
 // session is one authenticated caller.
@@ -69,9 +72,13 @@
 
 	ctx  context.Context
 	stop context.CancelCauseFunc
+	// timer ends the running batch at its deadline.
+	timer *time.Timer
 
 	mu     sync.Mutex
 	stream executor.Stream
+	// current is the context of the running batch.
+	current *batchContext
 	// running is true while the stream runs a batch.
 	running bool
 	// idle is true while the session waits for a new batch outside a transaction.
@@ -86,6 +93,7 @@
 	session := &session{server: s, conn: conn, reader: reader, tx: wire.Idle, batch: newBatch()}
 	session.sinkFunc = session.sink
 	session.ctx, session.stop = context.WithCancelCause(s.ctx)
+	context.AfterFunc(session.ctx, session.sessionEnded)
 	reader.SetMax(s.options.Limits.MessageSize)
 	reader.SetReserve(s.memory.reserve)
 	return session
@@ -248,6 +256,10 @@
 }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		// The common case; errors.As would allocate.
+		return false
+	}
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
@@ -258,6 +270,7 @@
 	s.reader.Release()
 	s.out = nil
 	s.watch = watch{}
+	s.timer = nil
 	s.request = executor.Batch{}
 	s.dropBatch()
 }
--- a/holder/seat.go
+++ b/holder/seat.go
@@ -8,15 +8,16 @@
 )
 
 // giveBack returns the connection and the slot.
-func (t *seat) giveBack(decider Decider, outcome Outcome) {
+func (t *seat) giveBack(decider Decider, outcome Outcome) Hint {
 	t.holder.interrupts.ran(t)
 	if t.conn != nil {
 		t.pool.Put(t.conn)
 	}
-	decider.Done(t.assignment, outcome)
+	hint := decider.Done(t.assignment, outcome)
 	if !t.awaits {
 		decider.EndWrite(t.assignment)
 	}
+	return hint
 }
 
 // abandon gives back the seat of a batch that did not run and returns the
@@ -67,7 +68,8 @@
 	}
 	s.tx = x.status
 	if s.tx == txIdle {
-		s.seat.giveBack(s.holder.options.Decider, Completed)
+		s.hint = s.seat.giveBack(s.holder.options.Decider, Completed)
+		s.hinted = true
 		s.seat = nil
 		return txIdle
 	}
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -29,11 +29,17 @@
 	hello    executor.Hello
 	upstream model.UpstreamID
 	request  Request
+	// hint came with the end of the batch's slot, if hinted is true. Only Run
+	// uses them.
+	hint   Hint
+	hinted bool
 
 	mu sync.Mutex
 	// seat is set while a batch runs and while a transaction is open.
 	seat *seat
-	tx   byte
+	// own is the memory of seat.
+	own seat
+	tx  byte
 	// lost tells why an open transaction ended between two batches.
 	lost *sqlstate.Error
 	// wait is the wait of a batch that has no connection yet.
@@ -63,13 +69,13 @@
 		ctx, done = context.WithDeadline(ctx, b.Deadline)
 		defer done()
 	}
+	s.hinted = false
 	result, err := s.run(ctx, b, sink)
-	decider := s.holder.options.Decider
-	result.Applied, result.Primary, result.PrimaryTerm = decider.Hint(s.hello.Database, s.upstream)
-	if err != nil {
-		return result, err
+	if !s.hinted {
+		s.hint = s.holder.options.Decider.Hint(s.hello.Database, s.upstream)
 	}
-	return result, nil
+	result.Applied, result.Primary, result.PrimaryTerm = s.hint.Applied, s.hint.Primary, s.hint.Term
+	return result, err
 }
 
 // endsBy reports whether ctx ends at the deadline or before without a timer of
@@ -144,7 +150,8 @@
 	if err != nil {
 		return nil, refusal(ctx, err)
 	}
-	next := &seat{assignment: assignment, holder: s.holder}
+	s.own = seat{assignment: assignment, holder: s.holder}
+	next := &s.own
 	if s.holder.interrupts.superseded(s.hello.Database, assignment) {
 		next.giveBack(decider, Completed)
 		return nil, sqlstate.Refuse(sqlstate.NoPrimary, errSuperseded.Error())
--- a/test/bench/measure.go
+++ b/test/bench/measure.go
@@ -4,13 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/chervilhatch/chervilhatch/test/cluster"
 )
 
 const (
@@ -18,16 +17,9 @@
 	warmUp = 300 * time.Millisecond
 	// idlePause is longer than an idle session keeps its buffers.
 	idlePause = 4 * time.Second
-	// ticksPerSecond is the unit of processor time in /proc.
-	ticksPerSecond = 100
-	// utimeField and stimeField count from the field behind the process name.
-	utimeField = 11
-	stimeField = 12
-	kilobyte   = 1024
+	kilobyte  = 1024
 )
 
-var errProc = errors.New("unexpected content in /proc")
-
 // throughput counts statements for each second of the daemon's processor time.
 func (t *target) throughput(ctx context.Context, o *options, mode string, first, request []byte) error {
 	load, err := startLoad(ctx, t.proxyURL(), o.callers, first, request)
@@ -35,7 +27,7 @@
 		return err
 	}
 	time.Sleep(warmUp)
-	before, err := t.processorTime()
+	before, err := t.usage()
 	if err != nil {
 		return err
 	}
@@ -43,14 +35,14 @@
 	time.Sleep(o.duration)
 	elapsed := time.Since(start)
 	count = load.done.Load() - count
-	after, err := t.processorTime()
+	after, err := t.usage()
 	if err != nil {
 		return err
 	}
 	if err := load.stop(); err != nil {
 		return err
 	}
-	used := after - before
+	used := after.Processor - before.Processor
 	perCore := float64(count) / used.Seconds()
 	t.perCore[mode] = append(t.perCore[mode], perCore)
 	fmt.Printf("%-10s %-9s %9.0f statements/s, %9.0f per core of the daemon\n",
@@ -162,7 +154,7 @@
 
 // idle measures the daemon's resident memory for each idle caller.
 func (t *target) idle(ctx context.Context, o *options) error {
-	before, err := t.residentKB()
+	before, err := t.usage()
 	if err != nil {
 		return err
 	}
@@ -183,40 +175,12 @@
 		}
 	}
 	time.Sleep(idlePause)
-	after, err := t.residentKB()
+	after, err := t.usage()
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%-10s idle      %.1f KB for each of %d idle callers\n", t.name, float64(after-before)/float64(o.idle), o.idle)
+	fmt.Printf("%-10s idle      %.1f KB for each of %d idle callers\n", t.name, float64(after.Resident-before.Resident)/kilobyte/float64(o.idle), o.idle)
 	return nil
 }
 
-// processorTime returns the user and system time of the daemon.
-func (t *target) processorTime() (time.Duration, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", t.cluster.Daemons[0].PID()))
-	if err != nil {
-		return 0, err
-	}
-	// The process name is in parentheses and may have spaces.
-	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(fields) <= stimeField {
-		return 0, errProc
-	}
-	user, userErr := strconv.Atoi(fields[utimeField])
-	system, systemErr := strconv.Atoi(fields[stimeField])
-	return time.Duration(user+system) * time.Second / ticksPerSecond, errors.Join(userErr, systemErr)
-}
-
-// residentKB returns the resident memory of the daemon.
-func (t *target) residentKB() (int, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", t.cluster.Daemons[0].PID()))
-	if err != nil {
-		return 0, err
-	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0, errProc
-	}
-	pages, err := strconv.Atoi(fields[1])
-	return pages * os.Getpagesize() / kilobyte, err
-}
+func (t *target) usage() (cluster.Usage, error) { return t.cluster.Daemons[0].Usage() }
