--- a/test/measure/figure_writes.go
+++ b/test/measure/figure_writes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,10 @@
 	if err != nil {
 		return result{}, errors.Join(problem, err)
 	}
+	slices.Sort(a.Violations)
+	for _, v := range a.Violations {
+		progress("%s: %s", b.name, v)
+	}
 	return result{figures: []figure{b.figureOf(figure{
 		Name: "acknowledged writes lost or doubled", Unit: "writes", Value: float64(a.Lost + a.Doubled), Target: target{atMost, 0},
 		Baseline: baseline{"writes that acknowledgement by the primary alone puts at risk: those with an unknown outcome", float64(a.Unknown)},
