--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -63,6 +63,11 @@
 	CallerDelay time.Duration
 	// LogLevel of the daemons; info by default.
 	LogLevel string
+	// Network puts relays on all links of the daemons but those of callers, so
+	// that tests can cut and delay them.
+	Network bool
+	// Seeds puts the peer addresses of the first two daemons into the settings.
+	Seeds bool
 }
 
 // Workspace is a workspace with its key in the clear.
@@ -80,10 +85,12 @@
 	Groups   map[string]*upstream.Group
 	Daemons  []*Daemon
 	Document *config.Document
-	options  Options
-	certs    *certFiles
-	store    string
-	bin      string
+	// Network is nil unless the options ask for it.
+	Network *Network
+	options Options
+	certs   *certFiles
+	store   string
+	bin     string
 	// addresses are those that the configuration gives for upstreams.
 	addresses map[model.UpstreamID]string
 	listeners []net.Listener
@@ -93,6 +100,9 @@
 // after an error.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
 	c := &Cluster{options: o, Groups: map[string]*upstream.Group{}, addresses: map[model.UpstreamID]string{}}
+	if o.Network {
+		c.Network = newNetwork()
+	}
 	steps := []func(context.Context) error{
 		c.build, c.startGroups, c.startPlatform, c.writeCertificates, c.storeConfig, c.startDaemons,
 	}
@@ -148,7 +158,8 @@
 	c.store = l.Addr().String()
 	c.Platform = platform.New()
 	go func() { _ = c.Platform.Serve(l) }()
-	return nil
+	c.store, err = c.through(PlatformSite, c.store, 0)
+	return err
 }
 
 // publishVMs tells the platform's list which daemons there are.
@@ -197,6 +208,9 @@
 	for _, l := range c.listeners {
 		_ = l.Close()
 	}
+	if c.Network != nil {
+		c.Network.close()
+	}
 	for _, g := range c.Groups {
 		g.Stop()
 	}
@@ -205,6 +219,15 @@
 	}
 }
 
+// through returns the address at which daemons, which set userTimeout on such
+// connections, reach a target at a site.
+func (c *Cluster) through(site, target string, userTimeout time.Duration) (string, error) {
+	if c.Network == nil {
+		return target, nil
+	}
+	return c.Network.listen(site, target, userTimeout)
+}
+
 // Key returns the key of a workspace.
 func (c *Cluster) Key(w model.Workspace) string {
 	for _, known := range c.options.Workspaces {
