--- a/core/limits/types.go
+++ b/core/limits/types.go
@@ -41,7 +41,7 @@
 	DefaultValidity       = 200 * time.Millisecond
 	DefaultRequestTimeout = 100 * time.Millisecond
 	DefaultSettle         = time.Second
-	DefaultMaxWait        = time.Second
+	DefaultMaxWait        = 2 * time.Second
 	DefaultQueueLimit     = 1024
 	// DefaultClockPPM is the clock rate error of 1% that the design allows.
 	DefaultClockPPM = 10_000
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// Guards against a second answer after a complete one: it would be taken for
+// the answer of the caller's next batch, and so on for the rest of the session.
+func TestOneAnswerWhenPositionIsLost(t *testing.T) {
+	b := newBench(t, true)
+	b.upstream.drop = func(point, sql string) bool {
+		return point == "received" && sql == "SELECT chervilhatch_position()"
+	}
+	types, _, err := answerOf(t, b.stream(t), model.Write, "INSERT duplicate")
+	if err != nil || types != "EZ" {
+		t.Fatalf("answer %q, error %v", types, err)
+	}
+	if b.decider.slots() != 0 {
+		t.Fatalf("%d slots held", b.decider.slots())
+	}
+}
+
 // Guards against an unknown outcome for a write that was never sent.
 func TestUnreachableUpstreamIsNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/holder/upstream_test.go
+++ b/holder/upstream_test.go
@@ -241,6 +241,8 @@
 		c.u.hanging <- struct{}{}
 		<-c.u.cancels
 		c.fail("57014")
+	case sql == "INSERT duplicate":
+		c.fail("23505")
 	case sql == "SELECT rewinding":
 		c.fail("57P03")
 	case word == "INSERT" || sql == "SELECT insert()":
--- a/node/ports.go
+++ b/node/ports.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"github.com/chervilhatch/chervilhatch/core"
 	"github.com/chervilhatch/chervilhatch/core/config"
@@ -70,7 +69,7 @@
 }
 
 // admitTimeout bounds the wait for rate tokens when ctx has no nearer deadline.
-const admitTimeout = time.Second
+const admitTimeout = limits.DefaultMaxWait
 
 // Admit implements frontend.Admitter.
 func (c *callers) Admit(ctx context.Context, w model.Workspace, cost int) error {
