--- a/test/integration/suspend_test.go
+++ b/test/integration/suspend_test.go
@@ -43,6 +43,29 @@
 	checkConnections(t, c)
 }
 
+// Guards against writes that stop because the VM with the primary's main seat
+// died and the platform still lists it, whichever VM has that seat.
+func TestEachVMDies(t *testing.T) {
+	c := startCluster(t, nil)
+	for i, d := range c.Daemons {
+		other := (i + 1) % len(c.Daemons)
+		w := &writer{cluster: c, table: "entry", base: (i + 1) * outsideBase, vms: []int{other}}
+		if i == 0 {
+			w = newWriter(t, c, other)
+		}
+		stop := w.start(t)
+		w.awaitAcks(t, 20)
+		d.Kill()
+		w.awaitAcks(t, 20)
+		if err := d.Restart(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+		w.awaitAcks(t, 20)
+		stop()
+		w.check(t, connect(t, c.URL(other, "skov", "entries")))
+	}
+}
+
 // checkConnections checks that no upstream had more connections than its limit.
 func checkConnections(t *testing.T, c *cluster.Cluster) {
 	t.Helper()
