Keep the retry budget for retries, not for waiting on a new primary

Cause: while a primary was lost, 40 writing sessions used the workspace's retry budget (100) up within 0.6 s by asking the dead primary's holder; then no batch was left that could ask for the new primary, and all of them waited until their statement timeout of 10 s (gaps of 6.4 s and 3 s in the measured crashes and partitions). Ruled out: the gate, the queues and the pools of the holders (each refuses within 300 ms). Change: a refusal for want of the upstream or of a majority makes the primary suspect: then one batch at a time asks, and hints of the same term wake nobody. A batch that surely did not run is sent free of budget once for each primary that becomes known, and as the only one that asks. All other retries take from the budget as before.

--- a/core/routing/attempt.go
+++ b/core/routing/attempt.go
@@ -29,6 +29,7 @@
 		if i < 0 || b.hasTried(i) {
 			return s.park(now, at, i < 0, out)
 		}
+		b.probes = g.primary == ""
 		return s.send(now, at, g, i, out)
 	}
 	i := g.chooseRead(now, b, s.zone)
@@ -38,10 +39,24 @@
 	return s.send(now, at, g, i, out)
 }
 
-// send emits an attempt. All but the first take from the retry budget.
+// isFree reports whether an attempt takes nothing from the retry budget: the
+// first one of a batch, one probe at a time, and the first one on a primary that
+// became known. Without this, batches that wait for a new primary would use the
+// budget up, and none would be left to find it.
+func (g *group) isFree(b *batch) bool {
+	if b.attempt == 0 {
+		return true
+	}
+	if !b.needsPrimary() || b.maybeRun {
+		return false
+	}
+	return b.probes || b.reign < g.reign
+}
+
+// send emits an attempt. All that are not free take from the retry budget.
 func (s *State) send(now model.Time, at int32, g *group, i int, out []Effect) []Effect {
 	b := &s.batches[at]
-	if b.attempt > 0 && !s.budget(b.workspace).take() {
+	if !g.isFree(b) && !s.budget(b.workspace).take() {
 		if b.maybeRun {
 			return s.fail(at, out)
 		}
@@ -52,6 +67,7 @@
 	m.outstanding++
 	b.setTried(i)
 	b.attempt++
+	b.reign = g.reign
 	b.upstream = m.ID
 	b.sentAt = now
 	return append(out, Effect{Kind: Send, ID: b.id, Attempt: b.attempt, Upstream: m.ID, Standby: standby})
@@ -62,6 +78,7 @@
 	b := &s.batches[at]
 	b.upstream = ""
 	b.tried = 0
+	b.probes = false
 	b.waiting = true
 	b.forPrimary = forPrimary
 	b.retryAt = now.Add(b.pause())
@@ -122,9 +139,10 @@
 		g.finished(b.upstream)
 		g.learnApplied(b.upstream, ev.Applied)
 		learned = g.learnPrimary(ev.Primary, ev.PrimaryTerm)
-		s.learnOutcome(now, g, b, ev)
+		learned = s.learnOutcome(now, g, b, ev) || learned
 	}
 	s.endProbe(b)
+	b.probes = false
 	out = s.conclude(now, at, ev, out)
 	if learned {
 		out = s.retryWaiting(now, out)
@@ -132,21 +150,26 @@
 	return out
 }
 
-// learnOutcome takes over what the outcome tells about the upstream.
-func (s *State) learnOutcome(now model.Time, g *group, b *batch, ev *Event) {
+// learnOutcome takes over what the outcome tells about the upstream. It returns
+// whether the primary became known by it.
+func (s *State) learnOutcome(now model.Time, g *group, b *batch, ev *Event) bool {
 	switch {
 	case ev.Outcome == Done:
 		g.sampleLatency(b.upstream, now.Sub(b.sentAt))
+		return b.needsPrimary() && g.primaryAnswered(b.upstream)
+	case ev.Outcome == FailedNotSent:
+		g.suspectPrimary(b.upstream)
 	case ev.Outcome != Refused:
+	case ev.Code == sqlstate.UpstreamUnavail || ev.Code == sqlstate.NoMajority:
+		g.suspectPrimary(b.upstream)
 	case ev.Code == sqlstate.NoFreshReplica:
 		if i := g.find(b.upstream); i >= 0 {
 			g.members[i].staleUntil = now.Add(staleTime)
 		}
 	case ev.Code == sqlstate.NoPrimary || ev.Code == sqlstate.ReadOnly:
-		if g.primary == b.upstream && ev.Primary != b.upstream {
-			g.primary = ""
-		}
+		g.suspectPrimary(b.upstream)
 	}
+	return false
 }
 
 // conclude ends a batch after an attempt, or tries it again.
--- a/core/routing/batch.go
+++ b/core/routing/batch.go
@@ -28,7 +28,9 @@
 	idempotent bool
 	seed       uint64
 
-	attempt  uint32
+	attempt uint32
+	// reign is that of the primary at the last attempt there.
+	reign    uint64
 	upstream model.UpstreamID
 	sentAt   model.Time
 	// tried has a bit for each member that was tried since the last pause.
@@ -39,6 +41,8 @@
 	code sqlstate.Code
 
 	waiting bool
+	// probes is true while the batch asks a member for the primary.
+	probes bool
 	// forPrimary is true when the batch waits for a primary to become known.
 	forPrimary bool
 	retryAt    model.Time
--- a/core/routing/group.go
+++ b/core/routing/group.go
@@ -31,6 +31,12 @@
 	// primary is the primary of term, empty when it is not known.
 	primary model.UpstreamID
 	term    model.Term
+	// suspect is true after the primary of term refused a batch without a hint
+	// to another one: it may have failed. Then only a probe is sent there, and
+	// hints of the same term say nothing new.
+	suspect bool
+	// reign counts how often a primary became known or answered again.
+	reign uint64
 	// probing is true while the batch probe asks for the primary; the other
 	// batches wait for its result.
 	probing   bool
@@ -77,14 +83,41 @@
 
 // learnPrimary takes over a hint and returns whether it was new.
 func (g *group) learnPrimary(u model.UpstreamID, term model.Term) bool {
-	if u == "" || term.Less(g.term) || (term == g.term && g.primary != "") || g.find(u) < 0 {
+	if u == "" || term.Less(g.term) || g.find(u) < 0 {
 		return false
 	}
-	g.primary = u
+	if term == g.term && (g.primary != "" || g.suspect) {
+		return false
+	}
+	g.setPrimary(u)
 	g.term = term
 	return true
 }
 
+func (g *group) setPrimary(u model.UpstreamID) {
+	g.primary = u
+	g.suspect = false
+	g.reign++
+}
+
+// suspectPrimary lets the batches wait until a probe has found the primary.
+func (g *group) suspectPrimary(u model.UpstreamID) {
+	if g.primary == u {
+		g.primary = ""
+		g.suspect = true
+	}
+}
+
+// primaryAnswered takes in that a batch that needs the primary was answered on
+// u. It returns whether that makes the primary known.
+func (g *group) primaryAnswered(u model.UpstreamID) bool {
+	if !g.suspect || g.primary != "" || g.find(u) < 0 {
+		return false
+	}
+	g.setPrimary(u)
+	return true
+}
+
 // learnApplied takes over a hint about an upstream's applied position.
 func (g *group) learnApplied(u model.UpstreamID, p model.Position) {
 	if i := g.find(u); i >= 0 && !p.IsZero() {
