--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: build dev check format vet lint test generate measure
 
 build:
-	go build -o $(BIN)/ ./cmd/chervilhatchd ./cmd/chervilhatchctl
+	go build -o $(BIN)/ ./cmd/chervilhatchd ./cmd/chervilhatchctl ./standin/standind
 
 dev: build
 	$(BIN)/chervilhatchd dev
--- a/cmd/chervilhatchd/internal/run/run.go
+++ b/cmd/chervilhatchd/internal/run/run.go
@@ -77,6 +77,7 @@
 		Exporter: telemetry.Exporter(s.Trace.Exporter),
 		File:     s.Trace.File,
 		Endpoint: s.Trace.Endpoint,
+		Insecure: s.Trace.Insecure,
 		Ratio:    s.Trace.Ratio,
 		VM:       string(s.VM.ID),
 	}
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// Guards against a local example that cannot be applied.
+func TestLocalExampleIsValid(t *testing.T) {
+	_, list := config.Parse("config.jsonc", read(t, "local", "config.jsonc"))
+	if err := list.Err(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func read(t *testing.T, parts ...string) []byte {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join(parts...))
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -19,7 +19,7 @@
 	// FormJSON writes one JSON object a line.
 	FormJSON LogForm = "json"
 	// FormConsole writes lines for a person.
-	FormConsole LogForm = "console"
+	FormConsole LogForm = "text"
 	// FormAuto is FormConsole on a terminal, else FormJSON.
 	FormAuto LogForm = "auto"
 )
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -38,6 +38,8 @@
 	File string
 	// Endpoint is the host:port for ExportOTLP.
 	Endpoint string
+	// Insecure sends to the collector without TLS.
+	Insecure bool
 	// Ratio is the share of requests without a trace context that start a trace.
 	Ratio float64
 	// VM names this VM in the traces.
@@ -101,7 +103,11 @@
 		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
 		return e, f, err
 	case ExportOTLP:
-		e, err := otlptracegrpc.New(ctx, otlptracegrpc.WithEndpoint(o.Endpoint), otlptracegrpc.WithInsecure())
+		options := []otlptracegrpc.Option{otlptracegrpc.WithEndpoint(o.Endpoint)}
+		if o.Insecure {
+			options = append(options, otlptracegrpc.WithInsecure())
+		}
+		e, err := otlptracegrpc.New(ctx, options...)
 		return e, nil, err
 	}
 	return nil, nil, fmt.Errorf("unknown exporter %q", o.Exporter)
