Split the start of chervilhatchd dev; drop an unused address

Cause: one function of 60 lines; holder.Assignment.Address was set on each statement and read by nobody. Change: smaller functions; the field is removed. Conclusion: none.

--- a/cmd/chervilhatchd/internal/dev/dev.go
+++ b/cmd/chervilhatchd/internal/dev/dev.go
@@ -55,10 +55,6 @@
 	if err != nil {
 		return err
 	}
-	certs, err := newCertificates()
-	if err != nil {
-		return err
-	}
 	group, err := upstream.NewGroup(database, upstream.Options{User: upstreamUser, Password: upstreamPassword})
 	if err != nil {
 		return fmt.Errorf("database group: %w", err)
@@ -74,27 +70,52 @@
 		return err
 	}
 	defer stopPlatform()
-
-	options.VM = vm
-	options.Zone = zone
-	options.PeerServerTLS = certs.server()
-	options.PeerClientTLS = certs.client()
-	options.OperatorTLS = certs.server()
 	options.Store = store
 	options.Inventory = store
-	options.UpstreamUser = upstreamUser
-	options.UpstreamPassword = upstreamPassword
 	options.Log = log
-	options.Metrics = metrics.NewRegistry()
+	return serve(ctx, o, options, key)
+}
+
+// serve runs the daemon until ctx ends.
+func serve(ctx context.Context, o Options, options node.Options, key string) error {
+	certs, err := newCertificates()
+	if err != nil {
+		return err
+	}
+	complete(&options, certs)
 	n, err := node.New(options)
 	if err != nil {
 		return err
 	}
-	pages, err := run.ServePages(o.Admin, options.Metrics, n, log)
+	pages, err := run.ServePages(o.Admin, options.Metrics, n, options.Log)
 	if err != nil {
 		return err
 	}
 	n.Start()
+	if err := announce(ctx, o, options, certs, n, key); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	n.Stop(stopCtx)
+	return pages.Shutdown(stopCtx)
+}
+
+// complete sets the options that are the same in every development daemon.
+func complete(options *node.Options, certs *certificates) {
+	options.VM = vm
+	options.Zone = zone
+	options.PeerServerTLS = certs.server()
+	options.PeerClientTLS = certs.client()
+	options.OperatorTLS = certs.server()
+	options.UpstreamUser = upstreamUser
+	options.UpstreamPassword = upstreamPassword
+	options.Metrics = metrics.NewRegistry()
+}
+
+// announce prints how to connect, once callers are served.
+func announce(ctx context.Context, o Options, options node.Options, certs *certificates, n *node.Node, key string) error {
 	if err := certs.write(o.CertDir); err != nil {
 		return err
 	}
@@ -105,11 +126,7 @@
 	if waitReady(ctx, n) {
 		fmt.Printf("ready: psql \"postgresql://%s:%s@%s/%s\"\n", workspace, key, options.Callers.Addr(), job)
 	}
-	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	n.Stop(stopCtx)
-	return pages.Shutdown(stopCtx)
+	return nil
 }
 
 func listen(o Options) (node.Options, error) {
--- a/holder/core.go
+++ b/holder/core.go
@@ -27,8 +27,6 @@
 // Assignment is a slot on an upstream. It must be given back by Done.
 type Assignment struct {
 	ID uint64
-	// Address is the upstream's host:port.
-	Address string
 	// Primary is true when the upstream is the primary of Term.
 	Primary bool
 	Term    model.Term
--- a/node/decider.go
+++ b/node/decider.go
@@ -76,7 +76,6 @@
 		ID: id, Term: e.Term, Floor: e.Floor, Primary: primary == r.Upstream,
 		Database: r.Database, Upstream: r.Upstream,
 	}
-	a.Address, _ = d.access.upstreamAddress(r.Upstream)
 	return a, d.awaitSlot(ctx, id, queued)
 }
 
