--- a/node/exchange.go
+++ b/node/exchange.go
@@ -38,9 +38,8 @@
 	m := &peerv1.ExchangeMessage{Vm: string(n.self), Zone: string(n.zone)}
 	n.loop.view(func(now model.Time, s *core.State) {
 		m.Config = append(m.Config, x.ownConfig(now, s))
-		if s.Membership.Relay() || n.directory.zoneOf(vm) == n.zone {
-			x.composeRecords(now, s, l, m)
-		}
+		near := s.Membership.Relay() || n.directory.zoneOf(vm) == n.zone
+		x.composeRecords(now, s, l, m, near)
 		if s.Membership.Relay() {
 			x.rememberSummary(x.summary(s))
 		}
@@ -73,10 +72,13 @@
 	return r
 }
 
-// composeRecords reports the own zone's record. A relay also reports the
-// record of another zone when it has not been sent on the stream yet, or has
-// no members, since the owners of such a zone's seats need evidence for it.
-func (x *exchange) composeRecords(now model.Time, s *core.State, l *peer.Link, m *peerv1.ExchangeMessage) {
+// composeRecords reports the own zone's record: always to near peers, else once
+// per epoch. A VM that knows only an old record of another zone may have no
+// stream to that zone's relay, and learns the newer record this way. A relay
+// also reports the record of another zone when it has not been sent on the
+// stream yet, or has no members, since the owners of such a zone's seats need
+// evidence for it.
+func (x *exchange) composeRecords(now model.Time, s *core.State, l *peer.Link, m *peerv1.ExchangeMessage, near bool) {
 	zones := []model.Zone{x.node.zone}
 	if s.Membership.Relay() {
 		zones = x.node.zones()
@@ -84,7 +86,7 @@
 	for _, zone := range zones {
 		r := s.Membership.Report(now, zone)
 		first := l.SendsFirst("record "+string(zone), r.Record.Epoch)
-		if first || zone == x.node.zone || len(r.Record.Members) == 0 {
+		if first || (near && zone == x.node.zone) || len(r.Record.Members) == 0 {
 			m.Records = append(m.Records, recordReport(r, first))
 		}
 	}
