Look at the socket of an idle connection before each use

Cause: TestLateMessageIsNoticed failed once in make check: a connection that was given back less than 1 ms ago was used again without a look at its socket, so a late message could have been taken for the answer of the next caller. Change: the exception for 1 ms is removed; it saved one system call per statement. Measured: the test passes 20 of 20 times; the statements per core were not measured again. Conclusion: no answer may cross, whatever it costs.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -18,10 +18,6 @@
 	// with a round trip.
 	defaultCheckAfter = 10 * time.Second
 	checkTimeout      = time.Second
-	// trustedFor is how long an idle connection is used again without a look
-	// at its socket, which is a system call. A connection that the upstream
-	// closes meanwhile fails like one that is closed during a statement.
-	trustedFor = time.Millisecond
 )
 
 // ErrPoolClosed is returned by Get after Close.
@@ -118,7 +114,7 @@
 		last := len(p.idle) - 1
 		conn := p.idle[last]
 		p.idle = p.idle[:last]
-		if time.Since(conn.idleSince) < trustedFor || conn.quiet() {
+		if conn.quiet() {
 			return conn, nil
 		}
 		p.drop(conn, CloseUnexpected)
