Wait in one place

Cause: node, peer and operator each had the same wait that a context cuts short. Change: package pause with For; the three copies are gone. Behaviour is the same. Measured: make check passes. Conclusion: none further.

--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/chervilhatch/chervilhatch/holder"
 	"github.com/chervilhatch/chervilhatch/operator"
 	oprelay "github.com/chervilhatch/chervilhatch/operator/relay"
+	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/peer"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
@@ -228,7 +229,7 @@
 		if n.access.current() != nil && len(n.directory.list().GetVms()) > 0 {
 			return
 		}
-		pauseFor(n.ctx, bootstrapInterval)
+		pause.For(n.ctx, bootstrapInterval)
 	}
 }
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -15,6 +15,7 @@
 	"github.com/chervilhatch/chervilhatch/core/confsync"
 	"github.com/chervilhatch/chervilhatch/core/membership"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/platform"
 )
 
@@ -118,7 +119,7 @@
 		if err != nil {
 			countMetric(r.metrics, "store.watch_ended")
 		}
-		pauseFor(ctx, watchRetry)
+		pause.For(ctx, watchRetry)
 	}
 }
 
@@ -313,12 +314,3 @@
 	}
 	return ev
 }
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/stop.go
+++ b/node/stop.go
@@ -7,6 +7,7 @@
 	"github.com/chervilhatch/chervilhatch/core"
 	"github.com/chervilhatch/chervilhatch/core/membership"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/pause"
 )
 
 // Bounds of a graceful shutdown.
@@ -54,7 +55,7 @@
 
 func (n *Node) waitFor(ctx context.Context, done func() bool) {
 	for ctx.Err() == nil && !done() {
-		pauseFor(ctx, stopPoll)
+		pause.For(ctx, stopPoll)
 	}
 }
 
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/chervilhatch/chervilhatch/core/config"
+	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/platform"
 	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
 )
@@ -142,7 +143,7 @@
 		if found {
 			return c.decided(winner, winner.Version), nil
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, readBackPause) {
 			return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
 		}
 	}
@@ -171,7 +172,7 @@
 func (c *change) readBack(ctx context.Context) (config.Record, bool, error) {
 	for {
 		record, found, err := c.server.readRecord(ctx, config.HistoryKey(c.record.Version))
-		if !errors.Is(err, platform.ErrUnavailable) || !pause(ctx) {
+		if !errors.Is(err, platform.ErrUnavailable) || !pause.For(ctx, readBackPause) {
 			return record, found, err
 		}
 	}
@@ -239,15 +240,3 @@
 func outcome(o operatorv1.ApplyConfigResponse_Outcome) *operatorv1.ApplyConfigResponse {
 	return &operatorv1.ApplyConfigResponse{Outcome: o}
 }
-
-// pause waits before the next attempt; it returns false when ctx has ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(readBackPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/pause"
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
 )
 
@@ -63,7 +64,7 @@
 		defer e.wg.Done()
 		for ctx.Err() == nil {
 			e.connect(ctx, vm)
-			sleep(ctx, exchangeRetry)
+			pause.For(ctx, exchangeRetry)
 		}
 	}()
 }
@@ -80,7 +81,7 @@
 		if rpc, err := peerv1.NewPeerClient(conn).Exchange(ctx); err == nil {
 			e.serve(ctx, newLink(e.handler, "", rpc.Send, rpc.Recv))
 		}
-		sleep(ctx, exchangeRetry)
+		pause.For(ctx, exchangeRetry)
 	}
 }
 
@@ -131,12 +132,3 @@
 	s.exchanger.serve(rpc.Context(), newLink(s.exchanger.handler, "", rpc.Send, rpc.Recv))
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
