--- a/cmd/chervilhatchd/internal/dev/config.go
+++ b/cmd/chervilhatchd/internal/dev/config.go
@@ -10,9 +10,9 @@
 
 	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/scramverifier"
 	"github.com/chervilhatch/chervilhatch/standin/upstream"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // Sizes of the development configuration.
@@ -29,7 +29,7 @@
 var errStore = errors.New("the first configuration was not stored")
 
 // storeConfig stores the first configuration.
-func storeConfig(ctx context.Context, store platform.Store, group *upstream.Group, key string) error {
+func storeConfig(ctx context.Context, client store.Store, group *upstream.Group, key string) error {
 	document, err := newDocument(group, key)
 	if err != nil {
 		return err
@@ -48,9 +48,9 @@
 	if err != nil {
 		return err
 	}
-	result, err := store.Txn(ctx,
-		[]platform.Condition{{Key: config.CurrentKey}},
-		[]platform.Write{{Key: config.CurrentKey, Value: encoded}, {Key: config.HistoryKey(1), Value: encoded}})
+	result, err := client.Txn(ctx,
+		[]store.Condition{{Key: config.CurrentKey}},
+		[]store.Write{{Key: config.CurrentKey, Value: encoded}, {Key: config.HistoryKey(1), Value: encoded}})
 	if err != nil {
 		return err
 	}
--- a/cmd/chervilhatchd/internal/dev/dev.go
+++ b/cmd/chervilhatchd/internal/dev/dev.go
@@ -14,10 +14,10 @@
 
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/run"
 	"github.com/chervilhatch/chervilhatch/node"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
 	"github.com/chervilhatch/chervilhatch/standin/platform"
 	"github.com/chervilhatch/chervilhatch/standin/upstream"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
--- a/cmd/chervilhatchd/internal/run/run.go
+++ b/cmd/chervilhatchd/internal/run/run.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/node"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	"github.com/chervilhatch/chervilhatch/settings"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -8,8 +8,8 @@
 	"github.com/chervilhatch/chervilhatch/core/confsync"
 	"github.com/chervilhatch/chervilhatch/core/membership"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/platform"
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // directory is the newest known list of VMs: their zones and peer addresses.
@@ -29,7 +29,7 @@
 
 // read takes in the platform's list as a relay read it. version must grow with
 // each read over all relays.
-func (d *directory) read(version uint64, vms []platform.VM) {
+func (d *directory) read(version uint64, vms []store.VM) {
 	list := &peerv1.VMList{Version: version}
 	for _, vm := range vms {
 		list.Vms = append(list.Vms, &peerv1.VMEntry{
--- a/node/node.go
+++ b/node/node.go
@@ -28,12 +28,12 @@
 	oprelay "github.com/chervilhatch/chervilhatch/operator/relay"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/peer"
-	"github.com/chervilhatch/chervilhatch/platform"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
 	"github.com/chervilhatch/chervilhatch/router"
+	"github.com/chervilhatch/chervilhatch/store"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
@@ -57,8 +57,8 @@
 	Seeds       []string
 	OperatorTLS credentials.TransportCredentials
 
-	Store     platform.Store
-	Inventory platform.Inventory
+	Store     store.Store
+	Inventory store.Inventory
 
 	UpstreamUser     string
 	UpstreamPassword string
--- a/node/relay.go
+++ b/node/relay.go
@@ -16,7 +16,7 @@
 	"github.com/chervilhatch/chervilhatch/core/membership"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/pause"
-	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // Pace of a relay's calls to the store.
@@ -36,8 +36,8 @@
 // just started.
 type relay struct {
 	loop      *loop
-	store     platform.Store
-	inventory platform.Inventory
+	store     store.Store
+	inventory store.Inventory
 	directory *directory
 	zone      model.Zone
 	log       zerolog.Logger
@@ -113,7 +113,7 @@
 func (r *relay) watch(ctx context.Context) {
 	defer r.wg.Done()
 	for ctx.Err() == nil {
-		err := r.store.Watch(ctx, config.CurrentKey, r.knownRevision()+1, func(platform.Change) {
+		err := r.store.Watch(ctx, config.CurrentKey, r.knownRevision()+1, func(store.Change) {
 			r.confirmConfig(ctx)
 		})
 		if err != nil {
@@ -138,7 +138,7 @@
 	r.mu.Lock()
 	revision, version := r.revision, r.version
 	r.mu.Unlock()
-	result, err := r.store.Txn(ctx, []platform.Condition{{Key: config.CurrentKey, ModRevision: revision}}, nil)
+	result, err := r.store.Txn(ctx, []store.Condition{{Key: config.CurrentKey, ModRevision: revision}}, nil)
 	if err != nil {
 		r.failed(ctx, sentAt)
 		return
@@ -155,7 +155,7 @@
 	}
 }
 
-func (r *relay) readConfig(kv platform.KeyValue, sentAt model.Time) {
+func (r *relay) readConfig(kv store.KeyValue, sentAt model.Time) {
 	record, err := config.DecodeRecord(kv.Value)
 	if err != nil {
 		r.log.Error().Err(err).Msg("the stored configuration cannot be read")
@@ -256,7 +256,7 @@
 	r.loop.apply(&core.Event{Membership: &ev})
 }
 
-func decodeRecord(zone model.Zone, kv platform.KeyValue) (membership.Record, error) {
+func decodeRecord(zone model.Zone, kv store.KeyValue) (membership.Record, error) {
 	record := membership.Record{Zone: zone}
 	if kv.ModRevision == 0 {
 		return record, nil
@@ -286,8 +286,8 @@
 	}
 	key := recordKey(record.Zone)
 	result, err := r.store.Txn(ctx,
-		[]platform.Condition{{Key: key, ModRevision: revision}},
-		[]platform.Write{{Key: key, Value: value}})
+		[]store.Condition{{Key: key, ModRevision: revision}},
+		[]store.Write{{Key: key, Value: value}})
 	switch {
 	case err != nil:
 		countMetric(r.metrics, "store.record_write_unknown")
@@ -303,7 +303,7 @@
 
 // conflictEvent tells which record the store has instead. If that cannot be
 // read, the outcome stays unknown and the record is read again.
-func conflictEvent(ev membership.Event, zone model.Zone, result platform.TxnResult) membership.Event {
+func conflictEvent(ev membership.Event, zone model.Zone, result store.TxnResult) membership.Event {
 	for _, kv := range result.Current {
 		record, err := decodeRecord(zone, kv)
 		if err == nil {
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -10,8 +10,8 @@
 
 	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/pause"
-	"github.com/chervilhatch/chervilhatch/platform"
 	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 const (
@@ -101,7 +101,7 @@
 // run makes the change. Nothing has been sent while it reads the current version.
 func (c *change) run(ctx context.Context) (*operatorv1.ApplyConfigResponse, error) {
 	now, err := c.readCurrent(ctx)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		return outcome(operatorv1.ApplyConfigResponse_OUTCOME_STORE_UNAVAILABLE), nil
 	}
 	if err != nil {
@@ -133,7 +133,7 @@
 			return c.accepted(c.record), nil
 		case err == nil:
 			return c.refused(ctx)
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, store.ErrUnavailable):
 			return nil, storeError(err)
 		}
 		winner, found, err := c.readBack(ctx)
@@ -149,21 +149,21 @@
 	}
 }
 
-func (c *change) conditions(now current) []platform.Condition {
-	return []platform.Condition{
+func (c *change) conditions(now current) []store.Condition {
+	return []store.Condition{
 		{Key: config.CurrentKey, ModRevision: now.revision},
 		{Key: config.HistoryKey(c.record.Version), ModRevision: 0},
 	}
 }
 
-func (c *change) writes() []platform.Write {
-	writes := []platform.Write{
+func (c *change) writes() []store.Write {
+	writes := []store.Write{
 		{Key: config.CurrentKey, Value: c.encoded},
 		{Key: config.HistoryKey(c.record.Version), Value: c.encoded},
 	}
 	if c.record.Version > historyKept {
 		oldest := config.HistoryKey(c.record.Version - historyKept)
-		writes = append(writes, platform.Write{Key: oldest, Delete: true})
+		writes = append(writes, store.Write{Key: oldest, Delete: true})
 	}
 	return writes
 }
@@ -172,7 +172,7 @@
 func (c *change) readBack(ctx context.Context) (config.Record, bool, error) {
 	for {
 		record, found, err := c.server.readRecord(ctx, config.HistoryKey(c.record.Version))
-		if !errors.Is(err, platform.ErrUnavailable) || !pause.For(ctx, readBackPause) {
+		if !errors.Is(err, store.ErrUnavailable) || !pause.For(ctx, readBackPause) {
 			return record, found, err
 		}
 	}
@@ -183,7 +183,7 @@
 func (c *change) refused(ctx context.Context) (*operatorv1.ApplyConfigResponse, error) {
 	winner, found, err := c.readBack(ctx)
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
 	case err != nil:
 		return nil, storeError(err)
@@ -206,7 +206,7 @@
 	winner := newest
 	if newest.Version > c.record.Version {
 		record, found, err := c.readBack(ctx)
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, store.ErrUnavailable) {
 			return outcome(operatorv1.ApplyConfigResponse_OUTCOME_UNKNOWN), nil
 		}
 		if err != nil {
--- a/operator/relay/relay.go
+++ b/operator/relay/relay.go
@@ -12,9 +12,9 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/chervilhatch/chervilhatch/core/config"
-	"github.com/chervilhatch/chervilhatch/platform"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 )
 
 // keyPrefix is that of all keys that peers may use through the relay.
@@ -25,18 +25,18 @@
 
 // Store implements operator.Store on the local store or on the relay's.
 type Store struct {
-	local   platform.Store
+	local   store.Store
 	route   Route
 	options grpcstore.Options
 }
 
 // NewStore returns a store. Of the options it uses the timeout and the counters.
-func NewStore(local platform.Store, route Route, o grpcstore.Options) *Store {
+func NewStore(local store.Store, route Route, o grpcstore.Options) *Store {
 	return &Store{local: local, route: route, options: o}
 }
 
 // Get reads one key.
-func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *Store) Get(ctx context.Context, key string) (store.KeyValue, error) {
 	if conn := s.route(); conn != nil {
 		return grpcstore.Over(conn, s.options).Get(ctx, key)
 	}
@@ -44,7 +44,7 @@
 }
 
 // Txn applies the writes if all conditions hold.
-func (s *Store) Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+func (s *Store) Txn(ctx context.Context, conditions []store.Condition, writes []store.Write) (store.TxnResult, error) {
 	if conn := s.route(); conn != nil {
 		return grpcstore.Over(conn, s.options).Txn(ctx, conditions, writes)
 	}
@@ -54,7 +54,7 @@
 // Server serves the peers of a relay.
 type Server struct {
 	platformv1.UnimplementedPlatformServer
-	local platform.Store
+	local store.Store
 	route Route
 	seen  func(record []byte)
 }
@@ -64,7 +64,7 @@
 // It calls seen, before it answers, with each configuration record that the
 // store has: the relay must know a change that was accepted through it, even
 // if the store fails next and the VM that asked for it dies.
-func NewServer(local platform.Store, route Route, seen func(record []byte)) *Server {
+func NewServer(local store.Store, route Route, seen func(record []byte)) *Server {
 	return &Server{local: local, route: route, seen: seen}
 }
 
@@ -85,16 +85,16 @@
 
 // Txn changes keys of the configuration.
 func (s *Server) Txn(ctx context.Context, r *platformv1.TxnRequest) (*platformv1.TxnResponse, error) {
-	conditions := make([]platform.Condition, len(r.GetConditions()))
+	conditions := make([]store.Condition, len(r.GetConditions()))
 	for i, c := range r.GetConditions() {
-		conditions[i] = platform.Condition{Key: c.GetKey(), ModRevision: c.GetModRevision()}
+		conditions[i] = store.Condition{Key: c.GetKey(), ModRevision: c.GetModRevision()}
 		if err := s.check(c.GetKey()); err != nil {
 			return nil, err
 		}
 	}
-	writes := make([]platform.Write, len(r.GetWrites()))
+	writes := make([]store.Write, len(r.GetWrites()))
 	for i, w := range r.GetWrites() {
-		writes[i] = platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete(), Lease: w.GetLeaseId()}
+		writes[i] = store.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete(), Lease: w.GetLeaseId()}
 		if err := s.check(w.GetKey()); err != nil {
 			return nil, err
 		}
@@ -111,7 +111,7 @@
 	return answer, nil
 }
 
-func (s *Server) tellWritten(writes []platform.Write, succeeded bool) {
+func (s *Server) tellWritten(writes []store.Write, succeeded bool) {
 	for _, w := range writes {
 		if succeeded && w.Key == config.CurrentKey {
 			s.seen(w.Value)
@@ -129,6 +129,6 @@
 	return nil
 }
 
-func toKeyValue(kv platform.KeyValue) *platformv1.KeyValue {
+func toKeyValue(kv store.KeyValue) *platformv1.KeyValue {
 	return &platformv1.KeyValue{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision}
 }
--- a/operator/relay/relay_test.go
+++ b/operator/relay/relay_test.go
@@ -12,25 +12,25 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/chervilhatch/chervilhatch/platform"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 )
 
 // countingStore answers every call and counts the changes.
 type countingStore struct {
-	platform.Store
+	store.Store
 	txns int
 }
 
-func (c *countingStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
-	return platform.KeyValue{Key: key, Value: []byte("v"), ModRevision: 5}, nil
+func (c *countingStore) Get(_ context.Context, key string) (store.KeyValue, error) {
+	return store.KeyValue{Key: key, Value: []byte("v"), ModRevision: 5}, nil
 }
 
-func (c *countingStore) Txn(_ context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+func (c *countingStore) Txn(_ context.Context, conditions []store.Condition, writes []store.Write) (store.TxnResult, error) {
 	c.txns++
 	holds := conditions[0].ModRevision == 5 && string(writes[0].Value) == "new"
-	return platform.TxnResult{Succeeded: holds, Revision: 6}, nil
+	return store.TxnResult{Succeeded: holds, Revision: 6}, nil
 }
 
 func local() grpc.ClientConnInterface { return nil }
@@ -59,9 +59,9 @@
 // against a relay that does not know what was accepted through it.
 func TestCallsGoThroughTheRelay(t *testing.T) {
 	options := grpcstore.Options{Timeout: 10 * time.Second, Metrics: metrics.NewRegistry()}
-	store := &countingStore{}
+	counting := &countingStore{}
 	var seen []string
-	conn := connect(t, NewServer(store, local, func(record []byte) { seen = append(seen, string(record)) }))
+	conn := connect(t, NewServer(counting, local, func(record []byte) { seen = append(seen, string(record)) }))
 	toRelay := func() grpc.ClientConnInterface { return conn }
 	unused := &countingStore{}
 	forwarding := NewStore(unused, toRelay, options)
@@ -69,25 +69,25 @@
 	if kv, err := forwarding.Get(t.Context(), "config/current"); err != nil || kv.ModRevision != 5 {
 		t.Errorf("Get = %+v, %v", kv, err)
 	}
-	conditions := []platform.Condition{{Key: "config/current", ModRevision: 5}}
-	writes := []platform.Write{{Key: "config/current", Value: []byte("new")}}
+	conditions := []store.Condition{{Key: "config/current", ModRevision: 5}}
+	writes := []store.Write{{Key: "config/current", Value: []byte("new")}}
 	if r, err := forwarding.Txn(t.Context(), conditions, writes); err != nil || !r.Succeeded || r.Revision != 6 {
 		t.Errorf("Txn = %+v, %v", r, err)
 	}
-	if store.txns != 1 || unused.txns != 0 {
-		t.Errorf("the relay made %d changes and the forwarding VM %d", store.txns, unused.txns)
+	if counting.txns != 1 || unused.txns != 0 {
+		t.Errorf("the relay made %d changes and the forwarding VM %d", counting.txns, unused.txns)
 	}
 	if !slices.Equal(seen, []string{"v", "new"}) {
 		t.Errorf("the relay knows the records %q", seen)
 	}
 	writes[0].Key = "zones/a"
-	if _, err := forwarding.Txn(t.Context(), conditions, writes); err == nil || store.txns != 1 {
+	if _, err := forwarding.Txn(t.Context(), conditions, writes); err == nil || counting.txns != 1 {
 		t.Error("a peer changed a key outside the configuration")
 	}
 
-	notRelay := connect(t, NewServer(store, toRelay, nil))
+	notRelay := connect(t, NewServer(counting, toRelay, nil))
 	circle := NewStore(unused, func() grpc.ClientConnInterface { return notRelay }, options)
-	if _, err := circle.Get(t.Context(), "config/current"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := circle.Get(t.Context(), "config/current"); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("Get through a VM that is not the relay = %v", err)
 	}
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -14,8 +14,8 @@
 
 	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/platform"
 	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // Limits of the answers.
@@ -42,11 +42,11 @@
 	Status() *operatorv1.StatusResponse
 }
 
-// Store is the part of platform.Store that the service uses. The daemon may
+// Store is the part of store.Store that the service uses. The daemon may
 // forward its calls to the zone's relay, see package operator/relay.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.KeyValue, error)
-	Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error)
+	Get(ctx context.Context, key string) (store.KeyValue, error)
+	Txn(ctx context.Context, conditions []store.Condition, writes []store.Write) (store.TxnResult, error)
 }
 
 // Server implements operatorv1.OperatorServer.
@@ -164,7 +164,7 @@
 
 // storeError converts an error of the store to a gRPC status.
 func storeError(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		return status.Error(codes.Unavailable, err.Error())
 	}
 	return status.Error(codes.Internal, err.Error())
--- a/operator/store_test.go
+++ b/operator/store_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"sync"
 
-	"github.com/chervilhatch/chervilhatch/platform"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // fault is what happens to one call of memoryStore.
@@ -20,13 +20,13 @@
 	lost
 )
 
-var errFault = fmt.Errorf("%w: injected fault", platform.ErrUnavailable)
+var errFault = fmt.Errorf("%w: injected fault", store.ErrUnavailable)
 
 // memoryStore is a Store in memory. Its faults apply to the calls in order;
 // calls after the last fault succeed.
 type memoryStore struct {
 	mu        sync.Mutex
-	kvs       map[string]platform.KeyValue
+	kvs       map[string]store.KeyValue
 	revision  int64
 	getFaults []fault
 	txnFaults []fault
@@ -36,7 +36,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{kvs: map[string]platform.KeyValue{}}
+	return &memoryStore{kvs: map[string]store.KeyValue{}}
 }
 
 func next(faults *[]fault) fault {
@@ -48,16 +48,16 @@
 	return f
 }
 
-func (m *memoryStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (m *memoryStore) Get(_ context.Context, key string) (store.KeyValue, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if next(&m.getFaults) != none {
-		return platform.KeyValue{}, errFault
+		return store.KeyValue{}, errFault
 	}
 	return m.kvs[key], nil
 }
 
-func (m *memoryStore) Txn(_ context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+func (m *memoryStore) Txn(_ context.Context, conditions []store.Condition, writes []store.Write) (store.TxnResult, error) {
 	if m.onTxn != nil {
 		m.onTxn()
 	}
@@ -66,27 +66,27 @@
 	m.txns++
 	f := next(&m.txnFaults)
 	if f == refused {
-		return platform.TxnResult{}, errFault
+		return store.TxnResult{}, errFault
 	}
 	result := m.swap(conditions, writes)
 	if f == lost {
-		return platform.TxnResult{}, errors.Join(errFault)
+		return store.TxnResult{}, errors.Join(errFault)
 	}
 	return result, nil
 }
 
-func (m *memoryStore) swap(conditions []platform.Condition, writes []platform.Write) platform.TxnResult {
+func (m *memoryStore) swap(conditions []store.Condition, writes []store.Write) store.TxnResult {
 	for _, c := range conditions {
 		if m.kvs[c.Key].ModRevision != c.ModRevision {
-			return platform.TxnResult{Revision: m.revision}
+			return store.TxnResult{Revision: m.revision}
 		}
 	}
 	m.revision++
 	for _, w := range writes {
 		delete(m.kvs, w.Key)
 		if !w.Delete {
-			m.kvs[w.Key] = platform.KeyValue{Key: w.Key, Value: w.Value, ModRevision: m.revision}
+			m.kvs[w.Key] = store.KeyValue{Key: w.Key, Value: w.Value, ModRevision: m.revision}
 		}
 	}
-	return platform.TxnResult{Succeeded: true, Revision: m.revision}
+	return store.TxnResult{Succeeded: true, Revision: m.revision}
 }
--- a/platform/grpcstore/client.go
+++ b/store/grpcstore/client.go
@@ -16,8 +16,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"github.com/chervilhatch/chervilhatch/platform"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // maxMessageBytes limits an answer. Values have at most 1 MB, but a Range
@@ -48,7 +48,7 @@
 	Credentials credentials.TransportCredentials
 }
 
-// Client implements platform.Store and platform.Inventory.
+// Client implements store.Store and store.Inventory.
 type Client struct {
 	timeout time.Duration
 	metrics metrics.Registry
@@ -65,8 +65,8 @@
 }
 
 var (
-	_ platform.Store     = (*Client)(nil)
-	_ platform.Inventory = (*Client)(nil)
+	_ store.Store     = (*Client)(nil)
+	_ store.Inventory = (*Client)(nil)
 )
 
 // New returns a client. It does not wait for a connection.
@@ -168,7 +168,7 @@
 	var err error
 	for range c.conns {
 		answer, err = once(ctx, c, method, call)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+		if err == nil || !errors.Is(err, store.ErrUnavailable) || ctx.Err() != nil {
 			return answer, err
 		}
 	}
@@ -192,7 +192,7 @@
 
 func wrap(method string, err error) error {
 	if unavailable(err) {
-		return fmt.Errorf("%w: %s: %w", platform.ErrUnavailable, method, err)
+		return fmt.Errorf("%w: %s: %w", store.ErrUnavailable, method, err)
 	}
 	return fmt.Errorf("platform store: %s: %w", method, err)
 }
--- a/platform/grpcstore/client_test.go
+++ b/store/grpcstore/client_test.go
@@ -12,8 +12,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/chervilhatch/chervilhatch/platform"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 const testTimeout = 10 * time.Second
@@ -133,8 +133,8 @@
 	lost := &fakeServer{txnError: status.Error(codes.Unavailable, "lost")}
 	other := &fakeServer{}
 	c, _ := connect(t, testTimeout, serve(t, lost), serve(t, other))
-	_, err := c.Txn(t.Context(), []platform.Condition{{Key: "k", ModRevision: 2}}, []platform.Write{{Key: "k", Value: []byte("x"), Lease: 5}})
-	if !errors.Is(err, platform.ErrUnavailable) {
+	_, err := c.Txn(t.Context(), []store.Condition{{Key: "k", ModRevision: 2}}, []store.Write{{Key: "k", Value: []byte("x"), Lease: 5}})
+	if !errors.Is(err, store.ErrUnavailable) {
 		t.Fatalf("Txn = %v", err)
 	}
 	if len(lost.txns) != 1 || len(other.txns) != 0 {
@@ -149,7 +149,7 @@
 // Guards against a call that waits for a silent store without limit.
 func TestCallTimesOut(t *testing.T) {
 	c, _ := connect(t, 20*time.Millisecond, serve(t, &fakeServer{silent: true}))
-	if _, err := c.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.Get(t.Context(), "k"); !errors.Is(err, store.ErrUnavailable) {
 		t.Fatalf("Get = %v", err)
 	}
 }
@@ -157,23 +157,23 @@
 // Guards against a watch that stays on an address that no longer answers.
 func TestWatchEndsWhenTheAddressIsLeft(t *testing.T) {
 	c, _ := connect(t, testTimeout, serve(t, &fakeServer{}), serve(t, &fakeServer{}))
-	got := make(chan platform.Change, 1)
+	got := make(chan store.Change, 1)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- c.Watch(t.Context(), "config/", 7, func(change platform.Change) { got <- change })
+		ended <- c.Watch(t.Context(), "config/", 7, func(change store.Change) { got <- change })
 	}()
 	if change := <-got; change.Revision != 7 || change.KVs[0].Key != "config/" {
 		t.Fatalf("change = %+v", change)
 	}
 	c.leave(0)
-	if err := <-ended; !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, errSwitched) {
+	if err := <-ended; !errors.Is(err, store.ErrUnavailable) || !errors.Is(err, errSwitched) {
 		t.Fatalf("Watch = %v", err)
 	}
 }
 
 func TestLeaseAndInventory(t *testing.T) {
 	c, _ := connect(t, testTimeout, serve(t, &fakeServer{}))
-	if err := c.LeaseKeepAlive(t.Context(), 0); !errors.Is(err, platform.ErrLeaseGone) {
+	if err := c.LeaseKeepAlive(t.Context(), 0); !errors.Is(err, store.ErrLeaseGone) {
 		t.Errorf("LeaseKeepAlive of an ended lease = %v", err)
 	}
 	if err := c.LeaseKeepAlive(t.Context(), 1); err != nil {
--- a/platform/grpcstore/convert.go
+++ b/store/grpcstore/convert.go
@@ -4,21 +4,21 @@
 	"context"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/platform"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // ListVMs returns the VMs as the platform last saw them.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) ListVMs(ctx context.Context) ([]store.VM, error) {
 	answer, err := repeat(ctx, c, "list_vms", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.ListVMsResponse, error) {
 		return p.ListVMs(ctx, &platformv1.ListVMsRequest{})
 	})
 	if err != nil {
 		return nil, err
 	}
-	vms := make([]platform.VM, len(answer.GetVms()))
+	vms := make([]store.VM, len(answer.GetVms()))
 	for i, vm := range answer.GetVms() {
-		vms[i] = platform.VM{
+		vms[i] = store.VM{
 			ID:          model.VMID(vm.GetId()),
 			Zone:        model.Zone(vm.GetZone()),
 			PeerAddress: vm.GetPeerAddress(),
@@ -29,16 +29,16 @@
 }
 
 // ListGroups returns the database groups as the platform last saw them.
-func (c *Client) ListGroups(ctx context.Context) ([]platform.Group, error) {
+func (c *Client) ListGroups(ctx context.Context) ([]store.Group, error) {
 	answer, err := repeat(ctx, c, "list_groups", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.ListGroupsResponse, error) {
 		return p.ListGroups(ctx, &platformv1.ListGroupsRequest{})
 	})
 	if err != nil {
 		return nil, err
 	}
-	groups := make([]platform.Group, len(answer.GetGroups()))
+	groups := make([]store.Group, len(answer.GetGroups()))
 	for i, g := range answer.GetGroups() {
-		groups[i] = platform.Group{
+		groups[i] = store.Group{
 			Database:  model.Database(g.GetDatabase()),
 			Upstreams: fromUpstreams(g.GetUpstreams()),
 		}
@@ -46,10 +46,10 @@
 	return groups, nil
 }
 
-func fromUpstreams(list []*platformv1.GroupUpstream) []platform.Upstream {
-	upstreams := make([]platform.Upstream, len(list))
+func fromUpstreams(list []*platformv1.GroupUpstream) []store.Upstream {
+	upstreams := make([]store.Upstream, len(list))
 	for i, u := range list {
-		upstreams[i] = platform.Upstream{
+		upstreams[i] = store.Upstream{
 			ID:      model.UpstreamID(u.GetId()),
 			Zone:    model.Zone(u.GetZone()),
 			Address: u.GetAddress(),
@@ -59,19 +59,19 @@
 	return upstreams
 }
 
-func fromKeyValue(kv *platformv1.KeyValue) platform.KeyValue {
-	return platform.KeyValue{Key: kv.GetKey(), Value: kv.GetValue(), ModRevision: kv.GetModRevision()}
+func fromKeyValue(kv *platformv1.KeyValue) store.KeyValue {
+	return store.KeyValue{Key: kv.GetKey(), Value: kv.GetValue(), ModRevision: kv.GetModRevision()}
 }
 
-func fromKeyValues(list []*platformv1.KeyValue) []platform.KeyValue {
-	kvs := make([]platform.KeyValue, len(list))
+func fromKeyValues(list []*platformv1.KeyValue) []store.KeyValue {
+	kvs := make([]store.KeyValue, len(list))
 	for i, kv := range list {
 		kvs[i] = fromKeyValue(kv)
 	}
 	return kvs
 }
 
-func toTxn(conditions []platform.Condition, writes []platform.Write) *platformv1.TxnRequest {
+func toTxn(conditions []store.Condition, writes []store.Write) *platformv1.TxnRequest {
 	request := &platformv1.TxnRequest{}
 	for _, c := range conditions {
 		request.Conditions = append(request.Conditions, &platformv1.Condition{Key: c.Key, ModRevision: c.ModRevision})
--- a/platform/grpcstore/store.go
+++ b/store/grpcstore/store.go
@@ -7,17 +7,17 @@
 	"io"
 	"time"
 
-	"github.com/chervilhatch/chervilhatch/platform"
 	platformv1 "github.com/chervilhatch/chervilhatch/proto/platform/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 // Get reads one key.
-func (c *Client) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (c *Client) Get(ctx context.Context, key string) (store.KeyValue, error) {
 	answer, err := repeat(ctx, c, "get", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.GetResponse, error) {
 		return p.Get(ctx, &platformv1.GetRequest{Key: key})
 	})
 	if err != nil {
-		return platform.KeyValue{}, err
+		return store.KeyValue{}, err
 	}
 	kv := fromKeyValue(answer.GetKv())
 	kv.Key = key
@@ -25,7 +25,7 @@
 }
 
 // Range reads the keys with a prefix.
-func (c *Client) Range(ctx context.Context, prefix string, limit int) ([]platform.KeyValue, int64, error) {
+func (c *Client) Range(ctx context.Context, prefix string, limit int) ([]store.KeyValue, int64, error) {
 	answer, err := repeat(ctx, c, "range", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.RangeResponse, error) {
 		return p.Range(ctx, &platformv1.RangeRequest{Prefix: prefix, Limit: int64(limit)})
 	})
@@ -36,16 +36,16 @@
 }
 
 // Txn applies the writes if all conditions hold. It is sent once: after
-// platform.ErrUnavailable the caller must read back what happened.
-func (c *Client) Txn(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.TxnResult, error) {
+// store.ErrUnavailable the caller must read back what happened.
+func (c *Client) Txn(ctx context.Context, conditions []store.Condition, writes []store.Write) (store.TxnResult, error) {
 	request := toTxn(conditions, writes)
 	answer, err := once(ctx, c, "txn", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.TxnResponse, error) {
 		return p.Txn(ctx, request)
 	})
 	if err != nil {
-		return platform.TxnResult{}, err
+		return store.TxnResult{}, err
 	}
-	return platform.TxnResult{
+	return store.TxnResult{
 		Succeeded: answer.GetSucceeded(),
 		Revision:  answer.GetRevision(),
 		Current:   fromKeyValues(answer.GetCurrent()),
@@ -61,7 +61,7 @@
 	return answer.GetLeaseId(), err
 }
 
-// LeaseKeepAlive extends a lease; platform.ErrLeaseGone says that it has ended.
+// LeaseKeepAlive extends a lease; store.ErrLeaseGone says that it has ended.
 func (c *Client) LeaseKeepAlive(ctx context.Context, lease int64) error {
 	request := &platformv1.LeaseKeepAliveRequest{LeaseId: lease}
 	answer, err := repeat(ctx, c, "lease_keep_alive", func(ctx context.Context, p platformv1.PlatformClient) (*platformv1.LeaseKeepAliveResponse, error) {
@@ -71,7 +71,7 @@
 		return err
 	}
 	if answer.GetTtlMs() <= 0 {
-		return fmt.Errorf("lease %d: %w", lease, platform.ErrLeaseGone)
+		return fmt.Errorf("lease %d: %w", lease, store.ErrLeaseGone)
 	}
 	return nil
 }
@@ -88,7 +88,7 @@
 // Watch passes on the changes of a prefix until ctx ends or the stream breaks.
 // It also ends when another call finds the address unavailable, because a
 // stream on a dead connection gives no sign of it.
-func (c *Client) Watch(ctx context.Context, prefix string, start int64, fn func(platform.Change)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, start int64, fn func(store.Change)) error {
 	client, index, active := c.current()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -98,11 +98,11 @@
 	c.count(callsPrefix, "watch")
 	err := receive(ctx, client, &platformv1.WatchRequest{Prefix: prefix, StartRevision: start}, fn)
 	if cause := context.Cause(ctx); cause != nil {
-		return fmt.Errorf("%w: watch: %w", platform.ErrUnavailable, cause)
+		return fmt.Errorf("%w: watch: %w", store.ErrUnavailable, cause)
 	}
 	c.count(errorsPrefix, "watch")
 	if errors.Is(err, io.EOF) {
-		return fmt.Errorf("%w: watch: the stream ended", platform.ErrUnavailable)
+		return fmt.Errorf("%w: watch: the stream ended", store.ErrUnavailable)
 	}
 	if unavailable(err) {
 		c.leave(index)
@@ -111,7 +111,7 @@
 }
 
 // receive returns the error that ends the stream.
-func receive(ctx context.Context, p platformv1.PlatformClient, r *platformv1.WatchRequest, fn func(platform.Change)) error {
+func receive(ctx context.Context, p platformv1.PlatformClient, r *platformv1.WatchRequest, fn func(store.Change)) error {
 	stream, err := p.Watch(ctx, r)
 	if err != nil {
 		return err
@@ -121,6 +121,6 @@
 		if err != nil {
 			return err
 		}
-		fn(platform.Change{Revision: message.GetRevision(), KVs: fromKeyValues(message.GetChanges())})
+		fn(store.Change{Revision: message.GetRevision(), KVs: fromKeyValues(message.GetChanges())})
 	}
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the interface to the platform's key-value service and to
+// Package store is the interface to the platform's key-value service and to
 // its list of VMs and database groups. An adapter to another service
 // implements Store and Inventory.
-package platform
+package store
 
 import (
 	"context"
--- a/test/cluster/setup.go
+++ b/test/cluster/setup.go
@@ -20,9 +20,9 @@
 
 	"github.com/chervilhatch/chervilhatch/core/config"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/platform"
-	"github.com/chervilhatch/chervilhatch/platform/grpcstore"
 	"github.com/chervilhatch/chervilhatch/scramverifier"
+	"github.com/chervilhatch/chervilhatch/store"
+	"github.com/chervilhatch/chervilhatch/store/grpcstore"
 )
 
 // certFiles are a self-signed certificate for both sides of mutual TLS.
@@ -130,14 +130,14 @@
 	if err != nil {
 		return err
 	}
-	store, err := grpcstore.New(grpcstore.Options{Addresses: []string{c.store}, Timeout: time.Second, Metrics: metrics.NewRegistry()})
+	client, err := grpcstore.New(grpcstore.Options{Addresses: []string{c.store}, Timeout: time.Second, Metrics: metrics.NewRegistry()})
 	if err != nil {
 		return err
 	}
-	defer store.Close()
-	result, err := store.Txn(ctx,
-		[]platform.Condition{{Key: config.CurrentKey}},
-		[]platform.Write{{Key: config.CurrentKey, Value: encoded}, {Key: config.HistoryKey(1), Value: encoded}})
+	defer client.Close()
+	result, err := client.Txn(ctx,
+		[]store.Condition{{Key: config.CurrentKey}},
+		[]store.Write{{Key: config.CurrentKey, Value: encoded}, {Key: config.HistoryKey(1), Value: encoded}})
 	if err == nil && !result.Succeeded {
 		err = errors.New("the store already has a configuration")
 	}
