--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 generate:
 	go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	for p in platform peer operator; do \
+	for p in platform peer operator vmlink; do \
 	  PATH="$(CURDIR)/$(BIN):$$PATH" protoc -I proto --go_out=. --go-grpc_out=. $(GO_OUT) proto/$$p/v1/$$p.proto || exit 1; \
 	done
 
--- a/cmd/chervilhatchd/main.go
+++ b/cmd/chervilhatchd/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/dev"
+	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/line"
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/run"
 	"github.com/chervilhatch/chervilhatch/findings"
 )
@@ -36,6 +37,9 @@
 	runCommand := app.Command("run", "Run the daemon of one VM.")
 	settingsPath := runCommand.Flag("settings", "Settings file of this VM (JSON with comments).").Required().String()
 
+	lineCommand := app.Command("line", "Run the daemon of one VM whose callers and upstreams speak the line protocol.")
+	linePath := lineCommand.Flag("settings", "Settings file of this VM (JSON with comments).").Required().String()
+
 	devCommand := app.Command("dev", "Run one daemon with stand-ins of the platform and of a database group.")
 	var devOptions dev.Options
 	devCommand.Flag("listen", "Address for callers; port 0 takes a free one.").Default("127.0.0.1:6432").StringVar(&devOptions.Listen)
@@ -50,6 +54,8 @@
 	switch command {
 	case runCommand.FullCommand():
 		err = run.Run(ctx, *settingsPath)
+	case lineCommand.FullCommand():
+		err = line.Run(ctx, *linePath)
 	case devCommand.FullCommand():
 		err = dev.Run(ctx, devOptions)
 	}
--- /dev/null
+++ b/core/replicaset/choice.go
@@ -0,0 +1,130 @@
+package replicaset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Primary returns the upstream that writes of a service go to. ok is false when
+// none is known, or when it may get no new work.
+func (s *State) Primary(now model.Time, service catalog.Service) (Member, bool) {
+	g := s.groups[service]
+	if g == nil || g.primary == "" {
+		return Member{}, false
+	}
+	m := g.members[g.primary]
+	if s.evacuated[m.Zone] || g.exhausted(now, m) {
+		return *m, false
+	}
+	return *m, true
+}
+
+// exhausted reports whether a leaving upstream has had its last work.
+func (g *group) exhausted(now model.Time, m *Member) bool {
+	return m.Leaving && now.Sub(m.LeavingAt) > lastWorkAfterNotice
+}
+
+// Candidate is an upstream that may serve a read.
+type Candidate struct {
+	Member
+	// rank groups candidates: a lower one is tried first.
+	rank int
+	load float64
+}
+
+// Ranks of candidates.
+const (
+	rankReplica = iota
+	rankPrimary
+	rankLagging
+	rankLeaving
+	rankFailed
+)
+
+// ReadCandidates returns the upstreams that may serve a read at floor, in the
+// order in which they are tried. load tells how long a statement would take
+// there; equal ranks are ordered by it.
+func (s *State) ReadCandidates(now model.Time, service catalog.Service, floor model.Position, load func(*Member) float64) []Candidate {
+	g := s.groups[service]
+	if g == nil {
+		return nil
+	}
+	list := make([]Candidate, 0, len(g.members))
+	for _, id := range g.ids() {
+		m := g.members[id]
+		if s.evacuated[m.Zone] || m.missingSince != 0 && now.Sub(m.missingSince) > missingGrace/2 || g.exhausted(now, m) {
+			continue
+		}
+		list = append(list, Candidate{Member: *m, rank: g.rank(now, m, floor), load: load(m)})
+	}
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.load, b.load))
+	})
+	return list
+}
+
+func (g *group) rank(now model.Time, m *Member, floor model.Position) int {
+	switch {
+	case m.retryAt > now:
+		return rankFailed
+	case m.Leaving:
+		return rankLeaving
+	case m.ID == g.primary:
+		return rankPrimary
+	case m.LaggingAt != 0 && now.Sub(m.LaggingAt) < laggingPause && m.LaggingBehind.Compare(floor) <= 0 && m.Applied.Compare(floor) < 0:
+		return rankLagging
+	}
+	return rankReplica
+}
+
+// Suspended reports whether connections to the upstream have failed so recently
+// that it is not tried.
+func (s *State) Suspended(now model.Time, id model.UpstreamID) bool {
+	m, _ := s.member(id)
+	return m != nil && m.retryAt > now
+}
+
+// Evacuated reports whether a zone gets no new work.
+func (s *State) Evacuated(z model.Zone) bool { return s.evacuated[z] }
+
+// Member returns what is known of an upstream.
+func (s *State) Member(id model.UpstreamID) (Member, bool) {
+	m, _ := s.member(id)
+	if m == nil {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// View is a service as the promotion of its primary needs it.
+type View struct {
+	Service    catalog.Service
+	Members    []Member
+	Primary    model.UpstreamID
+	LeaderTerm uint64
+}
+
+// Views returns all services, in order.
+func (s *State) Views() []View {
+	var views []View
+	for _, g := range s.sorted() {
+		if len(g.members) == 0 {
+			continue
+		}
+		v := View{Service: g.name, Primary: g.primary, LeaderTerm: g.leaderTerm}
+		for _, id := range g.ids() {
+			v.Members = append(v.Members, *g.members[id])
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+// Known reports whether any upstream of a service is known.
+func (s *State) Known(service catalog.Service) bool {
+	g := s.groups[service]
+	return g != nil && len(g.members) > 0
+}
--- /dev/null
+++ b/core/replicaset/evidence.go
@@ -0,0 +1,83 @@
+package replicaset
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// evidence says that every commit acknowledged before at is in a log that
+// reaches position, since the primary of term had that log at or after at.
+type evidence struct {
+	at       model.Time
+	position model.Position
+	term     uint64
+}
+
+// Evidence is the newest evidence of a service.
+type Evidence struct {
+	At       model.Time
+	Position model.Position
+	Term     uint64
+}
+
+// addEvidence keeps evidence in the order of its time. Evidence of an earlier
+// term than the newest is dropped.
+func (g *group) addEvidence(now model.Time, e evidence) {
+	n := len(g.evidence)
+	if n > 0 {
+		newest := &g.evidence[n-1]
+		if e.term < newest.term || e.at <= newest.at {
+			return
+		}
+		if n > 1 && newest.at.Sub(g.evidence[n-2].at) < evidenceSpacing {
+			*newest = e
+			return
+		}
+	}
+	g.evidence = append(g.evidence, e)
+	old := 0
+	for old < len(g.evidence)-1 && now.Sub(g.evidence[old].at) > evidenceKept {
+		old++
+	}
+	if old > 0 {
+		g.evidence = append(g.evidence[:0], g.evidence[old:]...)
+	}
+}
+
+// Floor returns a position that proves a read fresh: a log that reaches it has
+// every commit acknowledged up to bound before now, and every commit up to the
+// session's own position. age is that of the evidence. ok is false when no
+// evidence is young enough.
+func (s *State) Floor(now model.Time, service catalog.Service, bound time.Duration, session model.Position) (floor model.Position, age time.Duration, ok bool) {
+	g := s.groups[service]
+	if g == nil {
+		return model.Position{}, 0, false
+	}
+	oldest := now.Add(-(bound - freshnessMargin))
+	for i := range g.evidence {
+		e := &g.evidence[i]
+		if e.at < oldest {
+			continue
+		}
+		if session.Term.Counter < e.term {
+			// Evidence of a later term covers every commit that was
+			// acknowledged before it, and a promotion may have rolled back
+			// the session's position.
+			return e.position, now.Sub(e.at), true
+		}
+		return e.position.Max(session), now.Sub(e.at), true
+	}
+	return model.Position{}, 0, false
+}
+
+// NewestEvidence returns the newest evidence of a service.
+func (s *State) NewestEvidence(service catalog.Service) (Evidence, bool) {
+	g := s.groups[service]
+	if g == nil || len(g.evidence) == 0 {
+		return Evidence{}, false
+	}
+	e := g.evidence[len(g.evidence)-1]
+	return Evidence{At: e.at, Position: e.position, Term: e.term}, true
+}
--- /dev/null
+++ b/core/replicaset/state.go
@@ -0,0 +1,326 @@
+package replicaset
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// State is what one VM knows of all services.
+type State struct {
+	groups    map[catalog.Service]*group
+	services  map[model.UpstreamID]catalog.Service
+	evacuated map[model.Zone]bool
+	// storeLostAt is when the store last failed to answer.
+	storeLostAt model.Time
+	storeLost   bool
+}
+
+// group is one service.
+type group struct {
+	name     catalog.Service
+	members  map[model.UpstreamID]*Member
+	evidence []evidence
+	// leaderTerm is the newest term that a primary was seen in, and primary
+	// the upstream that led it; empty when it no longer leads.
+	leaderTerm uint64
+	primary    model.UpstreamID
+}
+
+// New returns the state of a VM that knows nothing yet.
+func New() *State {
+	return &State{
+		groups:    map[catalog.Service]*group{},
+		services:  map[model.UpstreamID]catalog.Service{},
+		evacuated: map[model.Zone]bool{},
+	}
+}
+
+// Apply processes one event and appends the effects to out.
+func (s *State) Apply(now model.Time, ev *Event, out []Effect) []Effect {
+	switch ev.Kind {
+	case EventRegistrations:
+		return s.registrations(now, ev, out)
+	case EventStoreUnavailable:
+		s.storeLost, s.storeLostAt = true, now
+		return out
+	case EventEvacuations:
+		return s.evacuate(ev, out)
+	case EventEvidence:
+		s.group(ev.Service).addEvidence(now, evidence{at: ev.AskedAt, position: ev.Position, term: ev.Term})
+		return out
+	}
+	m, g := s.member(ev.Upstream)
+	if m == nil {
+		return out
+	}
+	before := g.primary
+	switch ev.Kind {
+	case EventStatus:
+		g.status(now, m, ev)
+	case EventCommitted:
+		g.committed(now, m, ev)
+	case EventServed:
+		m.served(now, ev.Position)
+	case EventNotPrimary:
+		g.notPrimary(now, m)
+	case EventLagging:
+		m.contact(now)
+		m.LaggingAt, m.LaggingBehind = now, ev.Position
+	case EventFailed:
+		m.failed(now, ev.Refused)
+	case EventPrimary:
+		g.leads(now, m, ev.Term)
+	}
+	return g.primaryEffect(before, out)
+}
+
+func (s *State) group(name catalog.Service) *group {
+	g := s.groups[name]
+	if g == nil {
+		g = &group{name: name, members: map[model.UpstreamID]*Member{}}
+		s.groups[name] = g
+	}
+	return g
+}
+
+func (s *State) member(id model.UpstreamID) (*Member, *group) {
+	service, found := s.services[id]
+	if !found {
+		return nil, nil
+	}
+	g := s.groups[service]
+	return g.members[id], g
+}
+
+// registrations compares all entries of the store with what is known.
+func (s *State) registrations(now model.Time, ev *Event, out []Effect) []Effect {
+	if s.storeLost {
+		// The grace for missing entries starts with the store's return.
+		s.storeLost = false
+		s.restartMissing(now)
+	}
+	present := make(map[model.UpstreamID]bool, len(ev.Registrations))
+	for i := range ev.Registrations {
+		r := &ev.Registrations[i]
+		present[r.ID] = true
+		out = s.register(now, r, out)
+	}
+	return s.dropMissing(now, present, out)
+}
+
+func (s *State) restartMissing(now model.Time) {
+	for _, g := range s.groups {
+		for _, m := range g.members {
+			if m.missingSince != 0 {
+				m.missingSince = now
+			}
+		}
+	}
+}
+
+func (s *State) register(now model.Time, r *Registration, out []Effect) []Effect {
+	if old, found := s.services[r.ID]; found && old != r.Service {
+		out = s.remove(r.ID, out)
+	}
+	g := s.group(r.Service)
+	m := g.members[r.ID]
+	if m == nil {
+		m = &Member{Registration: *r}
+		g.members[r.ID] = m
+		s.services[r.ID] = r.Service
+		if r.Leaving {
+			m.LeavingAt = now
+		}
+		out = append(out, Effect{Kind: EffectAdded, Service: g.name, Upstream: r.ID, Member: *m})
+		return g.registeredRole(now, m, true, out)
+	}
+	old := m.Registration
+	m.missingSince = 0
+	restarted := r.Incarnation != old.Incarnation
+	if !restarted && r.Sequence < old.Sequence {
+		return out
+	}
+	m.Registration = *r
+	if restarted {
+		*m = Member{Registration: *r}
+	}
+	if r.Leaving && m.LeavingAt == 0 {
+		m.LeavingAt = now
+	}
+	if restarted || old.Address != r.Address || old.Leaving != r.Leaving {
+		out = append(out, Effect{Kind: EffectChanged, Service: g.name, Upstream: r.ID, Member: *m})
+	}
+	return g.registeredRole(now, m, restarted || old.Primary != r.Primary, out)
+}
+
+// registeredRole takes the role from an entry when the entry says something
+// new, since answers of the upstream itself are newer than entries.
+func (g *group) registeredRole(now model.Time, m *Member, changed bool, out []Effect) []Effect {
+	if !changed {
+		return out
+	}
+	before := g.primary
+	switch {
+	case m.Primary && g.primary == "":
+		m.IsPrimary, m.RoleAt = true, now
+		g.primary = m.ID
+	case !m.Primary && g.primary == m.ID && m.StatusAt == 0:
+		g.primary = ""
+	}
+	return g.primaryEffect(before, out)
+}
+
+func (s *State) dropMissing(now model.Time, present map[model.UpstreamID]bool, out []Effect) []Effect {
+	for _, g := range s.sorted() {
+		for _, id := range g.ids() {
+			m := g.members[id]
+			switch {
+			case present[id]:
+				m.missingSince = 0
+			case m.missingSince == 0:
+				m.missingSince = now
+			case now.Sub(m.missingSince) >= missingGrace:
+				out = s.remove(id, out)
+			}
+		}
+	}
+	return out
+}
+
+func (s *State) remove(id model.UpstreamID, out []Effect) []Effect {
+	m, g := s.member(id)
+	delete(g.members, id)
+	delete(s.services, id)
+	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
+	before := g.primary
+	if g.primary == id {
+		g.primary = ""
+	}
+	return g.primaryEffect(before, out)
+}
+
+func (s *State) evacuate(ev *Event, out []Effect) []Effect {
+	zones := make(map[model.Zone]bool, len(ev.Zones))
+	for _, z := range ev.Zones {
+		zones[z] = true
+	}
+	if len(zones) == len(s.evacuated) {
+		same := true
+		for z := range zones {
+			same = same && s.evacuated[z]
+		}
+		if same {
+			return out
+		}
+	}
+	s.evacuated = zones
+	return append(out, Effect{Kind: EffectEvacuated})
+}
+
+func (g *group) primaryEffect(before model.UpstreamID, out []Effect) []Effect {
+	if g.primary == before {
+		return out
+	}
+	return append(out, Effect{Kind: EffectPrimary, Service: g.name, Upstream: g.primary, Term: g.leaderTerm})
+}
+
+// status takes over what an upstream says of itself.
+func (g *group) status(now model.Time, m *Member, ev *Event) {
+	m.contact(now)
+	m.Status, m.StatusAt = ev.Status, ev.AskedAt
+	m.Applied = m.Applied.Max(ev.Status.Applied)
+	if !ev.Status.Primary {
+		g.notPrimary(now, m)
+		return
+	}
+	if g.lostItsLog(m) {
+		g.notPrimary(now, m)
+		return
+	}
+	g.leads(now, m, ev.Status.Term)
+	g.addEvidence(now, evidence{at: ev.AskedAt, position: ev.Status.Received, term: ev.Status.Term})
+}
+
+// lostItsLog reports whether an upstream that calls itself the primary lacks
+// what a primary of its term is known to have had.
+func (g *group) lostItsLog(m *Member) bool {
+	if len(g.evidence) == 0 {
+		return false
+	}
+	newest := g.evidence[len(g.evidence)-1]
+	return m.Status.Term <= newest.term && m.Status.Received.Compare(newest.position) < 0
+}
+
+func (g *group) committed(now model.Time, m *Member, ev *Event) {
+	m.served(now, ev.Position)
+	g.leads(now, m, ev.Position.Term.Counter)
+	g.addEvidence(now, evidence{at: ev.AskedAt, position: ev.Position, term: ev.Position.Term.Counter})
+}
+
+// leads notes m as the primary of a term, unless a newer one is known.
+func (g *group) leads(now model.Time, m *Member, term uint64) {
+	if term < g.leaderTerm {
+		return
+	}
+	if term == g.leaderTerm && g.primary != "" && g.primary != m.ID && g.members[g.primary].RoleTerm == term {
+		return
+	}
+	if old := g.members[g.primary]; old != nil && old != m {
+		old.IsPrimary = false
+	}
+	g.leaderTerm, g.primary = term, m.ID
+	m.IsPrimary, m.RoleTerm, m.RoleAt = true, term, now
+}
+
+func (g *group) notPrimary(now model.Time, m *Member) {
+	m.contact(now)
+	m.IsPrimary, m.RoleAt = false, now
+	if g.primary == m.ID {
+		g.primary = ""
+	}
+}
+
+func (m *Member) contact(now model.Time) {
+	m.ContactAt = now
+	m.FailedSince, m.RefusedSince, m.retryAt, m.failures = 0, 0, 0, 0
+}
+
+func (m *Member) served(now model.Time, p model.Position) {
+	m.contact(now)
+	m.Applied = m.Applied.Max(p)
+}
+
+func (m *Member) failed(now model.Time, refused bool) {
+	if m.FailedSince == 0 {
+		m.FailedSince = now
+	}
+	if refused && m.RefusedSince == 0 {
+		m.RefusedSince = now
+	}
+	pause := firstRetry << min(m.failures, 5)
+	m.failures++
+	m.retryAt = now.Add(min(pause, lastRetry))
+}
+
+// sorted returns the groups by name.
+func (s *State) sorted() []*group {
+	list := make([]*group, 0, len(s.groups))
+	for _, g := range s.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *group) int { return strings.Compare(string(a.name), string(b.name)) })
+	return list
+}
+
+// ids returns the members' ids in order.
+func (g *group) ids() []model.UpstreamID {
+	list := make([]model.UpstreamID, 0, len(g.members))
+	for id := range g.members {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/linenode/cluster.go
@@ -0,0 +1,273 @@
+package linenode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/quota"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/store"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+const (
+	// reservedConnections of an upstream's limit are left for status queries
+	// and for VMs that come and go.
+	reservedConnections = 2
+	// surplusPart is the part of an upstream's limit that one VM may use while
+	// the upstream is not full.
+	surplusPart = 3
+	// crossZoneCost is added to the load of an upstream in another zone, in
+	// milliseconds: the way there and back.
+	crossZoneCost = 2.0
+)
+
+// cluster holds what this VM knows of the deployment, and its connections. It
+// implements lineproxy.Cluster.
+type cluster struct {
+	store    store.Store
+	formats  Formats
+	zone     model.Zone
+	log      zerolog.Logger
+	registry metrics.Registry
+
+	catalog atomic.Pointer[catalog.Snapshot]
+	// rawMu guards raw, the stored form of the configuration in force.
+	rawMu sync.Mutex
+	raw   []byte
+
+	mu       sync.Mutex
+	replicas *replicaset.State
+	quota    *quota.State
+	effects  []replicaset.Effect
+	pools    map[model.UpstreamID]*upstreampool.Pool
+	vms      int
+	probes   *probes
+}
+
+func newCluster(o Options) *cluster {
+	c := &cluster{
+		store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
+		replicas: replicaset.New(), quota: quota.New(o.VM),
+		pools: map[model.UpstreamID]*upstreampool.Pool{}, vms: 1,
+	}
+	c.probes = newProbes(c)
+	return c
+}
+
+// Now reads the clock.
+func (c *cluster) Now() model.Time { return boottime.Now() }
+
+// Catalog returns the configuration in force.
+func (c *cluster) Catalog() *catalog.Snapshot { return c.catalog.Load() }
+
+// Admit takes the token of one operation.
+func (c *cluster) Admit(w model.Workspace) quota.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quota.Admit(c.Now(), w)
+}
+
+// Return gives the token of an operation back that has not run.
+func (c *cluster) Return(w model.Workspace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quota.Return(w)
+}
+
+// Floor returns the position that a read has to see.
+func (c *cluster) Floor(service catalog.Service, bound time.Duration, session model.Position) (model.Position, time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas.Floor(c.Now(), service, bound, session)
+}
+
+// Primary returns the upstream that writes go to.
+func (c *cluster) Primary(service catalog.Service) (replicaset.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.replicas.Primary(c.Now(), service)
+	return m, ok && !c.replicas.Suspended(c.Now(), m.ID)
+}
+
+// ReadCandidates returns the upstreams to try a read on.
+func (c *cluster) ReadCandidates(service catalog.Service, floor model.Position, w model.Workspace) []replicaset.Candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	load := func(m *replicaset.Member) float64 {
+		pool := c.pools[m.ID]
+		if pool == nil {
+			return 0
+		}
+		l := pool.Load(string(w))
+		if m.Zone != c.zone {
+			l += crossZoneCost
+		}
+		return l
+	}
+	return c.replicas.ReadCandidates(c.Now(), service, floor, load)
+}
+
+// Pool returns the connections to an upstream.
+func (c *cluster) Pool(id model.UpstreamID) *upstreampool.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pools[id]
+}
+
+// RefreshEvidence asks the primary how far its log reaches.
+func (c *cluster) RefreshEvidence(ctx context.Context, service catalog.Service) bool {
+	m, ok := c.Primary(service)
+	if !ok {
+		return false
+	}
+	return c.probes.status(ctx, m.ID)
+}
+
+// Observe reports what an upstream did.
+func (c *cluster) Observe(ev *replicaset.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applyLocked(ev)
+}
+
+func (c *cluster) applyLocked(ev *replicaset.Event) {
+	c.effects = c.replicas.Apply(c.Now(), ev, c.effects[:0])
+	for i := range c.effects {
+		c.execute(&c.effects[i])
+	}
+}
+
+// execute carries out an effect under the mutex.
+func (c *cluster) execute(e *replicaset.Effect) {
+	switch e.Kind {
+	case replicaset.EffectAdded, replicaset.EffectChanged:
+		c.log.Info().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).
+			Str("zone", string(e.Member.Zone)).Bool("leaving", e.Member.Leaving).
+			Int64("incarnation", e.Member.Incarnation).Int64("sequence", e.Member.Sequence).
+			Msg(map[bool]string{true: "upstream added", false: "upstream changed"}[e.Kind == replicaset.EffectAdded])
+		c.setPool(&e.Member)
+	case replicaset.EffectRemoved:
+		c.log.Info().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).Msg("upstream removed")
+		c.dropPool(e.Upstream)
+	case replicaset.EffectPrimary:
+		c.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Uint64("term", e.Term).Msg("primary changed")
+	case replicaset.EffectEvacuated:
+		c.log.Info().Msg("zones out of service changed")
+	}
+}
+
+// setPool keeps the pool of an upstream whose phase changed and renews that of
+// one that started again or moved.
+func (c *cluster) setPool(m *replicaset.Member) {
+	pool := c.pools[m.ID]
+	if pool != nil && pool.Same(m.Address, m.Incarnation) {
+		return
+	}
+	c.dropPool(m.ID)
+	c.pools[m.ID] = upstreampool.New(upstreampool.Upstream{
+		ID: m.ID, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
+	}, c.shareOf(m.Service))
+}
+
+func (c *cluster) dropPool(id model.UpstreamID) {
+	if pool := c.pools[id]; pool != nil {
+		pool.Close()
+		delete(c.pools, id)
+	}
+}
+
+// shareOf returns how many connections to each upstream of a service this VM
+// may open.
+func (c *cluster) shareOf(name catalog.Service) upstreampool.Share {
+	s := c.Catalog()
+	if s == nil || s.Service(name) == nil {
+		return upstreampool.Share{Base: 1, Most: 1}
+	}
+	limit := s.Service(name).ConnectionLimit
+	base := max(1, (limit-reservedConnections)/max(c.vms, 1))
+	return upstreampool.Share{Base: base, Most: max(base, limit/surplusPart)}
+}
+
+func (c *cluster) reshare() {
+	for id, pool := range c.pools {
+		if m, ok := c.replicas.Member(id); ok {
+			pool.SetShare(c.shareOf(m.Service))
+		}
+	}
+}
+
+// setMembers takes over the list of VMs.
+func (c *cluster) setMembers(vms []model.VMID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = len(vms)
+	c.quota.SetMembers(c.Now(), vms)
+	c.reshare()
+}
+
+// install puts a configuration into force unless it is older than the present one.
+func (c *cluster) install(raw []byte, source string) {
+	s, err := c.formats.Configuration(raw)
+	if err != nil {
+		c.log.Error().Err(err).Str("source", source).Msg("configuration ignored")
+		return
+	}
+	c.rawMu.Lock()
+	old := c.Catalog()
+	if old != nil && s.Version <= old.Version {
+		c.rawMu.Unlock()
+		return
+	}
+	c.raw = raw
+	c.catalog.Store(s)
+	c.rawMu.Unlock()
+	c.mu.Lock()
+	c.quota.Configure(c.Now(), s)
+	c.reshare()
+	c.mu.Unlock()
+	c.log.Info().Uint64("config_version", s.Version).Str("source", source).Int("routes", len(s.Routes)).Msg("configuration in force")
+}
+
+// stored returns the version and the stored form of the configuration in force.
+func (c *cluster) stored() (uint64, []byte) {
+	c.rawMu.Lock()
+	defer c.rawMu.Unlock()
+	if s := c.Catalog(); s != nil {
+		return s.Version, c.raw
+	}
+	return 0, nil
+}
+
+// trim closes connections that are no longer needed.
+func (c *cluster) trim() {
+	c.mu.Lock()
+	pools := make([]*upstreampool.Pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	c.mu.Unlock()
+	open := 0
+	for _, p := range pools {
+		p.Trim()
+		open += p.Stats().Open
+	}
+	metrics.GetOrRegisterGauge("upstream.connections", c.registry).Update(int64(open))
+}
+
+func (c *cluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.pools {
+		c.dropPool(id)
+	}
+	c.probes.close()
+}
--- /dev/null
+++ b/linenode/follow.go
@@ -0,0 +1,142 @@
+package linenode
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/pause"
+	"github.com/chervilhatch/chervilhatch/store"
+)
+
+// dependency logs when the store is lost and regained.
+type dependency struct {
+	c    *cluster
+	name string
+	lost bool
+}
+
+func (d *dependency) result(err error) {
+	switch {
+	case err != nil && !d.lost:
+		d.c.log.Warn().Err(err).Str("use", d.name).Msg("platform store lost")
+	case err == nil && d.lost:
+		d.c.log.Info().Str("use", d.name).Msg("platform store regained")
+	}
+	d.lost = err != nil
+}
+
+// followOperators keeps the configuration and the evacuations up to date.
+func (c *cluster) followOperators(ctx context.Context) {
+	state := dependency{c: c, name: "configuration"}
+	for ctx.Err() == nil {
+		zones, revision, err := c.readOperators(ctx)
+		state.result(err)
+		for err == nil {
+			err = c.watchOperators(ctx, zones, &revision, &state)
+			if errors.Is(err, store.ErrHistoryGone) {
+				break
+			}
+			if err != nil && ctx.Err() == nil {
+				state.result(err)
+				pause.For(ctx, storeRetry)
+				err = ctx.Err()
+			}
+		}
+		pause.For(ctx, storeRetry)
+	}
+}
+
+// readOperators reads what the operators have written, and returns the
+// evacuated zones and the revision from which to watch.
+func (c *cluster) readOperators(ctx context.Context) (map[model.Zone]bool, int64, error) {
+	kvs, revision, err := c.store.Range(ctx, c.formats.OperatorsPrefix, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	zones := map[model.Zone]bool{}
+	for i := range kvs {
+		c.operatorKey(&kvs[i], zones, "read")
+	}
+	c.evacuate(zones)
+	return zones, revision, nil
+}
+
+func (c *cluster) watchOperators(ctx context.Context, zones map[model.Zone]bool, revision *int64, state *dependency) error {
+	return c.store.Watch(ctx, c.formats.OperatorsPrefix, *revision, func(change store.Change) {
+		state.result(nil)
+		for i := range change.KVs {
+			c.operatorKey(&change.KVs[i], zones, "watch")
+		}
+		if len(change.KVs) > 0 {
+			c.evacuate(zones)
+		}
+		*revision = change.Revision
+	})
+}
+
+// operatorKey takes over one key; zones gets the evacuated zones.
+func (c *cluster) operatorKey(kv *store.KeyValue, zones map[model.Zone]bool, source string) {
+	if kv.Key == c.formats.ConfigurationKey {
+		if kv.ModRevision != 0 {
+			c.install(kv.Value, source)
+		}
+		return
+	}
+	zone, found := strings.CutPrefix(kv.Key, c.formats.EvacuationsPrefix)
+	if !found {
+		return
+	}
+	if kv.ModRevision == 0 {
+		delete(zones, model.Zone(zone))
+		return
+	}
+	zones[model.Zone(zone)] = true
+}
+
+func (c *cluster) evacuate(zones map[model.Zone]bool) {
+	ev := replicaset.Event{Kind: replicaset.EventEvacuations}
+	for z := range zones {
+		ev.Zones = append(ev.Zones, z)
+	}
+	c.Observe(&ev)
+}
+
+// followRegistrations keeps the list of upstreams up to date.
+func (c *cluster) followRegistrations(ctx context.Context) {
+	state := dependency{c: c, name: "registrations"}
+	unreadable := map[string]bool{}
+	for ctx.Err() == nil {
+		kvs, _, err := c.store.Range(ctx, c.formats.RegistrationsPrefix, 0)
+		if ctx.Err() != nil {
+			return
+		}
+		state.result(err)
+		if err != nil {
+			c.Observe(&replicaset.Event{Kind: replicaset.EventStoreUnavailable})
+			pause.For(ctx, storeRetry)
+			continue
+		}
+		c.register(kvs, unreadable)
+		pause.For(ctx, registrationsInterval)
+	}
+}
+
+// register takes over all entries. unreadable has the keys that were logged.
+func (c *cluster) register(kvs []store.KeyValue, unreadable map[string]bool) {
+	ev := replicaset.Event{Kind: replicaset.EventRegistrations}
+	for i := range kvs {
+		r, err := c.formats.Registration(kvs[i].Key, kvs[i].Value)
+		if err != nil {
+			if !unreadable[kvs[i].Key] {
+				unreadable[kvs[i].Key] = true
+				c.log.Warn().Err(err).Int64("revision", kvs[i].ModRevision).Msg("registration ignored")
+			}
+			continue
+		}
+		ev.Registrations = append(ev.Registrations, r)
+	}
+	c.Observe(&ev)
+}
--- /dev/null
+++ b/linenode/members.go
@@ -0,0 +1,204 @@
+package linenode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/pause"
+	"github.com/chervilhatch/chervilhatch/store"
+)
+
+// memberEntry is what a VM writes about itself.
+type memberEntry struct {
+	Address string `json:"address"`
+}
+
+// members keeps this VM's entry in the store alive and knows those of others.
+type members struct {
+	options Options
+	cluster *cluster
+	log     zerolog.Logger
+
+	mu sync.Mutex
+	// listed are the VMs in the store's list, learned those that peers told of.
+	listed  map[model.VMID]string
+	learned map[model.VMID]string
+	read    bool
+	// heard is when a peer last answered.
+	heard map[model.VMID]model.Time
+
+	lease     int64
+	renewedAt model.Time
+}
+
+func newMembers(o Options, c *cluster) *members {
+	return &members{
+		options: o, cluster: c, log: o.Log,
+		listed: map[model.VMID]string{}, learned: map[model.VMID]string{}, heard: map[model.VMID]model.Time{},
+	}
+}
+
+// known reports whether the list of VMs has been read, or told by a peer.
+func (m *members) known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read || len(m.learned) > 0
+}
+
+// run keeps the entry and the list until ctx ends.
+func (m *members) run(ctx context.Context) {
+	state := dependency{c: m.cluster, name: "list of VMs"}
+	listAt := model.Time(0)
+	for ctx.Err() == nil {
+		err := m.renew(ctx)
+		if now := boottime.Now(); err == nil && now >= listAt {
+			err = m.list(ctx)
+			listAt = now.Add(membersInterval)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		state.result(err)
+		if err != nil {
+			pause.For(ctx, storeRetry)
+			continue
+		}
+		pause.For(ctx, renewInterval)
+	}
+}
+
+// renew extends the lease of this VM's entry, or writes the entry anew.
+func (m *members) renew(ctx context.Context) error {
+	if m.lease != 0 {
+		err := m.options.Store.LeaseKeepAlive(ctx, m.lease)
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return err
+		}
+		m.lease = 0
+	}
+	lease, err := m.options.Store.LeaseGrant(ctx, memberTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(memberEntry{Address: m.options.PeerAddress})
+	if err != nil {
+		return err
+	}
+	key := membersPrefix + string(m.options.VM)
+	if _, err := m.options.Store.Txn(ctx, nil, []store.Write{{Key: key, Value: value, Lease: lease}}); err != nil {
+		return err
+	}
+	m.lease = lease
+	m.log.Info().Int64("lease", lease).Msg("entry of this VM written")
+	return nil
+}
+
+// list reads the entries of all VMs.
+func (m *members) list(ctx context.Context) error {
+	kvs, _, err := m.options.Store.Range(ctx, membersPrefix, 0)
+	if err != nil {
+		return err
+	}
+	listed := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
+	for i := range kvs {
+		var e memberEntry
+		if err := json.Unmarshal(kvs[i].Value, &e); err != nil {
+			m.log.Warn().Err(err).Str("key", kvs[i].Key).Msg("entry of a VM ignored")
+			continue
+		}
+		listed[model.VMID(strings.TrimPrefix(kvs[i].Key, membersPrefix))] = e.Address
+	}
+	m.mu.Lock()
+	changed := len(listed) != len(m.listed)
+	for vm, address := range listed {
+		changed = changed || m.listed[vm] != address
+	}
+	m.listed, m.read = listed, true
+	clear(m.learned)
+	m.mu.Unlock()
+	if changed {
+		m.publish("store")
+	}
+	return nil
+}
+
+// learn takes over VMs that a peer knows, until the store's list is read.
+func (m *members) learn(found map[model.VMID]string) {
+	m.mu.Lock()
+	changed := false
+	for vm, address := range found {
+		if _, known := m.listed[vm]; known || m.read || m.learned[vm] == address {
+			continue
+		}
+		m.learned[vm] = address
+		changed = true
+	}
+	m.mu.Unlock()
+	if changed {
+		m.publish("peer")
+	}
+}
+
+func (m *members) publish(source string) {
+	all := m.all()
+	vms := make([]model.VMID, 0, len(all))
+	for vm := range all {
+		vms = append(vms, vm)
+	}
+	slices.Sort(vms)
+	m.cluster.setMembers(vms)
+	m.log.Info().Int("vms", len(vms)).Str("source", source).Msg("list of VMs changed")
+}
+
+// all returns the VMs and their peer addresses, this one included.
+func (m *members) all() map[model.VMID]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
+	for vm, address := range m.learned {
+		all[vm] = address
+	}
+	for vm, address := range m.listed {
+		all[vm] = address
+	}
+	return all
+}
+
+func (m *members) answered(vm model.VMID, at model.Time) {
+	m.mu.Lock()
+	m.heard[vm] = at
+	m.mu.Unlock()
+}
+
+// rank returns how many VMs that have answered lately come before this one.
+func (m *members) rank() int {
+	now := boottime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rank := 0
+	for vm, at := range m.heard {
+		if vm < m.options.VM && now.Sub(at) < time.Second {
+			rank++
+		}
+	}
+	return rank
+}
+
+// leave removes this VM's entry.
+func (m *members) leave(ctx context.Context) {
+	if m.lease == 0 {
+		return
+	}
+	if err := m.options.Store.LeaseRevoke(ctx, m.lease); err != nil {
+		m.log.Warn().Err(err).Msg("entry of this VM not removed; it expires")
+	}
+}
--- /dev/null
+++ b/linenode/node.go
@@ -0,0 +1,179 @@
+package linenode
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/lineproxy"
+	"github.com/chervilhatch/chervilhatch/pause"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/telemetry"
+)
+
+// Reasons why a VM takes no new sessions.
+var (
+	errNoConfiguration = errors.New("no configuration is known yet")
+	errNoMembers       = errors.New("the list of VMs is not known yet")
+	errNoUpstreams     = errors.New("no upstream is known yet")
+	errStopping        = errors.New("the VM stops")
+)
+
+// Node is one daemon.
+type Node struct {
+	options Options
+	log     zerolog.Logger
+	cluster *cluster
+	members *members
+	duty    *duty
+	peers   *peers
+	callers *lineproxy.Server
+
+	stopping atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	grpc     *grpc.Server
+	pages    []*http.Server
+}
+
+// New returns a node that has not started yet.
+func New(o Options) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{options: o, log: o.Log, ctx: ctx, cancel: cancel}
+	n.cluster = newCluster(o)
+	n.members = newMembers(o, n.cluster)
+	n.duty = newDuty(o, n.cluster, n.members)
+	n.peers = newPeers(o, n.cluster, n.members, n.duty)
+	n.callers = lineproxy.NewServer(lineproxy.Options{
+		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions,
+	})
+	return n
+}
+
+// Start begins to work.
+func (n *Node) Start() {
+	n.servePages()
+	n.grpc = grpc.NewServer()
+	vmlinkv1.RegisterVMLinkServer(n.grpc, n.peers)
+	n.background(func() {
+		if err := n.grpc.Serve(n.options.Peers); err != nil {
+			n.log.Error().Err(err).Msg("gRPC listener failed")
+		}
+	})
+	n.background(func() {
+		if err := n.callers.Serve(n.options.Callers); err != nil {
+			n.log.Error().Err(err).Msg("callers' listener failed")
+		}
+	})
+	n.background(func() { n.cluster.followOperators(n.ctx) })
+	n.background(func() { n.cluster.followRegistrations(n.ctx) })
+	n.background(func() { n.members.run(n.ctx) })
+	n.background(func() { n.peers.run(n.ctx) })
+	n.background(func() { n.duty.run(n.ctx) })
+	n.background(n.tick)
+	n.log.Info().Str("vm", string(n.options.VM)).Str("zone", string(n.options.Zone)).
+		Str("callers", n.options.Callers.Addr().String()).Msg("started")
+}
+
+func (n *Node) background(fn func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		fn()
+	}()
+}
+
+func (n *Node) servePages() {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+n.options.Formats.ReadyPath, n.serveReady)
+	n.pages = append(n.pages, serveHTTP(n.options.Ready, ready, n.log))
+	if n.options.Metrics == nil {
+		return
+	}
+	pages := http.NewServeMux()
+	pages.Handle("GET /metrics", telemetry.MetricsText(n.options.Registry))
+	n.pages = append(n.pages, serveHTTP(n.options.Metrics, pages, n.log))
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := n.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Ready returns nil when this VM takes new sessions.
+func (n *Node) Ready() error {
+	c := n.cluster.Catalog()
+	switch {
+	case n.stopping.Load():
+		return errStopping
+	case c == nil:
+		return errNoConfiguration
+	case !n.members.known():
+		return errNoMembers
+	case !n.cluster.reachesAny(c):
+		return errNoUpstreams
+	}
+	return nil
+}
+
+// tick passes time where it is needed.
+func (n *Node) tick() {
+	for pause.For(n.ctx, trimInterval) {
+		n.cluster.trim()
+	}
+}
+
+// drainTimes divides the grace time of a stop. The platform needs about two
+// seconds to notice that the VM is not ready; transactions get half of the time.
+func drainTimes(grace time.Duration) lineproxy.DrainTimes {
+	return lineproxy.DrainTimes{
+		Answered: grace * 2 / 5,
+		Idle:     grace / 2,
+		All:      grace / 2,
+		End:      grace * 17 / 20,
+	}
+}
+
+// Stop ends the node gracefully: new sessions go elsewhere, requests are
+// answered, and the VM's duties are handed over.
+func (n *Node) Stop() {
+	n.log.Info().Int("sessions", n.callers.Sessions()).Dur("grace", n.options.Grace).Msg("stopping")
+	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.options.Grace)
+	defer cancel()
+	n.duty.release(ctx)
+	n.callers.Drain(ctx, drainTimes(n.options.Grace))
+	// The listener of a process that ends is closed anyway.
+	_ = n.options.Callers.Close()
+	n.members.leave(ctx)
+	n.cancel()
+	n.grpc.Stop()
+	for _, p := range n.pages {
+		_ = p.Close()
+	}
+	n.cluster.close()
+	n.log.Info().Msg("stopped")
+}
+
+// reachesAny reports whether an upstream of each service is known.
+func (c *cluster) reachesAny(s *catalog.Snapshot) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range s.Routes {
+		if c.replicas.Known(s.Routes[i].Service) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/linenode/options.go
@@ -0,0 +1,106 @@
+// Package linenode composes the daemon of a deployment whose callers and
+// upstreams speak the line protocol and whose upstreams register in a store.
+package linenode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/store"
+)
+
+// Formats decode what lies in the store.
+type Formats struct {
+	// ConfigurationKey holds the configuration; it and the keys of evacuated
+	// zones have the prefix OperatorsPrefix.
+	ConfigurationKey  string
+	OperatorsPrefix   string
+	EvacuationsPrefix string
+	// RegistrationsPrefix is that of the upstreams' entries.
+	RegistrationsPrefix string
+	Configuration       func(value []byte) (*catalog.Snapshot, error)
+	Registration        func(key string, value []byte) (replicaset.Registration, error)
+	// ReadyPath is where the platform asks whether the VM takes new sessions.
+	ReadyPath string
+	// PromotionRefused is the error of a promotion that was refused for good.
+	PromotionRefused error
+}
+
+// Promoter promotes an upstream of a service.
+type Promoter interface {
+	Promote(ctx context.Context, service catalog.Service, id model.UpstreamID, token uint64) error
+}
+
+// Options configure a Node.
+type Options struct {
+	VM   model.VMID
+	Zone model.Zone
+	// PeerAddress is where other VMs reach the Peers listener.
+	PeerAddress string
+	// Seeds are peer addresses that are asked at the start.
+	Seeds []string
+
+	Callers net.Listener
+	Peers   net.Listener
+	Ready   net.Listener
+	Metrics net.Listener
+
+	Store    store.Store
+	Promoter Promoter
+	Formats  Formats
+
+	// MaxSessions bounds the callers' connections.
+	MaxSessions int
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+
+	Log      zerolog.Logger
+	Registry metrics.Registry
+}
+
+const (
+	// storeRetry is the pause after a call that the store did not serve.
+	storeRetry = 200 * time.Millisecond
+	// registrationsInterval is how often the upstreams' entries are read; a
+	// leaving upstream serves for several seconds after its notice.
+	registrationsInterval = time.Second
+	// membersInterval is how often the list of VMs is read.
+	membersInterval = 2 * time.Second
+	// memberTTL is how long the entry of a VM outlives its last renewal,
+	// which comes every renewInterval.
+	memberTTL     = 6 * time.Second
+	renewInterval = 1500 * time.Millisecond
+	// observeInterval is how often a VM asks its peers.
+	observeInterval = 300 * time.Millisecond
+	// observeTimeout bounds such a question.
+	observeTimeout = 400 * time.Millisecond
+	// trimInterval is how often idle connections are looked at.
+	trimInterval = 250 * time.Millisecond
+	// headerTimeout bounds how long a client of the HTTP pages may take.
+	headerTimeout = 3 * time.Second
+)
+
+// Keys of this project in the store.
+const (
+	ownPrefix     = "chervilhatch/"
+	membersPrefix = ownPrefix + "vms/"
+	dutyKey       = ownPrefix + "duty/promotion"
+)
+
+func serveHTTP(l net.Listener, h http.Handler, log zerolog.Logger) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(l); err != nil && err != http.ErrServerClosed {
+			log.Error().Err(err).Str("address", l.Addr().String()).Msg("HTTP listener failed")
+		}
+	}()
+	return server
+}
--- /dev/null
+++ b/linenode/peers.go
@@ -0,0 +1,252 @@
+package linenode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/quota"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/pause"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+)
+
+const (
+	// reconnectDelay bounds the pause between connection attempts to a peer, so
+	// that a peer that returns is heard within a second.
+	reconnectDelay = 500 * time.Millisecond
+	// deadPeer is how long a connection without an answer is kept.
+	deadPeer = time.Second
+	// forgetContact is the age at which a contact with an upstream is no
+	// longer reported.
+	forgetContact = 5 * time.Second
+)
+
+// peers asks the other VMs what they know, and answers them.
+type peers struct {
+	vmlinkv1.UnimplementedVMLinkServer
+
+	options Options
+	cluster *cluster
+	members *members
+	duty    *duty
+	log     zerolog.Logger
+
+	mu      sync.Mutex
+	links   map[string]*grpc.ClientConn
+	asking  map[string]bool
+	demands []quota.Demand
+}
+
+func newPeers(o Options, c *cluster, m *members, d *duty) *peers {
+	return &peers{
+		options: o, cluster: c, members: m, duty: d, log: o.Log,
+		links: map[string]*grpc.ClientConn{}, asking: map[string]bool{},
+	}
+}
+
+// run asks all peers at each interval until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.cluster.mu.Lock()
+		demands := p.cluster.quota.Tick(boottime.Now())
+		p.cluster.mu.Unlock()
+		p.mu.Lock()
+		p.demands = demands
+		p.mu.Unlock()
+		targets := p.targets()
+		for _, address := range targets {
+			go p.ask(ctx, address)
+		}
+		p.forget(targets)
+		pause.For(ctx, observeInterval)
+	}
+	p.forget(nil)
+}
+
+// targets returns the addresses to ask: those of all other VMs, or of the seeds
+// while no other VM is known.
+func (p *peers) targets() map[model.VMID]string {
+	all := p.members.all()
+	delete(all, p.options.VM)
+	if len(all) > 0 {
+		return all
+	}
+	for _, address := range p.options.Seeds {
+		if address != p.options.PeerAddress {
+			all[model.VMID("seed "+address)] = address
+		}
+	}
+	return all
+}
+
+// forget closes the connections to VMs that are gone.
+func (p *peers) forget(targets map[model.VMID]string) {
+	wanted := map[string]bool{}
+	for _, address := range targets {
+		wanted[address] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, link := range p.links {
+		if !wanted[address] {
+			// Calls that are under way fail; the peer is gone.
+			_ = link.Close()
+			delete(p.links, address)
+		}
+	}
+}
+
+// link returns the connection to a peer, unless a question to it is unanswered.
+func (p *peers) link(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking[address] {
+		return nil, nil
+	}
+	link := p.links[address]
+	if link == nil {
+		var err error
+		link, err = grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: reconnectDelay / 4, Multiplier: 1.6, MaxDelay: reconnectDelay},
+				MinConnectTimeout: reconnectDelay,
+			}),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: deadPeer}))
+		if err != nil {
+			return nil, err
+		}
+		p.links[address] = link
+	}
+	p.asking[address] = true
+	return link, nil
+}
+
+func (p *peers) ask(ctx context.Context, address string) {
+	link, err := p.link(address)
+	if err != nil {
+		p.log.Error().Err(err).Str("address", address).Msg("peer cannot be called")
+		return
+	}
+	if link == nil {
+		return
+	}
+	defer func() {
+		p.mu.Lock()
+		delete(p.asking, address)
+		p.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	version, _ := p.cluster.stored()
+	asked := boottime.Now()
+	answer, err := vmlinkv1.NewVMLinkClient(link).Observe(ctx, &vmlinkv1.ObserveRequest{
+		Vm: string(p.options.VM), ConfigVersion: version,
+	})
+	if err != nil {
+		// Silence shows in the age of what the peer said last.
+		p.log.Debug().Err(err).Str("address", address).Msg("peer did not answer")
+		return
+	}
+	p.heard(asked, answer)
+}
+
+// heard takes over what a peer knows. All of it is dated back from when the
+// question was sent.
+func (p *peers) heard(asked model.Time, a *vmlinkv1.ObserveResponse) {
+	vm := model.VMID(a.GetVm())
+	p.members.answered(vm, asked)
+	p.duty.heard(vm, model.VMID(a.GetDutyHolder()), asked)
+	if len(a.GetConfig()) > 0 {
+		p.cluster.install(a.GetConfig(), "peer "+a.GetVm())
+	}
+	demands := make([]quota.Demand, 0, len(a.GetDemands()))
+	for _, d := range a.GetDemands() {
+		demands = append(demands, quota.Demand{Workspace: model.Workspace(d.GetWorkspace()), PerSecond: d.GetPerSecond()})
+	}
+	found := map[model.VMID]string{}
+	for _, m := range a.GetMembers() {
+		found[model.VMID(m.GetVm())] = m.GetAddress()
+	}
+	p.members.learn(found)
+	for _, c := range a.GetContacts() {
+		p.duty.contact(model.UpstreamID(c.GetUpstream()), asked.Add(-age(c.GetAgeUs())))
+	}
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	p.cluster.quota.Report(asked, vm, demands)
+	for _, e := range a.GetEvidence() {
+		p.evidence(asked, e)
+	}
+}
+
+func age(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func (p *peers) evidence(asked model.Time, e *vmlinkv1.Evidence) {
+	at := asked.Add(-age(e.GetAgeUs()))
+	service := catalog.Service(e.GetService())
+	position := model.Position{Term: model.Term{Counter: e.GetPositionTerm()}, Pos: model.LogPos(e.GetPosition())}
+	if e.GetPrimary() != "" {
+		p.cluster.applyLocked(&replicaset.Event{
+			Kind: replicaset.EventPrimary, Service: service, Upstream: model.UpstreamID(e.GetPrimary()), Term: e.GetTerm(), AskedAt: at,
+		})
+	}
+	p.cluster.applyLocked(&replicaset.Event{
+		Kind: replicaset.EventEvidence, Service: service, Position: position, Term: e.GetTerm(), AskedAt: at,
+	})
+}
+
+// Observe answers a peer.
+func (p *peers) Observe(_ context.Context, r *vmlinkv1.ObserveRequest) (*vmlinkv1.ObserveResponse, error) {
+	a := &vmlinkv1.ObserveResponse{Vm: string(p.options.VM), DutyHolder: string(p.duty.holder())}
+	version, raw := p.cluster.stored()
+	a.ConfigVersion = version
+	if version > r.GetConfigVersion() {
+		a.Config = raw
+	}
+	p.mu.Lock()
+	for _, d := range p.demands {
+		a.Demands = append(a.Demands, &vmlinkv1.Demand{Workspace: string(d.Workspace), PerSecond: d.PerSecond})
+	}
+	p.mu.Unlock()
+	for vm, address := range p.members.all() {
+		a.Members = append(a.Members, &vmlinkv1.Member{Vm: string(vm), Address: address})
+	}
+	p.knowledge(a)
+	return a, nil
+}
+
+// knowledge adds what this VM has seen of the upstreams itself.
+func (p *peers) knowledge(a *vmlinkv1.ObserveResponse) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	now := boottime.Now()
+	for _, v := range p.cluster.replicas.Views() {
+		if e, ok := p.cluster.replicas.NewestEvidence(v.Service); ok {
+			a.Evidence = append(a.Evidence, &vmlinkv1.Evidence{
+				Service: string(v.Service), Term: e.Term, PositionTerm: e.Position.Term.Counter,
+				Position: uint64(e.Position.Pos), AgeUs: uint64(now.Sub(e.At).Microseconds()),
+				Primary: string(v.Primary),
+			})
+		}
+		for i := range v.Members {
+			m := &v.Members[i]
+			if m.ContactAt != 0 && now.Sub(m.ContactAt) < forgetContact {
+				a.Contacts = append(a.Contacts, &vmlinkv1.Contact{
+					Upstream: string(m.ID), AgeUs: uint64(now.Sub(m.ContactAt).Microseconds()),
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/linenode/probe.go
@@ -0,0 +1,198 @@
+package linenode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/promotion"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// probeTimeout bounds a status query or an order; an upstream answers within
+// milliseconds unless all its slots are busy.
+const probeTimeout = 500 * time.Millisecond
+
+// errStatus reports an unreadable status.
+var errStatus = errors.New("unreadable status")
+
+// probes sends status queries and orders to upstreams. Each upstream has one
+// connection for it, which is opened when it is needed.
+type probes struct {
+	cluster *cluster
+	mu      sync.Mutex
+	links   map[model.UpstreamID]*probeLink
+	closed  bool
+}
+
+// probeLink is the connection to one upstream. Its mutex is held for one query.
+type probeLink struct {
+	mu          sync.Mutex
+	pool        *upstreampool.Pool
+	address     string
+	incarnation int64
+	// askedAt is when the last answered query was sent.
+	askedAt model.Time
+}
+
+func newProbes(c *cluster) *probes {
+	return &probes{cluster: c, links: map[model.UpstreamID]*probeLink{}}
+}
+
+// status asks an upstream for its status and reports it. Questions that wait
+// for one that was sent after them share its answer.
+func (p *probes) status(ctx context.Context, id model.UpstreamID) bool {
+	return p.send(ctx, id, promotion.OrderStatus, 0) == nil
+}
+
+func (p *probes) link(id model.UpstreamID) (*probeLink, error) {
+	p.cluster.mu.Lock()
+	m, ok := p.cluster.replicas.Member(id)
+	p.cluster.mu.Unlock()
+	if !ok {
+		return nil, upstreampool.ErrClosed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[id]
+	if l != nil && l.address == m.Address && l.incarnation == m.Incarnation {
+		return l, nil
+	}
+	if l != nil {
+		l.pool.Close()
+	}
+	upstream := upstreampool.Upstream{
+		ID: id, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
+	}
+	l = &probeLink{
+		pool:    upstreampool.New(upstream, upstreampool.Share{Base: 1, Most: 1}),
+		address: m.Address, incarnation: m.Incarnation,
+	}
+	p.links[id] = l
+	return l, nil
+}
+
+// send gives an order, or asks for the status only, and reports the answer.
+func (p *probes) send(ctx context.Context, id model.UpstreamID, k promotion.OrderKind, term uint64) error {
+	l, err := p.link(id)
+	if err != nil {
+		return err
+	}
+	before := p.cluster.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k == promotion.OrderStatus && l.askedAt > before {
+		return nil
+	}
+	asked := p.cluster.Now()
+	a, err := l.query(ctx, orderText(k, term))
+	metrics.GetOrRegisterCounter("probes."+k.String(), p.cluster.registry).Inc(1)
+	if err != nil {
+		p.cluster.Observe(&replicaset.Event{
+			Kind: replicaset.EventFailed, Upstream: id, Refused: errors.Is(err, syscall.ECONNREFUSED),
+		})
+		return err
+	}
+	if a.Code != "" {
+		p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventServed, Upstream: id, Position: a.Ready.Position})
+		return fmt.Errorf("%s at upstream %s: %s %s", k, id, a.Code, a.Text)
+	}
+	status, err := parseStatus(&a)
+	if err != nil {
+		return err
+	}
+	l.askedAt = asked
+	p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventStatus, Upstream: id, AskedAt: asked, Status: status})
+	return nil
+}
+
+func (l *probeLink) query(ctx context.Context, text string) (upstreampool.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := l.pool.Acquire(ctx, upstreampool.Request{Workspace: lineproto.OwnID, Wait: probeTimeout})
+	if err != nil {
+		return upstreampool.Answer{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	a, err := conn.Query(deadline, lineproto.OwnID, text)
+	l.pool.Release(conn, err == nil)
+	return a, err
+}
+
+func orderText(k promotion.OrderKind, term uint64) string {
+	number := strconv.FormatUint(term, 10)
+	switch k {
+	case promotion.OrderPause:
+		return "PAUSE " + number
+	case promotion.OrderResume:
+		return "RESUME"
+	case promotion.OrderStepDown:
+		return "STEPDOWN " + number
+	}
+	return "STATUS"
+}
+
+// Fields of a status row.
+const (
+	fieldRole = iota
+	fieldTerm
+	fieldReceived
+	fieldHeldTerm
+	fieldLag
+	fieldBusy
+	fieldConnections
+	statusFields
+)
+
+func parseStatus(a *upstreampool.Answer) (replicaset.Status, error) {
+	if len(a.Rows) != 1 {
+		return replicaset.Status{}, fmt.Errorf("%w: %d rows", errStatus, len(a.Rows))
+	}
+	f := strings.Fields(a.Rows[0])
+	if len(f) < statusFields {
+		return replicaset.Status{}, fmt.Errorf("%w: %q", errStatus, a.Rows[0])
+	}
+	received, err := lineproto.ParsePosition(f[fieldReceived])
+	if err != nil {
+		return replicaset.Status{}, fmt.Errorf("%w: %w", errStatus, err)
+	}
+	numbers := make([]float64, statusFields)
+	for _, i := range []int{fieldTerm, fieldHeldTerm, fieldLag, fieldBusy, fieldConnections} {
+		if numbers[i], err = strconv.ParseFloat(f[i], 64); err != nil {
+			return replicaset.Status{}, fmt.Errorf("%w: %w", errStatus, err)
+		}
+	}
+	return replicaset.Status{
+		Primary: f[fieldRole] == "primary", Term: uint64(numbers[fieldTerm]),
+		Received: received, Applied: a.Ready.Position, HeldTerm: uint64(numbers[fieldHeldTerm]),
+		Lag:  time.Duration(numbers[fieldLag] * float64(time.Millisecond)),
+		Busy: int(numbers[fieldBusy]), Connections: int(numbers[fieldConnections]),
+	}, nil
+}
+
+// trim closes the connections that have not been needed for a while.
+func (p *probes) trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.pool.Trim()
+	}
+}
+
+func (p *probes) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.pool.Close()
+	}
+}
--- /dev/null
+++ b/lineproxy/cluster.go
@@ -0,0 +1,40 @@
+// Package lineproxy serves callers that speak the line protocol: sessions with
+// values and prepared statements, single statements and transactions, which it
+// runs on discovered upstreams.
+package lineproxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/quota"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// Cluster is what sessions need to know and report of the deployment.
+type Cluster interface {
+	// Now reads the clock that all model.Time values refer to.
+	Now() model.Time
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog() *catalog.Snapshot
+	// Admit takes the token of one operation, Return gives it back for an
+	// operation that has certainly not run.
+	Admit(w model.Workspace) quota.Verdict
+	Return(w model.Workspace)
+	// Floor returns the position that a read has to see, and the age of its proof.
+	Floor(service catalog.Service, bound time.Duration, session model.Position) (floor model.Position, age time.Duration, ok bool)
+	// RefreshEvidence asks the primary for newer proof; it returns false when
+	// there is none before ctx ends.
+	RefreshEvidence(ctx context.Context, service catalog.Service) bool
+	// Primary returns the upstream that writes go to.
+	Primary(service catalog.Service) (replicaset.Member, bool)
+	// ReadCandidates returns the upstreams to try a read on, best first.
+	ReadCandidates(service catalog.Service, floor model.Position, w model.Workspace) []replicaset.Candidate
+	// Pool returns the connections to an upstream, or nil.
+	Pool(id model.UpstreamID) *upstreampool.Pool
+	// Observe reports what an upstream did.
+	Observe(ev *replicaset.Event)
+}
--- /dev/null
+++ b/lineproxy/tx.go
@@ -0,0 +1,264 @@
+package lineproxy
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// rollbackTimeout bounds the end of a transaction that is given up; the
+// connection is closed when it passes, which ends the transaction as well.
+const rollbackTimeout = 300 * time.Millisecond
+
+// transaction is an open transaction of a caller. It holds a connection from
+// its first statement on.
+type transaction struct {
+	*operation
+	readOnly bool
+	failed   bool
+	wrote    bool
+	lastID   string
+
+	upstream model.UpstreamID
+	conn     *upstreampool.Conn
+	pool     *upstreampool.Pool
+}
+
+// discard closes the connection, which rolls the transaction back.
+func (x *transaction) discard() {
+	if x.conn == nil {
+		return
+	}
+	x.pool.Release(x.conn, false)
+	x.conn = nil
+}
+
+// rollback ends the transaction on the upstream and keeps the connection.
+func (x *transaction) rollback() {
+	if x.conn == nil {
+		return
+	}
+	a, err := x.conn.Query(time.Now().Add(rollbackTimeout), lineproto.OwnID, "ROLLBACK")
+	x.pool.Release(x.conn, err == nil && a.Code == "" && a.Ready.State == lineproto.Idle)
+	x.conn = nil
+}
+
+// runInTx executes one request of an open transaction.
+func (s *session) runInTx(p *statement) reply {
+	x := s.tx
+	x.lastID = p.id
+	switch p.verb {
+	case lineproto.VerbBegin, lineproto.VerbBeginRead:
+		return s.malformed("a transaction is open")
+	case lineproto.VerbRollback:
+		x.rollback()
+		s.tx = nil
+		return done()
+	}
+	if _, workspace, refusal := s.authorize(s.server.cluster.Catalog()); refusal != nil && refusal.code == lineproto.NoAuth || refusal == nil && workspace != x.workspace {
+		x.log(p.id, "transaction ended", func(e *Entry) { e.Str("cause", "key withdrawn") })
+		return s.endIfCommit(p, failure(lineproto.NoAuth, "the key is not known"))
+	}
+	t := x.timing()
+	if x.conn == nil {
+		if r := x.open(p.id, &t); r != nil {
+			return s.endIfCommit(p, *r)
+		}
+	}
+	if p.verb == lineproto.VerbCommit {
+		return s.commit(p, &t)
+	}
+	return x.statement(s, p, &t)
+}
+
+// endIfCommit fails the transaction; a COMMIT also ends it.
+func (s *session) endIfCommit(p *statement, r reply) reply {
+	r = s.failTx(r)
+	if p.verb == lineproto.VerbCommit {
+		s.tx = nil
+	}
+	return r
+}
+
+// open starts the transaction on an upstream. The reply is nil on success.
+func (x *transaction) open(id string, t *timing) *reply {
+	for {
+		r := x.openOnce(id, t)
+		if r == nil {
+			return nil
+		}
+		if t.waitLeft() <= 0 {
+			refusal := x.refuse(id, r.text, retryBusy)
+			return &refusal
+		}
+		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
+	}
+}
+
+func (x *transaction) openOnce(id string, t *timing) *reply {
+	if !x.readOnly || x.route.Freshness == catalog.FreshPrimary {
+		return x.openPrimary(id, t)
+	}
+	floor, age, ok := x.floor(t)
+	if !ok {
+		r := failure(lineproto.Busy, "freshness cannot be proved")
+		return &r
+	}
+	r := failure(lineproto.Busy, "no upstream")
+	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
+		failed := x.openOn(c.ID, after(floor, "BEGIN READ"), floor, t)
+		if failed == nil {
+			x.log(id, "transaction opened", func(e *Entry) {
+				e.Str("upstream", string(c.ID)).Str("floor", lineproto.FormatPosition(floor)).Dur("proof_age", age)
+			})
+			return nil
+		}
+		r = *failed
+		if t.waitLeft() <= 0 {
+			break
+		}
+	}
+	return &r
+}
+
+func (x *transaction) openPrimary(id string, t *timing) *reply {
+	m, ok := x.awaitPrimary(t)
+	if !ok {
+		r := failure(lineproto.Busy, "no primary")
+		return &r
+	}
+	r := x.openOn(m.ID, "BEGIN", model.Position{}, t)
+	if r == nil {
+		x.log(id, "transaction opened", func(e *Entry) { e.Str("upstream", string(m.ID)) })
+	}
+	return r
+}
+
+// openOn starts the transaction on one upstream.
+func (x *transaction) openOn(id model.UpstreamID, begin string, floor model.Position, t *timing) *reply {
+	conn, pool, err := x.connect(id, t.waitLeft(), t)
+	if err != nil {
+		r := failure(lineproto.Busy, refusalCause(err))
+		return &r
+	}
+	a, err := conn.Query(t.deadline, lineproto.OwnID, begin)
+	switch {
+	case err != nil:
+		x.connectFailed(id, err)
+	case a.Code == "" && a.Ready.State == lineproto.InTx:
+		x.conn, x.pool, x.upstream = conn, pool, id
+		return nil
+	case a.Code == lineproto.ReadOnly:
+		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
+	case a.Code == lineproto.Lagging:
+		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventLagging, Upstream: id, Position: floor})
+	}
+	pool.Release(conn, err == nil && a.Ready.State == lineproto.Idle)
+	r := failure(lineproto.Busy, "the transaction could not be opened")
+	return &r
+}
+
+// send sends a statement of the transaction, and again while the upstream
+// answers that it had no slot and has kept the transaction open.
+func (x *transaction) send(p *statement, t *timing) (upstreampool.Answer, error) {
+	state := upstreampool.SessionState{ID: x.session.id, Values: x.session.values}
+	if err := x.conn.Adopt(t.deadline, &state); err != nil {
+		return upstreampool.Answer{}, err
+	}
+	text, err := p.textFor(x.conn, t)
+	if err != nil {
+		return upstreampool.Answer{}, err
+	}
+	for {
+		start := time.Now()
+		a, err := x.conn.Query(t.deadline, p.id, text)
+		if err != nil {
+			return a, err
+		}
+		if a.Code != lineproto.Busy || a.Ready.State != lineproto.InTx || t.waitLeft() <= 0 {
+			if a.Code == "" {
+				x.pool.Observe(time.Since(start))
+			}
+			return a, nil
+		}
+		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
+	}
+}
+
+// statement runs a read or write of the transaction.
+func (x *transaction) statement(s *session, p *statement, t *timing) reply {
+	a, err := x.send(p, t)
+	if err != nil {
+		return s.txBroke(p, err)
+	}
+	if a.Code != "" {
+		x.failedOn(p, &a)
+		return s.failTx(answered(&a))
+	}
+	x.wrote = x.wrote || p.write
+	x.served(x.upstream, x.cluster.Now(), &a, false)
+	return answered(&a)
+}
+
+func (x *transaction) failedOn(p *statement, a *upstreampool.Answer) {
+	x.log(p.id, "upstream failed the statement", func(e *Entry) {
+		e.Str("upstream", string(x.upstream)).Str("code", string(a.Code)).Bool("in_transaction", true)
+	})
+	if a.Code == lineproto.ReadOnly && !x.readOnly {
+		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: x.upstream})
+	}
+}
+
+// txBroke answers after the connection of a transaction was lost before its
+// COMMIT was sent: the upstream rolls it back.
+func (s *session) txBroke(p *statement, err error) reply {
+	x := s.tx
+	x.connectFailed(x.upstream, err)
+	x.log(p.id, "transaction lost its connection", func(e *Entry) { e.Str("upstream", string(x.upstream)).Err(err) })
+	x.discard()
+	x.failed = true
+	return failure(lineproto.Aborted, "the connection to the upstream was lost; the transaction is rolled back")
+}
+
+// commit ends the transaction.
+func (s *session) commit(p *statement, t *timing) reply {
+	x := s.tx
+	asked := x.cluster.Now()
+	a, err := x.send(p, t)
+	s.tx = nil
+	if err != nil {
+		return x.commitBroke(p, err)
+	}
+	x.pool.Release(x.conn, a.Ready.State == lineproto.Idle)
+	x.conn = nil
+	if a.Code != "" {
+		x.failedOn(p, &a)
+		return answered(&a)
+	}
+	x.served(x.upstream, asked, &a, x.wrote)
+	if x.wrote {
+		s.committed(a.Ready.Position)
+	}
+	x.log(p.id, "transaction committed", func(e *Entry) {
+		e.Str("upstream", string(x.upstream)).Str("position", lineproto.FormatPosition(a.Ready.Position))
+	})
+	return answered(&a)
+}
+
+func (x *transaction) commitBroke(p *statement, err error) reply {
+	x.connectFailed(x.upstream, err)
+	x.discard()
+	sent := brokenAfterSend(err)
+	x.log(p.id, "commit lost its connection", func(e *Entry) {
+		e.Str("upstream", string(x.upstream)).Bool("sent", sent).Bool("wrote", x.wrote).Err(err)
+	})
+	if !sent || !x.wrote {
+		return failure(lineproto.Aborted, "the connection to the upstream was lost; nothing is kept")
+	}
+	x.session.server.count("indoubt")
+	return failure(lineproto.InDoubt, "the connection to the upstream was lost during COMMIT; the outcome is unknown")
+}
--- /dev/null
+++ b/lineproxy/write.go
@@ -0,0 +1,103 @@
+package lineproxy
+
+import (
+	"errors"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// write runs a single statement that changes data. It is sent again only while
+// it has certainly not run.
+func (o *operation) write(p *statement) reply {
+	t := o.timing()
+	for {
+		r, again := o.writeOnce(p, &t)
+		if !again {
+			return r
+		}
+		if t.waitLeft() <= 0 {
+			if r.code == "" {
+				return o.refuse(p.id, "no primary", retryPrimary)
+			}
+			return o.refuse(p.id, r.text, retryBusy)
+		}
+		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
+	}
+}
+
+// writeOnce makes one attempt. again is true when the statement has not run.
+func (o *operation) writeOnce(p *statement, t *timing) (r reply, again bool) {
+	m, ok := o.awaitPrimary(t)
+	if !ok {
+		return reply{}, true
+	}
+	conn, pool, err := o.connect(m.ID, t.waitLeft(), t)
+	if err != nil {
+		return failure(lineproto.Busy, refusalCause(err)), true
+	}
+	text, err := p.textFor(conn, t)
+	if err != nil {
+		pool.Release(conn, false)
+		return failure(lineproto.Busy, refusalCause(err)), true
+	}
+	asked, start := o.cluster.Now(), time.Now()
+	a, err := conn.Query(t.deadline, p.id, text)
+	if err != nil {
+		pool.Release(conn, false)
+		return o.writeBroke(p, m.ID, err)
+	}
+	pool.Observe(time.Since(start))
+	pool.Release(conn, a.Ready.State == lineproto.Idle)
+	return o.writeAnswered(p, m.ID, asked, &a)
+}
+
+// writeBroke decides about a write whose connection failed.
+func (o *operation) writeBroke(p *statement, id model.UpstreamID, err error) (r reply, again bool) {
+	o.connectFailed(id, err)
+	if !brokenAfterSend(err) {
+		return failure(lineproto.Busy, "connection lost"), true
+	}
+	o.session.server.count("indoubt")
+	o.log(p.id, "outcome unknown", func(e *Entry) { e.Str("upstream", string(id)).Err(err) })
+	if timedOut(err) {
+		return failure(lineproto.Timeout, "the statement's time limit passed; its outcome is unknown"), false
+	}
+	return failure(lineproto.InDoubt, "the connection to the upstream was lost; the outcome is unknown"), false
+}
+
+func (o *operation) writeAnswered(p *statement, id model.UpstreamID, asked model.Time, a *upstreampool.Answer) (r reply, again bool) {
+	switch {
+	case a.Code == "":
+		o.served(id, asked, a, true)
+		o.session.committed(a.Ready.Position)
+		o.log(p.id, "write served", func(e *Entry) { e.Str("upstream", string(id)).Str("position", lineproto.FormatPosition(a.Ready.Position)) })
+		return answered(a), false
+	case a.Code == lineproto.ReadOnly:
+		o.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
+		o.log(p.id, "upstream is not the primary", func(e *Entry) { e.Str("upstream", string(id)) })
+		return reply{}, true
+	case a.Code.NotRun():
+		return failure(a.Code, "upstream busy"), true
+	}
+	o.log(p.id, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
+	return answered(a), false
+}
+
+// committed notes a commit of this session.
+func (s *session) committed(p model.Position) { s.position = s.position.Max(p) }
+
+// refusalCause names why no connection could be had.
+func refusalCause(err error) string {
+	var refused *upstreampool.RefusedError
+	switch {
+	case errors.Is(err, upstreampool.ErrWaited):
+		return "no free connection"
+	case errors.As(err, &refused):
+		return "upstream refused the connection"
+	}
+	return "upstream unreachable"
+}
--- /dev/null
+++ b/settings/line.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/findings"
+	"github.com/chervilhatch/chervilhatch/findings/jsondoc"
+)
+
+// Defaults of optional fields of Line.
+const (
+	DefaultStoreTimeout = 700 * time.Millisecond
+	DefaultWatchWait    = 2500 * time.Millisecond
+	DefaultGrace        = 6 * time.Second
+)
+
+// Line is the settings file of a VM whose callers and upstreams speak the line
+// protocol.
+type Line struct {
+	VM       VM           `json:"vm"`
+	Callers  LineCallers  `json:"callers"`
+	Ready    Admin        `json:"ready"`
+	Metrics  Admin        `json:"metrics"`
+	Peer     LinePeer     `json:"peer"`
+	Store    LineStore    `json:"store"`
+	Promoter LinePromoter `json:"promoter"`
+	// Grace is the time from the request to stop until the process is killed.
+	Grace jsondoc.Duration `json:"grace"`
+	// MemoryMB is the process's memory limit in MB; 0 means none.
+	MemoryMB int `json:"memory_mb"`
+	Log      Log `json:"log"`
+}
+
+// SetDefaults sets the fields that a file may omit.
+func (s *Line) SetDefaults() {
+	s.Grace = jsondoc.Duration(DefaultGrace)
+	s.Store.SetDefaults()
+	s.Log.SetDefaults()
+}
+
+// LineCallers is the listener for callers.
+type LineCallers struct {
+	Listen string `json:"listen"`
+	// MaxDescriptors is the process's limit; some are kept for other uses.
+	MaxDescriptors int `json:"max_descriptors"`
+}
+
+// LinePeer is the listener for other VMs.
+type LinePeer struct {
+	Listen string   `json:"listen"`
+	Seeds  []string `json:"seeds"`
+	// Insecure turns mutual TLS off, for networks that keep others out. There
+	// is no other form yet, so it has to be set.
+	Insecure bool `json:"insecure"`
+}
+
+// LineStore is how to reach the platform's metadata store.
+type LineStore struct {
+	Address string           `json:"address"`
+	Timeout jsondoc.Duration `json:"timeout"`
+	// WatchWait is how long the store may hold back a watch without changes.
+	WatchWait jsondoc.Duration `json:"watch_wait"`
+}
+
+// SetDefaults sets the fields that a file may omit.
+func (s *LineStore) SetDefaults() {
+	s.Timeout = jsondoc.Duration(DefaultStoreTimeout)
+	s.WatchWait = jsondoc.Duration(DefaultWatchWait)
+}
+
+// LinePromoter is how to reach the service that promotes upstreams.
+type LinePromoter struct {
+	Address string `json:"address"`
+}
+
+// LoadLine reads and checks a settings file. The error is a findings.List when
+// the content is wrong.
+func LoadLine(path string) (*Line, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, list := ParseLine(path, data)
+	return s, list.Err()
+}
+
+// ParseLine decodes and checks the content of a settings file.
+func ParseLine(file string, data []byte) (*Line, findings.List) {
+	s := &Line{}
+	source := jsondoc.Decode(file, data, s)
+	if source.Parsed() {
+		checkLine(s, source)
+	}
+	if list := source.Findings(); len(list) > 0 {
+		return nil, list
+	}
+	return s, nil
+}
+
+func checkLine(s *Line, source *jsondoc.Source) {
+	c := checker{source}
+	c.name("vm.id", string(s.VM.ID))
+	c.name("vm.zone", string(s.VM.Zone))
+	c.listen("callers.listen", s.Callers.Listen)
+	c.listen("ready.listen", s.Ready.Listen)
+	c.listen("peer.listen", s.Peer.Listen)
+	for i, address := range s.Peer.Seeds {
+		c.address(fmt.Sprintf("peer.seeds[%d]", i), address)
+	}
+	c.address("store.address", s.Store.Address)
+	c.address("promoter.address", s.Promoter.Address)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.form", s.Log.Form, "json", "text")
+	if !s.Peer.Insecure {
+		source.Add("peer.insecure", "must be true: mutual TLS is not available with the line protocol")
+	}
+	if s.Grace <= 0 {
+		source.Add("grace", "must be above 0")
+	}
+}
--- a/telemetry/pages.go
+++ b/telemetry/pages.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -64,3 +67,18 @@
 	}
 	_, _ = w.Write([]byte("ready\n"))
 }
+
+// MetricsText serves a registry as text: one line "name value" for each figure.
+func MetricsText(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		all := registry.GetAll()
+		for _, name := range slices.Sorted(maps.Keys(all)) {
+			figures := all[name]
+			for _, figure := range slices.Sorted(maps.Keys(figures)) {
+				// The client may have gone; there is nobody to tell.
+				_, _ = fmt.Fprintf(w, "%s.%s %v\n", name, figure, figures[figure])
+			}
+		}
+	})
+}
