--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -19,16 +19,17 @@
 	// raiseDelay is how long a VM waits with a higher share of its own, until
 	// its peers have its report.
 	raiseDelay = 800 * time.Millisecond
-	// demandWindow smooths the arrivals.
-	demandWindow = time.Second
+	// demandWindow smooths the arrivals: shares follow where callers are, not
+	// the chance of single seconds.
+	demandWindow = 3 * time.Second
 	// firstTokens is the part of a second's tokens that a VM starts with: what
 	// was used before a restart still counts.
 	firstTokens = 0.25
 	// clockMargin reduces the refill for clocks that run fast.
 	clockMargin = 0.98
-	// spareShare is the least part of a rate that is divided evenly, so that a
-	// VM with new callers has some at once.
-	spareShare = 0.1
+	// evenShare is the part of a rate that is divided evenly, so that a VM with
+	// new callers has some at once; the rest follows the demand.
+	evenShare = 0.12
 	// unknownVMs is how many VMs share a rate while the list of VMs is unknown.
 	unknownVMs = 16
 	// leastCap is the least number of tokens that a VM may save up.
@@ -70,7 +71,9 @@
 	filled      model.Time
 	arrivals    float64
 	demand      float64
-	published   []sample
+	// seen is for how long arrivals have been counted.
+	seen      time.Duration
+	published []sample
 }
 
 // New returns the state of a VM that has just started.
@@ -149,8 +152,14 @@
 	return demands
 }
 
+// smooth averages the arrivals over demandWindow, or over the time since the
+// first arrival while that is shorter.
 func (b *bucket) smooth(now model.Time, elapsed time.Duration) {
-	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
+	if b.seen == 0 && b.arrivals == 0 {
+		return
+	}
+	b.seen = min(b.seen+elapsed, demandWindow)
+	weight := min(1, elapsed.Seconds()/b.seen.Seconds())
 	rate := b.arrivals / max(elapsed.Seconds(), 0.001)
 	b.demand += weight * (rate - b.demand)
 	b.arrivals = 0
@@ -162,14 +171,13 @@
 	b.published = append(b.published[:0], b.published[old:]...)
 }
 
-// reported returns the demand that all peers have been told: the least one of
-// the last moments.
+// reported returns a demand that all peers have been told, unless the present
+// one is lower.
 func (b *bucket) reported() float64 {
-	least := b.demand
-	for _, p := range b.published {
-		least = min(least, p.demand)
+	if len(b.published) == 0 {
+		return 0
 	}
-	return least
+	return min(b.demand, b.published[0].demand)
 }
 
 func (s *State) reshare(now model.Time) {
@@ -199,8 +207,10 @@
 		total += r.demands[name]
 	}
 	heard := n - silent
-	spare := max(b.rate-total, spareShare*b.rate) / heard
-	share := (b.reported() + spare) / (total + spare*heard)
+	share := 1 / heard
+	if total > 0 {
+		share = evenShare/heard + (1-evenShare)*b.reported()/total
+	}
 	share *= 1 - silent/n
 	if silent*2 >= n {
 		// Cut off from most VMs, which count on no more than an even part.
@@ -209,6 +219,27 @@
 	return share
 }
 
+// LoadShare returns this VM's part of the operations that reach all VMs.
+func (s *State) LoadShare(now model.Time) float64 {
+	own, total := 0.0, 0.0
+	for _, b := range s.workspaces {
+		own += b.demand
+	}
+	total = own
+	for vm, r := range s.reports {
+		if vm == s.self || now.Sub(r.at) > SilentAfter {
+			continue
+		}
+		for _, d := range r.demands {
+			total += d
+		}
+	}
+	if total <= 0 {
+		return 1 / float64(max(len(s.members), 1))
+	}
+	return own / total
+}
+
 // cap returns how many tokens this VM may save up.
 func (b *bucket) cap() float64 { return max(b.share*b.burst, leastCap) }
 
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -22,9 +22,6 @@
 	// reservedConnections of an upstream's limit are left for status queries
 	// and for VMs that come and go.
 	reservedConnections = 2
-	// surplusPart is the part of an upstream's limit that one VM may use while
-	// the upstream is not full.
-	surplusPart = 3
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
@@ -186,17 +183,21 @@
 }
 
 // shareOf returns how many connections to each upstream of a service this VM
-// may open.
+// may open: one, and of the others as large a part as of the operations.
 func (c *cluster) shareOf(name catalog.Service) upstreampool.Share {
 	s := c.Catalog()
 	if s == nil || s.Service(name) == nil {
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
-	limit := s.Service(name).ConnectionLimit
-	base := max(1, (limit-reservedConnections)/max(c.vms, 1))
-	return upstreampool.Share{Base: base, Most: max(base, limit/surplusPart)}
+	divided := s.Service(name).ConnectionLimit - reservedConnections - c.vms
+	base := 1
+	if divided > 0 {
+		base += int(float64(divided) * c.quota.LoadShare(c.Now()))
+	}
+	return upstreampool.Share{Base: base, Most: base}
 }
 
+// reshare divides the connections anew.
 func (c *cluster) reshare() {
 	for id, pool := range c.pools {
 		if m, ok := c.replicas.Member(id); ok {
@@ -250,6 +251,7 @@
 // trim closes connections that are no longer needed.
 func (c *cluster) trim() {
 	c.mu.Lock()
+	c.reshare()
 	pools := make([]*upstreampool.Pool, 0, len(c.pools))
 	for _, p := range c.pools {
 		pools = append(pools, p)
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -74,7 +74,9 @@
 	case a.Code == "":
 		o.served(id, asked, a, true)
 		o.session.committed(a.Ready.Position)
-		o.log(p.id, "write served", func(e *Entry) { e.Str("upstream", string(id)).Str("position", lineproto.FormatPosition(a.Ready.Position)) })
+		o.log(p.id, "write served", func(e *Entry) {
+			e.Str("upstream", string(id)).Str("position", lineproto.FormatPosition(a.Ready.Position))
+		})
 		return answered(a), false
 	case a.Code == lineproto.ReadOnly:
 		o.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
