--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,7 +1,11 @@
-// Package quota divides the rate of each workspace over the VMs by what callers
-// ask of each of them. Every VM computes all shares from the same reports, so
-// that the shares add up to one without an owner or a call before a request is
-// admitted. It is pure.
+// Package quota keeps each workspace within its rate and burst over all VMs,
+// without an owner and without a call before an operation is admitted. It is
+// pure.
+//
+// Every VM follows the workspace's one token bucket from what its peers report
+// to have admitted. While that bucket is well filled, a VM admits what comes.
+// When it runs low, each VM admits only its part of the rate, which is its part
+// of the demand: all VMs compute the parts from the same reports.
 package quota
 
 import (
@@ -16,6 +20,10 @@
 	// SilentAfter is how long a VM's report counts; it is several reporting
 	// intervals, so that one lost report changes nothing.
 	SilentAfter = 1500 * time.Millisecond
+	// aloneAfter is how long a VM that hears from few peers goes on as before.
+	// It is shorter than SilentAfter, so that it stops before its peers divide
+	// its part.
+	aloneAfter = 900 * time.Millisecond
 	// raiseDelay is how long a VM waits with a higher share of its own, until
 	// its peers have its report.
 	raiseDelay = 800 * time.Millisecond
@@ -25,6 +33,15 @@
 	// firstTokens is the part of a second's tokens that a VM starts with: what
 	// was used before a restart still counts.
 	firstTokens = 0.25
+	// lowPart is the part of the burst below which the workspace's bucket is
+	// low. It covers what peers admit between two reports.
+	lowPart = 0.4
+	// savedPart is the part of the burst that the VMs may save up in their own
+	// buckets for when the workspace's bucket is low.
+	savedPart = 0.3
+	// leastFill bounds how far the refill slows down after the workspace's
+	// bucket was overdrawn.
+	leastFill = 0.4
 	// clockMargin reduces the refill for clocks that run fast.
 	clockMargin = 0.98
 	// evenShare is the part of a rate that is divided evenly, so that a VM with
@@ -36,10 +53,21 @@
 	leastCap = 1.0
 )
 
-// Demand is how many operations a second reach a VM for a workspace.
+// Demand is what a VM reports of a workspace.
 type Demand struct {
 	Workspace model.Workspace
+	// PerSecond is how many operations reach the VM.
 	PerSecond float64
+	// Admitted counts the operations that the VM has admitted since its start.
+	Admitted uint64
+}
+
+// Report is what a VM tells its peers.
+type Report struct {
+	VM model.VMID
+	// Incarnation differs between two starts of the VM.
+	Incarnation uint64
+	Demands     []Demand
 }
 
 // State has the shares of one VM.
@@ -53,8 +81,9 @@
 
 // report is the newest report of a peer.
 type report struct {
-	at      model.Time
-	demands map[model.Workspace]float64
+	at          model.Time
+	incarnation uint64
+	demands     map[model.Workspace]Demand
 }
 
 // sample is a published demand.
@@ -67,10 +96,19 @@
 type bucket struct {
 	rate, burst float64
 	share       float64
-	tokens      float64
-	filled      model.Time
-	arrivals    float64
-	demand      float64
+	// tokens are this VM's part, shared those of the workspace over all VMs
+	// as far as reports tell.
+	tokens float64
+	shared float64
+	// silent is the part of the rate that VMs without reports may use.
+	silent float64
+	// alone is true while too few reports come to follow the shared bucket.
+	alone  bool
+	filled model.Time
+	// admitted counts the admitted operations.
+	admitted uint64
+	arrivals float64
+	demand   float64
 	// seen is for how long arrivals have been counted.
 	seen      time.Duration
 	published []sample
@@ -116,21 +154,32 @@
 	s.reshare(now)
 }
 
-// Report takes over what a peer said at the time at or later.
-func (s *State) Report(at model.Time, vm model.VMID, demands []Demand) {
-	r := s.reports[vm]
-	if r == nil {
-		r = &report{}
-		s.reports[vm] = r
-	}
-	if at < r.at {
+// Hear takes over the report that a peer made at the time at or later.
+func (s *State) Hear(at model.Time, heard *Report) {
+	r := s.reports[heard.VM]
+	if r != nil && at < r.at {
 		return
 	}
-	r.at = at
-	r.demands = make(map[model.Workspace]float64, len(demands))
-	for _, d := range demands {
-		r.demands[d.Workspace] = d.PerSecond
+	next := &report{at: at, incarnation: heard.Incarnation, demands: make(map[model.Workspace]Demand, len(heard.Demands))}
+	for _, d := range heard.Demands {
+		next.demands[d.Workspace] = d
+		if b := s.workspaces[d.Workspace]; b != nil && r != nil {
+			b.shared -= float64(admittedSince(r, next.incarnation, &d))
+		}
+	}
+	s.reports[heard.VM] = next
+}
+
+// admittedSince returns what a peer has admitted since its last report.
+func admittedSince(last *report, incarnation uint64, d *Demand) uint64 {
+	before := last.demands[d.Workspace].Admitted
+	if last.incarnation != incarnation {
+		before = 0
+	}
+	if d.Admitted < before {
+		return 0
 	}
+	return d.Admitted - before
 }
 
 // Tick smooths the demands, recomputes the shares and returns what peers are
@@ -144,8 +193,8 @@
 	var demands []Demand
 	for name, b := range s.workspaces {
 		b.smooth(now, elapsed)
-		if b.demand > 0.01 {
-			demands = append(demands, Demand{Workspace: name, PerSecond: b.demand})
+		if b.admitted > 0 || b.demand > 0 {
+			demands = append(demands, Demand{Workspace: name, PerSecond: b.demand, Admitted: b.admitted})
 		}
 	}
 	s.reshare(now)
@@ -192,19 +241,23 @@
 func (s *State) shareOf(now model.Time, name model.Workspace, b *bucket) float64 {
 	n := float64(len(s.members))
 	if n == 0 {
+		b.alone, b.silent = true, 1
 		return 1.0 / unknownVMs
 	}
-	total, silent := b.demand, 0.0
+	total, silent, quiet := b.demand, 0.0, 0.0
 	for _, vm := range s.members {
 		if vm == s.self {
 			continue
 		}
 		r := s.reports[vm]
+		if r == nil || now.Sub(r.at) > aloneAfter {
+			quiet++
+		}
 		if r == nil || now.Sub(r.at) > SilentAfter {
 			silent++
 			continue
 		}
-		total += r.demands[name]
+		total += r.demands[name].PerSecond
 	}
 	heard := n - silent
 	share := 1 / heard
@@ -212,7 +265,9 @@
 		share = evenShare/heard + (1-evenShare)*b.reported()/total
 	}
 	share *= 1 - silent/n
-	if silent*2 >= n {
+	b.silent = silent / n
+	b.alone = quiet*2 >= n
+	if b.alone {
 		// Cut off from most VMs, which count on no more than an even part.
 		return min(share, 1/n)
 	}
@@ -231,7 +286,7 @@
 			continue
 		}
 		for _, d := range r.demands {
-			total += d
+			total += d.PerSecond
 		}
 	}
 	if total <= 0 {
@@ -241,23 +296,39 @@
 }
 
 // cap returns how many tokens this VM may save up.
-func (b *bucket) cap() float64 { return max(b.share*b.burst, leastCap) }
+func (b *bucket) cap() float64 { return max(b.share*b.burst*savedPart, leastCap) }
 
 func (b *bucket) refill(now model.Time) {
-	elapsed := now.Sub(b.filled)
+	elapsed := now.Sub(b.filled).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	b.filled = now
-	b.tokens = min(b.cap(), b.tokens+elapsed.Seconds()*b.rate*b.share*clockMargin)
+	filled := elapsed * b.rate * clockMargin
+	b.tokens = min(b.cap(), b.tokens+filled*b.share*b.pace())
+	b.shared = min(b.burst, b.shared+filled*(1-b.silent))
+}
+
+// pace slows the refill down while the workspace's bucket is overdrawn.
+func (b *bucket) pace() float64 {
+	if b.shared >= 0 || b.burst <= 0 {
+		return 1
+	}
+	return max(leastFill, 1+b.shared/b.burst)
 }
 
-// Verdict is the answer to Admit. Share and Tokens are the inputs.
+// low reports whether the workspace's bucket is too low to admit all that comes.
+func (b *bucket) low() bool { return b.alone || b.shared < max(lowPart*b.burst, 1) }
+
+// Verdict is the answer to Admit. Share, Tokens and Shared are the inputs.
 type Verdict struct {
 	Admitted   bool
 	RetryAfter time.Duration
-	Share      float64
-	Tokens     float64
+	// Share is this VM's part of the rate, Tokens what it has of it, and Shared
+	// what the workspace has over all VMs.
+	Share  float64
+	Tokens float64
+	Shared float64
 }
 
 // Admit takes the token of one operation. Workspaces without a rate are
@@ -269,18 +340,25 @@
 	}
 	b.refill(now)
 	b.arrivals++
-	if b.tokens >= 1 {
-		b.tokens--
-		return Verdict{Admitted: true, Share: b.share, Tokens: b.tokens}
+	v := Verdict{Share: b.share, Tokens: b.tokens, Shared: b.shared}
+	if b.tokens < 1 && b.low() {
+		fill := b.rate * b.share * clockMargin
+		v.RetryAfter = time.Duration((1 - b.tokens) / max(fill, 0.1) * float64(time.Second))
+		return v
 	}
-	fill := b.rate * b.share * clockMargin
-	wait := time.Duration((1 - b.tokens) / max(fill, 0.1) * float64(time.Second))
-	return Verdict{RetryAfter: wait, Share: b.share, Tokens: b.tokens}
+	b.tokens = max(b.tokens-1, 0)
+	b.shared--
+	b.admitted++
+	v.Admitted = true
+	return v
 }
 
 // Return gives a token back for an operation that has not run.
 func (s *State) Return(name model.Workspace) {
-	if b := s.workspaces[name]; b != nil {
-		b.tokens = min(b.cap(), b.tokens+1)
+	b := s.workspaces[name]
+	if b == nil || b.admitted == 0 {
+		return
 	}
+	b.tokens = min(b.cap(), b.tokens+1)
+	b.shared = min(b.burst, b.shared+1)
 }
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,215 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// fleet simulates VMs that report to each other with a delay.
+type fleet struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     model.Time
+	rate    float64
+	burst   float64
+	names   []model.VMID
+	vms     []*State
+	cut     map[int]bool
+	pending []delivery
+	// admitted are the times of admissions, refused counts refusals.
+	admitted []model.Time
+	refused  int
+	asked    int
+}
+
+type delivery struct {
+	at   model.Time
+	from int
+	made model.Time
+	r    Report
+}
+
+const step = 10 * time.Millisecond
+
+func newFleet(t *testing.T, seed uint64, n int, rate, burst float64) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: model.Time(time.Hour),
+		rate: rate, burst: burst, cut: map[int]bool{},
+	}
+	for i := range n {
+		f.names = append(f.names, model.VMID(fmt.Sprintf("vm-%d", i)))
+		f.vms = append(f.vms, nil)
+	}
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+// start replaces a VM by one that knows nothing.
+func (f *fleet) start(i int) {
+	s := New(f.names[i])
+	c := (&catalog.Snapshot{Version: 1, Workspaces: []catalog.Workspace{{Name: "w", Rate: f.rate, Burst: f.burst}}}).Index()
+	s.SetMembers(f.now, f.names)
+	s.Configure(f.now, c)
+	f.vms[i] = s
+}
+
+// run lets callers ask for d; demand gives the operations a second of each VM.
+func (f *fleet) run(d time.Duration, demand []float64) {
+	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(step) {
+		f.deliver()
+		for i, s := range f.vms {
+			f.ask(s, demand[i]*step.Seconds())
+			if int(f.now/model.Time(step))%30 == i {
+				f.report(i, s)
+			}
+		}
+	}
+}
+
+// ask makes a random number of requests with the given mean.
+func (f *fleet) ask(s *State, mean float64) {
+	for mean > 0 {
+		if f.random.Float64() < min(mean, 1) {
+			f.asked++
+			if s.Admit(f.now, "w").Admitted {
+				f.admitted = append(f.admitted, f.now)
+			} else {
+				f.refused++
+			}
+		}
+		mean--
+	}
+}
+
+func (f *fleet) report(i int, s *State) {
+	r := Report{VM: f.names[i], Incarnation: 1, Demands: s.Tick(f.now)}
+	delay := time.Duration(f.random.IntN(300)) * time.Millisecond
+	f.pending = append(f.pending, delivery{at: f.now.Add(delay), from: i, made: f.now, r: r})
+}
+
+func (f *fleet) deliver() {
+	kept := f.pending[:0]
+	for _, d := range f.pending {
+		if d.at > f.now {
+			kept = append(kept, d)
+			continue
+		}
+		for j, s := range f.vms {
+			if j != d.from && !f.cut[j] && !f.cut[d.from] {
+				s.Hear(d.made, &d.r)
+			}
+		}
+	}
+	f.pending = kept
+}
+
+// checkRate fails when more than the rate allows was admitted in some window.
+// The tolerance is that of the operators' rule: a tenth and 20 operations.
+func (f *fleet) checkRate() {
+	f.t.Helper()
+	const window = 5 * time.Second
+	allowed := (f.rate*window.Seconds()+f.burst)*1.1 + 20
+	first := 0
+	for i, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > window {
+			first++
+		}
+		if n := float64(i - first + 1); n > allowed {
+			f.t.Fatalf("%.0f operations admitted in the window that ends at %s, %.0f allowed",
+				n, at.Sub(model.Time(time.Hour)), allowed)
+		}
+	}
+}
+
+func (f *fleet) forget() { f.refused, f.asked, f.admitted = 0, 0, nil }
+
+// uneven is the pattern of a platform that spreads callers by a hash.
+var uneven = []float64{0.03, 0.22, 0.06, 0.12, 0.05, 0.28, 0.16, 0.08}
+
+func scaled(total float64) []float64 {
+	demand := make([]float64, len(uneven))
+	for i, part := range uneven {
+		demand[i] = total * part
+	}
+	return demand
+}
+
+// Guards against refusals within the rate because the tokens lie on other VMs:
+// callers are spread unevenly, and few operations a second reach each VM.
+func TestNothingRefusedWithinTheRate(t *testing.T) {
+	for _, rate := range []float64{25, 140} {
+		for seed := range uint64(40) {
+			f := newFleet(t, seed, len(uneven), rate, rate)
+			f.run(6*time.Second, scaled(rate/1.6))
+			f.forget()
+			f.run(20*time.Second, scaled(rate/1.6))
+			if f.refused > 0 {
+				t.Fatalf("rate %.0f, seed %d: %d of %d operations refused", rate, seed, f.refused, f.asked)
+			}
+		}
+	}
+}
+
+// Guards against more than the rate when one workspace suddenly sends several
+// times its usual, on all VMs or on one.
+func TestFloodStaysWithinTheRate(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, seed, len(uneven), 100, 100)
+		f.run(8*time.Second, scaled(62))
+		f.run(8*time.Second, scaled(62*7.5))
+		one := scaled(62)
+		one[0] = 500
+		f.run(8*time.Second, one)
+		f.checkRate()
+	}
+}
+
+// Guards against more than the rate when VMs start anew or are cut off in the
+// middle of a flood, and again when they return.
+func TestFloodWithRestartsAndCuts(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, seed, len(uneven), 100, 100)
+		f.run(6*time.Second, scaled(300))
+		f.cut = map[int]bool{1: true, 5: true}
+		f.run(5*time.Second, scaled(300))
+		f.cut = map[int]bool{}
+		f.run(2*time.Second, scaled(300))
+		for i := range f.vms {
+			f.start(i)
+		}
+		f.run(6*time.Second, scaled(300))
+		f.checkRate()
+	}
+}
+
+// Guards against a flood in which a workspace gets far less than its rate.
+func TestFloodGetsTheRate(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(t, seed, len(uneven), 100, 100)
+		f.run(6*time.Second, scaled(300))
+		f.forget()
+		f.run(10*time.Second, scaled(300))
+		if got := float64(len(f.admitted)) / 10; got < 90 {
+			t.Fatalf("seed %d: %.0f operations a second admitted of a rate of 100", seed, got)
+		}
+	}
+}
+
+// Guards against a VM that is alone using more than an even part.
+func TestVMWithoutReportsUsesAnEvenPart(t *testing.T) {
+	f := newFleet(t, 1, len(uneven), 80, 80)
+	for i := range f.vms {
+		f.cut[i] = true
+	}
+	f.run(5*time.Second, scaled(80))
+	f.forget()
+	f.run(10*time.Second, scaled(800))
+	f.checkRate()
+}
--- /dev/null
+++ b/core/replicaset/replicaset_test.go
@@ -0,0 +1,225 @@
+package replicaset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+const (
+	ms    = time.Millisecond
+	start = model.Time(time.Hour)
+)
+
+func pos(term, number uint64) model.Position {
+	return model.Position{Term: model.Term{Counter: term}, Pos: model.LogPos(number)}
+}
+
+func entry(id string, primary bool) Registration {
+	return Registration{
+		ID: model.UpstreamID(id), Service: "db", Address: "10.0.0.1:1", Zone: model.Zone("zone-" + id),
+		Slots: 3, Primary: primary, Sequence: 1, Incarnation: 1,
+	}
+}
+
+// world is a State with a clock.
+type world struct {
+	*State
+	now     model.Time
+	effects []Effect
+}
+
+func newWorld() *world {
+	w := &world{State: New(), now: start}
+	w.apply(Event{Kind: EventRegistrations, Registrations: []Registration{entry("a", true), entry("b", false), entry("c", false)}})
+	return w
+}
+
+func (w *world) apply(ev Event) { w.effects = w.Apply(w.now, &ev, w.effects[:0]) }
+
+func (w *world) pass(d time.Duration) { w.now = w.now.Add(d) }
+
+func (w *world) status(id string, primary bool, term uint64, received model.Position) {
+	w.apply(Event{Kind: EventStatus, Upstream: model.UpstreamID(id), AskedAt: w.now, Status: Status{
+		Primary: primary, Term: term, Received: received, Applied: received,
+	}})
+}
+
+func (w *world) primary() model.UpstreamID {
+	m, ok := w.Primary(w.now, "db")
+	if !ok {
+		return ""
+	}
+	return m.ID
+}
+
+func (w *world) floor(bound time.Duration, session model.Position) (model.Position, bool) {
+	p, _, ok := w.Floor(w.now, "db", bound, session)
+	return p, ok
+}
+
+func none(*Member) float64 { return 0 }
+
+func (w *world) candidates(floor model.Position) string {
+	ids := ""
+	for _, c := range w.ReadCandidates(w.now, "db", floor, none) {
+		ids += string(c.ID)
+	}
+	return ids
+}
+
+// Guards against reads that are older than the route allows: only proof that is
+// young enough counts, and the oldest such proof is used.
+func TestFloorIsTheOldestProofWithinTheBound(t *testing.T) {
+	w := newWorld()
+	if _, ok := w.floor(time.Second, model.Position{}); ok {
+		t.Error("a floor without proof")
+	}
+	w.status("a", true, 1, pos(1, 10))
+	w.pass(400 * ms)
+	w.status("a", true, 1, pos(1, 20))
+	w.pass(400 * ms)
+	w.status("a", true, 1, pos(1, 30))
+	w.pass(100 * ms)
+	for bound, want := range map[time.Duration]model.Position{
+		2000 * ms: pos(1, 10), 1000 * ms: pos(1, 20), 500 * ms: pos(1, 30),
+	} {
+		if got, ok := w.floor(bound, model.Position{}); !ok || got != want {
+			t.Errorf("bound %s: floor %v, %t, want %v", bound, got, ok, want)
+		}
+	}
+	if _, ok := w.floor(250*ms, model.Position{}); ok {
+		t.Error("proof older than the bound was used")
+	}
+}
+
+// Guards against a session that does not see its own commit, and against one
+// that waits for a commit that a promotion rolled back.
+func TestFloorOfASession(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 1, pos(1, 10))
+	if got, _ := w.floor(time.Second, pos(1, 15)); got != pos(1, 15) {
+		t.Errorf("floor %v is below the session's commit", got)
+	}
+	w.pass(time.Second)
+	w.status("b", true, 2, pos(2, 12))
+	if got, _ := w.floor(time.Second, pos(1, 15)); got != pos(2, 12) {
+		t.Errorf("floor %v asks for a commit of an earlier term", got)
+	}
+}
+
+// Guards against an upstream that lost its log and still calls itself the
+// primary of its term.
+func TestPrimaryWithoutItsLogIsNone(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 3, pos(3, 500))
+	w.pass(100 * ms)
+	w.status("a", true, 3, pos(3, 2))
+	if got := w.primary(); got != "" {
+		t.Errorf("primary %q", got)
+	}
+	if got, ok := w.floor(time.Second, model.Position{}); !ok || got != pos(3, 500) {
+		t.Errorf("floor %v, %t after a false proof", got, ok)
+	}
+}
+
+// Guards against an old primary that is believed again: neither its status nor
+// a peer's report of an earlier term counts.
+func TestNewerTermWins(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 3, pos(3, 500))
+	w.status("b", true, 4, pos(4, 500))
+	w.apply(Event{Kind: EventPrimary, Service: "db", Upstream: "a", Term: 3, AskedAt: w.now})
+	w.apply(Event{Kind: EventEvidence, Service: "db", Position: pos(3, 900), Term: 3, AskedAt: w.now})
+	if got := w.primary(); got != "b" {
+		t.Errorf("primary %q, want b", got)
+	}
+	w.pass(10 * ms)
+	if got, _ := w.floor(time.Second, model.Position{}); got != pos(3, 500) && got != pos(4, 500) {
+		t.Errorf("floor %v comes from a report of an earlier term", got)
+	}
+	w.apply(Event{Kind: EventNotPrimary, Upstream: "b"})
+	if got := w.primary(); got != "" {
+		t.Errorf("primary %q after it refused a write", got)
+	}
+}
+
+// Guards against work for upstreams that leave, are evacuated, are missing or
+// have failed, and against a service that is left without any.
+func TestReadCandidates(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 1, pos(1, 10))
+	if got := w.candidates(pos(1, 10)); got != "bca" {
+		t.Errorf("candidates %q: replicas go first", got)
+	}
+	w.apply(Event{Kind: EventFailed, Upstream: "b"})
+	if got := w.candidates(pos(1, 10)); got != "cab" {
+		t.Errorf("candidates %q after a failure", got)
+	}
+	w.pass(2 * time.Second)
+	w.apply(Event{Kind: EventLagging, Upstream: "c", Position: pos(1, 10)})
+	if got := w.candidates(pos(1, 10)); got != "bac" {
+		t.Errorf("candidates %q while a replica lags", got)
+	}
+	w.apply(Event{Kind: EventEvacuations, Zones: []model.Zone{"zone-b"}})
+	if got := w.candidates(pos(1, 10)); got != "ac" {
+		t.Errorf("candidates %q while a zone is evacuated", got)
+	}
+	w.apply(Event{Kind: EventEvacuations})
+	leaving := entry("c", false)
+	leaving.Leaving, leaving.Sequence = true, 2
+	w.apply(Event{Kind: EventRegistrations, Registrations: []Registration{entry("a", true), entry("b", false), leaving}})
+	if got := w.candidates(pos(1, 10)); got != "bac" {
+		t.Errorf("candidates %q: a leaving upstream goes last", got)
+	}
+	w.pass(lastWorkAfterNotice + ms)
+	if got := w.candidates(pos(1, 10)); got != "ba" {
+		t.Errorf("candidates %q after the notice", got)
+	}
+}
+
+// Guards against upstreams that count as gone although their entries are only
+// late after the store's return.
+func TestMissingEntries(t *testing.T) {
+	w := newWorld()
+	two := Event{Kind: EventRegistrations, Registrations: []Registration{entry("a", true), entry("b", false)}}
+	w.apply(two)
+	w.pass(2 * time.Second)
+	w.apply(Event{Kind: EventStoreUnavailable})
+	w.pass(5 * time.Second)
+	w.apply(two)
+	w.pass(2 * time.Second)
+	w.apply(two)
+	if _, ok := w.Member("c"); !ok {
+		t.Fatal("an entry that is late after the store's return counts as gone")
+	}
+	w.pass(time.Second)
+	w.apply(two)
+	if _, ok := w.Member("c"); ok {
+		t.Error("an entry that stays away does not count as gone")
+	}
+}
+
+// Guards against what was known of an earlier incarnation, and against an entry
+// that is older than the known one.
+func TestRestartedUpstream(t *testing.T) {
+	w := newWorld()
+	w.status("b", false, 1, pos(1, 10))
+	old := entry("b", false)
+	old.Sequence = 0
+	old.Address = "10.0.0.9:9"
+	w.apply(Event{Kind: EventRegistrations, Registrations: []Registration{entry("a", true), old, entry("c", false)}})
+	if m, _ := w.Member("b"); m.Address != "10.0.0.1:1" {
+		t.Error("an older entry replaced a newer one")
+	}
+	again := entry("b", false)
+	again.Incarnation, again.Sequence = 2, 0
+	w.apply(Event{Kind: EventRegistrations, Registrations: []Registration{entry("a", true), again, entry("c", false)}})
+	if m, _ := w.Member("b"); !m.Applied.IsZero() || m.StatusAt != 0 {
+		t.Errorf("a restarted upstream keeps position %v", m.Applied)
+	}
+	if len(w.effects) != 1 || w.effects[0].Kind != EffectChanged {
+		t.Errorf("effects %+v", w.effects)
+	}
+}
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -42,6 +43,9 @@
 	duty    *duty
 	log     zerolog.Logger
 
+	// incarnation differs between two starts of this VM.
+	incarnation uint64
+
 	mu      sync.Mutex
 	links   map[string]*grpc.ClientConn
 	asking  map[string]bool
@@ -51,7 +55,8 @@
 func newPeers(o Options, c *cluster, m *members, d *duty) *peers {
 	return &peers{
 		options: o, cluster: c, members: m, duty: d, log: o.Log,
-		links: map[string]*grpc.ClientConn{}, asking: map[string]bool{},
+		incarnation: rand.Uint64(),
+		links:       map[string]*grpc.ClientConn{}, asking: map[string]bool{},
 	}
 }
 
@@ -171,9 +176,11 @@
 	if len(a.GetConfig()) > 0 {
 		p.cluster.install(a.GetConfig(), "peer "+a.GetVm())
 	}
-	demands := make([]quota.Demand, 0, len(a.GetDemands()))
+	report := quota.Report{VM: vm, Incarnation: a.GetIncarnation()}
 	for _, d := range a.GetDemands() {
-		demands = append(demands, quota.Demand{Workspace: model.Workspace(d.GetWorkspace()), PerSecond: d.GetPerSecond()})
+		report.Demands = append(report.Demands, quota.Demand{
+			Workspace: model.Workspace(d.GetWorkspace()), PerSecond: d.GetPerSecond(), Admitted: d.GetAdmitted(),
+		})
 	}
 	found := map[model.VMID]string{}
 	for _, m := range a.GetMembers() {
@@ -185,7 +192,7 @@
 	}
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	p.cluster.quota.Report(asked, vm, demands)
+	p.cluster.quota.Hear(asked, &report)
 	for _, e := range a.GetEvidence() {
 		p.evidence(asked, e)
 	}
@@ -209,7 +216,7 @@
 
 // Observe answers a peer.
 func (p *peers) Observe(_ context.Context, r *vmlinkv1.ObserveRequest) (*vmlinkv1.ObserveResponse, error) {
-	a := &vmlinkv1.ObserveResponse{Vm: string(p.options.VM), DutyHolder: string(p.duty.holder())}
+	a := &vmlinkv1.ObserveResponse{Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation}
 	version, raw := p.cluster.stored()
 	a.ConfigVersion = version
 	if version > r.GetConfigVersion() {
@@ -217,7 +224,7 @@
 	}
 	p.mu.Lock()
 	for _, d := range p.demands {
-		a.Demands = append(a.Demands, &vmlinkv1.Demand{Workspace: string(d.Workspace), PerSecond: d.PerSecond})
+		a.Demands = append(a.Demands, &vmlinkv1.Demand{Workspace: string(d.Workspace), PerSecond: d.PerSecond, Admitted: d.Admitted})
 	}
 	p.mu.Unlock()
 	for vm, address := range p.members.all() {
--- a/lineproxy/session.go
+++ b/lineproxy/session.go
@@ -404,7 +404,7 @@
 		s.server.count("refused.rate")
 		s.server.decisions.Info(id, "request refused", func(e *Entry) {
 			e.Str("code", string(lineproto.Busy)).Str("cause", "rate").Str("workspace", string(workspace)).
-				Float64("share", verdict.Share).Dur("retry_after", verdict.RetryAfter)
+				Float64("share", verdict.Share).Float64("tokens", verdict.Tokens).Float64("shared_tokens", verdict.Shared).Dur("retry_after", verdict.RetryAfter)
 		})
 		r := failure(lineproto.Busy, retryText("the workspace's rate is used up", verdict.RetryAfter))
 		return nil, &r
