--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -30,9 +30,9 @@
 	// demandWindow smooths the arrivals: shares follow where callers are, not
 	// the chance of single seconds.
 	demandWindow = 3 * time.Second
-	// firstTokens is the part of a second's tokens that a VM starts with: what
-	// was used before a restart still counts.
-	firstTokens = 0.25
+	// firstPart is the part of the burst that a VM assumes to be left at its
+	// start: what was used before still counts, and the VMs were down for a moment.
+	firstPart = 0.5
 	// lowPart is the part of the burst below which the workspace's bucket is
 	// low. It covers what peers admit between two reports.
 	lowPart = 0.4
@@ -43,7 +43,7 @@
 	// bucket was overdrawn.
 	leastFill = 0.4
 	// clockMargin reduces the refill for clocks that run fast.
-	clockMargin = 0.98
+	clockMargin = 0.99
 	// evenShare is the part of a rate that is divided evenly, so that a VM with
 	// new callers has some at once; the rest follows the demand.
 	evenShare = 0.12
@@ -131,7 +131,8 @@
 			b = &bucket{filled: now}
 			b.rate, b.burst = w.Rate, w.Burst
 			b.share = s.shareOf(now, w.Name, b)
-			b.tokens = min(b.cap(), b.share*w.Rate*firstTokens)
+			b.tokens = b.cap()
+			b.shared = w.Burst * firstPart
 			s.workspaces[w.Name] = b
 			continue
 		}
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -23,6 +23,10 @@
 	// reservedConnections of an upstream's limit are left for status queries
 	// and for VMs that come and go.
 	reservedConnections = 2
+	// ordinaryPart is the part of this VM's connections that it keeps while idle.
+	// After a loss of power, upstreams count the connections of the lost VMs
+	// for seconds, and the VMs that return need places meanwhile.
+	ordinaryPart = 0.4
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
@@ -247,11 +251,11 @@
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
 	divided := s.Service(name).ConnectionLimit - reservedConnections - c.vms
-	base := 1
-	if divided > 0 {
-		base += int(float64(divided) * c.quota.LoadShare(c.Now()))
+	if divided <= 0 {
+		return upstreampool.Share{Base: 1, Most: 1}
 	}
-	return upstreampool.Share{Base: base, Most: base}
+	part := float64(divided) * c.quota.LoadShare(c.Now())
+	return upstreampool.Share{Base: 1 + int(ordinaryPart*part), Most: 1 + int(part)}
 }
 
 // reshare divides the connections anew.
