--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -69,7 +69,7 @@
 	switch {
 	case m.Failing():
 		return rankFailed
-	case m.Leaving:
+	case m.Leaving && now.Sub(m.LeavingAt) > fullWorkAfterNotice:
 		return rankLeaving
 	case m.ID == g.primary:
 		return rankPrimary
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -182,6 +182,8 @@
 	replicaProof = 600 * time.Millisecond
 	// listAge is how old the list of upstreams may be for such a proof.
 	listAge = 1500 * time.Millisecond
+	// fullWorkAfterNotice is how long a leaving upstream still gets its part.
+	fullWorkAfterNotice = 2 * time.Second
 	// lastWorkAfterNotice is how long a leaving upstream is used when no other
 	// one is left; upstreams serve for seconds after their notice.
 	lastWorkAfterNotice = 3 * time.Second
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -23,10 +23,6 @@
 	// reservedConnections of an upstream's limit are left for status queries
 	// and for VMs that come and go.
 	reservedConnections = 2
-	// ordinaryPart is the part of this VM's connections that it keeps while idle.
-	// After a loss of power, upstreams count the connections of the lost VMs
-	// for seconds, and the VMs that return need places meanwhile.
-	ordinaryPart = 0.4
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
@@ -250,12 +246,16 @@
 	if s == nil || s.Service(name) == nil {
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
+	// Each VM may have one; the rest follows the operations. After a loss of
+	// power, upstreams count the connections of the lost VMs for seconds, so
+	// idle connections leave another one free for each VM that returns.
 	divided := s.Service(name).ConnectionLimit - reservedConnections - c.vms
-	if divided <= 0 {
-		return upstreampool.Share{Base: 1, Most: 1}
+	idle := divided - c.vms
+	load := c.quota.LoadShare(c.Now())
+	return upstreampool.Share{
+		Base: 1 + int(float64(max(idle, 0))*load),
+		Most: 1 + int(float64(max(divided, 0))*load),
 	}
-	part := float64(divided) * c.quota.LoadShare(c.Now())
-	return upstreampool.Share{Base: 1 + int(ordinaryPart*part), Most: 1 + int(part)}
 }
 
 // reshare divides the connections anew.
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -24,8 +24,9 @@
 	// trustedIdle is how long an idle connection is used without a look at its socket.
 	trustedIdle = 2 * time.Millisecond
 	// sameWorkspaceFirst is how long a waiter of another workspace may be
-	// passed over to save a new connection.
-	sameWorkspaceFirst = 20 * time.Millisecond
+	// passed over to save a new connection, which takes a slot of a busy
+	// upstream for as long as a statement.
+	sameWorkspaceFirst = 60 * time.Millisecond
 	// latencyWeight is the weight of a new value in the smoothed latency.
 	latencyWeight = 0.1
 	// firstLatency is assumed before the first answer.
