Test the line protocol's path against stand-ins; divide connections safely

Cause: TestConnectionLimit, run beside other tests, saw 275 connections refused above the limit: a VM that had just started counted itself as the only one, and VMs used their own new demand against old reports. Ruled out: a limit that is too small (alone the test passed).

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -47,6 +47,8 @@
 	// evenShare is the part of a rate that is divided evenly, so that a VM with
 	// new callers has some at once; the rest follows the demand.
 	evenShare = 0.12
+	// evenConnections is the part that LoadShare divides evenly.
+	evenConnections = 0.3
 	// unknownVMs is how many VMs share a rate while the list of VMs is unknown.
 	unknownVMs = 16
 	// leastCap is the least number of tokens that a VM may save up.
@@ -229,8 +231,8 @@
 
 // reported returns a demand that all peers have been told, unless the present
 // one is lower.
-func (b *bucket) reported() float64 {
-	if len(b.published) == 0 {
+func (b *bucket) reported(now model.Time) float64 {
+	if len(b.published) == 0 || now.Sub(b.published[0].at) < raiseDelay {
 		return 0
 	}
 	return min(b.demand, b.published[0].demand)
@@ -274,7 +276,7 @@
 	heard := n - silent
 	share := 1 / heard
 	if total > 0 {
-		share = evenShare/heard + (1-evenShare)*b.reported()/total
+		share = evenShare/heard + (1-evenShare)*b.reported(now)/total
 	}
 	share *= 1 - reserved
 	b.silent = reserved
@@ -301,16 +303,17 @@
 	}
 }
 
-// LoadShare returns this VM's part of the operations that reach all VMs.
+// LoadShare returns this VM's part of what VMs divide by the operations that
+// reach them. The parts of all VMs add up to at most one.
 func (s *State) LoadShare(now model.Time) float64 {
-	own, total := 0.0, 0.0
+	reported, total := 0.0, 0.0
 	for _, b := range s.workspaces {
-		own += b.demand
+		reported += b.reported(now)
+		total += b.demand
 	}
-	total = own
 	heard := 1.0
 	for vm, r := range s.reports {
-		if vm == s.self || now.Sub(r.at) > SilentAfter {
+		if vm == s.self || now.Sub(r.at) > aloneAfter {
 			continue
 		}
 		heard++
@@ -323,7 +326,8 @@
 		return 1 / n
 	}
 	// VMs that are not heard may still use their part.
-	return own / total * min(1, heard/n)
+	byLoad := reported / total * min(1, heard/n)
+	return evenConnections/n + (1-evenConnections)*byLoad
 }
 
 // cap returns how many tokens this VM may save up.
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -322,6 +322,7 @@
 		pools = append(pools, p)
 	}
 	c.mu.Unlock()
+	c.probes.trim()
 	open := 0
 	for _, p := range pools {
 		p.Trim()
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -21,6 +21,12 @@
 	Address string `json:"address"`
 }
 
+// learnedVM is a VM that may not be in the store's list yet.
+type learnedVM struct {
+	address string
+	at      model.Time
+}
+
 // members keeps this VM's entry in the store alive and knows those of others.
 type members struct {
 	options Options
@@ -28,21 +34,21 @@
 	log     zerolog.Logger
 
 	mu sync.Mutex
-	// listed are the VMs in the store's list, learned those that peers told of.
+	// listed are the VMs in the store's list, learned those that spoke
+	// themselves or that a peer told of before the list was read.
 	listed  map[model.VMID]string
-	learned map[model.VMID]string
+	learned map[model.VMID]learnedVM
 	read    bool
 	// heard is when a peer last answered.
 	heard map[model.VMID]model.Time
 
-	lease     int64
-	renewedAt model.Time
+	lease int64
 }
 
 func newMembers(o Options, c *cluster) *members {
 	return &members{
 		options: o, cluster: c, log: o.Log,
-		listed: map[model.VMID]string{}, learned: map[model.VMID]string{}, heard: map[model.VMID]model.Time{},
+		listed: map[model.VMID]string{}, learned: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
 	}
 }
 
@@ -122,7 +128,12 @@
 		changed = changed || m.listed[vm] != address
 	}
 	m.listed, m.read = listed, true
-	clear(m.learned)
+	for vm, l := range m.learned {
+		if boottime.Now().Sub(l.at) > learnedFor {
+			delete(m.learned, vm)
+			changed = true
+		}
+	}
 	m.mu.Unlock()
 	if changed {
 		m.publish("store")
@@ -130,16 +141,17 @@
 	return nil
 }
 
-// learn takes over VMs that a peer knows, until the store's list is read.
-func (m *members) learn(found map[model.VMID]string) {
+// learn takes over VMs that have spoken, and what they know of others as long
+// as the store's list has not been read.
+func (m *members) learn(found map[model.VMID]string, spoke bool) {
 	m.mu.Lock()
 	changed := false
 	for vm, address := range found {
-		if _, known := m.listed[vm]; known || m.read || m.learned[vm] == address {
+		if _, known := m.listed[vm]; known || vm == m.options.VM || m.read && !spoke {
 			continue
 		}
-		m.learned[vm] = address
-		changed = true
+		changed = changed || m.learned[vm].address != address
+		m.learned[vm] = learnedVM{address: address, at: boottime.Now()}
 	}
 	m.mu.Unlock()
 	if changed {
@@ -163,8 +175,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
-	for vm, address := range m.learned {
-		all[vm] = address
+	for vm, l := range m.learned {
+		all[vm] = l.address
 	}
 	for vm, address := range m.listed {
 		all[vm] = address
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -76,6 +76,8 @@
 	membersInterval = 2 * time.Second
 	// memberTTL is how long the entry of a VM outlives its last renewal,
 	// which comes every renewInterval.
+	// learnedFor is how long a VM that has spoken counts without an entry.
+	learnedFor    = 3 * time.Second
 	memberTTL     = 5 * time.Second
 	renewInterval = 1500 * time.Millisecond
 	// observeInterval is how often a VM asks its peers.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -157,7 +157,7 @@
 	version, _ := p.cluster.stored()
 	asked := boottime.Now()
 	answer, err := vmlinkv1.NewVMLinkClient(link).Observe(ctx, &vmlinkv1.ObserveRequest{
-		Vm: string(p.options.VM), ConfigVersion: version,
+		Vm: string(p.options.VM), ConfigVersion: version, Address: p.options.PeerAddress,
 	})
 	if err != nil {
 		// Silence shows in the age of what the peer said last.
@@ -186,7 +186,10 @@
 	for _, m := range a.GetMembers() {
 		found[model.VMID(m.GetVm())] = m.GetAddress()
 	}
-	p.members.learn(found)
+	p.members.learn(found, false)
+	if address := found[vm]; address != "" {
+		p.members.learn(map[model.VMID]string{vm: address}, true)
+	}
 	for _, c := range a.GetContacts() {
 		p.duty.contact(model.UpstreamID(c.GetUpstream()), asked.Add(-age(c.GetAgeUs())))
 	}
@@ -216,6 +219,9 @@
 
 // Observe answers a peer.
 func (p *peers) Observe(_ context.Context, r *vmlinkv1.ObserveRequest) (*vmlinkv1.ObserveResponse, error) {
+	if r.GetAddress() != "" {
+		p.members.learn(map[model.VMID]string{model.VMID(r.GetVm()): r.GetAddress()}, true)
+	}
 	a := &vmlinkv1.ObserveResponse{Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation}
 	version, raw := p.cluster.stored()
 	a.ConfigVersion = version
--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -129,7 +129,7 @@
 		ID: id, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
 	}
 	l = &probeLink{
-		pool:    upstreampool.New(upstream, upstreampool.Share{Base: 1, Most: 1}),
+		pool:    upstreampool.New(upstream, upstreampool.Share{Base: 0, Most: 1}),
 		address: m.Address, incarnation: m.Incarnation,
 	}
 	p.links[id] = l
--- /dev/null
+++ b/standin/linegroup/group.go
@@ -0,0 +1,220 @@
+// Package linegroup is a stand-in for a replicated database group that speaks
+// the line protocol. It checks what its connections do and keeps a history, so
+// that tests see lost, doubled, stale and mixed statements.
+package linegroup
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Options configure a Group.
+type Options struct {
+	Service string
+	// ConnectionLimit is that of each server.
+	ConnectionLimit int
+	// Work is how long a read, write or commit occupies a slot.
+	Work  time.Duration
+	Slots int
+	// Lag is how long a replica applies a commit after it has received it.
+	Lag time.Duration
+}
+
+// Commit is one committed transaction.
+type Commit struct {
+	Number model.LogPos
+	Term   uint64
+	// IDs are the ids of the statements that wrote.
+	IDs []string
+	// Acknowledged is when the answer was sent; zero if never.
+	Acknowledged time.Time
+}
+
+// Group is a service: one primary and its replicas, all in this process.
+type Group struct {
+	options Options
+
+	mu      sync.Mutex
+	servers map[string]*Server
+	leader  string
+	term    uint64
+	log     []Commit
+	// violations are breaches of the rules of the protocol that were seen.
+	violations []string
+	// kept is how many commits the last promotion kept.
+	kept int
+	// token is the highest fencing token of a promotion.
+	token uint64
+}
+
+// New returns a group without servers.
+func New(o Options) *Group {
+	return &Group{options: o, servers: map[string]*Server{}, term: 1}
+}
+
+// Add starts a server on a free port of the loopback interface; the first one
+// becomes the primary.
+func (g *Group) Add(id, zone string) (*Server, error) {
+	s := &Server{group: g, id: id, zone: zone, conns: map[*conn]bool{}, slots: make(chan struct{}, max(g.options.Slots, 1))}
+	if err := s.listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id] = s
+	if g.leader == "" {
+		g.leader = id
+	}
+	return s, nil
+}
+
+// Leader returns the primary's id.
+func (g *Group) Leader() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader
+}
+
+// Server returns a server by its id, or nil.
+func (g *Group) Server(id string) *Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers[id]
+}
+
+// Promote is the platform's promotion call: the server leads the next term with
+// what it has received. It returns false when the token is too low or the
+// server does not run.
+func (g *Group) Promote(id string, token uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	if token < g.token || s == nil || s.stopped {
+		return false
+	}
+	g.token = token
+	if g.leader == id {
+		return true
+	}
+	g.term++
+	for i := int(s.received); i < len(g.log); i++ {
+		if !g.log[i].Acknowledged.IsZero() {
+			g.violate("commit %d of %v was acknowledged and is lost by the promotion of %s", g.log[i].Number, g.log[i].IDs, id)
+		}
+	}
+	g.log = g.log[:s.received]
+	g.kept = len(g.log)
+	for _, other := range g.servers {
+		other.received = min(other.received, s.received)
+		other.held = 0
+	}
+	g.leader = id
+	return true
+}
+
+// violate notes a breach under the mutex.
+func (g *Group) violate(format string, args ...any) {
+	g.violations = append(g.violations, fmt.Sprintf(format, args...))
+}
+
+// Violations returns the breaches seen so far.
+func (g *Group) Violations() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.violations...)
+}
+
+// Log returns all commits.
+func (g *Group) Log() []Commit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Commit(nil), g.log...)
+}
+
+// Close stops all servers.
+func (g *Group) Close() {
+	g.mu.Lock()
+	servers := make([]*Server, 0, len(g.servers))
+	for _, s := range g.servers {
+		servers = append(servers, s)
+	}
+	g.mu.Unlock()
+	for _, s := range servers {
+		s.Stop()
+	}
+}
+
+// commit appends a transaction of the leader and waits until a replica has
+// received it. ok is false when the leader was replaced and the transaction is
+// not kept.
+func (g *Group) commit(s *Server, ids []string) (number model.LogPos, ok bool) {
+	g.mu.Lock()
+	if g.leader != s.id {
+		g.mu.Unlock()
+		return 0, false
+	}
+	term := g.term
+	for _, id := range ids {
+		for i := range g.log {
+			for _, other := range g.log[i].IDs {
+				if other == id {
+					g.violate("statement %s takes effect twice", id)
+				}
+			}
+		}
+	}
+	number = model.LogPos(len(g.log) + 1)
+	g.log = append(g.log, Commit{Number: number, Term: term, IDs: ids})
+	s.received = number
+	s.appliedAt = append(s.appliedAt, time.Now())
+	g.mu.Unlock()
+	for {
+		g.mu.Lock()
+		g.replicate()
+		switch {
+		case g.term != term:
+			kept := int(number) <= g.kept
+			g.mu.Unlock()
+			return number, kept
+		case g.copies(s.id, number) > 0:
+			g.log[number-1].Acknowledged = time.Now()
+			g.mu.Unlock()
+			return number, true
+		}
+		g.mu.Unlock()
+		if s.isStopped() {
+			return 0, false
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// replicate gives the leader's log to the replicas that may receive it.
+func (g *Group) replicate() {
+	leader := g.servers[g.leader]
+	if leader == nil || leader.stopped {
+		return
+	}
+	for _, s := range g.servers {
+		if s == leader || s.stopped || s.held > 0 || s.deaf {
+			continue
+		}
+		for s.received < leader.received {
+			s.received++
+			s.setApplied(time.Now().Add(g.options.Lag))
+		}
+	}
+}
+
+func (g *Group) copies(leader string, number model.LogPos) int {
+	n := 0
+	for id, s := range g.servers {
+		if id != leader && s.received >= number {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/standin/linegroup/server.go
@@ -0,0 +1,441 @@
+package linegroup
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+)
+
+// Server is one upstream.
+type Server struct {
+	group *Group
+	id    string
+	zone  string
+	slots chan struct{}
+
+	listener net.Listener
+	address  string
+
+	// The fields below are guarded by the group's mutex.
+	received  model.LogPos
+	appliedAt []time.Time
+	held      uint64
+	stopped   bool
+	deaf      bool
+	conns     map[*conn]bool
+	overLimit int
+
+	// loseAnswers is how many of the next answers are lost with their connection.
+	loseAnswers atomic.Int32
+	// silent makes the server read and answer nothing.
+	silent atomic.Bool
+	reads  atomic.Int64
+}
+
+func (s *Server) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.listener, s.address = l, l.Addr().String()
+	go s.accept(l)
+	return nil
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(raw)
+	}
+}
+
+// ID returns the server's id.
+func (s *Server) ID() string { return s.id }
+
+// Address returns host:port.
+func (s *Server) Address() string { return s.address }
+
+// Zone returns the server's availability zone.
+func (s *Server) Zone() string { return s.zone }
+
+// Reads returns how many reads have run here.
+func (s *Server) Reads() int64 { return s.reads.Load() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return len(s.conns)
+}
+
+// OverLimit returns how many connections were refused because of the limit.
+func (s *Server) OverLimit() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.overLimit
+}
+
+// LoseAnswers makes the server lose the next n answers: the statement runs and
+// the connection ends.
+func (s *Server) LoseAnswers(n int) { s.loseAnswers.Store(int32(n)) }
+
+// SetSilent makes the server answer nothing.
+func (s *Server) SetSilent(silent bool) { s.silent.Store(silent) }
+
+// SetDeaf makes a replica receive nothing.
+func (s *Server) SetDeaf(deaf bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.deaf = deaf
+}
+
+func (s *Server) isStopped() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.stopped
+}
+
+// Stop ends the server; its log is kept.
+func (s *Server) Stop() {
+	s.group.mu.Lock()
+	s.stopped = true
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.group.mu.Unlock()
+	_ = s.listener.Close()
+	for _, c := range conns {
+		_ = c.raw.Close()
+	}
+}
+
+// Start runs a stopped server again at its address, with its log.
+func (s *Server) Start() error {
+	s.group.mu.Lock()
+	s.stopped = false
+	s.group.mu.Unlock()
+	return s.listen(s.address)
+}
+
+// setApplied notes when the last received commit becomes visible.
+func (s *Server) setApplied(at time.Time) {
+	s.appliedAt = append(s.appliedAt[:min(len(s.appliedAt), int(s.received)-1)], at)
+}
+
+// applied returns the end of what reads see, under the mutex.
+func (s *Server) applied() model.LogPos {
+	now := time.Now()
+	n := model.LogPos(0)
+	for n < s.received && int(n) < len(s.appliedAt) && !s.appliedAt[n].After(now) {
+		n++
+	}
+	return n
+}
+
+func (s *Server) position(number model.LogPos) string {
+	term := s.group.term
+	if number > 0 && int(number) <= len(s.group.log) {
+		term = s.group.log[number-1].Term
+	}
+	return lineproto.FormatPosition(model.Position{Term: model.Term{Counter: term}, Pos: number})
+}
+
+// conn is one connection and its session.
+type conn struct {
+	server    *Server
+	raw       net.Conn
+	workspace string
+	tx        bool
+	readOnly  bool
+	failed    bool
+	term      uint64
+	writes    []string
+	prepared  map[string]string
+	values    map[string]string
+	once      sync.Once
+}
+
+func (s *Server) serve(raw net.Conn) {
+	c := &conn{server: s, raw: raw, prepared: map[string]string{}, values: map[string]string{}}
+	defer c.close()
+	r := lineproto.NewReader(raw)
+	m, err := r.Read()
+	if err != nil || m.Word != lineproto.Startup {
+		return
+	}
+	f := strings.Fields(m.Rest)
+	if refusal := s.admit(c, f); refusal != "" {
+		c.send(lineproto.Error + " " + refusal)
+		return
+	}
+	c.send(c.ready())
+	for {
+		m, err := r.Read()
+		if err != nil || m.Word != lineproto.Query {
+			return
+		}
+		for s.silent.Load() {
+			if s.isStopped() {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		id, text := lineproto.Cut(m.Rest)
+		lines := c.run(id, text)
+		if id != lineproto.OwnID && s.loseAnswers.Load() > 0 && s.loseAnswers.Add(-1) >= 0 {
+			return
+		}
+		c.send(append(lines, c.ready())...)
+	}
+}
+
+// admit checks a startup; it returns the refusal or "".
+func (s *Server) admit(c *conn, f []string) string {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	switch {
+	case len(f) < 2 || f[0] != s.group.options.Service || len(f) > 2 && f[2] != s.id:
+		return string(lineproto.Misrouted) + " " + s.id
+	case len(s.conns) >= s.group.options.ConnectionLimit:
+		s.overLimit++
+		return string(lineproto.TooMany) + " limit"
+	}
+	c.workspace = f[1]
+	s.conns[c] = true
+	return ""
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		c.server.group.mu.Lock()
+		delete(c.server.conns, c)
+		c.server.group.mu.Unlock()
+		_ = c.raw.Close()
+	})
+}
+
+func (c *conn) send(lines ...string) {
+	// A caller that has gone needs no answer.
+	_, _ = c.raw.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
+}
+
+func (c *conn) ready() string {
+	state := lineproto.Idle
+	switch {
+	case c.failed:
+		state = lineproto.TxFailed
+	case c.tx:
+		state = lineproto.InTx
+	}
+	g := c.server.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replicate()
+	return lineproto.Ready + " " + string(state) + " " + c.server.position(c.server.applied())
+}
+
+func failure(code lineproto.Code, text string) []string {
+	return []string{lineproto.Error + " " + string(code) + " " + text}
+}
+
+func complete(signature string) []string { return []string{lineproto.Complete + " " + signature} }
+
+// run executes one statement.
+func (c *conn) run(id, text string) []string {
+	if rest, found := strings.CutPrefix(text, "AFTER "); found {
+		position, statement := lineproto.Cut(rest)
+		if !c.server.reaches(position) {
+			return failure(lineproto.Lagging, position)
+		}
+		text = statement
+	}
+	word, rest := lineproto.Cut(text)
+	switch word {
+	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+		return c.server.control(word, rest)
+	case "RESET":
+		clear(c.prepared)
+		clear(c.values)
+		return complete(lineproto.OwnID)
+	}
+	st := lineproto.ParseStatement(text)
+	switch st.Verb {
+	case lineproto.VerbBegin, lineproto.VerbBeginRead:
+		return c.begin(st.Verb == lineproto.VerbBeginRead)
+	case lineproto.VerbRollback:
+		c.end()
+		return complete(lineproto.OwnID)
+	case lineproto.VerbCommit:
+		return c.commit()
+	case lineproto.VerbSet:
+		c.values[st.Name] = st.Value
+		return complete(lineproto.OwnID)
+	case lineproto.VerbPrepare:
+		c.prepared[st.Name] = rest
+		return complete(lineproto.OwnID)
+	case lineproto.VerbExecute:
+		return c.execute(id, st.Name)
+	case lineproto.VerbRead:
+		return c.read(id)
+	case lineproto.VerbWrite:
+		return c.write(id)
+	}
+	return failure(lineproto.Malformed, word)
+}
+
+// reaches reports whether reads see a position.
+func (s *Server) reaches(position string) bool {
+	p, err := lineproto.ParsePosition(position)
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.replicate()
+	return err == nil && p.Pos <= s.applied()
+}
+
+func (c *conn) begin(readOnly bool) []string {
+	g := c.server.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !readOnly && g.leader != c.server.id {
+		return failure(lineproto.ReadOnly, c.server.id)
+	}
+	c.tx, c.readOnly, c.term = true, readOnly, g.term
+	return complete(lineproto.OwnID)
+}
+
+func (c *conn) end() { c.tx, c.failed, c.readOnly, c.writes = false, false, false, nil }
+
+// leads reports whether a plain transaction, or a single write, may go on.
+func (c *conn) leads() bool {
+	g := c.server.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader == c.server.id && (!c.tx || c.term == g.term)
+}
+
+func (c *conn) work() {
+	c.server.slots <- struct{}{}
+	time.Sleep(c.server.group.options.Work)
+	<-c.server.slots
+}
+
+func (c *conn) signature() string {
+	return c.server.id + "." + strconv.FormatInt(time.Now().UnixNano(), 36)
+}
+
+func (c *conn) execute(id, name string) []string {
+	shape, found := c.prepared[name]
+	if !found {
+		return failure(lineproto.NoStatement, name)
+	}
+	if strings.Contains(shape, " WRITE ") {
+		return c.write(id)
+	}
+	return c.read(id)
+}
+
+func (c *conn) read(id string) []string {
+	if c.tx && !c.readOnly && !c.leads() {
+		c.failed = true
+		return failure(lineproto.ReadOnly, c.server.id)
+	}
+	c.work()
+	c.server.reads.Add(1)
+	g := c.server.group
+	g.mu.Lock()
+	position := c.server.applied()
+	g.mu.Unlock()
+	row := fmt.Sprintf("%s %s %d %s", lineproto.Row, id, position, c.shownValues())
+	return append([]string{row}, complete(c.signature())...)
+}
+
+// shownValues returns the session values in the order of their names.
+func (c *conn) shownValues() string {
+	text := ""
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		text += name + "=" + c.values[name] + ";"
+	}
+	return text
+}
+
+func (c *conn) write(id string) []string {
+	if !c.leads() || c.readOnly {
+		c.failed = c.tx
+		return failure(lineproto.ReadOnly, c.server.id)
+	}
+	c.work()
+	if c.tx {
+		c.writes = append(c.writes, id)
+		return complete(c.signature())
+	}
+	return c.committed([]string{id})
+}
+
+// committed appends a transaction and answers; a server that has stopped
+// answers nothing.
+func (c *conn) committed(ids []string) []string {
+	if _, ok := c.server.group.commit(c.server, ids); ok {
+		return complete(c.signature())
+	}
+	if c.server.isStopped() {
+		_ = c.raw.Close()
+	}
+	return failure(lineproto.ReadOnly, c.server.id)
+}
+
+func (c *conn) commit() []string {
+	if !c.tx {
+		return failure(lineproto.Malformed, "no transaction")
+	}
+	writes := c.writes
+	failed := c.failed || len(writes) > 0 && !c.leads()
+	c.end()
+	if failed {
+		return failure(lineproto.ReadOnly, c.server.id)
+	}
+	if len(writes) > 0 {
+		c.work()
+		return c.committed(writes)
+	}
+	return complete(c.signature())
+}
+
+// control answers the orders and status queries of the proxy.
+func (s *Server) control(word, rest string) []string {
+	term, _ := strconv.ParseUint(rest, 10, 64)
+	g := s.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replicate()
+	switch word {
+	case "PAUSE":
+		if term > g.term && g.leader != s.id {
+			s.held = term
+		}
+	case "RESUME":
+		s.held = 0
+	case "STEPDOWN":
+		if term > g.term && g.leader == s.id {
+			g.leader = ""
+		}
+	}
+	role := "replica"
+	if g.leader == s.id {
+		role = "primary"
+	}
+	row := fmt.Sprintf("%s %s %d %s %d 0 %d %d", lineproto.Row, role, g.term, s.position(s.received), s.held, len(s.slots), len(s.conns))
+	return append([]string{row}, complete(lineproto.OwnID)...)
+}
--- /dev/null
+++ b/standin/metastore/store.go
@@ -0,0 +1,378 @@
+// Package metastore is a stand-in for the platform of the users: its metadata
+// store over HTTP, with leases, watches and faults, and its promotion call.
+package metastore
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Item is one key.
+type Item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  int64  `json:"revision"`
+	CreatedAt int64  `json:"created-at,omitempty"`
+	Lease     int64  `json:"lease,omitempty"`
+	Deleted   bool   `json:"deleted,omitempty"`
+}
+
+// Store is the metadata store.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	leases   map[int64]lease
+	events   []Item
+	revision int64
+	// forgotten is the newest revision that watches cannot start from.
+	forgotten int64
+	nextLease int64
+	changed   chan struct{}
+
+	// Down makes all calls fail with 503.
+	Down atomic.Bool
+	// LoseAnswers is how many of the next changes are made and not answered.
+	LoseAnswers atomic.Int32
+	calls       atomic.Int64
+
+	// Promote answers the promotion call.
+	Promote func(service, id string, token uint64) bool
+
+	listener net.Listener
+	server   *http.Server
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// pageItems is how many items one answer has.
+const pageItems = 500
+
+// New starts a store on a free port of the loopback interface.
+func New() (*Store, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		items: map[string]Item{}, leases: map[int64]lease{}, revision: 1, nextLease: 100,
+		changed: make(chan struct{}), listener: l,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /chervilhatch/kv-key", s.get)
+	mux.HandleFunc("GET /chervilhatch/kv-range", s.list)
+	mux.HandleFunc("GET /chervilhatch/kv-watch", s.watch)
+	mux.HandleFunc("POST /chervilhatch/kv-txn", s.txn)
+	mux.HandleFunc("POST /chervilhatch/kv-lease", s.grant)
+	mux.HandleFunc("POST /chervilhatch/kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /chervilhatch/kv-lease-end/{id}", s.end)
+	mux.HandleFunc("POST /failover", s.failover)
+	s.server = &http.Server{Handler: s.faulty(mux), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Address returns host:port.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Calls returns how many calls have been made.
+func (s *Store) Calls() int64 { return s.calls.Load() }
+
+// Close stops the store.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// Put writes a key as the operators or an upstream do.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+	s.wake()
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+	s.wake()
+}
+
+// ForgetHistory ends all watches from earlier revisions.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.forgotten = nil, s.revision
+	s.wake()
+}
+
+// EndLeases ends all leases, as an outage may.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+	s.wake()
+}
+
+func (s *Store) put(key string, value []byte, leaseID int64) {
+	s.revision++
+	created := s.revision
+	if old, found := s.items[key]; found {
+		created = old.CreatedAt
+	}
+	i := Item{Key: key, Value: value, Revision: s.revision, CreatedAt: created, Lease: leaseID}
+	s.items[key] = i
+	s.events = append(s.events, i)
+}
+
+func (s *Store) remove(key string) {
+	if _, found := s.items[key]; !found {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.events = append(s.events, Item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// expire ends the leases whose time has passed.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.endLease(id)
+			s.wake()
+		}
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.calls.Add(1)
+		if s.Down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may have gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.expire()
+	i, found := s.items[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, i)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	s.expire()
+	items := []Item{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+			items = append(items, i)
+		}
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	more := len(items) > pageItems
+	if more {
+		items = items[:pageItems]
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "store-revision": revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait-ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []Item{}
+		for _, e := range s.events {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		changed, revision := s.changed, s.revision
+		s.mu.Unlock()
+		ended := false
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			case <-deadline:
+				ended = true
+			}
+		}
+		if ended || len(events) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": events, "store-revision": revision})
+			return
+		}
+	}
+}
+
+// txnBody is a change under conditions.
+type txnBody struct {
+	Precondition []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"precondition"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"puts"`
+	Deletes []string `json:"deletes"`
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var t txnBody
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.expire()
+	status, body := s.apply(&t)
+	s.mu.Unlock()
+	if status == http.StatusOK && s.LoseAnswers.Load() > 0 && s.LoseAnswers.Add(-1) >= 0 {
+		<-r.Context().Done()
+		return
+	}
+	answer(w, status, body)
+}
+
+func (s *Store) apply(t *txnBody) (int, any) {
+	current := []Item{}
+	holds := true
+	for _, p := range t.Precondition {
+		i, found := s.items[p.Key]
+		if found {
+			current = append(current, i)
+		}
+		holds = holds && i.Revision == p.Revision
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			return http.StatusForbidden, map[string]any{}
+		}
+		if _, found := s.leases[p.Lease]; p.Lease != 0 && !found {
+			return http.StatusNotFound, map[string]any{}
+		}
+	}
+	for _, p := range t.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range t.Deletes {
+		s.remove(key)
+	}
+	s.wake()
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[s.nextLease] = lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, map[string]any{"lease": s.nextLease, "ttl-ms": body.TTL})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, found := s.leases[id]
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.ends = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	answer(w, http.StatusOK, map[string]any{"ttl-ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+	s.wake()
+	answer(w, http.StatusOK, map[string]any{})
+}
+
+func (s *Store) failover(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Service string `json:"service-name"`
+		ID      string `json:"id"`
+	}
+	token, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil || r.Header.Get("X-Lease-Holder") == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if s.Promote == nil || !s.Promote(body.Service, body.ID, token) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{})
+}
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -15,7 +15,7 @@
 	dialTimeout = 300 * time.Millisecond
 	// surplusIdle is how long an unused connection above this VM's share is
 	// kept; other VMs may need its place.
-	surplusIdle = 300 * time.Millisecond
+	surplusIdle = 500 * time.Millisecond
 	// longestIdle is below the time after which upstreams close idle connections.
 	longestIdle = 40 * time.Second
 	// fullPause is how long no connection above the share is tried after the
