Let one VM read the lists of the store for all

Ruled out: longer intervals, since a leaving upstream and a new VM have to be known within a second.

--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -28,7 +28,7 @@
 	crossZoneCost = 2.0
 	// isolatedAfter is how old the newest proof of all services is on a VM that
 	// counts as cut off.
-	isolatedAfter = 1500 * time.Millisecond
+	isolatedAfter = 900 * time.Millisecond
 )
 
 // cluster holds what this VM knows of the deployment, and its connections. It
--- a/linenode/duty.go
+++ b/linenode/duty.go
@@ -30,8 +30,10 @@
 	// move and otherwise.
 	dutyTick     = 20 * time.Millisecond
 	dutyIdleTick = 100 * time.Millisecond
-	// dutyProbe is how often the holder asks each upstream for its status.
+	// dutyProbe is how often the holder asks each primary for its status.
 	dutyProbe = 300 * time.Millisecond
+	// replicaProbe is the same for a replica that answers.
+	replicaProbe = 800 * time.Millisecond
 	// dutySilence is how long no VM may call itself the holder before others try.
 	dutySilence = 1200 * time.Millisecond
 	// dutyStagger keeps VMs from trying at the same moment.
@@ -181,14 +183,19 @@
 	}
 }
 
-// probeAll asks all upstreams for their status.
+// probeAll asks the primaries for their status, which proves freshness, and the
+// other upstreams less often.
 func (d *duty) probeAll(ctx context.Context) {
 	d.cluster.mu.Lock()
 	views := d.cluster.replicas.Views()
 	d.cluster.mu.Unlock()
 	for i := range views {
 		for j := range views[i].Members {
-			d.order(ctx, views[i].Members[j].ID, promotion.OrderStatus, 0)
+			m := &views[i].Members[j]
+			if m.ID != views[i].Primary && boottime.Now().Sub(m.StatusAt) < replicaProbe && !m.Failing() {
+				continue
+			}
+			d.order(ctx, m.ID, promotion.OrderStatus, 0)
 		}
 	}
 }
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -59,16 +59,11 @@
 	return m.read || len(m.learned) > 0
 }
 
-// run keeps the entry and the list until ctx ends.
+// run keeps the entry until ctx ends.
 func (m *members) run(ctx context.Context) {
-	state := dependency{c: m.cluster, name: "list of VMs"}
-	listAt := model.Time(0)
+	state := dependency{c: m.cluster, name: "entry of this VM"}
 	for ctx.Err() == nil {
 		err := m.renew(ctx)
-		if now := boottime.Now(); err == nil && now >= listAt {
-			err = m.list(ctx)
-			listAt = now.Add(membersInterval)
-		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -107,12 +102,8 @@
 	return nil
 }
 
-// list reads the entries of all VMs.
-func (m *members) list(ctx context.Context) error {
-	kvs, _, err := m.options.Store.Range(ctx, membersPrefix, 0)
-	if err != nil {
-		return err
-	}
+// list takes over the entries of all VMs.
+func (m *members) list(kvs []store.KeyValue) {
 	listed := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
 	for i := range kvs {
 		var e memberEntry
@@ -138,7 +129,6 @@
 	if changed {
 		m.publish("store")
 	}
-	return nil
 }
 
 // learn takes over VMs that have spoken, and what they know of others as long
@@ -190,6 +180,9 @@
 	m.mu.Unlock()
 }
 
+// scarce reports whether most other VMs have not answered yet.
+func (m *members) scarce() bool { return !m.known() || m.isolated() }
+
 // isolated reports whether few of the other VMs have answered lately.
 func (m *members) isolated() bool {
 	others := len(m.all()) - 1
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -33,6 +33,7 @@
 	log     zerolog.Logger
 	cluster *cluster
 	members *members
+	lists   *lists
 	duty    *duty
 	peers   *peers
 	callers *lineproxy.Server
@@ -51,8 +52,9 @@
 	n := &Node{options: o, log: o.Log, ctx: ctx, cancel: cancel}
 	n.cluster = newCluster(o)
 	n.members = newMembers(o, n.cluster)
+	n.lists = newLists(o, n.cluster, n.members)
 	n.duty = newDuty(o, n.cluster, n.members)
-	n.peers = newPeers(o, n.cluster, n.members, n.duty)
+	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.duty)
 	n.cluster.isolated = n.members.isolated
 	n.cluster.announce = n.peers.announce
 	n.callers = lineproxy.NewServer(lineproxy.Options{
@@ -77,7 +79,7 @@
 		}
 	})
 	n.background(func() { n.cluster.followOperators(n.ctx) })
-	n.background(func() { n.cluster.followRegistrations(n.ctx) })
+	n.background(func() { n.lists.run(n.ctx) })
 	n.background(func() { n.members.run(n.ctx) })
 	n.background(func() { n.peers.run(n.ctx) })
 	n.background(func() { n.duty.run(n.ctx) })
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -69,11 +69,6 @@
 const (
 	// storeRetry is the pause after a call that the store did not serve.
 	storeRetry = 200 * time.Millisecond
-	// registrationsInterval is how often the upstreams' entries are read; a
-	// leaving upstream serves for several seconds after its notice.
-	registrationsInterval = time.Second
-	// membersInterval is how often the list of VMs is read.
-	membersInterval = 2 * time.Second
 	// memberTTL is how long the entry of a VM outlives its last renewal,
 	// which comes every renewInterval.
 	// learnedFor is how long a VM that has spoken counts without an entry.
@@ -82,10 +77,14 @@
 	renewInterval = 1500 * time.Millisecond
 	// observeInterval is how often a VM asks its peers.
 	observeInterval = 300 * time.Millisecond
+	// firstObserveInterval is the same until most peers have answered, for at
+	// most firstObserves times.
+	firstObserveInterval = 60 * time.Millisecond
+	firstObserves        = 40
 	// observeTimeout bounds such a question.
 	observeTimeout = 400 * time.Millisecond
 	// peerSilence is how long a VM counts as heard after its last answer.
-	peerSilence = 1200 * time.Millisecond
+	peerSilence = 1000 * time.Millisecond
 	// trimInterval is how often idle connections are looked at.
 	trimInterval = 250 * time.Millisecond
 	// headerTimeout bounds how long a client of the HTTP pages may take.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -20,6 +20,7 @@
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/pause"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 )
 
 const (
@@ -40,6 +41,7 @@
 	options Options
 	cluster *cluster
 	members *members
+	lists   *lists
 	duty    *duty
 	log     zerolog.Logger
 
@@ -52,9 +54,9 @@
 	demands []quota.Demand
 }
 
-func newPeers(o Options, c *cluster, m *members, d *duty) *peers {
+func newPeers(o Options, c *cluster, m *members, l *lists, d *duty) *peers {
 	return &peers{
-		options: o, cluster: c, members: m, duty: d, log: o.Log,
+		options: o, cluster: c, members: m, lists: l, duty: d, log: o.Log,
 		incarnation: rand.Uint64(),
 		links:       map[string]*grpc.ClientConn{}, asking: map[string]bool{},
 	}
@@ -62,7 +64,7 @@
 
 // run asks all peers at each interval until ctx ends.
 func (p *peers) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		p.cluster.mu.Lock()
 		demands := p.cluster.quota.Tick(boottime.Now())
 		p.cluster.mu.Unlock()
@@ -74,7 +76,11 @@
 			go p.ask(ctx, address)
 		}
 		p.forget(targets)
-		pause.For(ctx, observeInterval)
+		interval := observeInterval
+		if round < firstObserves && p.members.scarce() {
+			interval = firstObserveInterval
+		}
+		pause.For(ctx, interval)
 	}
 	p.forget(nil)
 }
@@ -158,6 +164,7 @@
 	asked := boottime.Now()
 	answer, err := vmlinkv1.NewVMLinkClient(link).Observe(ctx, &vmlinkv1.ObserveRequest{
 		Vm: string(p.options.VM), ConfigVersion: version, Address: p.options.PeerAddress,
+		ListsAgeUs: uint64(p.lists.age().Microseconds()),
 	})
 	if err != nil {
 		// Silence shows in the age of what the peer said last.
@@ -176,6 +183,11 @@
 	if len(a.GetConfig()) > 0 {
 		p.cluster.install(a.GetConfig(), "peer "+a.GetVm())
 	}
+	if l := a.GetLists(); l != nil {
+		p.lists.install(storeLists{
+			askedAt: asked.Add(-age(l.GetAgeUs())), upstreams: fromEntries(l.GetUpstreams()), vms: fromEntries(l.GetVms()),
+		})
+	}
 	report := quota.Report{VM: vm, Incarnation: a.GetIncarnation()}
 	for _, d := range a.GetDemands() {
 		report.Demands = append(report.Demands, quota.Demand{
@@ -236,10 +248,32 @@
 	for vm, address := range p.members.all() {
 		a.Members = append(a.Members, &vmlinkv1.Member{Vm: string(vm), Address: address})
 	}
+	if l, newer := p.lists.newerThan(age(r.GetListsAgeUs())); newer {
+		a.Lists = &vmlinkv1.Lists{
+			AgeUs:     uint64(boottime.Now().Sub(l.askedAt).Microseconds()),
+			Upstreams: toEntries(l.upstreams), Vms: toEntries(l.vms),
+		}
+	}
 	p.knowledge(a)
 	return a, nil
 }
 
+func toEntries(kvs []store.KeyValue) []*vmlinkv1.Entry {
+	entries := make([]*vmlinkv1.Entry, len(kvs))
+	for i := range kvs {
+		entries[i] = &vmlinkv1.Entry{Key: kvs[i].Key, Value: kvs[i].Value, Revision: kvs[i].ModRevision}
+	}
+	return entries
+}
+
+func fromEntries(entries []*vmlinkv1.Entry) []store.KeyValue {
+	kvs := make([]store.KeyValue, len(entries))
+	for i, e := range entries {
+		kvs[i] = store.KeyValue{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetRevision()}
+	}
+	return kvs
+}
+
 // announce tells the other VMs of a new primary if this VM holds the duty;
 // others learn of it as fast from their own requests.
 func (p *peers) announce(service catalog.Service, primary model.UpstreamID, term uint64) {
