--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -50,8 +50,9 @@
 	quota    *quota.State
 	effects  []replicaset.Effect
 	pools    map[model.UpstreamID]*upstreampool.Pool
-	vms      int
-	probes   *probes
+	// vms is the number of VMs, 0 while it is not known.
+	vms    int
+	probes *probes
 	// isolated reports whether few other VMs answer, and announce tells the
 	// other VMs of a new primary.
 	isolated func() bool
@@ -62,7 +63,7 @@
 	c := &cluster{
 		store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
 		replicas: replicaset.New(), quota: quota.New(o.VM),
-		pools: map[model.UpstreamID]*upstreampool.Pool{}, vms: 1,
+		pools:    map[model.UpstreamID]*upstreampool.Pool{},
 		isolated: func() bool { return false },
 		announce: func(catalog.Service, model.UpstreamID, uint64) {},
 	}
@@ -243,7 +244,7 @@
 // may open: one, and of the others as large a part as of the operations.
 func (c *cluster) shareOf(name catalog.Service) upstreampool.Share {
 	s := c.Catalog()
-	if s == nil || s.Service(name) == nil {
+	if s == nil || s.Service(name) == nil || c.vms == 0 {
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
 	// Each VM may have one; the rest follows the operations. After a loss of
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -19,6 +19,8 @@
 	// listsPatience is how much longer each further VM waits for the lists of
 	// another one before it reads them itself. Usually the first VM reads.
 	listsPatience = 500 * time.Millisecond
+	// firstListsInterval is the same right after the start.
+	firstListsInterval = 200 * time.Millisecond
 	// listsPoll is how often a VM looks whether its lists are too old.
 	listsPoll = 100 * time.Millisecond
 	// listsGain is by how much lists have to be newer to be passed on.
@@ -77,6 +79,9 @@
 	state := dependency{c: l.cluster, name: "lists"}
 	for ctx.Err() == nil {
 		patience := min(listsInterval+time.Duration(l.members.rank())*listsPatience, longestListsWait)
+		if !l.members.known() {
+			patience = firstListsInterval
+		}
 		if l.age() < patience {
 			pause.For(ctx, listsPoll)
 			continue
@@ -116,7 +121,7 @@
 	}
 	l.current = next
 	l.cluster.Observe(l.registrations(&next))
-	l.members.list(next.vms)
+	l.members.list(next.askedAt, next.vms)
 }
 
 // registrations decodes the entries of upstreams.
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -43,6 +43,11 @@
 	heard map[model.VMID]model.Time
 
 	lease int64
+	// writtenAt is when this VM's entry was written, 0 before.
+	writtenAt model.Time
+	// settled is true once the list certainly has the VMs that started at the
+	// same time.
+	settled bool
 }
 
 func newMembers(o Options, c *cluster) *members {
@@ -52,11 +57,11 @@
 	}
 }
 
-// known reports whether the list of VMs has been read, or told by a peer.
+// known reports whether the list of VMs is settled, or a peer has spoken.
 func (m *members) known() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.read || len(m.learned) > 0
+	return m.settled || len(m.learned) > 0
 }
 
 // run keeps the entry until ctx ends.
@@ -98,12 +103,15 @@
 		return err
 	}
 	m.lease = lease
+	m.mu.Lock()
+	m.writtenAt = boottime.Now()
+	m.mu.Unlock()
 	m.log.Info().Int64("lease", lease).Msg("entry of this VM written")
 	return nil
 }
 
-// list takes over the entries of all VMs.
-func (m *members) list(kvs []store.KeyValue) {
+// list takes over the entries of all VMs from a read that was sent at askedAt.
+func (m *members) list(askedAt model.Time, kvs []store.KeyValue) {
 	listed := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
 	for i := range kvs {
 		var e memberEntry
@@ -119,6 +127,9 @@
 		changed = changed || m.listed[vm] != address
 	}
 	m.listed, m.read = listed, true
+	if !m.settled && m.writtenAt != 0 && askedAt.Sub(m.writtenAt) >= settleTime {
+		m.settled, changed = true, true
+	}
 	for vm, l := range m.learned {
 		if boottime.Now().Sub(l.at) > learnedFor {
 			delete(m.learned, vm)
@@ -149,8 +160,16 @@
 	}
 }
 
+// publish tells the cluster of the VMs. Until the list is settled the cluster
+// knows of none and takes only a small part of what VMs divide.
 func (m *members) publish(source string) {
 	all := m.all()
+	m.mu.Lock()
+	settled := m.settled
+	m.mu.Unlock()
+	if !settled && len(all) == 1 {
+		return
+	}
 	vms := make([]model.VMID, 0, len(all))
 	for vm := range all {
 		vms = append(vms, vm)
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -71,6 +71,9 @@
 	storeRetry = 200 * time.Millisecond
 	// memberTTL is how long the entry of a VM outlives its last renewal,
 	// which comes every renewInterval.
+	// settleTime is within which VMs that start together have written their
+	// entries.
+	settleTime = 400 * time.Millisecond
 	// learnedFor is how long a VM that has spoken counts without an entry.
 	learnedFor    = 3 * time.Second
 	memberTTL     = 5 * time.Second
