--- a/core/config/types.go
+++ b/core/config/types.go
@@ -1,6 +1,6 @@
 // Package config has the operators' configuration: its types, parsing and
 // complete check, lookups, the canonical form and differences between two
-// documents. It does no I/O. docs/operations.md is the reference of the fields.
+// documents. It does no I/O. docs/OPERATIONS.md is the reference of the fields.
 package config
 
 import (
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -25,6 +25,7 @@
 	evacuated map[model.Zone]bool
 	peers     map[model.UpstreamID]model.Time
 	evidence  replicaset.Evidence
+	fewVMs    bool
 	effects   []Effect
 	calls     []Effect
 }
@@ -69,6 +70,7 @@
 			return b.evidence, b.evidence.At != 0
 		},
 		SyncReplicas: func(catalog.Service) int { return 1 },
+		FewVMs:       b.fewVMs,
 	}
 	b.effects = b.state.Tick(b.now, &in, b.effects[:0])
 	for _, e := range b.effects {
@@ -317,3 +319,15 @@
 		t.Error("the fence stays")
 	}
 }
+
+// Guards against a change that leaves most VMs without the primary that they
+// still reach, because the holder is on the smaller side of a cut.
+func TestHolderThatHearsFewVMsWaits(t *testing.T) {
+	b := newBench(t)
+	b.fewVMs = true
+	b.fail("a")
+	b.pass(3 * time.Second)
+	b.wantNoCall()
+	b.pass(2 * time.Second)
+	b.wantCall("b")
+}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -208,7 +208,11 @@
 	if m.RefusedSince != 0 && now.Sub(m.RefusedSince) > refusedAfter && last < m.RefusedSince {
 		return true
 	}
-	return now.Sub(m.FailedSince) > lostAfter/2 && now.Sub(last) > lostAfter
+	limit := lostAfter
+	if in.FewVMs {
+		limit = lostToFewAfter
+	}
+	return now.Sub(m.FailedSince) > limit/2 && now.Sub(last) > limit
 }
 
 // stalled reports whether the primary's commits reach no replica although
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -25,6 +25,9 @@
 	// lookAfter is how long a new holder looks before it acts; its VM has used
 	// the upstreams before.
 	lookAfter = 400 * time.Millisecond
+	// lostToFewAfter is the same on a VM that hears from few others: they may
+	// still reach the primary, and go on with it for as long.
+	lostToFewAfter = 4 * time.Second
 	// refusedAfter is the same for a primary whose machine answers that
 	// nothing listens there.
 	refusedAfter = 300 * time.Millisecond
@@ -132,4 +135,6 @@
 	Evidence func(catalog.Service) (replicaset.Evidence, bool)
 	// SyncReplicas returns how many replicas have received an acknowledged commit.
 	SyncReplicas func(catalog.Service) int
+	// FewVMs is true while this VM hears from less than half of the others.
+	FewVMs bool
 }
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -300,3 +300,20 @@
 		t.Error("a new incarnation does not count")
 	}
 }
+
+// Guards against an old primary that comes back by hearsay: peers that have not
+// heard of its replacement still name it.
+func TestHearsayDoesNotBringBackAnOldPrimary(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 3, pos(3, 500))
+	w.apply(Event{Kind: EventNotPrimary, Upstream: "a"})
+	w.pass(100 * ms)
+	w.apply(Event{Kind: EventPrimary, Service: "db", Upstream: "a", Term: 3, AskedAt: w.now})
+	if got := w.primary(); got != "" {
+		t.Errorf("primary %q", got)
+	}
+	w.apply(Event{Kind: EventPrimary, Service: "db", Upstream: "a", Term: 4, AskedAt: w.now})
+	if got := w.primary(); got != "a" {
+		t.Errorf("primary %q of a later term", got)
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -93,7 +93,9 @@
 	case EventFailed:
 		m.failed(now, ev.Refused)
 	case EventPrimary:
-		g.leads(now, m, ev.Term)
+		if ev.Term > m.deniedTerm || m.deniedTerm == 0 {
+			g.leads(now, m, ev.Term)
+		}
 	}
 	return g.primaryEffect(now, before, out)
 }
@@ -311,6 +313,7 @@
 	m.IsPrimary, m.RoleAt = false, now
 	if g.primary == m.ID {
 		g.primary = ""
+		m.deniedTerm = max(m.deniedTerm, g.leaderTerm)
 	}
 }
 
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -156,6 +156,9 @@
 	LeavingAt model.Time
 
 	missingSince model.Time
+	// deniedTerm is the newest term that the upstream is known not to lead
+	// any more; a peer that names it the primary of that term is behind.
+	deniedTerm uint64
 }
 
 // Failing reports whether the upstream has failed since its last answer.
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -66,11 +66,11 @@
 
 // Guards against a field that the reference page lacks.
 func TestReferenceNamesEveryField(t *testing.T) {
-	page := string(read(t, "..", "docs", "operations.md"))
-	for _, document := range []any{config.Document{}, settings.Settings{}} {
+	page := string(read(t, "..", "docs", "OPERATIONS.md"))
+	for _, document := range []any{config.Document{}, settings.Settings{}, settings.Line{}} {
 		for _, path := range fields("", reflect.TypeOf(document)) {
 			if !strings.Contains(page, "`"+path+"`") {
-				t.Errorf("docs/operations.md does not describe %s", path)
+				t.Errorf("docs/OPERATIONS.md does not describe %s", path)
 			}
 		}
 	}
--- a/linenode/duty.go
+++ b/linenode/duty.go
@@ -174,6 +174,7 @@
 			e, ok := evidence[s]
 			return e, ok
 		},
+		FewVMs: d.members.isolated(),
 		SyncReplicas: func(s catalog.Service) int {
 			if configuration == nil || configuration.Service(s) == nil {
 				return 0
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings reads the file that a VM's daemon starts from: its name,
-// zone, listeners, credentials and exporters. docs/operations.md is the
+// zone, listeners, credentials and exporters. docs/OPERATIONS.md is the
 // reference of the fields.
 package settings
 
--- a/test/cluster/daemon.go
+++ b/test/cluster/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -130,11 +131,10 @@
 	if err != nil {
 		return err
 	}
-	defer out.Close()
 	d.cmd = exec.Command(filepath.Join(d.cluster.bin, "chervilhatchd"), "run", "--settings", d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	if err := d.cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", d.ID, err)
+		return errors.Join(fmt.Errorf("start %s: %w", d.ID, err), out.Close())
 	}
 	if d.cluster.Network != nil {
 		d.cluster.Network.register(d.cmd.Process.Pid, d.Zone)
@@ -142,7 +142,10 @@
 	cmd, exited := d.cmd, make(chan struct{})
 	d.exited = exited
 	go func() {
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		// The log tells how the process ended, which it cannot do itself.
+		_, _ = fmt.Fprintf(out, "process ended: %v (%v)\n", cmd.ProcessState, err)
+		_ = out.Close()
 		close(exited)
 	}()
 	return nil
