Let two hubs of each zone sum its reports on large deployments

Ruled out: the statements' own cost. VMs ask the hubs of their zone, hubs ask each other; the operators' writes and the lists come from hubs; with fewer connections than VMs a VM keeps one only while it uses it.

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -91,6 +91,7 @@
 	return linenode.Options{
 		VM:          s.VM.ID,
 		Zone:        s.VM.Zone,
+		Capacity:    s.VM.Capacity,
 		PeerAddress: s.Peer.Listen,
 		Seeds:       s.Peer.Seeds,
 		Store:       platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -69,13 +69,18 @@
 	VM model.VMID
 	// Incarnation differs between two starts of the VM.
 	Incarnation uint64
-	Demands     []Demand
+	// VMs is how many VMs the report stands for; 0 counts as 1.
+	VMs     int
+	Demands []Demand
 }
 
 // State has the shares of one VM.
 type State struct {
-	self       model.VMID
-	members    []model.VMID
+	self    model.VMID
+	members []model.VMID
+	// sources are those whose reports together stand for all other VMs: every
+	// other VM, or hubs that sum the reports of many.
+	sources    []model.VMID
 	reports    map[model.VMID]*report
 	workspaces map[model.Workspace]*bucket
 	ticked     model.Time
@@ -84,6 +89,7 @@
 // report is the newest report of a peer.
 type report struct {
 	at          model.Time
+	vms         int
 	incarnation uint64
 	demands     map[model.Workspace]Demand
 	// shares are the peer's parts of the rates as of its report. A VM that is
@@ -149,11 +155,12 @@
 	}
 }
 
-// SetMembers takes over the list of VMs, this one included.
-func (s *State) SetMembers(now model.Time, members []model.VMID) {
-	s.members = members
+// SetMembers takes over the list of VMs, this one included, and the sources
+// whose reports stand for all others.
+func (s *State) SetMembers(now model.Time, members, sources []model.VMID) {
+	s.members, s.sources = members, sources
 	for vm := range s.reports {
-		if !slices.Contains(members, vm) {
+		if !slices.Contains(sources, vm) {
 			delete(s.reports, vm)
 		}
 	}
@@ -166,7 +173,7 @@
 	if r != nil && at < r.at {
 		return
 	}
-	next := &report{at: at, incarnation: heard.Incarnation, demands: make(map[model.Workspace]Demand, len(heard.Demands)), shares: map[model.Workspace]float64{}}
+	next := &report{at: at, vms: max(heard.VMs, 1), incarnation: heard.Incarnation, demands: make(map[model.Workspace]Demand, len(heard.Demands)), shares: map[model.Workspace]float64{}}
 	if r != nil {
 		next.shares = r.shares
 	}
@@ -181,14 +188,17 @@
 
 // admittedSince returns what a peer has admitted since its last report.
 func admittedSince(last *report, incarnation uint64, d *Demand) uint64 {
-	before := last.demands[d.Workspace].Admitted
-	if last.incarnation != incarnation {
-		before = 0
-	}
-	if d.Admitted < before {
+	known, found := last.demands[d.Workspace]
+	switch {
+	case last.vms > 1 && (!found || last.incarnation != incarnation):
+		// Another hub has counted from another start.
+		return 0
+	case last.incarnation != incarnation:
+		return d.Admitted
+	case d.Admitted < known.Admitted:
 		return 0
 	}
-	return d.Admitted - before
+	return d.Admitted - known.Admitted
 }
 
 // Tick smooths the demands, recomputes the shares and returns what peers are
@@ -253,27 +263,26 @@
 		b.alone, b.silent = true, 1
 		return 1.0 / unknownVMs
 	}
-	total, silent, quiet, reserved := b.demand, 0.0, 0.0, 0.0
-	for _, vm := range s.members {
-		if vm == s.self {
+	total, quiet, reserved := b.demand, n-1, 0.0
+	heard, silent := 1.0, n-1
+	for _, vm := range s.sources {
+		r := s.reports[vm]
+		if r == nil {
 			continue
 		}
-		r := s.reports[vm]
-		if r == nil || now.Sub(r.at) > aloneAfter {
-			quiet++
+		vms := float64(r.vms)
+		if now.Sub(r.at) <= aloneAfter {
+			quiet -= vms
 		}
-		switch {
-		case r == nil:
-			silent++
-			reserved += 1 / n
-		case now.Sub(r.at) > SilentAfter:
-			silent++
-			reserved += min(1/n, r.shares[name])
-		default:
-			total += r.demands[name].PerSecond
+		silent -= vms
+		if now.Sub(r.at) > SilentAfter {
+			reserved += min(vms/n, r.shares[name])
+			continue
 		}
+		heard += vms
+		total += r.demands[name].PerSecond
 	}
-	heard := n - silent
+	reserved += max(silent, 0) / n
 	share := 1 / heard
 	if total > 0 {
 		share = evenShare/heard + (1-evenShare)*b.reported(now)/total
@@ -295,7 +304,7 @@
 		if now.Sub(r.at) > SilentAfter {
 			continue
 		}
-		share := evenShare / heard
+		share := evenShare / heard * float64(r.vms)
 		if total > 0 {
 			share += (1 - evenShare) * r.demands[name].PerSecond / total
 		}
@@ -312,11 +321,11 @@
 		total += b.demand
 	}
 	heard := 1.0
-	for vm, r := range s.reports {
-		if vm == s.self || now.Sub(r.at) > aloneAfter {
+	for _, r := range s.reports {
+		if now.Sub(r.at) > aloneAfter {
 			continue
 		}
-		heard++
+		heard += float64(r.vms)
 		for _, d := range r.demands {
 			total += d.PerSecond
 		}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,11 +56,17 @@
 func (f *fleet) start(i int) {
 	s := New(f.names[i])
 	c := (&catalog.Snapshot{Version: 1, Workspaces: []catalog.Workspace{{Name: "w", Rate: f.rate, Burst: f.burst}}}).Index()
-	s.SetMembers(f.now, f.names)
+	s.SetMembers(f.now, f.names, others(f.names, i))
 	s.Configure(f.now, c)
 	f.vms[i] = s
 }
 
+// others returns all names but one.
+func others(names []model.VMID, i int) []model.VMID {
+	list := slices.Clone(names)
+	return slices.Delete(list, i, i+1)
+}
+
 // run lets callers ask for d; demand gives the operations a second of each VM.
 func (f *fleet) run(d time.Duration, demand []float64) {
 	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(step) {
--- /dev/null
+++ b/core/quota/summary.go
@@ -0,0 +1,186 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Others is the source of a report that stands for all other VMs.
+const Others model.VMID = "others"
+
+// Summary sums reports on a hub: those of its zone's VMs, which come with their
+// questions, and the sums of other zones, which other hubs tell.
+type Summary struct {
+	incarnation uint64
+	vms         map[model.VMID]*report
+	// admitted counts what the VMs of the zone have admitted since the hub's
+	// start, and counted which part of it is each VM's.
+	admitted map[model.Workspace]uint64
+	counted  map[model.VMID]map[model.Workspace]uint64
+	zones    map[model.Zone]*zoneSum
+}
+
+// zoneSum is what is known of another zone.
+type zoneSum struct {
+	// hub is the one whose counts are followed.
+	hub model.VMID
+	report
+	// admitted counts since the hub's start.
+	admitted map[model.Workspace]uint64
+}
+
+// NewSummary returns an empty summary. incarnation differs between two starts.
+func NewSummary(incarnation uint64) *Summary {
+	return &Summary{
+		incarnation: incarnation,
+		vms:         map[model.VMID]*report{},
+		admitted:    map[model.Workspace]uint64{},
+		counted:     map[model.VMID]map[model.Workspace]uint64{},
+		zones:       map[model.Zone]*zoneSum{},
+	}
+}
+
+// Hear takes over the report of a VM of the hub's zone.
+func (s *Summary) Hear(now model.Time, heard *Report) {
+	last := s.vms[heard.VM]
+	next := &report{at: now, vms: 1, incarnation: heard.Incarnation, demands: byWorkspace(heard.Demands)}
+	if last != nil {
+		counted := s.counted[heard.VM]
+		if counted == nil {
+			counted = map[model.Workspace]uint64{}
+			s.counted[heard.VM] = counted
+		}
+		for i := range heard.Demands {
+			d := &heard.Demands[i]
+			delta := admittedSince(last, next.incarnation, d)
+			s.admitted[d.Workspace] += delta
+			counted[d.Workspace] += delta
+		}
+	}
+	s.vms[heard.VM] = next
+}
+
+// HearZone takes over the sum of another zone that one of its hubs has made.
+func (s *Summary) HearZone(now model.Time, zone model.Zone, heard *Report) {
+	z := s.zones[zone]
+	if z == nil {
+		z = &zoneSum{admitted: map[model.Workspace]uint64{}}
+		s.zones[zone] = z
+	}
+	if z.hub != heard.VM && z.hub != "" && now.Sub(z.at) < aloneAfter {
+		return
+	}
+	next := report{at: now, vms: max(heard.VMs, 1), incarnation: heard.Incarnation, demands: byWorkspace(heard.Demands)}
+	if z.hub == heard.VM && z.incarnation == heard.Incarnation {
+		for i := range heard.Demands {
+			d := &heard.Demands[i]
+			if known, found := z.demands[d.Workspace]; found && d.Admitted > known.Admitted {
+				z.admitted[d.Workspace] += d.Admitted - known.Admitted
+			}
+		}
+	}
+	z.hub, z.report = heard.VM, next
+}
+
+func byWorkspace(demands []Demand) map[model.Workspace]Demand {
+	m := make(map[model.Workspace]Demand, len(demands))
+	for _, d := range demands {
+		m[d.Workspace] = d
+	}
+	return m
+}
+
+// Zone returns the sum of the hub's zone, for other hubs.
+func (s *Summary) Zone(now model.Time, self model.VMID) Report {
+	r := Report{VM: self, Incarnation: s.incarnation}
+	sums := map[model.Workspace]float64{}
+	for vm, v := range s.vms {
+		if now.Sub(v.at) > SilentAfter {
+			s.forget(now, vm, v)
+			continue
+		}
+		r.VMs++
+		for name, d := range v.demands {
+			sums[name] += d.PerSecond
+		}
+	}
+	for name, n := range s.admitted {
+		r.Demands = append(r.Demands, Demand{Workspace: name, PerSecond: sums[name], Admitted: n})
+		delete(sums, name)
+	}
+	for name, sum := range sums {
+		r.Demands = append(r.Demands, Demand{Workspace: name, PerSecond: sum})
+	}
+	return r
+}
+
+// summaryKept is how long a silent VM is remembered, so that its counts go on
+// when it is heard again.
+const summaryKept = time.Minute
+
+func (s *Summary) forget(now model.Time, vm model.VMID, v *report) {
+	if now.Sub(v.at) > summaryKept {
+		delete(s.vms, vm)
+		delete(s.counted, vm)
+	}
+}
+
+// OthersOf returns the sum of all VMs but one of the hub's zone, for the given
+// workspaces; for all of them if workspaces is nil.
+func (s *Summary) OthersOf(now model.Time, vm model.VMID, workspaces []Demand) Report {
+	zone := s.Zone(now, "")
+	total := byWorkspace(zone.Demands)
+	r := Report{VM: Others, Incarnation: s.incarnation, VMs: zone.VMs}
+	if own := s.vms[vm]; own != nil && now.Sub(own.at) <= SilentAfter {
+		r.VMs--
+		for name, d := range own.demands {
+			t := total[name]
+			t.PerSecond = max(t.PerSecond-d.PerSecond, 0)
+			total[name] = t
+		}
+	}
+	for name, n := range s.counted[vm] {
+		t := total[name]
+		t.Admitted -= n
+		total[name] = t
+	}
+	for _, z := range s.zones {
+		if now.Sub(z.at) > SilentAfter {
+			continue
+		}
+		r.VMs += z.vms
+		for name, d := range z.demands {
+			t := total[name]
+			t.PerSecond += d.PerSecond
+			total[name] = t
+		}
+	}
+	for _, z := range s.zones {
+		for name, n := range z.admitted {
+			t := total[name]
+			t.Admitted += n
+			total[name] = t
+		}
+	}
+	r.Demands = pick(total, workspaces)
+	return r
+}
+
+// pick returns the sums of the wanted workspaces, or of all.
+func pick(total map[model.Workspace]Demand, wanted []Demand) []Demand {
+	list := make([]Demand, 0, len(total))
+	if wanted == nil {
+		for name, d := range total {
+			d.Workspace = name
+			list = append(list, d)
+		}
+		return list
+	}
+	for _, w := range wanted {
+		d := total[w.Workspace]
+		d.Workspace = w.Workspace
+		list = append(list, d)
+	}
+	return list
+}
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -23,6 +23,9 @@
 	// reservedConnections of an upstream's limit are left for status queries
 	// and for VMs that come and go.
 	reservedConnections = 2
+	// busyVMs is how many VMs may use an upstream at their most at the same
+	// time, where there are more VMs than connections.
+	busyVMs = 10
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
@@ -53,6 +56,11 @@
 	// vms is the number of VMs, 0 while it is not known.
 	vms    int
 	probes *probes
+	// evacuated are the zones out of service as of operatorsRevision.
+	operatorsRevision int64
+	evacuated         []string
+	// follows reports whether another VM tells what the operators write.
+	follows func() bool
 	// isolated reports whether few other VMs answer, and announce tells the
 	// other VMs of a new primary.
 	isolated func() bool
@@ -65,6 +73,7 @@
 		replicas: replicaset.New(), quota: quota.New(o.VM),
 		pools:    map[model.UpstreamID]*upstreampool.Pool{},
 		isolated: func() bool { return false },
+		follows:  func() bool { return false },
 		announce: func(catalog.Service, model.UpstreamID, uint64) {},
 	}
 	c.probes = newProbes(c)
@@ -250,7 +259,12 @@
 	// Each VM may have one; the rest follows the operations. After a loss of
 	// power, upstreams count the connections of the lost VMs for seconds, so
 	// idle connections leave another one free for each VM that returns.
-	divided := s.Service(name).ConnectionLimit - reservedConnections - c.vms
+	// With more VMs than connections, a VM keeps one only while it uses it.
+	limit := s.Service(name).ConnectionLimit - reservedConnections
+	if limit < 2*c.vms {
+		return upstreampool.Share{Base: 0, Most: max(2, limit/busyVMs)}
+	}
+	divided := limit - c.vms
 	idle := divided - c.vms
 	load := c.quota.LoadShare(c.Now())
 	return upstreampool.Share{
@@ -268,12 +282,12 @@
 	}
 }
 
-// setMembers takes over the list of VMs.
-func (c *cluster) setMembers(vms []model.VMID) {
+// setMembers takes over the list of VMs, and those whose reports stand for all others.
+func (c *cluster) setMembers(vms, sources []model.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.vms = len(vms)
-	c.quota.SetMembers(c.Now(), vms)
+	c.quota.SetMembers(c.Now(), vms, sources)
 	c.reshare()
 }
 
--- a/linenode/duty.go
+++ b/linenode/duty.go
@@ -279,7 +279,7 @@
 			return
 		case holding:
 			d.renew(ctx, lease)
-		case silent && d.members.known():
+		case silent && d.members.known() && d.members.mayLead():
 			pause.For(ctx, time.Duration(d.members.rank())*dutyStagger)
 			d.acquire(ctx)
 		}
--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -32,9 +32,13 @@
 func (c *cluster) followOperators(ctx context.Context) {
 	state := dependency{c: c, name: "configuration"}
 	for ctx.Err() == nil {
+		if c.follows() {
+			pause.For(ctx, storeRetry)
+			continue
+		}
 		zones, revision, err := c.readOperators(ctx)
 		state.result(err)
-		for err == nil {
+		for err == nil && !c.follows() {
 			err = c.watchOperators(ctx, zones, &revision, &state)
 			if errors.Is(err, store.ErrHistoryGone) {
 				break
@@ -60,21 +64,32 @@
 	for i := range kvs {
 		c.operatorKey(&kvs[i], zones, "read")
 	}
-	c.evacuate(zones)
+	c.evacuate(revision, zones)
 	return zones, revision, nil
 }
 
+// watchOperators watches until a call fails, or until another VM tells what the
+// operators write.
 func (c *cluster) watchOperators(ctx context.Context, zones map[model.Zone]bool, revision *int64, state *dependency) error {
-	return c.store.Watch(ctx, c.formats.OperatorsPrefix, *revision, func(change store.Change) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := c.store.Watch(ctx, c.formats.OperatorsPrefix, *revision, func(change store.Change) {
 		state.result(nil)
 		for i := range change.KVs {
 			c.operatorKey(&change.KVs[i], zones, "watch")
 		}
 		if len(change.KVs) > 0 {
-			c.evacuate(zones)
+			c.evacuate(change.Revision, zones)
 		}
 		*revision = change.Revision
+		if c.follows() {
+			cancel()
+		}
 	})
+	if c.follows() {
+		return nil
+	}
+	return err
 }
 
 // operatorKey takes over one key; zones gets the evacuated zones.
@@ -96,10 +111,33 @@
 	zones[model.Zone(zone)] = true
 }
 
-func (c *cluster) evacuate(zones map[model.Zone]bool) {
-	ev := replicaset.Event{Kind: replicaset.EventEvacuations}
+// evacuate takes over the evacuated zones as of a revision of the store.
+func (c *cluster) evacuate(revision int64, zones map[model.Zone]bool) {
+	names := make([]string, 0, len(zones))
 	for z := range zones {
-		ev.Zones = append(ev.Zones, z)
+		names = append(names, string(z))
+	}
+	c.evacuatedAsOf(revision, names)
+}
+
+// evacuatedAsOf takes over the evacuated zones unless newer ones are known.
+func (c *cluster) evacuatedAsOf(revision int64, zones []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision <= c.operatorsRevision {
+		return
+	}
+	c.operatorsRevision, c.evacuated = revision, zones
+	ev := replicaset.Event{Kind: replicaset.EventEvacuations}
+	for _, z := range zones {
+		ev.Zones = append(ev.Zones, model.Zone(z))
 	}
-	c.Observe(&ev)
+	c.applyLocked(&ev)
+}
+
+// evacuations returns the evacuated zones and the revision that they are of.
+func (c *cluster) evacuations() (int64, []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.operatorsRevision, c.evacuated
 }
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -18,13 +18,16 @@
 
 // memberEntry is what a VM writes about itself.
 type memberEntry struct {
-	Address string `json:"address"`
+	Address string     `json:"address"`
+	Zone    model.Zone `json:"zone"`
+	// Capacity is the VM's share of a core; hubs are VMs with a large one.
+	Capacity float64 `json:"capacity"`
 }
 
 // learnedVM is a VM that may not be in the store's list yet.
 type learnedVM struct {
-	address string
-	at      model.Time
+	entry memberEntry
+	at    model.Time
 }
 
 // members keeps this VM's entry in the store alive and knows those of others.
@@ -36,9 +39,13 @@
 	mu sync.Mutex
 	// listed are the VMs in the store's list, learned those that spoke
 	// themselves or that a peer told of before the list was read.
-	listed  map[model.VMID]string
+	listed  map[model.VMID]memberEntry
 	learned map[model.VMID]learnedVM
-	read    bool
+	// shape is whom this VM asks, as of the last change of the VMs.
+	shape topology
+	// cutOff are the asked VMs that say that they are cut off themselves.
+	cutOff map[model.VMID]bool
+	read   bool
 	// heard is when a peer last answered.
 	heard map[model.VMID]model.Time
 
@@ -53,7 +60,7 @@
 func newMembers(o Options, c *cluster) *members {
 	return &members{
 		options: o, cluster: c, log: o.Log,
-		listed: map[model.VMID]string{}, learned: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
+		listed: map[model.VMID]memberEntry{}, cutOff: map[model.VMID]bool{}, learned: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
 	}
 }
 
@@ -94,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(memberEntry{Address: m.options.PeerAddress})
+	value, err := json.Marshal(m.self())
 	if err != nil {
 		return err
 	}
@@ -112,19 +119,19 @@
 
 // list takes over the entries of all VMs from a read that was sent at askedAt.
 func (m *members) list(askedAt model.Time, kvs []store.KeyValue) {
-	listed := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
+	listed := map[model.VMID]memberEntry{m.options.VM: m.self()}
 	for i := range kvs {
 		var e memberEntry
 		if err := json.Unmarshal(kvs[i].Value, &e); err != nil {
 			m.log.Warn().Err(err).Str("key", kvs[i].Key).Msg("entry of a VM ignored")
 			continue
 		}
-		listed[model.VMID(strings.TrimPrefix(kvs[i].Key, membersPrefix))] = e.Address
+		listed[model.VMID(strings.TrimPrefix(kvs[i].Key, membersPrefix))] = e
 	}
 	m.mu.Lock()
 	changed := len(listed) != len(m.listed)
-	for vm, address := range listed {
-		changed = changed || m.listed[vm] != address
+	for vm, e := range listed {
+		changed = changed || m.listed[vm] != e
 	}
 	m.listed, m.read = listed, true
 	if !m.settled && m.writtenAt != 0 && askedAt.Sub(m.writtenAt) >= settleTime {
@@ -144,15 +151,15 @@
 
 // learn takes over VMs that have spoken, and what they know of others as long
 // as the store's list has not been read.
-func (m *members) learn(found map[model.VMID]string, spoke bool) {
+func (m *members) learn(found map[model.VMID]memberEntry, spoke bool) {
 	m.mu.Lock()
 	changed := false
-	for vm, address := range found {
+	for vm, e := range found {
 		if _, known := m.listed[vm]; known || vm == m.options.VM || m.read && !spoke {
 			continue
 		}
-		changed = changed || m.learned[vm].address != address
-		m.learned[vm] = learnedVM{address: address, at: boottime.Now()}
+		changed = changed || m.learned[vm].entry != e
+		m.learned[vm] = learnedVM{entry: e, at: boottime.Now()}
 	}
 	m.mu.Unlock()
 	if changed {
@@ -175,46 +182,80 @@
 		vms = append(vms, vm)
 	}
 	slices.Sort(vms)
-	m.cluster.setMembers(vms)
+	shape := newTopology(m.options.VM, all)
+	m.mu.Lock()
+	m.shape = shape
+	m.mu.Unlock()
+	m.cluster.setMembers(vms, shape.sources)
 	m.log.Info().Int("vms", len(vms)).Str("source", source).Msg("list of VMs changed")
 }
 
-// all returns the VMs and their peer addresses, this one included.
-func (m *members) all() map[model.VMID]string {
+// self returns the entry of this VM.
+func (m *members) self() memberEntry {
+	return memberEntry{Address: m.options.PeerAddress, Zone: m.options.Zone, Capacity: m.options.Capacity}
+}
+
+// all returns the entries of the VMs, this one included.
+func (m *members) all() map[model.VMID]memberEntry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := map[model.VMID]string{m.options.VM: m.options.PeerAddress}
+	all := map[model.VMID]memberEntry{m.options.VM: m.self()}
 	for vm, l := range m.learned {
-		all[vm] = l.address
+		all[vm] = l.entry
 	}
-	for vm, address := range m.listed {
-		all[vm] = address
+	for vm, e := range m.listed {
+		all[vm] = e
 	}
 	return all
 }
 
-func (m *members) answered(vm model.VMID, at model.Time) {
+// topology returns whom this VM asks.
+func (m *members) topology() topology {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.shape
+}
+
+// answered notes the answer of a VM; cutOff is what it says of itself.
+func (m *members) answered(vm model.VMID, at model.Time, cutOff bool) {
 	m.mu.Lock()
 	m.heard[vm] = at
+	m.cutOff[vm] = cutOff
 	m.mu.Unlock()
 }
 
 // scarce reports whether most other VMs have not answered yet.
 func (m *members) scarce() bool { return !m.known() || m.isolated() }
 
-// isolated reports whether few of the other VMs have answered lately.
+// isolated reports whether few of the VMs that this one asks have answered
+// lately, or only such as are cut off with it.
 func (m *members) isolated() bool {
-	others := len(m.all()) - 1
 	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heard := 0
-	for _, at := range m.heard {
-		if now.Sub(at) < peerSilence {
+	for vm := range m.shape.ask {
+		if now.Sub(m.heard[vm]) < peerSilence && !(m.shape.large && m.cutOff[vm]) {
 			heard++
 		}
 	}
-	return heard*2 < others
+	if m.shape.large && !m.shape.hub {
+		return heard == 0
+	}
+	return heard*2 < len(m.shape.ask)
+}
+
+// mayLead reports whether this VM may take the promotion duty: on a large
+// deployment only hubs hear of each other's.
+func (m *members) mayLead() bool {
+	shape := m.topology()
+	return !shape.large || shape.hub
+}
+
+// follows reports whether a hub tells this VM what the operators write.
+func (m *members) follows() bool {
+	shape := m.topology()
+	return shape.large && !shape.hub && !m.isolated()
 }
 
 // rank returns how many VMs that have answered lately come before this one.
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -56,6 +56,7 @@
 	n.duty = newDuty(o, n.cluster, n.members)
 	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.duty)
 	n.cluster.isolated = n.members.isolated
+	n.cluster.follows = n.members.follows
 	n.cluster.announce = n.peers.announce
 	n.callers = lineproxy.NewServer(lineproxy.Options{
 		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions,
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -43,6 +43,8 @@
 type Options struct {
 	VM   model.VMID
 	Zone model.Zone
+	// Capacity is the VM's share of a core.
+	Capacity float64
 	// PeerAddress is where other VMs reach the Peers listener.
 	PeerAddress string
 	// Seeds are peer addresses that are asked at the start.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -52,25 +53,26 @@
 	links   map[string]*grpc.ClientConn
 	asking  map[string]bool
 	demands []quota.Demand
+	// summary sums the reports of this VM's zone while it is a hub.
+	summary *quota.Summary
+	// source is the hub whose summary this VM follows, heard at sourceAt.
+	source   model.VMID
+	sourceAt model.Time
 }
 
 func newPeers(o Options, c *cluster, m *members, l *lists, d *duty) *peers {
+	incarnation := rand.Uint64()
 	return &peers{
 		options: o, cluster: c, members: m, lists: l, duty: d, log: o.Log,
-		incarnation: rand.Uint64(),
-		links:       map[string]*grpc.ClientConn{}, asking: map[string]bool{},
+		incarnation: incarnation, summary: quota.NewSummary(incarnation),
+		links: map[string]*grpc.ClientConn{}, asking: map[string]bool{},
 	}
 }
 
 // run asks all peers at each interval until ctx ends.
 func (p *peers) run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		p.cluster.mu.Lock()
-		demands := p.cluster.quota.Tick(boottime.Now())
-		p.cluster.mu.Unlock()
-		p.mu.Lock()
-		p.demands = demands
-		p.mu.Unlock()
+		p.tick()
 		targets := p.targets()
 		for _, address := range targets {
 			go p.ask(ctx, address)
@@ -85,20 +87,39 @@
 	p.forget(nil)
 }
 
-// targets returns the addresses to ask: those of all other VMs, or of the seeds
+// tick publishes what reaches this VM. A hub also takes the sum over all other
+// VMs from its own summary.
+func (p *peers) tick() {
+	now := boottime.Now()
+	shape := p.members.topology()
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	demands := p.cluster.quota.Tick(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demands = demands
+	if !shape.hub {
+		return
+	}
+	p.summary.Hear(now, &quota.Report{VM: p.options.VM, Incarnation: p.incarnation, Demands: demands})
+	others := p.summary.OthersOf(now, p.options.VM, nil)
+	p.cluster.quota.Hear(now, &others)
+}
+
+// targets returns the addresses to ask: those of the topology, or of the seeds
 // while no other VM is known.
 func (p *peers) targets() map[model.VMID]string {
-	all := p.members.all()
-	delete(all, p.options.VM)
-	if len(all) > 0 {
-		return all
+	asked := maps.Clone(p.members.topology().ask)
+	if len(asked) > 0 {
+		return asked
 	}
+	asked = map[model.VMID]string{}
 	for _, address := range p.options.Seeds {
 		if address != p.options.PeerAddress {
-			all[model.VMID("seed "+address)] = address
+			asked[model.VMID("seed "+address)] = address
 		}
 	}
-	return all
+	return asked
 }
 
 // forget closes the connections to VMs that are gone.
@@ -161,11 +182,17 @@
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
 	version, _ := p.cluster.stored()
+	request := &vmlinkv1.ObserveRequest{
+		Vm: string(p.options.VM), ConfigVersion: version, Address: p.options.PeerAddress, Zone: string(p.options.Zone),
+		ListsAgeUs: uint64(p.lists.age().Microseconds()), Incarnation: p.incarnation,
+	}
+	if shape := p.members.topology(); shape.large && !shape.hub {
+		p.mu.Lock()
+		request.Demands = toDemands(p.demands)
+		p.mu.Unlock()
+	}
 	asked := boottime.Now()
-	answer, err := vmlinkv1.NewVMLinkClient(link).Observe(ctx, &vmlinkv1.ObserveRequest{
-		Vm: string(p.options.VM), ConfigVersion: version, Address: p.options.PeerAddress,
-		ListsAgeUs: uint64(p.lists.age().Microseconds()),
-	})
+	answer, err := vmlinkv1.NewVMLinkClient(link).Observe(ctx, request)
 	if err != nil {
 		// Silence shows in the age of what the peer said last.
 		p.log.Debug().Err(err).Str("address", address).Msg("peer did not answer")
@@ -178,7 +205,7 @@
 // question was sent.
 func (p *peers) heard(asked model.Time, a *vmlinkv1.ObserveResponse) {
 	vm := model.VMID(a.GetVm())
-	p.members.answered(vm, asked)
+	p.members.answered(vm, asked, a.GetIsolated())
 	p.duty.heard(vm, model.VMID(a.GetDutyHolder()), asked)
 	if len(a.GetConfig()) > 0 {
 		p.cluster.install(a.GetConfig(), "peer "+a.GetVm())
@@ -188,31 +215,69 @@
 			askedAt: asked.Add(-age(l.GetAgeUs())), upstreams: fromEntries(l.GetUpstreams()), vms: fromEntries(l.GetVms()),
 		})
 	}
-	report := quota.Report{VM: vm, Incarnation: a.GetIncarnation()}
-	for _, d := range a.GetDemands() {
-		report.Demands = append(report.Demands, quota.Demand{
-			Workspace: model.Workspace(d.GetWorkspace()), PerSecond: d.GetPerSecond(), Admitted: d.GetAdmitted(),
-		})
-	}
-	found := map[model.VMID]string{}
+	p.cluster.evacuatedAsOf(a.GetOperatorsRevision(), a.GetEvacuated())
+	found := map[model.VMID]memberEntry{}
 	for _, m := range a.GetMembers() {
-		found[model.VMID(m.GetVm())] = m.GetAddress()
+		found[model.VMID(m.GetVm())] = memberEntry{Address: m.GetAddress(), Zone: model.Zone(m.GetZone()), Capacity: m.GetCapacity()}
 	}
 	p.members.learn(found, false)
-	if address := found[vm]; address != "" {
-		p.members.learn(map[model.VMID]string{vm: address}, true)
+	if e, told := found[vm]; told {
+		p.members.learn(map[model.VMID]memberEntry{vm: e}, true)
 	}
 	for _, c := range a.GetContacts() {
 		p.duty.contact(model.UpstreamID(c.GetUpstream()), asked.Add(-age(c.GetAgeUs())))
 	}
+	p.report(asked, vm, a)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	p.cluster.quota.Hear(asked, &report)
 	for _, e := range a.GetEvidence() {
 		p.evidence(asked, e)
 	}
 }
 
+// report takes over the demands that a peer tells: its own, the sum of all other
+// VMs that a hub has made for this VM, or that of another zone.
+func (p *peers) report(asked model.Time, vm model.VMID, a *vmlinkv1.ObserveResponse) {
+	report := quota.Report{
+		VM: vm, Incarnation: a.GetIncarnation(), VMs: int(a.GetVms()), Demands: fromDemands(a.GetDemands()),
+	}
+	shape := p.members.topology()
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !shape.large:
+		p.cluster.quota.Hear(asked, &report)
+	case shape.hub:
+		if zone := shape.zones[vm]; zone != p.options.Zone {
+			p.summary.HearZone(asked, zone, &report)
+		}
+	case p.source == vm || p.source == "" || asked.Sub(p.sourceAt) > peerSilence:
+		p.source, p.sourceAt = vm, asked
+		report.VM = quota.Others
+		p.cluster.quota.Hear(asked, &report)
+	}
+}
+
+func fromDemands(list []*vmlinkv1.Demand) []quota.Demand {
+	demands := make([]quota.Demand, 0, len(list))
+	for _, d := range list {
+		demands = append(demands, quota.Demand{
+			Workspace: model.Workspace(d.GetWorkspace()), PerSecond: d.GetPerSecond(), Admitted: d.GetAdmitted(),
+		})
+	}
+	return demands
+}
+
+func toDemands(list []quota.Demand) []*vmlinkv1.Demand {
+	demands := make([]*vmlinkv1.Demand, 0, len(list))
+	for _, d := range list {
+		demands = append(demands, &vmlinkv1.Demand{Workspace: string(d.Workspace), PerSecond: d.PerSecond, Admitted: d.Admitted})
+	}
+	return demands
+}
+
 func age(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func (p *peers) evidence(asked model.Time, e *vmlinkv1.Evidence) {
@@ -231,23 +296,22 @@
 
 // Observe answers a peer.
 func (p *peers) Observe(_ context.Context, r *vmlinkv1.ObserveRequest) (*vmlinkv1.ObserveResponse, error) {
-	if r.GetAddress() != "" {
-		p.members.learn(map[model.VMID]string{model.VMID(r.GetVm()): r.GetAddress()}, true)
+	shape := p.members.topology()
+	if r.GetAddress() != "" && !shape.large {
+		e := memberEntry{Address: r.GetAddress(), Zone: model.Zone(r.GetZone())}
+		p.members.learn(map[model.VMID]memberEntry{model.VMID(r.GetVm()): e}, true)
+	}
+	a := &vmlinkv1.ObserveResponse{
+		Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation, Isolated: p.members.isolated(),
 	}
-	a := &vmlinkv1.ObserveResponse{Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation}
 	version, raw := p.cluster.stored()
 	a.ConfigVersion = version
 	if version > r.GetConfigVersion() {
 		a.Config = raw
 	}
-	p.mu.Lock()
-	for _, d := range p.demands {
-		a.Demands = append(a.Demands, &vmlinkv1.Demand{Workspace: string(d.Workspace), PerSecond: d.PerSecond, Admitted: d.Admitted})
-	}
-	p.mu.Unlock()
-	for vm, address := range p.members.all() {
-		a.Members = append(a.Members, &vmlinkv1.Member{Vm: string(vm), Address: address})
-	}
+	a.OperatorsRevision, a.Evacuated = p.cluster.evacuations()
+	p.tellDemands(&shape, r, a)
+	p.tellMembers(&shape, a)
 	if l, newer := p.lists.newerThan(age(r.GetListsAgeUs())); newer {
 		a.Lists = &vmlinkv1.Lists{
 			AgeUs:     uint64(boottime.Now().Sub(l.askedAt).Microseconds()),
@@ -258,6 +322,39 @@
 	return a, nil
 }
 
+// tellDemands adds the demands that the asking VM needs.
+func (p *peers) tellDemands(shape *topology, r *vmlinkv1.ObserveRequest, a *vmlinkv1.ObserveResponse) {
+	now := boottime.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !shape.hub {
+		a.Vms, a.Demands = 1, toDemands(p.demands)
+		return
+	}
+	if r.GetZone() != string(p.options.Zone) || len(r.GetDemands()) == 0 && r.GetIncarnation() == 0 {
+		zone := p.summary.Zone(now, p.options.VM)
+		a.Vms, a.Demands = uint64(zone.VMs), toDemands(zone.Demands)
+		return
+	}
+	report := quota.Report{VM: model.VMID(r.GetVm()), Incarnation: r.GetIncarnation(), Demands: fromDemands(r.GetDemands())}
+	p.summary.Hear(now, &report)
+	others := p.summary.OthersOf(now, report.VM, report.Demands)
+	a.Vms, a.Demands = uint64(others.VMs), toDemands(others.Demands)
+}
+
+// tellMembers adds the VMs that this one knows; on a large deployment only
+// itself, since the lists have the others.
+func (p *peers) tellMembers(shape *topology, a *vmlinkv1.ObserveResponse) {
+	for vm, e := range p.members.all() {
+		if shape.large && vm != p.options.VM {
+			continue
+		}
+		a.Members = append(a.Members, &vmlinkv1.Member{
+			Vm: string(vm), Address: e.Address, Zone: string(e.Zone), Capacity: e.Capacity,
+		})
+	}
+}
+
 func toEntries(kvs []store.KeyValue) []*vmlinkv1.Entry {
 	entries := make([]*vmlinkv1.Entry, len(kvs))
 	for i := range kvs {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,9 @@
 type VM struct {
 	ID   model.VMID `json:"id"`
 	Zone model.Zone `json:"zone"`
+	// Capacity is the VM's share of a core; 0 means unknown. Only VMs that
+	// speak the line protocol use it.
+	Capacity float64 `json:"capacity"`
 }
 
 // TLS has the paths of PEM files. Relative paths are relative to the settings file.
