Let hubs count each other as connected; keep the duty on hubs

Cause: 1 of 79 VMs was ready when traffic began: each hub had told the others at its start that it heard nobody, and none counted the others from then on (TestHubsThatHearEachOtherAreNotCutOff failed before); the duty was on a VM that nobody asks. VMs behind a hub read the lists themselves, since these are up to 1.6 s old there. TestConnectionLimit: status queries of three VMs passed the limit; a tenth of it is left for them now.

--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	// reservedConnections of an upstream's limit are left for status queries
-	// and for VMs that come and go.
-	reservedConnections = 2
+	// leastReserved connections of an upstream's limit, or a tenth of it, are
+	// left for status queries and for VMs that come and go.
+	leastReserved = 2
+	reservedPart  = 10
 	// busyVMs is how many VMs may use an upstream at their most at the same
 	// time, where there are more VMs than connections.
 	busyVMs = 10
@@ -260,7 +261,8 @@
 	// power, upstreams count the connections of the lost VMs for seconds, so
 	// idle connections leave another one free for each VM that returns.
 	// With more VMs than connections, a VM keeps one only while it uses it.
-	limit := s.Service(name).ConnectionLimit - reservedConnections
+	limit := s.Service(name).ConnectionLimit
+	limit -= max(leastReserved, limit/reservedPart)
 	if limit < 2*c.vms {
 		return upstreampool.Share{Base: 0, Most: max(2, limit/busyVMs)}
 	}
--- a/linenode/duty.go
+++ b/linenode/duty.go
@@ -277,6 +277,8 @@
 		switch {
 		case released:
 			return
+		case holding && !d.members.mayLead():
+			d.handOver(ctx, "a hub has to hold the duty")
 		case holding:
 			d.renew(ctx, lease)
 		case silent && d.members.known() && d.members.mayLead():
@@ -339,11 +341,19 @@
 // release hands the duty over before a stop.
 func (d *duty) release(ctx context.Context) {
 	d.mu.Lock()
-	holding, lease := d.state.Holding(), d.lease
-	d.state.Lose()
-	d.acting.Store(false)
 	d.released = true
 	d.mu.Unlock()
+	d.handOver(ctx, "the VM stops")
+}
+
+// handOver ends the duty, if this VM holds it, so that another VM can take it.
+func (d *duty) handOver(ctx context.Context, cause string) {
+	d.mu.Lock()
+	holding, lease := d.state.Holding(), d.lease
+	if holding {
+		d.loseLocked(cause)
+	}
+	d.mu.Unlock()
 	if !holding {
 		return
 	}
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -79,6 +79,9 @@
 	state := dependency{c: l.cluster, name: "lists"}
 	for ctx.Err() == nil {
 		patience := min(listsInterval+time.Duration(l.members.rank())*listsPatience, longestListsWait)
+		if l.members.follows() {
+			patience = longestListsWait
+		}
 		if !l.members.known() {
 			patience = firstListsInterval
 		}
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -233,14 +233,18 @@
 	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	heard := 0
+	heard, connected := 0, 0
 	for vm := range m.shape.ask {
-		if now.Sub(m.heard[vm]) < peerSilence && !(m.shape.large && m.cutOff[vm]) {
-			heard++
+		if now.Sub(m.heard[vm]) >= peerSilence {
+			continue
+		}
+		heard++
+		if !m.cutOff[vm] {
+			connected++
 		}
 	}
 	if m.shape.large && !m.shape.hub {
-		return heard == 0
+		return connected == 0
 	}
 	return heard*2 < len(m.shape.ask)
 }
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -149,7 +149,7 @@
 		Answered: grace * 2 / 5,
 		Idle:     grace / 2,
 		All:      grace / 2,
-		End:      grace * 17 / 20,
+		End:      grace * 3 / 4,
 	}
 }
 
