Add a fault soak of real processes

make soak SEEDS=50 VMS=4 runs the daemons as processes against the stand-ins, behind links that delay, silence, cut one way and reset; processes are paused, killed, stopped and reloaded by signals; the store loses answers, leases and history. It checks lost, doubled and stale statements, false refusals, withdrawn keys and recovery. Callers, writers and the platform's stand-ins of the tests now stand once, in test/linetest.

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,11 @@
 # Bounded to about 8 minutes; MEASURE="--short --figure crash" and the like select.
 measure:
 	cd test && go run ./measure $(MEASURE)
+
+# A randomized soak of real processes under faults: make soak SEEDS=50 VMS=4.
+SEEDS ?= 10
+VMS ?= 4
+
+.PHONY: soak
+soak:
+	cd test && SOAK_SEEDS=$(SEEDS) SOAK_VMS=$(VMS) go test -count=1 -timeout 60m -v -run TestSoak ./soak
--- a/standin/linegroup/group.go
+++ b/standin/linegroup/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 	leader  string
 	term    uint64
 	log     []Commit
+	// written has the ids of all committed statements.
+	written map[string]bool
 	// violations are breaches of the rules of the protocol that were seen.
 	violations []string
 	// kept is how many commits the last promotion kept.
@@ -52,7 +55,7 @@
 
 // New returns a group without servers.
 func New(o Options) *Group {
-	return &Group{options: o, servers: map[string]*Server{}, term: 1}
+	return &Group{options: o, servers: map[string]*Server{}, written: map[string]bool{}, term: 1}
 }
 
 // Add starts a server on a free port of the loopback interface; the first one
@@ -105,6 +108,11 @@
 			g.violate("commit %d of %v was acknowledged and is lost by the promotion of %s", g.log[i].Number, g.log[i].IDs, id)
 		}
 	}
+	for i := int(s.received); i < len(g.log); i++ {
+		for _, id := range g.log[i].IDs {
+			delete(g.written, id)
+		}
+	}
 	g.log = g.log[:s.received]
 	g.kept = len(g.log)
 	for _, other := range g.servers {
@@ -134,6 +142,18 @@
 	return append([]Commit(nil), g.log...)
 }
 
+// NumberOf returns the number of the commit that has a statement, 0 if none has.
+func (g *Group) NumberOf(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := len(g.log) - 1; i >= 0; i-- {
+		if slices.Contains(g.log[i].IDs, id) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // Close stops all servers.
 func (g *Group) Close() {
 	g.mu.Lock()
@@ -158,13 +178,10 @@
 	}
 	term := g.term
 	for _, id := range ids {
-		for i := range g.log {
-			for _, other := range g.log[i].IDs {
-				if other == id {
-					g.violate("statement %s takes effect twice", id)
-				}
-			}
+		if g.written[id] {
+			g.violate("statement %s takes effect twice", id)
 		}
+		g.written[id] = true
 	}
 	number = model.LogPos(len(g.log) + 1)
 	g.log = append(g.log, Commit{Number: number, Term: term, IDs: ids})
--- a/test/line/path_test.go
+++ b/test/line/path_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+	"github.com/chervilhatch/chervilhatch/test/linetest"
 )
 
 var quick = linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond}
@@ -17,29 +18,29 @@
 	var written []string
 	for _, database := range []string{"strict", "bounded", "own"} {
 		c := f.dial(0, database)
-		r := c.want("WRITE item data")
-		if r.signature == lineproto.OwnID {
+		r := c.Want("WRITE item data")
+		if r.Signature == lineproto.OwnID {
 			t.Error("a write has no signature of its upstream")
 		}
-		written = append(written, r.id)
-		if r := c.want("READ item"); !contains(r.rows, r.id) || r.state != lineproto.Idle {
+		written = append(written, r.ID)
+		if r := c.Want("READ item"); !r.Contains(r.ID) || r.State != lineproto.Idle {
 			t.Errorf("read: %+v", r)
 		}
-		c.want("BEGIN")
-		c.want("READ item")
-		written = append(written, c.want("WRITE item more").id)
-		if r := c.want("COMMIT"); r.state != lineproto.Idle || r.signature == lineproto.OwnID {
+		c.Want("BEGIN")
+		c.Want("READ item")
+		written = append(written, c.Want("WRITE item more").ID)
+		if r := c.Want("COMMIT"); r.State != lineproto.Idle || r.Signature == lineproto.OwnID {
 			t.Errorf("commit: %+v", r)
 		}
-		c.want("BEGIN READ")
-		c.want("READ item")
-		c.want("ROLLBACK")
-		c.want("BEGIN")
-		c.want("WRITE item undone")
-		c.want("ROLLBACK")
+		c.Want("BEGIN READ")
+		c.Want("READ item")
+		c.Want("ROLLBACK")
+		c.Want("BEGIN")
+		c.Want("WRITE item undone")
+		c.Want("ROLLBACK")
 	}
-	f.checkHistory(written)
-	if n := len(f.group.Log()); n != 6 {
+	f.CheckHistory(written, nil)
+	if n := len(f.Group.Log()); n != 6 {
 		t.Errorf("%d commits, want 6", n)
 	}
 }
@@ -49,22 +50,14 @@
 	f := newFixture(t, 1, linegroup.Options{ConnectionLimit: 40, Slots: 4, Lag: 60 * time.Millisecond})
 	c := f.dial(0, "own")
 	for range 10 {
-		c.want("WRITE item data")
-		commits := len(f.group.Log())
-		r := c.want("READ item")
-		if position := strings.Fields(r.rows[0])[1]; position < "0" || !atLeast(position, commits) {
-			t.Fatalf("a read saw %s of %d commits", position, commits)
+		c.Want("WRITE item data")
+		commits := len(f.Group.Log())
+		r := c.Want("READ item")
+		if r.Seen() < commits {
+			t.Fatalf("a read saw %d of %d commits", r.Seen(), commits)
 		}
 	}
-	f.checkHistory(nil)
-}
-
-func atLeast(position string, commits int) bool {
-	n := 0
-	for _, digit := range position {
-		n = n*10 + int(digit-'0')
-	}
-	return n >= commits
+	f.CheckHistory(nil, nil)
 }
 
 // Guards against values and prepared statements of one session that reach
@@ -72,35 +65,35 @@
 func TestSessionsKeepTheirValuesApart(t *testing.T) {
 	f := newFixture(t, 1, linegroup.Options{ConnectionLimit: 6, Slots: 2, Work: time.Millisecond})
 	one, two := f.dial(0, "own"), f.dial(0, "own")
-	one.want("SET color red")
-	two.want("SET color blue")
-	two.want("SET size big one")
-	one.want("PREPARE s READ shape1")
-	two.want("PREPARE s WRITE shape2")
+	one.Want("SET color red")
+	two.Want("SET color blue")
+	two.Want("SET size big one")
+	one.Want("PREPARE s READ shape1")
+	two.Want("PREPARE s WRITE shape2")
 	for range 5 {
-		if r := one.want("EXECUTE s item"); !contains(r.rows, "color=red;") || contains(r.rows, "size") {
-			t.Errorf("rows %q", r.rows)
+		if r := one.Want("EXECUTE s item"); !r.Contains("color=red;") || r.Contains("size") {
+			t.Errorf("rows %q", r.Rows)
 		}
-		two.want("EXECUTE s item data")
-		if r := two.want("READ item"); !contains(r.rows, "color=blue;size=big one;") {
-			t.Errorf("rows %q", r.rows)
+		two.Want("EXECUTE s item data")
+		if r := two.Want("READ item"); !r.Contains("color=blue;size=big one;") {
+			t.Errorf("rows %q", r.Rows)
 		}
 	}
-	one.want("DEALLOCATE s")
-	one.refused("EXECUTE s item", lineproto.NoStatement)
-	f.checkHistory(nil)
+	one.Want("DEALLOCATE s")
+	one.Refused("EXECUTE s item", lineproto.NoStatement)
+	f.CheckHistory(nil, nil)
 }
 
 // Guards against bad input that harms another caller or goes unanswered.
 func TestBadInput(t *testing.T) {
 	f := newFixture(t, 1, quick)
 	for startup, code := range map[string]lineproto.Code{
-		"STARTUP nothing " + key: lineproto.NoDatabase,
-		"STARTUP own wrong":      lineproto.NoAuth,
-		"STARTUP own":            lineproto.NoAuth,
-		"HELLO":                  lineproto.Malformed,
+		"STARTUP nothing " + linetest.Key: lineproto.NoDatabase,
+		"STARTUP own wrong":               lineproto.NoAuth,
+		"STARTUP own":                     lineproto.NoAuth,
+		"HELLO":                           lineproto.Malformed,
 	} {
-		_, m := dial(t, f.callers[0], startup)
+		_, m := linetest.Dial(t, f.callers[0], startup)
 		if m.Word != lineproto.Error || !strings.HasPrefix(m.Rest, string(code)) {
 			t.Errorf("%s: %+v, want %s", startup, m, code)
 		}
@@ -108,26 +101,26 @@
 	good := f.dial(0, "own")
 	for _, line := range []string{"NOISE", "QUERY", "QUERY - READ item", "QUERY id READ a\rb", "READY I -"} {
 		c := f.dial(0, "own")
-		c.send(line)
-		if m, err := c.reader.Read(); err != nil || m.Word != lineproto.Error {
+		c.Send(line)
+		if m, err := c.Reader.Read(); err != nil || m.Word != lineproto.Error {
 			t.Errorf("%q: %+v, %v", line, m, err)
 		}
 	}
 	large := f.dial(0, "own")
-	go large.send("QUERY id READ " + strings.Repeat("x", lineproto.MaxMessage))
-	if m, err := large.reader.Read(); err != nil || !strings.HasPrefix(m.Rest, string(lineproto.TooLarge)) {
+	go large.Send("QUERY id READ " + strings.Repeat("x", lineproto.MaxMessage))
+	if m, err := large.Reader.Read(); err != nil || !strings.HasPrefix(m.Rest, string(lineproto.TooLarge)) {
 		t.Errorf("a message above the limit: %+v, %v", m, err)
 	}
 	for _, text := range []string{"STATUS", "AFTER 1.1 READ item", "DROP all", "COMMIT", "PAUSE 9"} {
-		good.refused(text, lineproto.Malformed)
+		good.Refused(text, lineproto.Malformed)
 	}
-	good.want("BEGIN")
-	good.refused("NOISE", lineproto.Malformed)
-	if r := good.refused("READ item", lineproto.Malformed); r.state != lineproto.TxFailed {
-		t.Errorf("state %c after an error in a transaction", r.state)
+	good.Want("BEGIN")
+	good.Refused("NOISE", lineproto.Malformed)
+	if r := good.Refused("READ item", lineproto.Malformed); r.State != lineproto.TxFailed {
+		t.Errorf("state %c after an error in a transaction", r.State)
 	}
-	good.refused("COMMIT", lineproto.Aborted)
-	good.want("READ item")
+	good.Refused("COMMIT", lineproto.Aborted)
+	good.Want("READ item")
 }
 
 // Guards against a withdrawn key that goes on working on an open session, also
@@ -135,16 +128,16 @@
 func TestWithdrawnKey(t *testing.T) {
 	f := newFixture(t, 1, quick)
 	idle, inTx := f.dial(0, "own"), f.dial(0, "own")
-	idle.want("READ item")
-	inTx.want("BEGIN")
-	inTx.want("WRITE item data")
-	f.configure("another-key")
-	f.await("the key refused", func() bool {
-		r := idle.query("READ item")
-		return r.code == lineproto.NoAuth || r.broken
+	idle.Want("READ item")
+	inTx.Want("BEGIN")
+	inTx.Want("WRITE item data")
+	f.Configure("another-key")
+	f.Await("the key refused", func() bool {
+		r := idle.Query("READ item")
+		return r.Code == lineproto.NoAuth || r.Broken
 	})
-	inTx.refused("COMMIT", lineproto.NoAuth)
-	if n := len(f.group.Log()); n != 0 {
+	inTx.Refused("COMMIT", lineproto.NoAuth)
+	if n := len(f.Group.Log()); n != 0 {
 		t.Errorf("%d commits with a withdrawn key", n)
 	}
 }
@@ -153,13 +146,13 @@
 func TestIdleTransactionEnds(t *testing.T) {
 	f := newFixture(t, 1, quick)
 	c := f.dial(0, "own")
-	c.want("BEGIN")
-	c.want("WRITE item data")
+	c.Want("BEGIN")
+	c.Want("WRITE item data")
 	time.Sleep(1200 * time.Millisecond)
-	c.refused("WRITE item more", lineproto.Malformed)
-	c.refused("COMMIT", lineproto.Aborted)
-	c.want("WRITE item again")
-	if n := len(f.group.Log()); n != 1 {
+	c.Refused("WRITE item more", lineproto.Malformed)
+	c.Refused("COMMIT", lineproto.Aborted)
+	c.Want("WRITE item again")
+	if n := len(f.Group.Log()); n != 1 {
 		t.Errorf("%d commits, want 1", n)
 	}
 }
--- /dev/null
+++ b/test/linetest/caller.go
@@ -0,0 +1,158 @@
+package linetest
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/lineproto"
+)
+
+// Caller is one session.
+type Caller struct {
+	T      *testing.T
+	Conn   net.Conn
+	Reader *lineproto.Reader
+	// Limit bounds the wait for an answer.
+	Limit time.Duration
+}
+
+// Result is the answer to one request.
+type Result struct {
+	ID        string
+	Rows      []string
+	Signature string
+	Code      lineproto.Code
+	Text      string
+	State     lineproto.TxState
+	// Broken is true when the connection ended without an answer.
+	Broken bool
+}
+
+// OK reports success.
+func (r *Result) OK() bool { return r.Code == "" && !r.Broken }
+
+// Seen returns the number of commits that a read saw.
+func (r *Result) Seen() int {
+	fields := strings.Fields(r.Rows[0])
+	n, err := strconv.Atoi(fields[1])
+	if err != nil {
+		panic("unreadable row " + r.Rows[0])
+	}
+	return n
+}
+
+// Contains reports whether the rows contain a text.
+func (r *Result) Contains(text string) bool {
+	return strings.Contains(strings.Join(r.Rows, "\n"), text)
+}
+
+var lastRequest atomic.Int64
+
+// TryDial connects and sends a startup; it returns the answer.
+func TryDial(t *testing.T, address, startup string) (*Caller, lineproto.Message, error) {
+	conn, err := net.DialTimeout("tcp", address, Patience)
+	if err != nil {
+		return nil, lineproto.Message{}, err
+	}
+	c := &Caller{T: t, Conn: conn, Reader: lineproto.NewReader(conn), Limit: Patience}
+	_ = conn.SetDeadline(time.Now().Add(Patience))
+	c.Send(startup)
+	m, err := c.Reader.Read()
+	if err != nil {
+		_ = conn.Close()
+		return nil, m, err
+	}
+	return c, m, nil
+}
+
+// Dial connects and sends a startup that has to be answered.
+func Dial(t *testing.T, address, startup string) (*Caller, lineproto.Message) {
+	t.Helper()
+	c, m, err := TryDial(t, address, startup)
+	if err != nil {
+		t.Fatalf("startup: %v", err)
+	}
+	t.Cleanup(func() { _ = c.Conn.Close() })
+	return c, m
+}
+
+// Open connects to a database with the workspace's key.
+func Open(t *testing.T, address, database string) *Caller {
+	t.Helper()
+	c, m := Dial(t, address, "STARTUP "+database+" "+Key)
+	if m.Word != lineproto.Ready {
+		t.Fatalf("startup: %+v", m)
+	}
+	return c
+}
+
+// Send writes a line.
+func (c *Caller) Send(line string) { _, _ = c.Conn.Write([]byte(line + "\r\n")) }
+
+// Query sends a statement under an id of its own.
+func (c *Caller) Query(text string) Result {
+	r := Result{ID: fmt.Sprintf("q%d", lastRequest.Add(1))}
+	_ = c.Conn.SetDeadline(time.Now().Add(c.Limit))
+	c.Send("QUERY " + r.ID + " " + text)
+	for {
+		m, err := c.Reader.Read()
+		if err != nil {
+			r.Broken = true
+			return r
+		}
+		switch m.Word {
+		case lineproto.Row:
+			r.Rows = append(r.Rows, m.Rest)
+		case lineproto.Complete:
+			r.Signature = m.Rest
+		case lineproto.Error:
+			code, text := lineproto.Cut(m.Rest)
+			r.Code, r.Text = lineproto.Code(code), text
+		case lineproto.Ready:
+			r.State = lineproto.TxState(m.Rest[0])
+			return r
+		}
+	}
+}
+
+// Want sends a statement that has to succeed.
+func (c *Caller) Want(text string) Result {
+	c.T.Helper()
+	r := c.Query(text)
+	if !r.OK() {
+		c.T.Fatalf("%s: %s %s (broken: %t)", text, r.Code, r.Text, r.Broken)
+	}
+	return r
+}
+
+// Refused sends a statement that has to fail with a code.
+func (c *Caller) Refused(text string, code lineproto.Code) Result {
+	c.T.Helper()
+	r := c.Query(text)
+	if r.Code != code {
+		c.T.Fatalf("%s: %q %s (broken: %t), want %s", text, r.Code, r.Text, r.Broken, code)
+	}
+	return r
+}
+
+// Transaction writes twice in a transaction; last is the answer that ended it.
+func (c *Caller) Transaction() (last Result, ids []string) {
+	for _, text := range []string{"BEGIN", "WRITE item one", "WRITE item two", "COMMIT"} {
+		last = c.Query(text)
+		if text[0] == 'W' {
+			ids = append(ids, last.ID)
+		}
+		if !last.OK() {
+			if last.State == lineproto.TxFailed {
+				c.Query("ROLLBACK")
+			}
+			return last, ids
+		}
+	}
+	return last, ids
+}
--- /dev/null
+++ b/test/soak/link_test.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Modes of a link.
+type mode int32
+
+const (
+	// pass forwards at once.
+	pass mode = iota
+	// slow forwards after linkDelay.
+	slow
+	// silent holds all bytes back.
+	silent
+	// oneWay holds back what the target sends.
+	oneWay
+	// refuse resets new connections.
+	refuse
+	modes
+)
+
+const (
+	linkDelay  = 40 * time.Millisecond
+	linkPoll   = 2 * time.Millisecond
+	linkBuffer = 32 << 10
+)
+
+// link forwards TCP connections to a target and injects faults.
+type link struct {
+	listener net.Listener
+	target   func() string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newLink(t *testing.T, target func() string) *link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &link{listener: l, target: target, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() { _ = l.Close(); k.reset() })
+	go k.accept()
+	return k
+}
+
+func (k *link) address() string { return k.listener.Addr().String() }
+
+func (k *link) set(m mode) {
+	k.mu.Lock()
+	k.mode = m
+	k.mu.Unlock()
+}
+
+func (k *link) current() mode {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mode
+}
+
+// reset ends all connections abruptly.
+func (k *link) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		abort(c)
+	}
+}
+
+// abort closes a connection so that its other end sees a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (k *link) accept() {
+	for {
+		from, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		if k.current() == refuse {
+			abort(from)
+			continue
+		}
+		go k.forward(from)
+	}
+}
+
+func (k *link) forward(from net.Conn) {
+	to, err := net.DialTimeout("tcp", k.target(), time.Second)
+	if err != nil {
+		abort(from)
+		return
+	}
+	k.mu.Lock()
+	k.conns[from], k.conns[to] = true, true
+	k.mu.Unlock()
+	go k.copy(to, from, false)
+	k.copy(from, to, true)
+}
+
+// copy forwards one direction; back is that from the target.
+func (k *link) copy(to, from net.Conn, back bool) {
+	buffer := make([]byte, linkBuffer)
+	for {
+		n, err := from.Read(buffer)
+		for k.holds(back) {
+			time.Sleep(linkPoll)
+		}
+		if k.current() == slow {
+			time.Sleep(linkDelay)
+		}
+		if n > 0 {
+			if _, e := to.Write(buffer[:n]); e != nil {
+				err = e
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+	k.mu.Lock()
+	delete(k.conns, to)
+	delete(k.conns, from)
+	k.mu.Unlock()
+}
+
+func (k *link) holds(back bool) bool {
+	m := k.current()
+	return m == silent || m == oneWay && back
+}
--- /dev/null
+++ b/test/soak/vm_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// vm is one daemon process.
+type vm struct {
+	t        *testing.T
+	binary   string
+	settings string
+	log      string
+	callers  string
+	ready    string
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// grace is the time that a VM has to stop.
+const grace = 3 * time.Second
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newVM writes the settings of a VM that reaches the store at an address.
+func newVM(t *testing.T, binary, dir string, i int, store string) *vm {
+	name := fmt.Sprintf("vm-%d", i)
+	v := &vm{
+		t: t, binary: binary, settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"),
+		callers: freeAddress(t), ready: freeAddress(t),
+	}
+	content, err := json.Marshal(map[string]any{
+		"vm":       map[string]any{"id": name, "zone": fmt.Sprintf("zone-%c", 'a'+i%3)},
+		"callers":  map[string]any{"listen": v.callers, "max_descriptors": 4000},
+		"ready":    map[string]any{"listen": v.ready},
+		"peer":     map[string]any{"listen": freeAddress(t), "insecure": true},
+		"store":    map[string]any{"address": store, "watch_wait": "1s"},
+		"promoter": map[string]any{"address": store},
+		"grace":    grace.String(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(v.settings, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.kill)
+	return v
+}
+
+// start runs the process. Its end is noted in its log.
+func (v *vm) start() {
+	out, err := os.OpenFile(v.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		v.t.Error(err)
+		return
+	}
+	cmd := exec.Command(v.binary, "line", "--settings", v.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		v.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	v.cmd, v.exited = cmd, exited
+	go func() {
+		err := cmd.Wait()
+		_, _ = fmt.Fprintf(out, "process ended: %v (%v)\n", cmd.ProcessState, err)
+		_ = out.Close()
+		close(exited)
+	}()
+}
+
+// signal sends a signal to the process, which may have ended.
+func (v *vm) signal(s syscall.Signal) {
+	if err := v.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		v.t.Error(err)
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (v *vm) kill() {
+	if v.cmd == nil {
+		return
+	}
+	v.signal(syscall.SIGKILL)
+	<-v.exited
+}
+
+// stop ends the process gracefully.
+func (v *vm) stop() {
+	v.signal(syscall.SIGTERM)
+	select {
+	case <-v.exited:
+	case <-time.After(2 * grace):
+		v.t.Errorf("%s has not stopped within twice its grace time", v.settings)
+		v.kill()
+	}
+}
+
+func (v *vm) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + v.ready + "/chervilhatch/ready")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
