Limit cold upstreams; test pools and the sums of hubs

A service may set how many statements a second a cold upstream takes; each VM takes an even part (TestWarmup).

--- /dev/null
+++ b/core/quota/summary_test.go
@@ -0,0 +1,124 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+func one(vm string, incarnation uint64, perSecond float64, admitted uint64) *Report {
+	return &Report{VM: model.VMID(vm), Incarnation: incarnation, Demands: []Demand{{Workspace: "w", PerSecond: perSecond, Admitted: admitted}}}
+}
+
+func only(t *testing.T, r Report) Demand {
+	t.Helper()
+	for _, d := range r.Demands {
+		if d.Workspace == "w" {
+			return d
+		}
+	}
+	t.Fatalf("no demand in %+v", r)
+	return Demand{}
+}
+
+// Guards against sums that count a VM twice, count the asking VM, or run back
+// when a VM or another zone's hub starts anew.
+func TestSummary(t *testing.T) {
+	s := NewSummary(9)
+	now := model.Time(time.Hour)
+	s.Hear(now, one("a", 1, 10, 100))
+	s.Hear(now, one("b", 1, 20, 200))
+	s.HearZone(now, "other", &Report{VM: "hub-1", Incarnation: 1, VMs: 3, Demands: []Demand{{Workspace: "w", PerSecond: 5, Admitted: 50}}})
+	now = now.Add(300 * time.Millisecond)
+	s.Hear(now, one("a", 1, 11, 104))
+	s.Hear(now, one("b", 1, 21, 207))
+	s.HearZone(now, "other", &Report{VM: "hub-1", Incarnation: 1, VMs: 3, Demands: []Demand{{Workspace: "w", PerSecond: 6, Admitted: 53}}})
+	others := s.OthersOf(now, "a", []Demand{{Workspace: "w"}})
+	if d := only(t, others); others.VMs != 4 || d.PerSecond != 27 || d.Admitted != 10 {
+		t.Errorf("others of a: %+v", others)
+	}
+	zone := s.Zone(now, "hub")
+	if d := only(t, zone); zone.VMs != 2 || d.PerSecond != 32 || d.Admitted != 11 {
+		t.Errorf("zone: %+v", zone)
+	}
+	s.Hear(now, one("b", 2, 1, 3))
+	s.HearZone(now.Add(time.Second), "other", &Report{VM: "hub-2", Incarnation: 7, VMs: 3, Demands: []Demand{{Workspace: "w", PerSecond: 6, Admitted: 9000}}})
+	if d := only(t, s.OthersOf(now, "a", nil)); d.Admitted != 13 {
+		t.Errorf("admitted by others: %d, want 13", d.Admitted)
+	}
+	late := now.Add(SilentAfter + time.Millisecond)
+	if r := s.OthersOf(late, "a", nil); r.VMs != 3 {
+		t.Errorf("%d VMs are heard of, want 3", r.VMs)
+	}
+}
+
+// hubFleet are VMs in zones with one hub each.
+type hubFleet struct {
+	*fleet
+	hubs []*Summary
+	zone []int
+}
+
+// Guards against refusals within the rate, and against more than the rate, on a
+// deployment that is large enough for hubs.
+func TestHubsKeepTheRate(t *testing.T) {
+	const n, zones = 60, 3
+	for seed := range uint64(6) {
+		h := &hubFleet{fleet: newFleet(t, seed, n, 200, 200)}
+		for z := range zones {
+			h.hubs = append(h.hubs, NewSummary(uint64(z+1)))
+		}
+		for i, s := range h.vms {
+			h.zone = append(h.zone, i%zones)
+			s.SetMembers(h.now, h.names, []model.VMID{Others})
+		}
+		h.runHubs(6*time.Second, 125)
+		h.forget()
+		h.runHubs(10*time.Second, 125)
+		if h.refused > 0 {
+			t.Fatalf("seed %d: %d of %d operations refused within the rate", seed, h.refused, h.asked)
+		}
+		h.runHubs(10*time.Second, 900)
+		h.checkRate()
+	}
+}
+
+// runHubs lets callers ask for a total of operations a second, unevenly.
+func (h *hubFleet) runHubs(d time.Duration, total float64) {
+	weight := 0.0
+	for i := range h.vms {
+		weight += float64(1 + i%5)
+	}
+	for end := h.now.Add(d); h.now < end; h.now = h.now.Add(step) {
+		for i, s := range h.vms {
+			h.ask(s, total*float64(1+i%5)/weight*step.Seconds())
+			if int(h.now/model.Time(step))%30 == i%30 {
+				h.exchange(i, s)
+			}
+		}
+		if int(h.now/model.Time(step))%30 == 0 {
+			h.exchangeZones()
+		}
+	}
+}
+
+func (h *hubFleet) exchange(i int, s *State) {
+	hub := h.hubs[h.zone[i]]
+	demands := s.Tick(h.now)
+	hub.Hear(h.now, &Report{VM: h.names[i], Incarnation: 1, Demands: demands})
+	others := hub.OthersOf(h.now, h.names[i], demands)
+	s.Hear(h.now, &others)
+}
+
+func (h *hubFleet) exchangeZones() {
+	for z, hub := range h.hubs {
+		for other, from := range h.hubs {
+			if other != z {
+				report := from.Zone(h.now, model.VMID(fmt.Sprint("hub-", other)))
+				hub.HearZone(h.now, model.Zone(fmt.Sprint("zone-", other)), &report)
+			}
+		}
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -167,6 +167,7 @@
 			m.LeavingAt = now
 		}
 		out = append(out, Effect{Kind: EffectAdded, Service: g.name, Upstream: r.ID, Member: *m})
+		out = g.coldEffect(m, out)
 		return g.registeredRole(now, m, true, out)
 	}
 	old := m.Registration
@@ -185,9 +186,19 @@
 	if restarted || old.Address != r.Address || old.Leaving != r.Leaving {
 		out = append(out, Effect{Kind: EffectChanged, Service: g.name, Upstream: r.ID, Member: *m})
 	}
+	if r.Cold != old.Cold {
+		out = g.coldEffect(m, out)
+	}
 	return g.registeredRole(now, m, restarted || old.Primary != r.Primary, out)
 }
 
+func (g *group) coldEffect(m *Member, out []Effect) []Effect {
+	if m.Cold <= 0 {
+		return out
+	}
+	return append(out, Effect{Kind: EffectCold, Service: g.name, Upstream: m.ID, Member: *m})
+}
+
 // registeredRole takes the role from an entry when the entry says something
 // new, since answers of the upstream itself are newer than entries.
 func (g *group) registeredRole(now model.Time, m *Member, changed bool, out []Effect) []Effect {
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -118,6 +118,8 @@
 	// EffectPrimary tells that Upstream is the primary of Service in Term;
 	// Upstream is empty when none is known.
 	EffectPrimary
+	// EffectCold tells that Upstream is slow for Member.Cold from now on.
+	EffectCold
 	// EffectEvacuated tells that the zones out of service changed.
 	EffectEvacuated
 )
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -217,6 +217,8 @@
 			Int64("incarnation", e.Member.Incarnation).Int64("sequence", e.Member.Sequence).
 			Msg(map[bool]string{true: "upstream added", false: "upstream changed"}[e.Kind == replicaset.EffectAdded])
 		c.setPool(&e.Member)
+	case replicaset.EffectCold:
+		c.setWarmup(&e.Member)
 	case replicaset.EffectRemoved:
 		c.log.Info().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).Msg("upstream removed")
 		c.dropPool(e.Upstream)
@@ -243,6 +245,18 @@
 	}, c.shareOf(m.Service))
 }
 
+// setWarmup limits the statements to an upstream that is slow after its start:
+// each VM takes an even part of the service's rate.
+func (c *cluster) setWarmup(m *replicaset.Member) {
+	s := c.Catalog()
+	if s == nil || s.Service(m.Service) == nil || s.Service(m.Service).WarmupRate <= 0 {
+		return
+	}
+	rate := s.Service(m.Service).WarmupRate / float64(max(c.vms, 1))
+	c.log.Info().Str("upstream", string(m.ID)).Dur("cold", m.Cold).Float64("per_second", rate).Msg("upstream warms up")
+	c.pools[m.ID].SetWarmup(m.Cold, rate)
+}
+
 func (c *cluster) dropPool(id model.UpstreamID) {
 	if pool := c.pools[id]; pool != nil {
 		pool.Close()
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -37,6 +37,8 @@
 var (
 	// ErrWaited means that no connection was free in time.
 	ErrWaited = errors.New("no connection was free in time")
+	// ErrWarming means that the upstream has had its part of statements for now.
+	ErrWarming = errors.New("the upstream warms up")
 	// ErrClosed means that the upstream is gone.
 	ErrClosed = errors.New("the upstream is gone")
 )
@@ -73,6 +75,37 @@
 	waiters   []*waiter
 	latency   time.Duration
 	closed    bool
+	warmup    warmup
+}
+
+// warmup limits the statements to an upstream that is still slow.
+type warmup struct {
+	until     time.Time
+	perSecond float64
+	tokens    float64
+	filled    time.Time
+}
+
+// take reports whether another statement may be sent.
+func (w *warmup) take(now time.Time) bool {
+	if !now.Before(w.until) {
+		return true
+	}
+	w.tokens = min(1, w.tokens+now.Sub(w.filled).Seconds()*w.perSecond)
+	w.filled = now
+	if w.tokens < 1 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+// SetWarmup limits the requests for connections to a rate for a time.
+func (p *Pool) SetWarmup(lasts time.Duration, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.warmup = warmup{until: now.Add(lasts), perSecond: perSecond, filled: now}
 }
 
 // waiter waits for a connection or for a place to open one.
@@ -124,6 +157,10 @@
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	if !p.warmup.take(time.Now()) {
+		p.mu.Unlock()
+		return nil, ErrWarming
+	}
 	if c := p.takeIdle(r); c != nil {
 		p.inUse[r.Workspace]++
 		p.mu.Unlock()
--- /dev/null
+++ b/upstreampool/pool_test.go
@@ -0,0 +1,245 @@
+package upstreampool
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/lineproto"
+)
+
+// server is an upstream that answers every query at once.
+type server struct {
+	listener net.Listener
+	// refusal answers a startup if it is not empty.
+	refusal atomic.Pointer[string]
+	started atomic.Int64
+	conns   chan net.Conn
+	seen    chan string
+}
+
+func newServer(t *testing.T) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: l, conns: make(chan net.Conn, 100), seen: make(chan string, 1000)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- conn
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn) {
+	defer conn.Close()
+	r := lineproto.NewReader(conn)
+	if _, err := r.Read(); err != nil {
+		return
+	}
+	if refusal := s.refusal.Load(); refusal != nil {
+		_, _ = conn.Write([]byte("ERROR " + *refusal + "\r\n"))
+		return
+	}
+	s.started.Add(1)
+	_, _ = conn.Write([]byte("READY I 1.1\r\n"))
+	for {
+		m, err := r.Read()
+		if err != nil || m.Word != lineproto.Query {
+			return
+		}
+		s.seen <- m.Rest
+		_, _ = conn.Write([]byte("COMPLETE -\r\nREADY I 1.1\r\n"))
+	}
+}
+
+func newPool(s *server, share Share) *Pool {
+	return New(Upstream{ID: "i-1", Service: "db", Address: s.listener.Addr().String(), Slots: 3}, share)
+}
+
+func get(t *testing.T, p *Pool, workspace string) *Conn {
+	t.Helper()
+	c, err := p.Acquire(context.Background(), Request{Workspace: workspace, Wait: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a connection of one workspace that serves another, and against
+// new connections while one of the workspace is free.
+func TestConnectionsBelongToWorkspaces(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 2, Most: 2})
+	one := get(t, p, "one")
+	p.Release(one, true)
+	if again := get(t, p, "one"); again != one {
+		t.Error("the free connection of the workspace was not used")
+	}
+	two := get(t, p, "two")
+	if two == one {
+		t.Fatal("a connection serves another workspace")
+	}
+	p.Release(one, true)
+	three := get(t, p, "three")
+	if three == one || p.Stats().Open != 2 {
+		t.Errorf("%d connections are open", p.Stats().Open)
+	}
+}
+
+// Guards against more connections than the share, and against a waiter that is
+// forgotten when a connection ends.
+func TestWaitersGetReleasedPlaces(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 1, Most: 1})
+	held := get(t, p, "one")
+	if _, err := p.Acquire(context.Background(), Request{Workspace: "two", Wait: 20 * time.Millisecond}); !errors.Is(err, ErrWaited) {
+		t.Fatalf("Acquire above the share: %v", err)
+	}
+	got := make(chan *Conn)
+	go func() {
+		c, _ := p.Acquire(context.Background(), Request{Workspace: "two", Wait: 5 * time.Second})
+		got <- c
+	}()
+	for p.Stats().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.Release(held, false)
+	if c := <-got; c == nil || c.workspace != "two" || p.Stats().Open != 1 {
+		t.Errorf("connection %+v, %d open", c, p.Stats().Open)
+	}
+}
+
+// Guards against a flood of one workspace that keeps others waiting, and against
+// urgent requests that wait behind others.
+func TestOrderOfWaiters(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 2, Most: 2})
+	p.inUse["flood"] = 2
+	p.waiters = []*waiter{
+		{workspace: "flood", priority: 1},
+		{workspace: "calm", priority: 1},
+		{workspace: "late", priority: 2},
+		{workspace: "urgent", priority: 0},
+	}
+	order := ""
+	for w := p.nextWaiter(""); w != nil; w = p.nextWaiter("") {
+		order += w.workspace + " "
+	}
+	if order != "urgent calm flood late " {
+		t.Errorf("order %q", order)
+	}
+}
+
+// Guards against a connection that the upstream has closed meanwhile.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 2, Most: 2})
+	c := get(t, p, "one")
+	p.Release(c, true)
+	_ = (<-s.conns).Close()
+	time.Sleep(20 * time.Millisecond)
+	if next := get(t, p, "one"); next == c {
+		t.Error("a closed connection was used")
+	}
+}
+
+// Guards against places that are lost when the upstream refuses connections.
+func TestRefusedConnection(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 1, Most: 3})
+	refusal := "TOOMANY limit"
+	s.refusal.Store(&refusal)
+	for range 5 {
+		_, err := p.Acquire(context.Background(), Request{Workspace: "one", Wait: 10 * time.Millisecond})
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Code != lineproto.TooMany || refused.Replaced() {
+			t.Fatalf("Acquire: %v", err)
+		}
+	}
+	if p.Stats().Open != 0 || p.limit() != 1 {
+		t.Errorf("%d open, limit %d after refusals", p.Stats().Open, p.limit())
+	}
+	other := "MISROUTED i-2"
+	s.refusal.Store(&other)
+	_, err := p.Acquire(context.Background(), Request{Workspace: "one", Wait: 10 * time.Millisecond})
+	var refused *RefusedError
+	if !errors.As(err, &refused) || !refused.Replaced() {
+		t.Errorf("Acquire at another upstream's address: %v", err)
+	}
+	s.refusal.Store(nil)
+	get(t, p, "one")
+}
+
+// Guards against session values that are missing or left over on a connection.
+func TestAdopt(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 1, Most: 1})
+	c := get(t, p, "one")
+	deadline := time.Now().Add(time.Second)
+	steps := []struct {
+		values map[string]string
+		want   string
+	}{
+		{map[string]string{"a": "1"}, "- SET a 1"},
+		{map[string]string{"a": "1"}, ""},
+		{map[string]string{"a": "2"}, "- SET a 2"},
+		{map[string]string{"b": "3"}, "- RESET,- SET b 3"},
+	}
+	for i, step := range steps {
+		if err := c.Adopt(deadline, &SessionState{ID: uint64(i), Values: step.values}); err != nil {
+			t.Fatal(err)
+		}
+		var seen []string
+		for len(s.seen) > 0 {
+			seen = append(seen, <-s.seen)
+		}
+		if got := strings.Join(seen, ","); got != step.want {
+			t.Errorf("step %d: %q, want %q", i, got, step.want)
+		}
+	}
+	name, err := c.Prepare(deadline, true, "shape")
+	if again, _ := c.Prepare(deadline, true, "shape"); err != nil || again != name {
+		t.Errorf("prepared as %q and %q, %v", name, again, err)
+	}
+	if other, _ := c.Prepare(deadline, false, "shape"); other == name {
+		t.Error("a read and a write share a prepared statement")
+	}
+}
+
+// Guards against more statements to a cold upstream than its rate.
+func TestWarmup(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 4, Most: 4})
+	p.SetWarmup(300*time.Millisecond, 20)
+	served := 0
+	for start := time.Now(); time.Since(start) < 250*time.Millisecond; time.Sleep(time.Millisecond) {
+		c, err := p.Acquire(context.Background(), Request{Workspace: "one", Wait: time.Second})
+		if errors.Is(err, ErrWarming) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		served++
+		p.Release(c, true)
+	}
+	if served > 6 {
+		t.Errorf("%d statements in a quarter of a second at 20 a second", served)
+	}
+	time.Sleep(60 * time.Millisecond)
+	for range 10 {
+		p.Release(get(t, p, "one"), true)
+	}
+}
