--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -27,6 +27,9 @@
 	// suspectInterval is the pause between two checks of an upstream that does
 	// not answer.
 	suspectInterval = 250 * time.Millisecond
+	// lateProbes is how many queries in a row may go unanswered on an upstream
+	// that accepts connections.
+	lateProbes = 3
 )
 
 // errStatus reports an unreadable status.
@@ -50,6 +53,9 @@
 	pool        *upstreampool.Pool
 	address     string
 	incarnation int64
+	// late counts the queries in a row that were not answered in time on a
+	// connection that was made.
+	late int
 	// askedAt is when the last answered query was sent.
 	askedAt model.Time
 }
@@ -94,13 +100,15 @@
 
 // answers reports whether an upstream answers, or is gone.
 func (p *probes) answers(id model.UpstreamID) bool {
-	if err := p.send(p.ctx, id, promotion.OrderStatus, 0); errors.Is(err, upstreampool.ErrClosed) {
+	asked := p.cluster.Now()
+	err := p.send(p.ctx, id, promotion.OrderStatus, 0)
+	if err == nil || errors.Is(err, upstreampool.ErrClosed) {
 		return true
 	}
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
 	m, ok := p.cluster.replicas.Member(id)
-	return !ok || !m.Failing()
+	return !ok || !m.Failing() && m.ContactAt >= asked
 }
 
 // status asks an upstream for its status and reports it. Questions that wait
@@ -152,9 +160,10 @@
 	a, err := l.query(ctx, orderText(k, term))
 	metrics.GetOrRegisterCounter("probes."+k.String(), p.cluster.registry).Inc(1)
 	if err != nil {
-		p.failed(id, err)
+		p.failed(l, id, err)
 		return err
 	}
+	l.late = 0
 	if a.Code != "" {
 		p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventServed, Upstream: id, Position: a.Ready.Position})
 		return fmt.Errorf("%s at upstream %s: %s %s", k, id, a.Code, a.Text)
@@ -168,10 +177,19 @@
 	return nil
 }
 
-func (p *probes) failed(id model.UpstreamID, err error) {
+// failed reports a query without an answer. An upstream that accepts connections
+// and answers late may be busy, and counts as failing only after several queries.
+func (p *probes) failed(l *probeLink, id model.UpstreamID, err error) {
 	ev := replicaset.Event{Kind: replicaset.EventFailed, Upstream: id, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	var refused *upstreampool.RefusedError
-	if errors.As(err, &refused) {
+	var broken *upstreampool.BrokenError
+	switch {
+	case errors.As(err, &broken) && !broken.Dialing || errors.Is(err, upstreampool.ErrWaited):
+		l.late++
+		if l.late < lateProbes {
+			return
+		}
+	case errors.As(err, &refused):
 		ev.Kind = replicaset.EventServed
 		if refused.Replaced() {
 			ev.Kind = replicaset.EventReplaced
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -40,6 +40,9 @@
 	hopeless bool
 }
 
+// upstreamBusy is the cause of a refusal by an upstream that has no slot.
+const upstreamBusy = "upstream busy"
+
 func tryAgain(cause string) attempt {
 	return attempt{reply: failure(lineproto.Busy, cause), again: true}
 }
@@ -125,6 +128,8 @@
 	defer timer.Stop()
 	last := hopeless("no upstream")
 	running, next := 0, 0
+	// full is true while all that have answered had no place for the read.
+	full := true
 	for {
 		if running == 0 {
 			if next == len(candidates) || next > 0 && t.waitLeft() <= 0 {
@@ -139,6 +144,8 @@
 			if !last.again {
 				return last
 			}
+			full = full && last.text == upstreamBusy
+			last.hopeless = full && next == len(candidates)
 		case <-timer.C:
 			o.cluster.Suspect(candidates[next-1].ID)
 			if next < len(candidates) {
@@ -202,8 +209,11 @@
 		return o.readBroke(p, id, err)
 	}
 	pool.Release(conn, a.Ready.State == lineproto.Idle)
-	if a.Code == "" {
+	switch a.Code {
+	case "":
 		pool.Observe(time.Since(start))
+	case lineproto.Busy:
+		pool.Full()
 	}
 	return o.readAnswered(p, id, &a, floor, age)
 }
@@ -234,7 +244,7 @@
 		return tryAgain("no primary")
 	case a.Code.NotRun():
 		o.session.server.count("retried.busy")
-		return tryAgain("upstream busy")
+		return tryAgain(upstreamBusy)
 	}
 	o.log(p.id, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
 	return attempt{reply: answered(a)}
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -50,6 +50,9 @@
 	}
 	pool.Observe(time.Since(start))
 	pool.Release(conn, a.Ready.State == lineproto.Idle)
+	if a.Code == lineproto.Busy {
+		pool.Full()
+	}
 	return o.writeAnswered(p, m.ID, asked, &a)
 }
 
@@ -81,7 +84,7 @@
 		o.log(p.id, "upstream is not the primary", func(e *Entry) { e.Str("upstream", string(id)) })
 		return tryAgain("no primary")
 	case a.Code.NotRun():
-		return tryAgain("upstream busy")
+		return tryAgain(upstreamBusy)
 	}
 	o.log(p.id, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
 	return attempt{reply: answered(a)}
@@ -96,6 +99,10 @@
 	switch {
 	case errors.Is(err, upstreampool.ErrWaited):
 		return "no free connection"
+	case errors.Is(err, upstreampool.ErrFull):
+		return "upstream full"
+	case errors.Is(err, upstreampool.ErrWarming):
+		return "upstream warming up"
 	case errors.As(err, &refused):
 		return "upstream refused the connection"
 	}
--- a/upstreampool/conn.go
+++ b/upstreampool/conn.go
@@ -27,6 +27,8 @@
 	// maxRows bounds the bytes of one answer that are kept before they are
 	// passed on.
 	maxRows = 8 << 20
+	// connectTimeout bounds the connection itself, which no busy upstream delays.
+	connectTimeout = 250 * time.Millisecond
 )
 
 // Answer is the answer to one statement. Code is empty after success.
@@ -56,7 +58,8 @@
 }
 
 // BrokenError is a connection that failed. Sent tells that the statement may
-// have reached the upstream, Dialing that there was no connection yet.
+// have reached the upstream, Dialing that not even a connection was made: an
+// upstream that accepts one and answers late may only be busy.
 type BrokenError struct {
 	Upstream model.UpstreamID
 	Sent     bool
@@ -106,7 +109,7 @@
 
 // open connects and starts a session for a workspace.
 func open(ctx context.Context, t target, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
 	start := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", t.address)
 	if err != nil {
@@ -130,12 +133,12 @@
 		_, err = c.conn.Write(lineproto.Append(nil, lineproto.Startup, t.service, t.workspace, string(t.upstream)))
 	}
 	if err != nil {
-		return &BrokenError{Upstream: t.upstream, Dialing: true, Err: err}
+		return &BrokenError{Upstream: t.upstream, Err: err}
 	}
 	m, err := c.reader.Read()
 	switch {
 	case err != nil:
-		return &BrokenError{Upstream: t.upstream, Dialing: true, Err: err}
+		return &BrokenError{Upstream: t.upstream, Err: err}
 	case m.Word == lineproto.Error:
 		code, text := lineproto.Cut(m.Rest)
 		return &RefusedError{Upstream: t.upstream, Code: lineproto.Code(code), Text: text}
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -12,7 +12,13 @@
 
 const (
 	// dialTimeout bounds a new connection, which waits for a slot of the upstream.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = time.Second
+	// leastDialWait is how long a request waits for one at least; it is above
+	// what an upstream with free slots takes.
+	leastDialWait = 150 * time.Millisecond
+	// busyPause is how long an upstream that had no place in its queue counts
+	// as full: about as long as it takes to work off a part of the queue.
+	busyPause = 50 * time.Millisecond
 	// surplusIdle is how long an unused connection above this VM's share is
 	// kept; other VMs may need its place.
 	surplusIdle = 500 * time.Millisecond
@@ -37,6 +43,8 @@
 var (
 	// ErrWaited means that no connection was free in time.
 	ErrWaited = errors.New("no connection was free in time")
+	// ErrFull means that the upstream has just had no place for a statement.
+	ErrFull = errors.New("the upstream is full")
 	// ErrWarming means that the upstream has had its part of statements for now.
 	ErrWarming = errors.New("the upstream warms up")
 	// ErrClosed means that the upstream is gone.
@@ -76,6 +84,8 @@
 	latency   time.Duration
 	closed    bool
 	warmup    warmup
+	// busyUntil is until when the upstream counts as full.
+	busyUntil time.Time
 }
 
 // warmup limits the statements to an upstream that is still slow.
@@ -157,7 +167,12 @@
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if !p.warmup.take(time.Now()) {
+	now := time.Now()
+	if now.Before(p.busyUntil) {
+		p.mu.Unlock()
+		return nil, ErrFull
+	}
+	if !p.warmup.take(now) {
 		p.mu.Unlock()
 		return nil, ErrWarming
 	}
@@ -271,24 +286,53 @@
 	return false
 }
 
-// dial opens a connection in a reserved place.
+// dialed is the outcome of a connection attempt.
+type dialed struct {
+	conn *Conn
+	err  error
+}
+
+// dial opens a connection in a reserved place. When the request cannot wait for
+// it, the connection is kept for the next one: the upstream has spent a slot on it.
 func (p *Pool) dial(ctx context.Context, r Request) (*Conn, error) {
 	u := &p.upstream
 	t := target{upstream: u.ID, address: u.Address, service: u.Service, workspace: r.Workspace}
-	c, err := open(ctx, t, dialTimeout)
-	if err == nil {
-		return c, nil
+	result := make(chan dialed, 1)
+	go func() {
+		c, err := open(context.WithoutCancel(ctx), t, dialTimeout)
+		result <- dialed{c, err}
+	}()
+	timer := time.NewTimer(max(r.Wait, leastDialWait))
+	defer timer.Stop()
+	select {
+	case d := <-result:
+		return p.dialedOne(r.Workspace, d)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	go func() {
+		if c, err := p.dialedOne(r.Workspace, <-result); err == nil {
+			p.Release(c, true)
+		}
+	}()
+	return nil, ErrWaited
+}
+
+// dialedOne gives the place of a failed attempt to the next waiter.
+func (p *Pool) dialedOne(workspace string, d dialed) (*Conn, error) {
+	if d.err == nil {
+		return d.conn, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var refused *RefusedError
-	if errors.As(err, &refused) && refused.Code == lineproto.TooMany {
+	if errors.As(d.err, &refused) && refused.Code == lineproto.TooMany {
 		p.fullUntil = time.Now().Add(fullPause)
 	}
-	p.leave(r.Workspace)
+	p.leave(workspace)
 	p.open--
 	p.grantPlace()
-	return nil, err
+	return nil, d.err
 }
 
 func (p *Pool) leave(workspace string) {
@@ -385,6 +429,13 @@
 	c.Close()
 }
 
+// Full notes that the upstream had no place for a statement.
+func (p *Pool) Full() {
+	p.mu.Lock()
+	p.busyUntil = time.Now().Add(busyPause)
+	p.mu.Unlock()
+}
+
 // Observe takes the latency of an answered statement into account.
 func (p *Pool) Observe(latency time.Duration) {
 	p.mu.Lock()
