--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -128,8 +128,6 @@
 	defer timer.Stop()
 	last := hopeless("no upstream")
 	running, next := 0, 0
-	// full is true while all that have answered had no place for the read.
-	full := true
 	for {
 		if running == 0 {
 			if next == len(candidates) || next > 0 && t.waitLeft() <= 0 {
@@ -144,8 +142,6 @@
 			if !last.again {
 				return last
 			}
-			full = full && last.text == upstreamBusy
-			last.hopeless = full && next == len(candidates)
 		case <-timer.C:
 			o.cluster.Suspect(candidates[next-1].ID)
 			if next < len(candidates) {
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -17,8 +17,8 @@
 	// what an upstream with free slots takes.
 	leastDialWait = 150 * time.Millisecond
 	// busyPause is how long an upstream that had no place in its queue counts
-	// as full: about as long as it takes to work off a part of the queue.
-	busyPause = 50 * time.Millisecond
+	// as full: about as long as its slots take to free places in the queue.
+	busyPause = 15 * time.Millisecond
 	// surplusIdle is how long an unused connection above this VM's share is
 	// kept; other VMs may need its place.
 	surplusIdle = 500 * time.Millisecond
