--- /dev/null
+++ b/linenode/answer.go
@@ -0,0 +1,144 @@
+package linenode
+
+import (
+	"context"
+
+	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/quota"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/store"
+)
+
+// Observe answers a peer.
+func (p *peers) Observe(_ context.Context, r *vmlinkv1.ObserveRequest) (*vmlinkv1.ObserveResponse, error) {
+	shape := p.members.topology()
+	if r.GetAddress() != "" && !shape.large {
+		e := memberEntry{Address: r.GetAddress(), Zone: model.Zone(r.GetZone())}
+		p.members.learn(map[model.VMID]memberEntry{model.VMID(r.GetVm()): e}, true)
+	}
+	a := &vmlinkv1.ObserveResponse{
+		Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation, Isolated: p.members.isolated(),
+	}
+	version, raw := p.cluster.stored()
+	a.ConfigVersion = version
+	if version > r.GetConfigVersion() {
+		a.Config = raw
+	}
+	a.OperatorsRevision, a.Evacuated = p.cluster.evacuations()
+	p.tellDemands(&shape, r, a)
+	p.tellMembers(&shape, a)
+	if l, newer := p.lists.newerThan(age(r.GetListsAgeUs())); newer {
+		a.Lists = &vmlinkv1.Lists{
+			AgeUs:     uint64(boottime.Now().Sub(l.askedAt).Microseconds()),
+			Upstreams: toEntries(l.upstreams), Vms: toEntries(l.vms),
+		}
+	}
+	p.knowledge(a)
+	return a, nil
+}
+
+// tellDemands adds the demands that the asking VM needs.
+func (p *peers) tellDemands(shape *topology, r *vmlinkv1.ObserveRequest, a *vmlinkv1.ObserveResponse) {
+	now := boottime.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !shape.hub {
+		a.Vms, a.Demands = 1, toDemands(p.demands)
+		return
+	}
+	if r.GetZone() != string(p.options.Zone) || len(r.GetDemands()) == 0 && r.GetIncarnation() == 0 {
+		zone := p.summary.Zone(now, p.options.VM)
+		a.Vms, a.Demands = uint64(zone.VMs), toDemands(zone.Demands)
+		return
+	}
+	report := quota.Report{VM: model.VMID(r.GetVm()), Incarnation: r.GetIncarnation(), Demands: fromDemands(r.GetDemands())}
+	p.summary.Hear(now, &report)
+	others := p.summary.OthersOf(now, report.VM, report.Demands)
+	a.Vms, a.Demands = uint64(others.VMs), toDemands(others.Demands)
+}
+
+// tellMembers adds the VMs that this one knows; on a large deployment only
+// itself, since the lists have the others.
+func (p *peers) tellMembers(shape *topology, a *vmlinkv1.ObserveResponse) {
+	for vm, e := range p.members.all() {
+		if shape.large && vm != p.options.VM {
+			continue
+		}
+		a.Members = append(a.Members, &vmlinkv1.Member{
+			Vm: string(vm), Address: e.Address, Zone: string(e.Zone), Capacity: e.Capacity,
+		})
+	}
+}
+
+func toEntries(kvs []store.KeyValue) []*vmlinkv1.Entry {
+	entries := make([]*vmlinkv1.Entry, len(kvs))
+	for i := range kvs {
+		entries[i] = &vmlinkv1.Entry{Key: kvs[i].Key, Value: kvs[i].Value, Revision: kvs[i].ModRevision}
+	}
+	return entries
+}
+
+func fromEntries(entries []*vmlinkv1.Entry) []store.KeyValue {
+	kvs := make([]store.KeyValue, len(entries))
+	for i, e := range entries {
+		kvs[i] = store.KeyValue{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetRevision()}
+	}
+	return kvs
+}
+
+// announce tells the other VMs of a new primary if this VM holds the duty;
+// others learn of it as fast from their own requests.
+func (p *peers) announce(service catalog.Service, primary model.UpstreamID, term uint64) {
+	if !p.duty.active() {
+		return
+	}
+	request := &vmlinkv1.AnnounceRequest{Service: string(service), Primary: string(primary), Term: term}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, link := range p.links {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
+			defer cancel()
+			if _, err := vmlinkv1.NewVMLinkClient(link).Announce(ctx, request); err != nil {
+				// The peer learns of it when it asks next.
+				p.log.Debug().Err(err).Str("address", address).Msg("announcement not delivered")
+			}
+		}()
+	}
+}
+
+// Announce takes over what a peer announces.
+func (p *peers) Announce(_ context.Context, r *vmlinkv1.AnnounceRequest) (*vmlinkv1.AnnounceResponse, error) {
+	p.cluster.Observe(&replicaset.Event{
+		Kind: replicaset.EventPrimary, Service: catalog.Service(r.GetService()),
+		Upstream: model.UpstreamID(r.GetPrimary()), Term: r.GetTerm(),
+	})
+	return &vmlinkv1.AnnounceResponse{}, nil
+}
+
+// knowledge adds what this VM has seen of the upstreams itself.
+func (p *peers) knowledge(a *vmlinkv1.ObserveResponse) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	now := boottime.Now()
+	for _, v := range p.cluster.replicas.Views() {
+		if e, ok := p.cluster.replicas.NewestEvidence(v.Service); ok {
+			a.Evidence = append(a.Evidence, &vmlinkv1.Evidence{
+				Service: string(v.Service), Term: e.Term, PositionTerm: e.Position.Term.Counter,
+				Position: uint64(e.Position.Pos), AgeUs: uint64(now.Sub(e.At).Microseconds()),
+				Primary: string(v.Primary),
+			})
+		}
+		for i := range v.Members {
+			m := &v.Members[i]
+			if m.ContactAt != 0 && now.Sub(m.ContactAt) < forgetContact {
+				a.Contacts = append(a.Contacts, &vmlinkv1.Contact{
+					Upstream: string(m.ID), AgeUs: uint64(now.Sub(m.ContactAt).Microseconds()),
+				})
+			}
+		}
+	}
+}
--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,9 +30,6 @@
 	lateProbes = 3
 )
 
-// errStatus reports an unreadable status.
-var errStatus = errors.New("unreadable status")
-
 // probes sends status queries and orders to upstreams. Each upstream has one
 // connection for it, which is opened when it is needed.
 type probes struct {
@@ -157,7 +152,7 @@
 		return nil
 	}
 	asked := p.cluster.Now()
-	a, err := l.query(ctx, orderText(k, term))
+	a, err := l.query(ctx, controlText(k, term))
 	metrics.GetOrRegisterCounter("probes."+k.String(), p.cluster.registry).Inc(1)
 	if err != nil {
 		p.failed(l, id, err)
@@ -168,7 +163,7 @@
 		p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventServed, Upstream: id, Position: a.Ready.Position})
 		return fmt.Errorf("%s at upstream %s: %s %s", k, id, a.Code, a.Text)
 	}
-	status, err := parseStatus(&a)
+	status, err := statusOf(&a)
 	if err != nil {
 		return err
 	}
@@ -211,55 +206,26 @@
 	return a, err
 }
 
-func orderText(k promotion.OrderKind, term uint64) string {
-	number := strconv.FormatUint(term, 10)
+// controlText returns the text of an order.
+func controlText(k promotion.OrderKind, term uint64) string {
 	switch k {
 	case promotion.OrderPause:
-		return "PAUSE " + number
+		return lineproto.PauseText(term)
 	case promotion.OrderResume:
-		return "RESUME"
+		return lineproto.ResumeText
 	case promotion.OrderStepDown:
-		return "STEPDOWN " + number
+		return lineproto.StepDownText(term)
 	}
-	return "STATUS"
+	return lineproto.StatusText
 }
 
-// Fields of a status row.
-const (
-	fieldRole = iota
-	fieldTerm
-	fieldReceived
-	fieldHeldTerm
-	fieldLag
-	fieldBusy
-	fieldConnections
-	statusFields
-)
-
-func parseStatus(a *upstreampool.Answer) (replicaset.Status, error) {
-	if len(a.Rows) != 1 {
-		return replicaset.Status{}, fmt.Errorf("%w: %d rows", errStatus, len(a.Rows))
-	}
-	f := strings.Fields(a.Rows[0])
-	if len(f) < statusFields {
-		return replicaset.Status{}, fmt.Errorf("%w: %q", errStatus, a.Rows[0])
-	}
-	received, err := lineproto.ParsePosition(f[fieldReceived])
-	if err != nil {
-		return replicaset.Status{}, fmt.Errorf("%w: %w", errStatus, err)
-	}
-	numbers := make([]float64, statusFields)
-	for _, i := range []int{fieldTerm, fieldHeldTerm, fieldLag, fieldBusy, fieldConnections} {
-		if numbers[i], err = strconv.ParseFloat(f[i], 64); err != nil {
-			return replicaset.Status{}, fmt.Errorf("%w: %w", errStatus, err)
-		}
-	}
+// statusOf decodes the answer to a status query or an order.
+func statusOf(a *upstreampool.Answer) (replicaset.Status, error) {
+	row, err := lineproto.ParseStatus(a.Rows)
 	return replicaset.Status{
-		Primary: f[fieldRole] == "primary", Term: uint64(numbers[fieldTerm]),
-		Received: received, Applied: a.Ready.Position, HeldTerm: uint64(numbers[fieldHeldTerm]),
-		Lag:  time.Duration(numbers[fieldLag] * float64(time.Millisecond)),
-		Busy: int(numbers[fieldBusy]), Connections: int(numbers[fieldConnections]),
-	}, nil
+		Primary: row.Primary, Term: row.Term, Received: row.Received, Applied: a.Ready.Position,
+		HeldTerm: row.HeldTerm, Lag: row.Lag, Busy: row.Busy, Connections: row.Connections,
+	}, err
 }
 
 // trim closes the connections that have not been needed for a while.
--- /dev/null
+++ b/lineproto/control.go
@@ -0,0 +1,74 @@
+package lineproto
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Texts of what the proxy tells upstreams about their log. All are answered with
+// the upstream's status.
+const (
+	StatusText = "STATUS"
+	ResumeText = "RESUME"
+)
+
+// PauseText makes a replica receive nothing more below a term.
+func PauseText(term uint64) string { return "PAUSE " + strconv.FormatUint(term, 10) }
+
+// StepDownText makes a primary of a lower term a replica.
+func StepDownText(term uint64) string { return "STEPDOWN " + strconv.FormatUint(term, 10) }
+
+// StatusRow is an upstream's status.
+type StatusRow struct {
+	Primary bool
+	Term    uint64
+	// Received is the end of the upstream's log.
+	Received model.Position
+	// HeldTerm is the term for which the upstream is paused, 0 if it is not.
+	HeldTerm    uint64
+	Lag         time.Duration
+	Busy        int
+	Connections int
+}
+
+// Fields of a status row.
+const (
+	fieldRole = iota
+	fieldTerm
+	fieldReceived
+	fieldHeldTerm
+	fieldLag
+	fieldBusy
+	fieldConnections
+	statusFields
+)
+
+// ParseStatus decodes the rows of the answer to a status query.
+func ParseStatus(rows []string) (StatusRow, error) {
+	if len(rows) != 1 {
+		return StatusRow{}, fmt.Errorf("%w: status of %d rows", ErrSyntax, len(rows))
+	}
+	f := strings.Fields(rows[0])
+	if len(f) < statusFields {
+		return StatusRow{}, fmt.Errorf("%w: status %q", ErrSyntax, rows[0])
+	}
+	received, err := ParsePosition(f[fieldReceived])
+	if err != nil {
+		return StatusRow{}, err
+	}
+	numbers := make([]float64, statusFields)
+	for _, i := range []int{fieldTerm, fieldHeldTerm, fieldLag, fieldBusy, fieldConnections} {
+		if numbers[i], err = strconv.ParseFloat(f[i], 64); err != nil {
+			return StatusRow{}, fmt.Errorf("%w: status %q", ErrSyntax, rows[0])
+		}
+	}
+	return StatusRow{
+		Primary: f[fieldRole] == "primary", Term: uint64(numbers[fieldTerm]), Received: received,
+		HeldTerm: uint64(numbers[fieldHeldTerm]), Lag: time.Duration(numbers[fieldLag] * float64(time.Millisecond)),
+		Busy: int(numbers[fieldBusy]), Connections: int(numbers[fieldConnections]),
+	}, nil
+}
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -25,7 +25,7 @@
 		if !r.again {
 			return r.reply
 		}
-		if r.hopeless || t.waitLeft() <= 0 {
+		if r.unservable || t.waitLeft() <= 0 {
 			return o.refuse(p.id, r.text, retryAfter(&r))
 		}
 		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
@@ -33,11 +33,11 @@
 }
 
 // attempt is the result of one try. again is true when another try may succeed,
-// hopeless when none will in the time that the request may wait.
+// unservable when none will in the time that the request may wait.
 type attempt struct {
 	reply
-	again    bool
-	hopeless bool
+	again      bool
+	unservable bool
 }
 
 // upstreamBusy is the cause of a refusal by an upstream that has no slot.
@@ -47,12 +47,12 @@
 	return attempt{reply: failure(lineproto.Busy, cause), again: true}
 }
 
-func hopeless(cause string) attempt {
-	return attempt{reply: failure(lineproto.Busy, cause), again: true, hopeless: true}
+func unservable(cause string) attempt {
+	return attempt{reply: failure(lineproto.Busy, cause), again: true, unservable: true}
 }
 
 func retryAfter(r *attempt) time.Duration {
-	if r.hopeless {
+	if r.unservable {
 		return retryPrimary
 	}
 	return retryBusy
@@ -64,7 +64,7 @@
 func (o *operation) readPrimary(p *statement, t *timing) attempt {
 	m, ok := o.awaitPrimary(t)
 	if !ok {
-		return hopeless("no primary")
+		return unservable("no primary")
 	}
 	conn, pool, err := o.connect(m.ID, t.waitLeft(), t)
 	if err != nil {
@@ -120,13 +120,13 @@
 func (o *operation) readFresh(p *statement, t *timing) attempt {
 	floor, age, ok := o.floor(t)
 	if !ok {
-		return hopeless("freshness cannot be proved")
+		return unservable("freshness cannot be proved")
 	}
 	candidates := o.cluster.ReadCandidates(o.route.Service, floor, o.workspace)
 	results := make(chan attempt, len(candidates))
 	timer := time.NewTimer(o.hedgeAfter())
 	defer timer.Stop()
-	last := hopeless("no upstream")
+	last := unservable("no upstream")
 	running, next := 0, 0
 	for {
 		if running == 0 {
--- /dev/null
+++ b/lineproxy/statement.go
@@ -0,0 +1,148 @@
+package lineproxy
+
+import (
+	"maps"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+)
+
+// run executes one request.
+func (s *session) run(id, text string) reply {
+	st := lineproto.ParseStatement(text)
+	if s.tx != nil && s.tx.failed {
+		return s.runFailed(st.Verb)
+	}
+	switch st.Verb {
+	case lineproto.VerbSet, lineproto.VerbPrepare, lineproto.VerbDeallocate:
+		return s.runLocal(&st)
+	case lineproto.VerbUnknown:
+		return s.malformed("not a statement")
+	}
+	p := s.resolve(id, text, &st)
+	if st.Verb == lineproto.VerbExecute && p.shape == "" {
+		return s.failTx(failure(lineproto.NoStatement, st.Name))
+	}
+	if s.tx != nil {
+		return s.runInTx(&p)
+	}
+	return s.runOutsideTx(&p)
+}
+
+// statement is a statement that goes to an upstream.
+type statement struct {
+	id    string
+	verb  lineproto.Verb
+	write bool
+	text  string
+	// shape and arguments are those of an execution of a prepared statement.
+	shape     string
+	arguments string
+}
+
+func (s *session) resolve(id, text string, st *lineproto.Statement) statement {
+	p := statement{id: id, verb: st.Verb, write: st.Verb == lineproto.VerbWrite, text: text}
+	if st.Verb == lineproto.VerbExecute {
+		prepared := s.prepared[st.Name]
+		p.write, p.shape, p.arguments = prepared.write, prepared.shape, st.Value
+	}
+	return p
+}
+
+func (s *session) malformed(text string) reply { return s.failTx(failure(lineproto.Malformed, text)) }
+
+// failTx ends an open transaction as failed and returns the reply.
+func (s *session) failTx(r reply) reply {
+	if s.tx != nil {
+		s.tx.rollback()
+		s.tx.failed = true
+	}
+	return r
+}
+
+// runFailed answers while the transaction has failed: only its end is accepted.
+func (s *session) runFailed(v lineproto.Verb) reply {
+	switch v {
+	case lineproto.VerbRollback:
+		s.tx = nil
+		return done()
+	case lineproto.VerbCommit:
+		s.tx = nil
+		return failure(lineproto.Aborted, "the transaction had failed and was rolled back")
+	}
+	return failure(lineproto.Malformed, "the transaction has failed; only COMMIT and ROLLBACK are accepted")
+}
+
+// runLocal answers statements that change only what the session holds.
+func (s *session) runLocal(st *lineproto.Statement) reply {
+	c := s.server.cluster.Catalog()
+	if _, _, refusal := s.authorize(c); refusal != nil {
+		return s.failTx(*refusal)
+	}
+	switch st.Verb {
+	case lineproto.VerbSet:
+		if _, found := s.values[st.Name]; !found && len(s.values) >= maxSessionValues {
+			return s.malformed("too many session values")
+		}
+		// Statements that still run elsewhere use the old map.
+		values := maps.Clone(s.values)
+		values[st.Name] = st.Value
+		s.values = values
+	case lineproto.VerbPrepare:
+		if len(s.prepared) >= maxSessionStatements {
+			return s.malformed("too many prepared statements")
+		}
+		s.prepared[st.Name] = preparedStatement{write: st.Write, shape: st.Shape}
+	default:
+		if _, found := s.prepared[st.Name]; !found {
+			return s.failTx(failure(lineproto.NoStatement, st.Name))
+		}
+		delete(s.prepared, st.Name)
+	}
+	return done()
+}
+
+// runOutsideTx starts an operation: a transaction or a single statement.
+func (s *session) runOutsideTx(p *statement) reply {
+	if p.verb == lineproto.VerbCommit || p.verb == lineproto.VerbRollback {
+		return failure(lineproto.Malformed, "no transaction is open")
+	}
+	op, refusal := s.begin(p.id)
+	if refusal != nil {
+		return *refusal
+	}
+	if p.verb == lineproto.VerbBegin || p.verb == lineproto.VerbBeginRead {
+		s.tx = &transaction{operation: op, readOnly: p.verb == lineproto.VerbBeginRead, lastID: p.id}
+		return done()
+	}
+	if p.write {
+		return op.write(p)
+	}
+	return op.read(p)
+}
+
+// begin authorizes and admits an operation.
+func (s *session) begin(id string) (*operation, *reply) {
+	c := s.server.cluster.Catalog()
+	route, workspace, refusal := s.authorize(c)
+	if refusal != nil {
+		s.server.decisions.Info(id, "request refused", func(e *Entry) {
+			e.Str("code", string(refusal.code)).Str("database", s.database).Uint64("config_version", c.Version)
+		})
+		return nil, refusal
+	}
+	verdict := s.server.cluster.Admit(workspace)
+	if !verdict.Admitted {
+		s.server.count("refused.rate")
+		s.server.decisions.Info(id, "request refused", func(e *Entry) {
+			e.Str("code", string(lineproto.Busy)).Str("cause", "rate").Str("workspace", string(workspace)).
+				Float64("share", verdict.Share).Float64("tokens", verdict.Tokens).Float64("shared_tokens", verdict.Shared).Dur("retry_after", verdict.RetryAfter)
+		})
+		r := failure(lineproto.Busy, retryText("the workspace's rate is used up", verdict.RetryAfter))
+		return nil, &r
+	}
+	if s.service != route.Service {
+		s.service, s.position = route.Service, model.Position{}
+	}
+	return newOperation(s, route, workspace, c), nil
+}
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -91,7 +91,7 @@
 		if r == nil {
 			return nil
 		}
-		if r.hopeless || t.waitLeft() <= 0 {
+		if r.unservable || t.waitLeft() <= 0 {
 			refusal := x.refuse(id, r.text, retryAfter(r))
 			return &refusal
 		}
@@ -106,10 +106,10 @@
 	}
 	floor, age, ok := x.floor(t)
 	if !ok {
-		r := hopeless("freshness cannot be proved")
+		r := unservable("freshness cannot be proved")
 		return &r
 	}
-	r := hopeless("no upstream")
+	r := unservable("no upstream")
 	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
 		if x.openOn(c.ID, after(floor, "BEGIN READ"), floor, t) {
 			x.log(id, "transaction opened", func(e *Entry) {
@@ -128,7 +128,7 @@
 func (x *transaction) openPrimary(id string, t *timing) *attempt {
 	m, ok := x.awaitPrimary(t)
 	if !ok {
-		r := hopeless("no primary")
+		r := unservable("no primary")
 		return &r
 	}
 	if !x.openOn(m.ID, "BEGIN", model.Position{}, t) {
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -19,7 +19,7 @@
 		if !r.again {
 			return r.reply
 		}
-		if r.hopeless || t.waitLeft() <= 0 {
+		if r.unservable || t.waitLeft() <= 0 {
 			return o.refuse(p.id, r.text, retryAfter(&r))
 		}
 		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
@@ -29,7 +29,7 @@
 func (o *operation) writeOnce(p *statement, t *timing) attempt {
 	m, ok := o.awaitPrimary(t)
 	if !ok {
-		return hopeless("no primary")
+		return unservable("no primary")
 	}
 	conn, pool, err := o.connect(m.ID, t.waitLeft(), t)
 	if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -3,7 +3,8 @@
 // checks what callers and upstreams see.
 //
 // SOAK_SEEDS=50 runs that many seeds, SOAK_SEED=7 runs one, SOAK_VMS sets the
-// number of processes; without them one short seeded run is made.
+// number of processes, SOAK_BINARY names a daemon that is built already; without
+// them one short seeded run is made.
 package soak
 
 import (
@@ -57,9 +58,9 @@
 // Guards against lost, doubled and stale statements, false refusals and service
 // that does not come back, under faults that overlap.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "chervilhatchd")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/chervilhatchd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	binary := os.Getenv("SOAK_BINARY")
+	if binary == "" {
+		binary = build(t)
 	}
 	seeds := append([]uint64{1}, regressions...)
 	if one := number(t, "SOAK_SEED", 0); one > 0 {
@@ -73,6 +74,15 @@
 	}
 }
 
+// build makes the daemon.
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "chervilhatchd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/chervilhatchd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // world is one run.
 type world struct {
 	*linetest.Platform
--- a/upstreampool/conn.go
+++ b/upstreampool/conn.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -16,6 +15,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/sockopt"
 )
 
 const (
@@ -40,41 +40,6 @@
 	Ready     lineproto.ReadyInfo
 }
 
-// RefusedError is a startup that the upstream refused.
-type RefusedError struct {
-	Upstream model.UpstreamID
-	Code     lineproto.Code
-	Text     string
-}
-
-// Error names the upstream and its reason.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("upstream %s refused the connection: %s %s", e.Upstream, e.Code, e.Text)
-}
-
-// Replaced reports whether another upstream answers at the address.
-func (e *RefusedError) Replaced() bool {
-	return e.Code == lineproto.Misrouted && e.Text != "" && e.Text != string(e.Upstream)
-}
-
-// BrokenError is a connection that failed. Sent tells that the statement may
-// have reached the upstream, Dialing that not even a connection was made: an
-// upstream that accepts one and answers late may only be busy.
-type BrokenError struct {
-	Upstream model.UpstreamID
-	Sent     bool
-	Dialing  bool
-	Err      error
-}
-
-// Error names the upstream and the cause.
-func (e *BrokenError) Error() string {
-	return fmt.Sprintf("connection to upstream %s broke (sent: %t): %v", e.Upstream, e.Sent, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *BrokenError) Unwrap() error { return e.Err }
-
 // shape identifies a prepared statement on a connection.
 type shape struct {
 	write bool
@@ -109,7 +74,7 @@
 
 // open connects and starts a session for a workspace.
 func open(ctx context.Context, t target, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: sockopt.UserTimeout(userTimeout)}
 	start := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", t.address)
 	if err != nil {
@@ -148,17 +113,6 @@
 	return nil
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	control := func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}
-	if e := raw.Control(control); e != nil {
-		return e
-	}
-	return err
-}
-
 // Upstream returns the upstream's id.
 func (c *Conn) Upstream() model.UpstreamID { return c.upstream }
 
@@ -262,90 +216,3 @@
 		}
 	}
 }
-
-// SessionState is what a session expects of its connection.
-type SessionState struct {
-	ID     uint64
-	Values map[string]string
-}
-
-// Adopt makes the connection carry the values of a session, without what other
-// sessions left.
-func (c *Conn) Adopt(deadline time.Time, s *SessionState) error {
-	statements, reset := c.missing(s)
-	if len(statements) > 0 {
-		answers, err := c.Pipeline(deadline, statements)
-		if err != nil {
-			return notSent(err)
-		}
-		for _, a := range answers {
-			if a.Code != "" {
-				return notSent(c.fail(false, fmt.Errorf("session values refused: %s %s", a.Code, a.Text)))
-			}
-		}
-		c.adopted(s, reset)
-	}
-	c.session = s.ID
-	return nil
-}
-
-// notSent marks an error as one before the caller's statement was sent.
-func notSent(err error) error {
-	var broken *BrokenError
-	if errors.As(err, &broken) {
-		broken.Sent = false
-	}
-	return err
-}
-
-// missing returns the statements that give the connection a session's values.
-func (c *Conn) missing(s *SessionState) (statements [][2]string, reset bool) {
-	for name := range c.values {
-		if _, wanted := s.Values[name]; !wanted {
-			reset = true
-		}
-	}
-	if reset {
-		statements = append(statements, [2]string{lineproto.OwnID, "RESET"})
-	}
-	for name, value := range s.Values {
-		if held, found := c.values[name]; reset || !found || held != value {
-			statements = append(statements, [2]string{lineproto.OwnID, "SET " + name + " " + value})
-		}
-	}
-	return statements, reset
-}
-
-func (c *Conn) adopted(s *SessionState, reset bool) {
-	if reset {
-		clear(c.values)
-		clear(c.prepared)
-	}
-	for name, value := range s.Values {
-		c.values[name] = value
-	}
-}
-
-// Prepare makes sure that a statement is prepared and returns its name on this
-// connection.
-func (c *Conn) Prepare(deadline time.Time, write bool, shapeName string) (string, error) {
-	key := shape{write: write, name: shapeName}
-	if name, found := c.prepared[key]; found {
-		return name, nil
-	}
-	c.lastPrepared++
-	name := "p" + strconv.Itoa(c.lastPrepared)
-	kind := "READ"
-	if write {
-		kind = "WRITE"
-	}
-	a, err := c.Query(deadline, lineproto.OwnID, "PREPARE "+name+" "+kind+" "+shapeName)
-	if err != nil {
-		return "", notSent(err)
-	}
-	if a.Code != "" {
-		return "", notSent(c.fail(false, fmt.Errorf("prepare refused: %s %s", a.Code, a.Text)))
-	}
-	c.prepared[key] = name
-	return name, nil
-}
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -88,36 +88,6 @@
 	busyUntil time.Time
 }
 
-// warmup limits the statements to an upstream that is still slow.
-type warmup struct {
-	until     time.Time
-	perSecond float64
-	tokens    float64
-	filled    time.Time
-}
-
-// take reports whether another statement may be sent.
-func (w *warmup) take(now time.Time) bool {
-	if !now.Before(w.until) {
-		return true
-	}
-	w.tokens = min(1, w.tokens+now.Sub(w.filled).Seconds()*w.perSecond)
-	w.filled = now
-	if w.tokens < 1 {
-		return false
-	}
-	w.tokens--
-	return true
-}
-
-// SetWarmup limits the requests for connections to a rate for a time.
-func (p *Pool) SetWarmup(lasts time.Duration, perSecond float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	p.warmup = warmup{until: now.Add(lasts), perSecond: perSecond, filled: now}
-}
-
 // waiter waits for a connection or for a place to open one.
 type waiter struct {
 	workspace string
@@ -286,55 +256,6 @@
 	return false
 }
 
-// dialed is the outcome of a connection attempt.
-type dialed struct {
-	conn *Conn
-	err  error
-}
-
-// dial opens a connection in a reserved place. When the request cannot wait for
-// it, the connection is kept for the next one: the upstream has spent a slot on it.
-func (p *Pool) dial(ctx context.Context, r Request) (*Conn, error) {
-	u := &p.upstream
-	t := target{upstream: u.ID, address: u.Address, service: u.Service, workspace: r.Workspace}
-	result := make(chan dialed, 1)
-	go func() {
-		c, err := open(context.WithoutCancel(ctx), t, dialTimeout)
-		result <- dialed{c, err}
-	}()
-	timer := time.NewTimer(max(r.Wait, leastDialWait))
-	defer timer.Stop()
-	select {
-	case d := <-result:
-		return p.dialedOne(r.Workspace, d)
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	go func() {
-		if c, err := p.dialedOne(r.Workspace, <-result); err == nil {
-			p.Release(c, true)
-		}
-	}()
-	return nil, ErrWaited
-}
-
-// dialedOne gives the place of a failed attempt to the next waiter.
-func (p *Pool) dialedOne(workspace string, d dialed) (*Conn, error) {
-	if d.err == nil {
-		return d.conn, nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var refused *RefusedError
-	if errors.As(d.err, &refused) && refused.Code == lineproto.TooMany {
-		p.fullUntil = time.Now().Add(fullPause)
-	}
-	p.leave(workspace)
-	p.open--
-	p.grantPlace()
-	return nil, d.err
-}
-
 func (p *Pool) leave(workspace string) {
 	p.inUse[workspace]--
 	if p.inUse[workspace] <= 0 {
@@ -374,53 +295,6 @@
 	w.ready <- grant{}
 }
 
-// grantPlace lets the next waiter open a connection if there is a place.
-func (p *Pool) grantPlace() {
-	if p.open >= p.limit() || p.closed {
-		return
-	}
-	w := p.nextWaiter("")
-	if w == nil {
-		return
-	}
-	p.open++
-	p.inUse[w.workspace]++
-	w.ready <- grant{}
-}
-
-// nextWaiter removes and returns the waiter that goes next: by priority, then
-// the workspace that uses the fewest connections, then by arrival. A waiter of
-// the given workspace may pass others for a short time.
-func (p *Pool) nextWaiter(workspace string) *waiter {
-	best := -1
-	for i, w := range p.waiters {
-		if best < 0 || p.before(w, p.waiters[best]) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return nil
-	}
-	if first := p.waiters[best]; first.workspace != workspace && time.Since(first.since) < sameWorkspaceFirst {
-		for i, w := range p.waiters {
-			if w.workspace == workspace && w.priority <= first.priority {
-				best = i
-				break
-			}
-		}
-	}
-	w := p.waiters[best]
-	p.waiters = append(p.waiters[:best], p.waiters[best+1:]...)
-	return w
-}
-
-func (p *Pool) before(a, b *waiter) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	return p.inUse[a.workspace] < p.inUse[b.workspace]
-}
-
 // terminate ends a connection in good order.
 func (c *Conn) terminate() {
 	// The upstream may have closed already; there is nothing more to end.
--- /dev/null
+++ b/upstreampool/waiters.go
@@ -0,0 +1,50 @@
+package upstreampool
+
+import "time"
+
+// grantPlace lets the next waiter open a connection if there is a place.
+func (p *Pool) grantPlace() {
+	if p.open >= p.limit() || p.closed {
+		return
+	}
+	w := p.nextWaiter("")
+	if w == nil {
+		return
+	}
+	p.open++
+	p.inUse[w.workspace]++
+	w.ready <- grant{}
+}
+
+// nextWaiter removes and returns the waiter that goes next: by priority, then
+// the workspace that uses the fewest connections, then by arrival. A waiter of
+// the given workspace may pass others for a short time.
+func (p *Pool) nextWaiter(workspace string) *waiter {
+	best := -1
+	for i, w := range p.waiters {
+		if best < 0 || p.before(w, p.waiters[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	if first := p.waiters[best]; first.workspace != workspace && time.Since(first.since) < sameWorkspaceFirst {
+		for i, w := range p.waiters {
+			if w.workspace == workspace && w.priority <= first.priority {
+				best = i
+				break
+			}
+		}
+	}
+	w := p.waiters[best]
+	p.waiters = append(p.waiters[:best], p.waiters[best+1:]...)
+	return w
+}
+
+func (p *Pool) before(a, b *waiter) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	return p.inUse[a.workspace] < p.inUse[b.workspace]
+}
--- /dev/null
+++ b/upstreampool/warmup.go
@@ -0,0 +1,33 @@
+package upstreampool
+
+import "time"
+
+// warmup limits the statements to an upstream that is still slow.
+type warmup struct {
+	until     time.Time
+	perSecond float64
+	tokens    float64
+	filled    time.Time
+}
+
+// take reports whether another statement may be sent.
+func (w *warmup) take(now time.Time) bool {
+	if !now.Before(w.until) {
+		return true
+	}
+	w.tokens = min(1, w.tokens+now.Sub(w.filled).Seconds()*w.perSecond)
+	w.filled = now
+	if w.tokens < 1 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+// SetWarmup limits the requests for connections to a rate for a time.
+func (p *Pool) SetWarmup(lasts time.Duration, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.warmup = warmup{until: now.Add(lasts), perSecond: perSecond, filled: now}
+}
