--- a/linenode/node.go
+++ b/linenode/node.go
@@ -142,6 +142,9 @@
 	}
 }
 
+// leaveTimeout bounds the removal of a stopped VM's entry, which else expires.
+const leaveTimeout = 300 * time.Millisecond
+
 // drainTimes divides the grace time of a stop. The platform needs about two
 // seconds to notice that the VM is not ready; transactions get half of the time.
 func drainTimes(grace time.Duration) lineproxy.DrainTimes {
@@ -160,11 +163,14 @@
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.options.Grace)
 	defer cancel()
-	n.duty.release(ctx)
+	// A slow store must not use up the callers' time.
+	n.background(func() { n.duty.release(ctx) })
 	n.callers.Drain(ctx, drainTimes(n.options.Grace))
 	// The listener of a process that ends is closed anyway.
 	_ = n.options.Callers.Close()
-	n.members.leave(ctx)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	defer cancelLeave()
+	n.members.leave(leaveCtx)
 	n.cancel()
 	n.grpc.Stop()
 	for _, p := range n.pages {
