Prove a read fresh at the moment of its sending

Cause: the position was chosen before the request waited for a connection or for its turn as the second try, for up to 0.3 s, while 0.2 s are taken off the bound for that. Seen in the code; no run has shown a stale read for it. TestFloorIsThatOfTheSending failed before, for single reads and for transactions.

--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -118,7 +118,7 @@
 // refuses, the next is tried; when one is slow, the next is tried besides, and
 // the first answer counts.
 func (o *operation) readFresh(p *statement, t *timing) attempt {
-	floor, age, ok := o.floor(t)
+	floor, ok := o.floor(t)
 	if !ok {
 		return unservable("freshness cannot be proved")
 	}
@@ -133,7 +133,7 @@
 			if next == len(candidates) || next > 0 && t.waitLeft() <= 0 {
 				return last
 			}
-			o.startRead(candidates[next].ID, p, floor, age, t, results)
+			o.startRead(candidates[next].ID, p, t, results)
 			running, next = running+1, next+1
 		}
 		select {
@@ -146,7 +146,7 @@
 			o.cluster.Suspect(candidates[next-1].ID)
 			if next < len(candidates) {
 				o.session.server.count("hedged")
-				o.startRead(candidates[next].ID, p, floor, age, t, results)
+				o.startRead(candidates[next].ID, p, t, results)
 				running, next = running+1, next+1
 				timer.Reset(o.hedgeAfter())
 			}
@@ -154,24 +154,25 @@
 	}
 }
 
-func (o *operation) startRead(id model.UpstreamID, p *statement, floor model.Position, age time.Duration, t *timing, results chan<- attempt) {
-	limits := *t
-	go func() { results <- o.readOn(id, p, floor, age, &limits) }()
+func (o *operation) startRead(id model.UpstreamID, p *statement, t *timing, results chan<- attempt) {
+	limits, session := *t, o.sessionFloor()
+	go func() { results <- o.readOn(id, p, session, &limits) }()
 }
 
 // floor returns the position that reads have to see, after asking the primary
 // for newer proof if there is none that is young enough.
-func (o *operation) floor(t *timing) (floor model.Position, age time.Duration, ok bool) {
-	floor, age, ok = o.cluster.Floor(o.route.Service, o.route.MaxStaleness, o.sessionFloor())
+func (o *operation) floor(t *timing) (floor model.Position, ok bool) {
+	floor, _, ok = o.cluster.Floor(o.route.Service, o.route.MaxStaleness, o.sessionFloor())
 	if ok {
-		return floor, age, true
+		return floor, true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), t.giveUp)
 	defer cancel()
 	if !o.cluster.RefreshEvidence(ctx, o.route.Service) {
-		return model.Position{}, 0, false
+		return model.Position{}, false
 	}
-	return o.cluster.Floor(o.route.Service, o.route.MaxStaleness, o.sessionFloor())
+	floor, _, ok = o.cluster.Floor(o.route.Service, o.route.MaxStaleness, o.sessionFloor())
+	return floor, ok
 }
 
 // sessionFloor is the session's own position where the route promises that its
@@ -188,7 +189,10 @@
 	return "AFTER " + lineproto.FormatPosition(floor) + " " + text
 }
 
-func (o *operation) readOn(id model.UpstreamID, p *statement, floor model.Position, age time.Duration, t *timing) attempt {
+// readOn reads on one upstream. The position is that of the moment of sending,
+// since proof ages while the request waits for a connection. session is the
+// session's own position.
+func (o *operation) readOn(id model.UpstreamID, p *statement, session model.Position, t *timing) attempt {
 	conn, pool, err := o.connect(id, t.waitLeft(), t)
 	if err != nil {
 		return tryAgain(refusalCause(err))
@@ -198,6 +202,11 @@
 		pool.Release(conn, false)
 		return tryAgain(refusalCause(err))
 	}
+	floor, age, ok := o.cluster.Floor(o.route.Service, o.route.MaxStaleness, session)
+	if !ok {
+		pool.Release(conn, true)
+		return tryAgain("freshness cannot be proved")
+	}
 	start := time.Now()
 	a, err := conn.Query(t.deadline, p.id, after(floor, text))
 	if err != nil {
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -101,20 +101,17 @@
 
 // openOnce makes one attempt; the result is nil on success.
 func (x *transaction) openOnce(id string, t *timing) *attempt {
-	if !x.readOnly || x.route.Freshness == catalog.FreshPrimary {
+	if x.onPrimary() {
 		return x.openPrimary(id, t)
 	}
-	floor, age, ok := x.floor(t)
+	floor, ok := x.floor(t)
 	if !ok {
 		r := unservable("freshness cannot be proved")
 		return &r
 	}
 	r := unservable("no upstream")
 	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
-		if x.openOn(c.ID, after(floor, "BEGIN READ"), floor, t) {
-			x.log(id, "transaction opened", func(e *Entry) {
-				e.Str("upstream", string(c.ID)).Str("floor", lineproto.FormatPosition(floor)).Dur("proof_age", age)
-			})
+		if x.openOn(c.ID, id, t) {
 			return nil
 		}
 		r = tryAgain("the transaction could not be opened")
@@ -131,20 +128,34 @@
 		r := unservable("no primary")
 		return &r
 	}
-	if !x.openOn(m.ID, "BEGIN", model.Position{}, t) {
+	if !x.openOn(m.ID, id, t) {
 		r := tryAgain("the transaction could not be opened")
 		return &r
 	}
-	x.log(id, "transaction opened", func(e *Entry) { e.Str("upstream", string(m.ID)) })
 	return nil
 }
 
+// onPrimary reports whether the transaction has to run on the primary.
+func (x *transaction) onPrimary() bool {
+	return !x.readOnly || x.route.Freshness == catalog.FreshPrimary
+}
+
 // openOn starts the transaction on one upstream.
-func (x *transaction) openOn(id model.UpstreamID, begin string, floor model.Position, t *timing) bool {
+func (x *transaction) openOn(id model.UpstreamID, request string, t *timing) bool {
 	conn, pool, err := x.connect(id, t.waitLeft(), t)
 	if err != nil {
 		return false
 	}
+	begin, floor, age := "BEGIN", model.Position{}, time.Duration(0)
+	if !x.onPrimary() {
+		// Proof ages while the transaction waits for a connection.
+		var ok bool
+		if floor, age, ok = x.cluster.Floor(x.route.Service, x.route.MaxStaleness, x.sessionFloor()); !ok {
+			pool.Release(conn, true)
+			return false
+		}
+		begin = after(floor, "BEGIN READ")
+	}
 	stop := x.watch(id)
 	a, err := conn.Query(t.deadline, lineproto.OwnID, begin)
 	stop()
@@ -153,6 +164,9 @@
 		x.connectFailed(id, err)
 	case a.Code == "" && a.Ready.State == lineproto.InTx:
 		x.conn, x.pool, x.upstream = conn, pool, id
+		x.log(request, "transaction opened", func(e *Entry) {
+			e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(floor)).Dur("proof_age", age)
+		})
 		return true
 	case a.Code == lineproto.ReadOnly:
 		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
