Do not promote a replica that lacks commits of one that is gone

A primary was replaced because its replicas received nothing, while one of them was down; when that one's entry lapsed, the replica left, which was behind, counted as all replicas. Ruled out: late orders and calls; the promotion was called in time. TestStalledPrimaryStaysWhileAReplicaIsDown failed before.

--- a/core/promotion/move.go
+++ b/core/promotion/move.go
@@ -189,7 +189,7 @@
 		}
 	}
 	switch {
-	case all && best != nil:
+	case all && best != nil && m.hasAll(best, old, v, in, svc):
 		return best
 	case steppedDown && best != nil && best.Status.Received.Compare(old.Status.Received) >= 0:
 		return best
@@ -199,6 +199,18 @@
 	return nil
 }
 
+// hasAll reports whether the furthest replica certainly has every acknowledged
+// commit. When another replica has gone without notice, commits may have been
+// acknowledged by that one; then the replica has to reach the newest proof of
+// the primary's log, unless the primary is gone as well and nothing else is left.
+func (m *move) hasAll(best, old *replicaset.Member, v *replicaset.View, in *Input, svc *service) bool {
+	if !v.Incomplete || old == nil {
+		return true
+	}
+	e, ok := in.Evidence(svc.name)
+	return ok && best.Status.Received.Compare(e.Position) >= 0
+}
+
 // furthestFenced returns the fenced replica that has received the most; among
 // equals one that stays in service.
 func (m *move) furthestFenced(v *replicaset.View, in *Input) *replicaset.Member {
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -331,3 +331,46 @@
 	b.pass(2 * time.Second)
 	b.wantCall("b")
 }
+
+// Guards against the promotion of a replica that has received nothing for a
+// while, after the other replica, which had received the acknowledged commits,
+// is gone: the primary that steps down is the only upstream that has them.
+func TestDeafReplicaIsNotPromotedWhenTheOtherIsGone(t *testing.T) {
+	b := newBench(t)
+	b.member("a").Status.Received = pos(452)
+	b.member("b").Status.Received = pos(413)
+	b.view.Members = b.view.Members[:2]
+	b.view.Incomplete = true
+	b.evidence = replicaset.Evidence{At: b.now, Position: pos(452), Term: 1}
+	b.pass(8 * time.Second)
+	for _, c := range b.calls {
+		if c.Upstream == "b" {
+			t.Fatalf("calls %+v", b.calls)
+		}
+	}
+}
+
+// Guards against a service that stays without a primary when its primary and
+// another upstream are gone for good.
+func TestRemainingReplicaIsPromotedWhenThePrimaryIsGone(t *testing.T) {
+	b := newBench(t)
+	b.view.Incomplete = true
+	b.evidence = replicaset.Evidence{At: b.now, Position: pos(500), Term: 1}
+	b.view.Primary = ""
+	b.view.Members = b.view.Members[1:2]
+	b.pass(3 * time.Second)
+	b.wantCall("b")
+}
+
+// Guards against a stall that is no reason for a change: one replica is down, the
+// other receives nothing, and no upstream could do better than the primary.
+func TestStalledPrimaryStaysWhileAReplicaIsDown(t *testing.T) {
+	b := newBench(t)
+	b.member("a").Status.Received = pos(130)
+	b.fail("c")
+	b.pass(5 * time.Second)
+	b.wantNoCall()
+	if !b.member("a").Status.Primary {
+		t.Error("the primary was told to step down")
+	}
+}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -193,7 +193,7 @@
 	if in.Evacuated(m.Zone) {
 		return "zone evacuated", true
 	}
-	if svc.stalled(now, v, in) {
+	if !v.Incomplete && svc.stalled(now, v, in) {
 		return causeStalled, false
 	}
 	return "", false
@@ -215,19 +215,24 @@
 	return now.Sub(m.FailedSince) > limit/2 && now.Sub(last) > limit
 }
 
-// stalled reports whether the primary's commits reach no replica although
-// replicas can be reached.
+// stalled reports whether the primary's commits reach no replica although all
+// replicas can be reached, so that a change would help.
 func (svc *service) stalled(now model.Time, v *replicaset.View, in *Input) bool {
 	if in.SyncReplicas(svc.name) == 0 || svc.stalledSince == 0 || now.Sub(svc.stalledSince) < stalledAfter {
 		return false
 	}
+	replicas := 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.ID != v.Primary && reachable(now, m) && m.Status.HeldTerm == 0 && m.StatusAt > svc.stalledSince {
-			return true
+		if m.ID == v.Primary {
+			continue
 		}
+		if !reachable(now, m) || m.Status.HeldTerm != 0 || m.StatusAt <= svc.stalledSince {
+			return false
+		}
+		replicas++
 	}
-	return false
+	return replicas > 0
 }
 
 func reachable(now model.Time, m *replicaset.Member) bool {
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -116,6 +116,9 @@
 	Members    []Member
 	Primary    model.UpstreamID
 	LeaderTerm uint64
+	// Incomplete is true after an upstream is gone that may have received
+	// commits which the remaining replicas have not.
+	Incomplete bool
 }
 
 // Views returns all services, in order.
@@ -125,7 +128,7 @@
 		if len(g.members) == 0 {
 			continue
 		}
-		v := View{Service: g.name, Primary: g.primary, LeaderTerm: g.leaderTerm}
+		v := View{Service: g.name, Primary: g.primary, LeaderTerm: g.leaderTerm, Incomplete: g.incompleteSince != 0}
 		for _, id := range g.ids() {
 			v.Members = append(v.Members, *g.members[id])
 		}
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -317,3 +317,24 @@
 		t.Errorf("primary %q of a later term", got)
 	}
 }
+
+// Guards against a group that counts as complete after an upstream went without
+// notice, and against one that never does again.
+func TestIncompleteUntilAReplicaHasCaughtUp(t *testing.T) {
+	w := newWorld()
+	w.status("a", true, 1, pos(1, 10))
+	w.apply(Event{Kind: EventReplaced, Upstream: "c"})
+	if !w.Views()[0].Incomplete {
+		t.Fatal("the group counts as complete")
+	}
+	w.pass(100 * ms)
+	w.status("a", true, 1, pos(1, 20))
+	w.status("b", false, 1, pos(1, 19))
+	if !w.Views()[0].Incomplete {
+		t.Error("the group counts as complete before a replica has caught up")
+	}
+	w.status("b", false, 1, pos(1, 20))
+	if w.Views()[0].Incomplete {
+		t.Error("the group stays incomplete")
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -35,6 +35,9 @@
 	lastPrimary  model.UpstreamID
 	lostAt       model.Time
 	syncReplicas int
+	// incompleteSince is when an upstream went without notice, 0 once a replica
+	// has received what the primary had after that.
+	incompleteSince model.Time
 	// mostMembers is the largest number of members so far.
 	mostMembers int
 }
@@ -179,6 +182,7 @@
 	m.Registration = *r
 	if restarted {
 		*m = Member{Registration: *r}
+		g.incompleteSince = now
 	}
 	if r.Leaving && m.LeavingAt == 0 {
 		m.LeavingAt = now
@@ -237,6 +241,11 @@
 	m, g := s.member(id)
 	delete(g.members, id)
 	delete(s.services, id)
+	if m.Leaving {
+		g.mostMembers = len(g.members)
+	} else {
+		g.incompleteSince = now
+	}
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
 	if g.primary == id {
@@ -282,12 +291,24 @@
 	m.Applied = m.Applied.Max(ev.Status.Applied)
 	if !ev.Status.Primary || g.lostItsLog(m) {
 		g.notPrimary(now, m)
+		g.caughtUp(m)
 		return
 	}
 	g.leads(now, m, ev.Status.Term)
 	g.addEvidence(now, evidence{at: ev.AskedAt, position: ev.Status.Received, term: ev.Status.Term})
 }
 
+// caughtUp ends the time in which commits may be missing on all replicas.
+func (g *group) caughtUp(m *Member) {
+	for i := range g.evidence {
+		e := &g.evidence[i]
+		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.Status.Received.Compare(e.position) >= 0 {
+			g.incompleteSince = 0
+			g.mostMembers = len(g.members)
+		}
+	}
+}
+
 // lostItsLog reports whether an upstream that calls itself the primary lacks
 // what a primary of its term is known to have had.
 func (g *group) lostItsLog(m *Member) bool {
