--- a/core/promotion/move.go
+++ b/core/promotion/move.go
@@ -25,7 +25,9 @@
 	phase     phase
 	phaseAt   model.Time
 	// old is the primary at the start; it may be empty.
-	old       model.UpstreamID
+	old model.UpstreamID
+	// members are the upstreams at the start.
+	members   []model.UpstreamID
 	fenceTerm uint64
 	target    model.UpstreamID
 
@@ -181,7 +183,7 @@
 	best := m.furthestFenced(v, in)
 	old := find(v, m.old)
 	steppedDown := old != nil && !old.Status.Primary && old.StatusAt >= m.startedAt && old.Status.Term != 0
-	all := true
+	all := m.allPresent(v)
 	for i := range v.Members {
 		c := &v.Members[i]
 		if c.ID != m.old && !m.fenced(c) && !m.absent(c, best, in, svc) {
@@ -193,12 +195,24 @@
 		return best
 	case steppedDown && best != nil && best.Status.Received.Compare(old.Status.Received) >= 0:
 		return best
-	case steppedDown && all && !old.Leaving && !in.Evacuated(old.Zone):
+	case steppedDown:
+		// The old primary has every commit that was acknowledged.
 		return old
 	}
 	return nil
 }
 
+// allPresent reports whether no upstream has gone since the move started; one that
+// has may have received commits until then.
+func (m *move) allPresent(v *replicaset.View) bool {
+	for _, id := range m.members {
+		if find(v, id) == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // hasAll reports whether the furthest replica certainly has every acknowledged
 // commit. When another replica has gone without notice, commits may have been
 // acknowledged by that one; then the replica has to reach the newest proof of
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -374,3 +374,21 @@
 		t.Error("the primary was told to step down")
 	}
 }
+
+// Guards against the promotion of a replica that is behind the old primary, which
+// answers again after a cut, because the replica that went on receiving commits
+// with it has gone meanwhile.
+func TestOldPrimaryLeadsAgainWhenItsReplicaIsGone(t *testing.T) {
+	b := newBench(t)
+	b.fail("a")
+	b.fail("c")
+	b.pass(2 * time.Second)
+	b.wantNoCall()
+	a := b.member("a")
+	a.FailedSince = 0
+	a.Status = replicaset.Status{Term: 1, Received: pos(108)}
+	b.view.Primary = ""
+	b.view.Members = b.view.Members[:2]
+	b.pass(time.Second)
+	b.wantCall("a")
+}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -116,6 +116,9 @@
 		return s.releaseStrayFences(now, svc, v, out)
 	}
 	m := &move{planned: planned, cause: cause, startedAt: now, phase: phaseFence, old: v.Primary, fenceTerm: newestTerm(v) + 1}
+	for i := range v.Members {
+		m.members = append(m.members, v.Members[i].ID)
+	}
 	if planned && !m.chooseTarget(now, v, in) {
 		return out
 	}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -35,8 +35,8 @@
 	lastPrimary  model.UpstreamID
 	lostAt       model.Time
 	syncReplicas int
-	// incompleteSince is when an upstream went without notice, 0 once a replica
-	// has received what the primary had after that.
+	// incompleteSince is when an upstream went, 0 once a replica has received
+	// what the primary had after that.
 	incompleteSince model.Time
 	// mostMembers is the largest number of members so far.
 	mostMembers int
@@ -241,11 +241,7 @@
 	m, g := s.member(id)
 	delete(g.members, id)
 	delete(s.services, id)
-	if m.Leaving {
-		g.mostMembers = len(g.members)
-	} else {
-		g.incompleteSince = now
-	}
+	g.incompleteSince = now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
 	if g.primary == id {
