Share the retry loop, the pools' targets and the load between their uses

No change of behavior. Reads and writes had the same loop; a probe's link kept the address and incarnation that its pool knows; the target of a pool was built in two places; the part of the load was computed once for each pool at every trim. One check for a missing primary stood twice. The whole make check was not run on this commit.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -59,7 +59,7 @@
 	if len(g.members) < g.mostMembers || g.members[g.lastPrimary] == nil {
 		return
 	}
-	if last := g.members[g.lastPrimary]; g.primary != "" && last != nil && !last.Failing() {
+	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
 		return
 	}
 	proof := evidence{at: now, term: g.leaderTerm}
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -240,9 +240,14 @@
 		return
 	}
 	c.dropPool(m.ID)
-	c.pools[m.ID] = upstreampool.New(upstreampool.Upstream{
+	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m.Service, c.quota.LoadShare(c.Now())))
+}
+
+// upstreamOf returns where the pools of an upstream connect to.
+func upstreamOf(m *replicaset.Member) upstreampool.Upstream {
+	return upstreampool.Upstream{
 		ID: m.ID, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
-	}, c.shareOf(m.Service))
+	}
 }
 
 // setWarmup limits the statements to an upstream that is slow after its start:
@@ -265,8 +270,9 @@
 }
 
 // shareOf returns how many connections to each upstream of a service this VM
-// may open: one, and of the others as large a part as of the operations.
-func (c *cluster) shareOf(name catalog.Service) upstreampool.Share {
+// may open: one, and of the others as large a part as load, its part of the
+// operations.
+func (c *cluster) shareOf(name catalog.Service, load float64) upstreampool.Share {
 	s := c.Catalog()
 	if s == nil || s.Service(name) == nil || c.vms == 0 {
 		return upstreampool.Share{Base: 1, Most: 1}
@@ -282,7 +288,6 @@
 	}
 	divided := limit - c.vms
 	idle := divided - c.vms
-	load := c.quota.LoadShare(c.Now())
 	return upstreampool.Share{
 		Base: 1 + int(float64(max(idle, 0))*load),
 		Most: 1 + int(float64(max(divided, 0))*load),
@@ -291,9 +296,10 @@
 
 // reshare divides the connections anew.
 func (c *cluster) reshare() {
+	load := c.quota.LoadShare(c.Now())
 	for id, pool := range c.pools {
 		if m, ok := c.replicas.Member(id); ok {
-			pool.SetShare(c.shareOf(m.Service))
+			pool.SetShare(c.shareOf(m.Service, load))
 		}
 	}
 }
--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -44,10 +44,8 @@
 
 // probeLink is the connection to one upstream. Its mutex is held for one query.
 type probeLink struct {
-	mu          sync.Mutex
-	pool        *upstreampool.Pool
-	address     string
-	incarnation int64
+	mu   sync.Mutex
+	pool *upstreampool.Pool
 	// late counts the queries in a row that were not answered in time on a
 	// connection that was made.
 	late int
@@ -122,19 +120,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[id]
-	if l != nil && l.address == m.Address && l.incarnation == m.Incarnation {
+	if l != nil && l.pool.Same(m.Address, m.Incarnation) {
 		return l, nil
 	}
 	if l != nil {
 		l.pool.Close()
 	}
-	upstream := upstreampool.Upstream{
-		ID: id, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
-	}
-	l = &probeLink{
-		pool:    upstreampool.New(upstream, upstreampool.Share{Base: 0, Most: 1}),
-		address: m.Address, incarnation: m.Incarnation,
-	}
+	l = &probeLink{pool: upstreampool.New(upstreamOf(&m), upstreampool.Share{Base: 0, Most: 1})}
 	p.links[id] = l
 	return l, nil
 }
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -15,13 +15,17 @@
 // upstreams, since nothing reaches the caller before the whole answer is there.
 func (o *operation) read(p *statement) reply {
 	t := o.timing()
+	if o.route.Freshness == catalog.FreshPrimary {
+		return o.retry(p, &t, o.readPrimary)
+	}
+	return o.retry(p, &t, o.readFresh)
+}
+
+// retry tries a statement until it is answered, or until it is refused because
+// no try succeeds in the time that it may wait.
+func (o *operation) retry(p *statement, t *timing, try func(*statement, *timing) attempt) reply {
 	for {
-		var r attempt
-		if o.route.Freshness == catalog.FreshPrimary {
-			r = o.readPrimary(p, &t)
-		} else {
-			r = o.readFresh(p, &t)
-		}
+		r := try(p, t)
 		if !r.again {
 			return r.reply
 		}
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -14,16 +14,7 @@
 // it has certainly not run.
 func (o *operation) write(p *statement) reply {
 	t := o.timing()
-	for {
-		r := o.writeOnce(p, &t)
-		if !r.again {
-			return r.reply
-		}
-		if r.unservable || t.waitLeft() <= 0 {
-			return o.refuse(p.id, r.text, retryAfter(&r))
-		}
-		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
-	}
+	return o.retry(p, &t, o.writeOnce)
 }
 
 func (o *operation) writeOnce(p *statement, t *timing) attempt {
