Move the running of statements out of the callers' side

Which upstream a statement goes to is a decision of the session; how it runs there (connection, session values, prepared statements, proof of freshness, report of the answer) is now package upstreamrun behind Cluster.Run and Cluster.Open. So a statement can run over another VM's connections without a change of the decisions. No change of behavior, except that reads on the primary count in its smoothed latency as well.

--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/store"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 const (
@@ -57,6 +58,7 @@
 	// vms is the number of VMs, 0 while it is not known.
 	vms    int
 	probes *probes
+	local  upstreamrun.Local
 	// evacuated are the zones out of service as of operatorsRevision.
 	operatorsRevision int64
 	evacuated         []string
@@ -78,6 +80,7 @@
 		announce: func(catalog.Service, model.UpstreamID, uint64) {},
 	}
 	c.probes = newProbes(c)
+	c.local.Knowledge = c
 	return c
 }
 
@@ -147,6 +150,14 @@
 	return c.pools[id]
 }
 
+// Run runs a statement on an upstream.
+func (c *cluster) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) { return c.local.Run(r) }
+
+// Open starts a transaction on an upstream.
+func (c *cluster) Open(r *upstreamrun.OpenRequest) (upstreamrun.Tx, upstreamrun.Outcome, error) {
+	return c.local.Open(r)
+}
+
 // RefreshEvidence asks the primary how far its log reaches, or all replicas
 // while the primary does not answer.
 func (c *cluster) RefreshEvidence(ctx context.Context, service catalog.Service) bool {
--- a/lineproxy/cluster.go
+++ b/lineproxy/cluster.go
@@ -11,7 +11,7 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/quota"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
-	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 // Cluster is what sessions need to know and report of the deployment.
@@ -35,10 +35,10 @@
 	PrimaryGap(service catalog.Service) time.Duration
 	// ReadCandidates returns the upstreams to try a read on, best first.
 	ReadCandidates(service catalog.Service, floor model.Position, w model.Workspace) []replicaset.Candidate
-	// Pool returns the connections to an upstream, or nil.
-	Pool(id model.UpstreamID) *upstreampool.Pool
-	// Observe reports what an upstream did.
-	Observe(ev *replicaset.Event)
+	// Run runs a statement on an upstream, Open starts a transaction there.
+	// Both report what they learn of the upstream.
+	Run(r *upstreamrun.Request) (upstreamrun.Outcome, error)
+	Open(r *upstreamrun.OpenRequest) (upstreamrun.Tx, upstreamrun.Outcome, error)
 	// Suspect asks for a check of an upstream that does not answer.
 	Suspect(id model.UpstreamID)
 	// Isolated reports whether this VM is cut off from the upstreams while
--- a/lineproxy/floor_test.go
+++ b/lineproxy/floor_test.go
@@ -16,6 +16,7 @@
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 // slowStart is how long the upstream of the test takes for a new connection.
@@ -36,8 +37,17 @@
 func (c *agingCluster) Observe(*replicaset.Event)                {}
 func (c *agingCluster) Suspect(model.UpstreamID)                 {}
 func (c *agingCluster) Isolated() bool                           { return false }
+func (c *agingCluster) local() *upstreamrun.Local                { return &upstreamrun.Local{Knowledge: c} }
 func (c *agingCluster) Pool(model.UpstreamID) *upstreampool.Pool { return c.pool }
 
+func (c *agingCluster) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) {
+	return c.local().Run(r)
+}
+
+func (c *agingCluster) Open(r *upstreamrun.OpenRequest) (upstreamrun.Tx, upstreamrun.Outcome, error) {
+	return c.local().Open(r)
+}
+
 func (c *agingCluster) PrimaryGap(catalog.Service) time.Duration { return 0 }
 
 func (c *agingCluster) RefreshEvidence(context.Context, catalog.Service) bool { return true }
--- a/lineproxy/operation.go
+++ b/lineproxy/operation.go
@@ -1,11 +1,8 @@
 package lineproxy
 
 import (
-	"context"
-	"errors"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
@@ -13,6 +10,7 @@
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 const (
@@ -25,8 +23,6 @@
 	// shortGap is how long the change of a primary takes by plan; a request
 	// waits only while the gap is shorter.
 	shortGap = 150 * time.Millisecond
-	// suspectAfter is how long an upstream may take before it is checked.
-	suspectAfter = 200 * time.Millisecond
 	// busyPause is the pause before a statement that found no slot is sent again.
 	busyPause = 12 * time.Millisecond
 	// primaryPoll is how often a waiting request looks for a primary.
@@ -110,74 +106,18 @@
 	})
 }
 
-// connect returns a connection of the operation's workspace to an upstream,
-// with the session's values.
-func (o *operation) connect(id model.UpstreamID, wait time.Duration, t *timing) (*upstreampool.Conn, *upstreampool.Pool, error) {
-	pool := o.cluster.Pool(id)
-	if pool == nil {
-		return nil, nil, upstreampool.ErrClosed
-	}
+// place describes where and for whom a statement runs.
+func (o *operation) place(id model.UpstreamID, t *timing) upstreamrun.Place {
 	o.attempts.Add(1)
-	request := upstreampool.Request{
-		Workspace: o.who(), Session: o.session.id, Priority: o.route.Priority, Wait: max(wait, 0),
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
-	defer cancel()
-	conn, err := pool.Acquire(ctx, request)
-	if err != nil {
-		o.connectFailed(id, err)
-		return nil, nil, err
-	}
-	state := upstreampool.SessionState{ID: o.session.id, Values: o.values}
-	if err := conn.Adopt(t.deadline, &state); err != nil {
-		pool.Release(conn, false)
-		o.connectFailed(id, err)
-		return nil, nil, err
-	}
-	return conn, pool, nil
-}
-
-// connectFailed reports an upstream that could not be reached. A connection
-// that broke later says little about the upstream, which is then checked.
-func (o *operation) connectFailed(id model.UpstreamID, err error) {
-	var broken *upstreampool.BrokenError
-	var refused *upstreampool.RefusedError
-	switch {
-	case errors.As(err, &refused):
-		if refused.Replaced() {
-			o.cluster.Observe(&replicaset.Event{Kind: replicaset.EventReplaced, Upstream: id})
-		}
-	case errors.As(err, &broken):
-		if broken.Dialing {
-			o.cluster.Observe(&replicaset.Event{
-				Kind: replicaset.EventFailed, Upstream: id, Refused: errors.Is(err, syscall.ECONNREFUSED),
-			})
-		}
-		o.cluster.Suspect(id)
+	return upstreamrun.Place{
+		Upstream: id, Service: o.route.Service, Workspace: o.who(), Priority: o.route.Priority,
+		Wait: max(t.waitLeft(), 0), Deadline: t.deadline, Bound: o.route.MaxStaleness, Position: o.sessionFloor(),
 	}
 }
 
-// watch has an upstream checked if the returned function is not called soon.
-func (o *operation) watch(id model.UpstreamID) (stop func()) {
-	timer := time.AfterFunc(suspectAfter, func() { o.cluster.Suspect(id) })
-	return func() { timer.Stop() }
-}
-
-// textFor returns a statement's text for a connection: executions use the name
-// that the statement has there.
-func (p *statement) textFor(c *upstreampool.Conn, t *timing) (string, error) {
-	if p.shape == "" {
-		return p.text, nil
-	}
-	name, err := c.Prepare(t.deadline, p.write, p.shape)
-	if err != nil {
-		return "", err
-	}
-	text := "EXECUTE " + name
-	if p.arguments != "" {
-		text += " " + p.arguments
-	}
-	return text, nil
+// state is what the operation's connections have to carry.
+func (o *operation) state() upstreampool.SessionState {
+	return upstreampool.SessionState{ID: o.session.id, Values: o.values}
 }
 
 // awaitPrimary returns the primary. It waits only in a gap that is as short as
@@ -192,28 +132,7 @@
 	}
 }
 
-// served reports an answer of an upstream. Answers that show a commit are proof
-// of how far the primary's log reached when they were asked for.
-func (o *operation) served(id model.UpstreamID, asked model.Time, a *upstreampool.Answer, committed bool) {
-	kind := replicaset.EventServed
-	if committed {
-		kind = replicaset.EventCommitted
-	}
-	o.cluster.Observe(&replicaset.Event{Kind: kind, Upstream: id, AskedAt: asked, Position: a.Ready.Position})
-}
-
 // answered turns an upstream's answer into a reply.
 func answered(a *upstreampool.Answer) reply {
 	return reply{rows: a.Rows, signature: a.Signature, code: a.Code, text: a.Text, position: a.Ready.Position}
 }
-
-func timedOut(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// brokenAfterSend reports whether a statement may have reached the upstream.
-func brokenAfterSend(err error) bool {
-	var broken *upstreampool.BrokenError
-	return !errors.As(err, &broken) || broken.Sent
-}
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -6,9 +6,8 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
-	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 // read runs a single statement that changes nothing. It may be tried on several
@@ -30,7 +29,7 @@
 			return r.reply
 		}
 		if r.unservable || t.waitLeft() <= 0 {
-			return o.refuse(p.id, r.text, retryAfter(&r))
+			return o.refuse(p.ID, r.text, retryAfter(&r))
 		}
 		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
 	}
@@ -62,47 +61,13 @@
 	return retryBusy
 }
 
-// readPrimary reads inside a transaction of its own, because the primary
-// refuses the statements of a transaction after it has lost its role, but not
-// a read outside of one.
+// readPrimary reads on the primary.
 func (o *operation) readPrimary(p *statement, t *timing) attempt {
 	m, ok := o.awaitPrimary(t)
 	if !ok {
 		return unservable("no primary")
 	}
-	conn, pool, err := o.connect(m.ID, t.waitLeft(), t)
-	if err != nil {
-		return tryAgain(refusalCause(err))
-	}
-	stop := o.watch(m.ID)
-	a, err := o.readInTx(conn, p, t)
-	stop()
-	if err != nil {
-		pool.Release(conn, false)
-		return o.readBroke(p, m.ID, err)
-	}
-	pool.Release(conn, a.Ready.State == lineproto.Idle)
-	return o.readAnswered(p, m.ID, &a, model.Position{}, 0)
-}
-
-// readInTx opens a transaction, reads and ends the transaction. The returned
-// answer is that of the read, with the state after the end.
-func (o *operation) readInTx(conn *upstreampool.Conn, p *statement, t *timing) (upstreampool.Answer, error) {
-	text, err := p.textFor(conn, t)
-	if err != nil {
-		return upstreampool.Answer{}, err
-	}
-	a, err := conn.Query(t.deadline, lineproto.OwnID, "BEGIN")
-	if err != nil || a.Code != "" {
-		return a, err
-	}
-	answers, err := conn.Pipeline(t.deadline, [][2]string{{p.id, text}, {lineproto.OwnID, "ROLLBACK"}})
-	if err != nil {
-		return upstreampool.Answer{}, err
-	}
-	a = answers[0]
-	a.Ready.State = answers[1].Ready.State
-	return a, nil
+	return o.readOn(m.ID, upstreamrun.ModePrimary, p, t)
 }
 
 // hedgeAfter is the part of a route's latency objective after which a read that
@@ -159,8 +124,8 @@
 }
 
 func (o *operation) startRead(id model.UpstreamID, p *statement, t *timing, results chan<- attempt) {
-	limits, session := *t, o.sessionFloor()
-	go func() { results <- o.readOn(id, p, session, &limits) }()
+	limits := *t
+	go func() { results <- o.readOn(id, upstreamrun.ModeFresh, p, &limits) }()
 }
 
 // floor returns the position that reads have to see, after asking the primary
@@ -188,73 +153,43 @@
 	return model.Position{}
 }
 
-// after prefixes a statement with the position that it has to see.
-func after(floor model.Position, text string) string {
-	return "AFTER " + lineproto.FormatPosition(floor) + " " + text
-}
-
-// readOn reads on one upstream. The position is that of the moment of sending,
-// since proof ages while the request waits for a connection. session is the
-// session's own position.
-func (o *operation) readOn(id model.UpstreamID, p *statement, session model.Position, t *timing) attempt {
-	conn, pool, err := o.connect(id, t.waitLeft(), t)
-	if err != nil {
-		return tryAgain(refusalCause(err))
-	}
-	text, err := p.textFor(conn, t)
-	if err != nil {
-		pool.Release(conn, false)
-		return tryAgain(refusalCause(err))
-	}
-	floor, age, ok := o.cluster.Floor(o.route.Service, o.route.MaxStaleness, session)
-	if !ok {
-		pool.Release(conn, true)
-		return tryAgain("freshness cannot be proved")
-	}
-	start := time.Now()
-	a, err := conn.Query(t.deadline, p.id, after(floor, text))
-	if err != nil {
-		pool.Release(conn, false)
+// readOn reads on one upstream.
+func (o *operation) readOn(id model.UpstreamID, mode upstreamrun.Mode, p *statement, t *timing) attempt {
+	r := upstreamrun.Request{Place: o.place(id, t), Statement: p.Statement, Mode: mode, Session: o.state()}
+	out, err := o.cluster.Run(&r)
+	switch {
+	case err == nil:
+		return o.readAnswered(p, id, &out)
+	case upstreamrun.Sent(err):
 		return o.readBroke(p, id, err)
 	}
-	pool.Release(conn, a.Ready.State == lineproto.Idle)
-	switch a.Code {
-	case "":
-		pool.Observe(time.Since(start))
-	case lineproto.Busy:
-		pool.Full()
-	}
-	return o.readAnswered(p, id, &a, floor, age)
+	return tryAgain(refusalCause(err))
 }
 
 func (o *operation) readBroke(p *statement, id model.UpstreamID, err error) attempt {
-	o.connectFailed(id, err)
-	o.log(p.id, "read lost its connection", func(e *Entry) { e.Str("upstream", string(id)).Err(err) })
-	if timedOut(err) {
+	o.log(p.ID, "read lost its connection", func(e *Entry) { e.Str("upstream", string(id)).Err(err) })
+	if upstreamrun.TimedOut(err) {
 		return attempt{reply: failure(lineproto.Timeout, "the statement's time limit passed")}
 	}
 	return tryAgain("connection lost")
 }
 
-func (o *operation) readAnswered(p *statement, id model.UpstreamID, a *upstreampool.Answer, floor model.Position, age time.Duration) attempt {
+func (o *operation) readAnswered(p *statement, id model.UpstreamID, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
-		o.served(id, o.cluster.Now(), a, false)
-		o.log(p.id, "read served", func(e *Entry) {
-			e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(floor)).Dur("proof_age", age)
+		o.log(p.ID, "read served", func(e *Entry) {
+			e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.ProofAge)
 		})
-		return attempt{reply: answered(a)}
+		return attempt{reply: answered(&a.Answer)}
 	case a.Code == lineproto.Lagging:
-		o.cluster.Observe(&replicaset.Event{Kind: replicaset.EventLagging, Upstream: id, Position: floor})
 		o.session.server.count("retried.lagging")
 		return tryAgain("no upstream has the needed position")
 	case a.Code == lineproto.ReadOnly:
-		o.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
 		return tryAgain("no primary")
 	case a.Code.NotRun():
 		o.session.server.count("retried.busy")
 		return tryAgain(upstreamBusy)
 	}
-	o.log(p.id, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
-	return attempt{reply: answered(a)}
+	o.log(p.ID, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
+	return attempt{reply: answered(&a.Answer)}
 }
--- a/lineproxy/session.go
+++ b/lineproxy/session.go
@@ -124,7 +124,7 @@
 // idleLimit returns how long the open transaction may rest; bounded is false
 // when nothing limits the wait.
 func (s *session) idleLimit() (limit time.Duration, bounded bool) {
-	if s.tx == nil || s.tx.conn == nil || s.tx.idleLimit <= 0 {
+	if s.tx == nil || s.tx.tx == nil || s.tx.idleLimit <= 0 {
 		return 0, false
 	}
 	return s.tx.idleLimit, true
--- a/lineproxy/statement.go
+++ b/lineproxy/statement.go
@@ -5,6 +5,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
 // run executes one request.
@@ -20,7 +21,7 @@
 		return s.malformed("not a statement")
 	}
 	p := s.resolve(id, text, &st)
-	if st.Verb == lineproto.VerbExecute && p.shape == "" {
+	if st.Verb == lineproto.VerbExecute && p.Shape == "" {
 		return s.failTx(failure(lineproto.NoStatement, st.Name))
 	}
 	if s.tx != nil {
@@ -31,20 +32,16 @@
 
 // statement is a statement that goes to an upstream.
 type statement struct {
-	id    string
-	verb  lineproto.Verb
-	write bool
-	text  string
-	// shape and arguments are those of an execution of a prepared statement.
-	shape     string
-	arguments string
+	upstreamrun.Statement
+	verb lineproto.Verb
 }
 
 func (s *session) resolve(id, text string, st *lineproto.Statement) statement {
-	p := statement{id: id, verb: st.Verb, write: st.Verb == lineproto.VerbWrite, text: text}
+	p := statement{verb: st.Verb}
+	p.ID, p.Text, p.Write = id, text, st.Verb == lineproto.VerbWrite
 	if st.Verb == lineproto.VerbExecute {
 		prepared := s.prepared[st.Name]
-		p.write, p.shape, p.arguments = prepared.write, prepared.shape, st.Value
+		p.Write, p.Shape, p.Arguments = prepared.write, prepared.shape, st.Value
 	}
 	return p
 }
@@ -107,15 +104,15 @@
 	if p.verb == lineproto.VerbCommit || p.verb == lineproto.VerbRollback {
 		return failure(lineproto.Malformed, "no transaction is open")
 	}
-	op, refusal := s.begin(p.id)
+	op, refusal := s.begin(p.ID)
 	if refusal != nil {
 		return *refusal
 	}
 	if p.verb == lineproto.VerbBegin || p.verb == lineproto.VerbBeginRead {
-		s.tx = &transaction{operation: op, readOnly: p.verb == lineproto.VerbBeginRead, lastID: p.id}
+		s.tx = &transaction{operation: op, readOnly: p.verb == lineproto.VerbBeginRead, lastID: p.ID}
 		return done()
 	}
-	if p.write {
+	if p.Write {
 		return op.write(p)
 	}
 	return op.read(p)
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -5,15 +5,11 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
-	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
-// rollbackTimeout bounds the end of a transaction that is given up; the
-// connection is closed when it passes, which ends the transaction as well.
-const rollbackTimeout = 300 * time.Millisecond
-
 // transaction is an open transaction of a caller. It holds a connection from
 // its first statement on.
 type transaction struct {
@@ -24,33 +20,30 @@
 	lastID   string
 
 	upstream model.UpstreamID
-	conn     *upstreampool.Conn
-	pool     *upstreampool.Pool
+	// tx is nil before the first statement and after the end.
+	tx upstreamrun.Tx
 }
 
 // discard closes the connection, which rolls the transaction back.
 func (x *transaction) discard() {
-	if x.conn == nil {
-		return
+	if x.tx != nil {
+		x.tx.Discard()
+		x.tx = nil
 	}
-	x.pool.Release(x.conn, false)
-	x.conn = nil
 }
 
 // rollback ends the transaction on the upstream and keeps the connection.
 func (x *transaction) rollback() {
-	if x.conn == nil {
-		return
+	if x.tx != nil {
+		x.tx.Rollback()
+		x.tx = nil
 	}
-	a, err := x.conn.Query(time.Now().Add(rollbackTimeout), lineproto.OwnID, "ROLLBACK")
-	x.pool.Release(x.conn, err == nil && a.Code == "" && a.Ready.State == lineproto.Idle)
-	x.conn = nil
 }
 
 // runInTx executes one request of an open transaction.
 func (s *session) runInTx(p *statement) reply {
 	x := s.tx
-	x.lastID = p.id
+	x.lastID = p.ID
 	switch p.verb {
 	case lineproto.VerbBegin, lineproto.VerbBeginRead:
 		return s.malformed("a transaction is open")
@@ -60,12 +53,12 @@
 		return done()
 	}
 	if _, workspace, refusal := s.authorize(s.server.cluster.Catalog()); refusal != nil && refusal.code == lineproto.NoAuth || refusal == nil && workspace != x.workspace {
-		x.log(p.id, "transaction ended", func(e *Entry) { e.Str("cause", "key withdrawn") })
+		x.log(p.ID, "transaction ended", func(e *Entry) { e.Str("cause", "key withdrawn") })
 		return s.endIfCommit(p, failure(lineproto.NoAuth, "the key is not known"))
 	}
 	t := x.timing()
-	if x.conn == nil {
-		if r := x.open(p.id, &t); r != nil {
+	if x.tx == nil {
+		if r := x.open(p.ID, &t); r != nil {
 			return s.endIfCommit(p, *r)
 		}
 	}
@@ -142,68 +135,26 @@
 
 // openOn starts the transaction on one upstream.
 func (x *transaction) openOn(id model.UpstreamID, request string, t *timing) bool {
-	conn, pool, err := x.connect(id, t.waitLeft(), t)
-	if err != nil {
-		return false
-	}
-	begin, floor, age := "BEGIN", model.Position{}, time.Duration(0)
-	if !x.onPrimary() {
-		// Proof ages while the transaction waits for a connection.
-		var ok bool
-		if floor, age, ok = x.cluster.Floor(x.route.Service, x.route.MaxStaleness, x.sessionFloor()); !ok {
-			pool.Release(conn, true)
-			return false
-		}
-		begin = after(floor, "BEGIN READ")
+	r := upstreamrun.OpenRequest{
+		Place: x.place(id, t), ReadOnly: !x.onPrimary(), Session: x.state(), IdleLimit: x.idleLimit,
 	}
-	stop := x.watch(id)
-	a, err := conn.Query(t.deadline, lineproto.OwnID, begin)
-	stop()
-	switch {
-	case err != nil:
-		x.connectFailed(id, err)
-	case a.Code == "" && a.Ready.State == lineproto.InTx:
-		x.conn, x.pool, x.upstream = conn, pool, id
-		x.log(request, "transaction opened", func(e *Entry) {
-			e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(floor)).Dur("proof_age", age)
-		})
-		return true
-	case a.Code == lineproto.ReadOnly:
-		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: id})
-	case a.Code == lineproto.Lagging:
-		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventLagging, Upstream: id, Position: floor})
+	tx, out, err := x.cluster.Open(&r)
+	if err != nil || tx == nil {
+		return false
 	}
-	pool.Release(conn, err == nil && a.Ready.State == lineproto.Idle)
-	return false
+	x.tx, x.upstream = tx, id
+	x.log(request, "transaction opened", func(e *Entry) {
+		e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.ProofAge)
+	})
+	return true
 }
 
-// send sends a statement of the transaction, and again while the upstream
-// answers that it had no slot and has kept the transaction open.
+// send sends a statement of the transaction.
 func (x *transaction) send(p *statement, t *timing) (upstreampool.Answer, error) {
-	state := upstreampool.SessionState{ID: x.session.id, Values: x.session.values}
-	if err := x.conn.Adopt(t.deadline, &state); err != nil {
-		return upstreampool.Answer{}, err
-	}
-	text, err := p.textFor(x.conn, t)
-	if err != nil {
-		return upstreampool.Answer{}, err
-	}
-	for {
-		start := time.Now()
-		stop := x.watch(x.upstream)
-		a, err := x.conn.Query(t.deadline, p.id, text)
-		stop()
-		if err != nil {
-			return a, err
-		}
-		if a.Code != lineproto.Busy || a.Ready.State != lineproto.InTx || t.waitLeft() <= 0 {
-			if a.Code == "" {
-				x.pool.Observe(time.Since(start))
-			}
-			return a, nil
-		}
-		time.Sleep(min(busyPause, max(t.waitLeft(), 0)))
-	}
+	return x.tx.Send(&upstreamrun.TxRequest{
+		Statement: p.Statement, Wait: max(t.waitLeft(), 0), Deadline: t.deadline,
+		Session: upstreampool.SessionState{ID: x.session.id, Values: x.session.values},
+	})
 }
 
 // statement runs a read or write of the transaction.
@@ -216,26 +167,21 @@
 		x.failedOn(p, &a)
 		return s.failTx(answered(&a))
 	}
-	x.wrote = x.wrote || p.write
-	x.served(x.upstream, x.cluster.Now(), &a, false)
+	x.wrote = x.wrote || p.Write
 	return answered(&a)
 }
 
 func (x *transaction) failedOn(p *statement, a *upstreampool.Answer) {
-	x.log(p.id, "upstream failed the statement", func(e *Entry) {
+	x.log(p.ID, "upstream failed the statement", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Str("code", string(a.Code)).Bool("in_transaction", true)
 	})
-	if a.Code == lineproto.ReadOnly && !x.readOnly {
-		x.cluster.Observe(&replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: x.upstream})
-	}
 }
 
 // txBroke answers after the connection of a transaction was lost before its
 // COMMIT was sent: the upstream rolls it back.
 func (s *session) txBroke(p *statement, err error) reply {
 	x := s.tx
-	x.connectFailed(x.upstream, err)
-	x.log(p.id, "transaction lost its connection", func(e *Entry) { e.Str("upstream", string(x.upstream)).Err(err) })
+	x.log(p.ID, "transaction lost its connection", func(e *Entry) { e.Str("upstream", string(x.upstream)).Err(err) })
 	x.discard()
 	x.failed = true
 	return failure(lineproto.Aborted, "the connection to the upstream was lost; the transaction is rolled back")
@@ -244,33 +190,29 @@
 // commit ends the transaction.
 func (s *session) commit(p *statement, t *timing) reply {
 	x := s.tx
-	asked := x.cluster.Now()
 	a, err := x.send(p, t)
 	s.tx = nil
 	if err != nil {
 		return x.commitBroke(p, err)
 	}
-	x.pool.Release(x.conn, a.Ready.State == lineproto.Idle)
-	x.conn = nil
+	x.discard()
 	if a.Code != "" {
 		x.failedOn(p, &a)
 		return answered(&a)
 	}
-	x.served(x.upstream, asked, &a, x.wrote)
 	if x.wrote {
 		s.committed(a.Ready.Position)
 	}
-	x.log(p.id, "transaction committed", func(e *Entry) {
+	x.log(p.ID, "transaction committed", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Str("position", lineproto.FormatPosition(a.Ready.Position))
 	})
 	return answered(&a)
 }
 
 func (x *transaction) commitBroke(p *statement, err error) reply {
-	x.connectFailed(x.upstream, err)
 	x.discard()
-	sent := brokenAfterSend(err)
-	x.log(p.id, "commit lost its connection", func(e *Entry) {
+	sent := upstreamrun.Sent(err)
+	x.log(p.ID, "commit lost its connection", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Bool("sent", sent).Bool("wrote", x.wrote).Err(err)
 	})
 	if !sent || !x.wrote {
--- /dev/null
+++ b/upstreamrun/local.go
@@ -0,0 +1,131 @@
+package upstreamrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// suspectAfter is how long an upstream may take before it is checked.
+const suspectAfter = 200 * time.Millisecond
+
+// Local runs statements over this VM's own connections.
+type Local struct{ Knowledge Knowledge }
+
+// Run runs a statement outside of a transaction.
+func (l *Local) Run(r *Request) (Outcome, error) {
+	conn, pool, err := l.connect(&r.Place, &r.Session)
+	if err != nil {
+		return Outcome{}, err
+	}
+	text, err := textFor(conn, &r.Statement, r.Deadline)
+	if err != nil {
+		pool.Release(conn, false)
+		l.failed(r.Upstream, err)
+		return Outcome{}, err
+	}
+	var o Outcome
+	if r.Mode == ModeFresh {
+		var proved bool
+		o.Floor, o.ProofAge, proved = l.Knowledge.Floor(r.Service, r.Bound, r.Position)
+		if !proved {
+			pool.Release(conn, true)
+			return Outcome{}, ErrNotProved
+		}
+		text = after(o.Floor, text)
+	}
+	asked, start := l.Knowledge.Now(), time.Now()
+	stop := l.watch(r.Upstream)
+	if r.Mode == ModePrimary {
+		o.Answer, err = inTx(conn, r.ID, text, r.Deadline)
+	} else {
+		o.Answer, err = conn.Query(r.Deadline, r.ID, text)
+	}
+	stop()
+	pool.Release(conn, err == nil && o.Ready.State == lineproto.Idle)
+	if err != nil {
+		l.failed(r.Upstream, err)
+		return Outcome{}, err
+	}
+	observeLoad(pool, &o.Answer, time.Since(start))
+	Answered(l.Knowledge, &Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor, Committed: r.Write}, &o.Answer)
+	return o, nil
+}
+
+// observeLoad keeps what an answer tells about how busy the upstream is.
+func observeLoad(pool *upstreampool.Pool, a *upstreampool.Answer, latency time.Duration) {
+	switch a.Code {
+	case "":
+		pool.Observe(latency)
+	case lineproto.Busy:
+		pool.Full()
+	}
+}
+
+// inTx opens a transaction, runs a statement and ends the transaction. The answer
+// is that of the statement, with the state after the end.
+func inTx(conn *upstreampool.Conn, id, text string, deadline time.Time) (upstreampool.Answer, error) {
+	a, err := conn.Query(deadline, lineproto.OwnID, "BEGIN")
+	if err != nil || a.Code != "" {
+		return a, err
+	}
+	answers, err := conn.Pipeline(deadline, [][2]string{{id, text}, {lineproto.OwnID, "ROLLBACK"}})
+	if err != nil {
+		return upstreampool.Answer{}, err
+	}
+	a = answers[0]
+	a.Ready.State = answers[1].Ready.State
+	return a, nil
+}
+
+// connect returns a connection of a workspace with a session's values.
+func (l *Local) connect(p *Place, s *upstreampool.SessionState) (*upstreampool.Conn, *upstreampool.Pool, error) {
+	pool := l.Knowledge.Pool(p.Upstream)
+	if pool == nil {
+		return nil, nil, upstreampool.ErrClosed
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
+	defer cancel()
+	conn, err := pool.Acquire(ctx, upstreampool.Request{
+		Workspace: p.Workspace, Session: s.ID, Priority: p.Priority, Wait: max(p.Wait, 0),
+	})
+	if err == nil {
+		if err = conn.Adopt(p.Deadline, s); err == nil {
+			return conn, pool, nil
+		}
+		pool.Release(conn, false)
+	}
+	l.failed(p.Upstream, err)
+	return nil, nil, err
+}
+
+// watch has an upstream checked if the returned function is not called soon.
+func (l *Local) watch(id model.UpstreamID) (stop func()) {
+	timer := time.AfterFunc(suspectAfter, func() { l.Knowledge.Suspect(id) })
+	return func() { timer.Stop() }
+}
+
+// after prefixes a statement with the position that it has to see.
+func after(floor model.Position, text string) string {
+	return "AFTER " + lineproto.FormatPosition(floor) + " " + text
+}
+
+// textFor returns a statement's text for a connection: executions use the name
+// that the statement has there.
+func textFor(c *upstreampool.Conn, st *Statement, deadline time.Time) (string, error) {
+	if st.Shape == "" {
+		return st.Text, nil
+	}
+	name, err := c.Prepare(deadline, st.Write, st.Shape)
+	if err != nil {
+		return "", err
+	}
+	text := "EXECUTE " + name
+	if st.Arguments != "" {
+		text += " " + st.Arguments
+	}
+	return text, nil
+}
--- /dev/null
+++ b/upstreamrun/report.go
@@ -0,0 +1,63 @@
+package upstreamrun
+
+import (
+	"errors"
+	"syscall"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// Seen is what a statement was sent with.
+type Seen struct {
+	Upstream model.UpstreamID
+	// AskedAt is a moment before the statement was sent.
+	AskedAt model.Time
+	// Floor is the position that the statement had to see.
+	Floor model.Position
+	// Committed tells that the statement, if it succeeded, was a commit.
+	Committed bool
+}
+
+// Answered reports what an answer tells about its upstream. Answers that show a
+// commit are proof of how far the primary's log reached when they were asked for.
+func Answered(k Knowledge, s *Seen, a *upstreampool.Answer) {
+	ev := replicaset.Event{Upstream: s.Upstream, AskedAt: s.AskedAt, Position: a.Ready.Position}
+	switch {
+	case a.Code == "" && s.Committed:
+		ev.Kind = replicaset.EventCommitted
+	case a.Code == "":
+		ev.Kind = replicaset.EventServed
+	case a.Code == lineproto.Lagging:
+		ev.Kind, ev.Position = replicaset.EventLagging, s.Floor
+	case a.Code == lineproto.ReadOnly:
+		ev.Kind = replicaset.EventNotPrimary
+	default:
+		return
+	}
+	k.Observe(&ev)
+}
+
+// Failed reports an upstream that could not be reached. A connection that broke
+// later says little about the upstream, which is then checked.
+func Failed(k Knowledge, id model.UpstreamID, err error) {
+	var broken *upstreampool.BrokenError
+	var refused *upstreampool.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		if refused.Replaced() {
+			k.Observe(&replicaset.Event{Kind: replicaset.EventReplaced, Upstream: id})
+		}
+	case errors.As(err, &broken):
+		if broken.Dialing {
+			k.Observe(&replicaset.Event{
+				Kind: replicaset.EventFailed, Upstream: id, Refused: errors.Is(err, syscall.ECONNREFUSED),
+			})
+		}
+		k.Suspect(id)
+	}
+}
+
+func (l *Local) failed(id model.UpstreamID, err error) { Failed(l.Knowledge, id, err) }
--- /dev/null
+++ b/upstreamrun/tx.go
@@ -0,0 +1,142 @@
+package upstreamrun
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+const (
+	// rollbackTimeout bounds the end of a transaction that is given up; the
+	// connection is closed when it passes, which ends the transaction as well.
+	rollbackTimeout = 300 * time.Millisecond
+	// busyPause is the pause before a statement that found no slot is sent
+	// again: about as long as one takes to become free.
+	busyPause = 12 * time.Millisecond
+)
+
+// OpenRequest opens a transaction.
+type OpenRequest struct {
+	Place
+	// ReadOnly transactions run on a log that is proved to be new enough.
+	ReadOnly bool
+	Session  upstreampool.SessionState
+	// IdleLimit is how long the transaction may rest between statements.
+	IdleLimit time.Duration
+}
+
+// Open starts a transaction. Tx is nil if the upstream refused it.
+func (l *Local) Open(r *OpenRequest) (Tx, Outcome, error) {
+	conn, pool, err := l.connect(&r.Place, &r.Session)
+	if err != nil {
+		return nil, Outcome{}, err
+	}
+	begin := "BEGIN"
+	var o Outcome
+	if r.ReadOnly {
+		// Proof ages while the transaction waits for a connection.
+		var proved bool
+		o.Floor, o.ProofAge, proved = l.Knowledge.Floor(r.Service, r.Bound, r.Position)
+		if !proved {
+			pool.Release(conn, true)
+			return nil, Outcome{}, ErrNotProved
+		}
+		begin = after(o.Floor, "BEGIN READ")
+	}
+	asked := l.Knowledge.Now()
+	stop := l.watch(r.Upstream)
+	o.Answer, err = conn.Query(r.Deadline, lineproto.OwnID, begin)
+	stop()
+	if err != nil {
+		pool.Release(conn, false)
+		l.failed(r.Upstream, err)
+		return nil, Outcome{}, err
+	}
+	Answered(l.Knowledge, &Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor}, &o.Answer)
+	if o.Code != "" || o.Ready.State != lineproto.InTx {
+		pool.Release(conn, o.Ready.State == lineproto.Idle)
+		return nil, o, nil
+	}
+	return &localTx{local: l, upstream: r.Upstream, readOnly: r.ReadOnly, conn: conn, pool: pool}, o, nil
+}
+
+// localTx is a transaction on a connection of this VM.
+type localTx struct {
+	local    *Local
+	upstream model.UpstreamID
+	readOnly bool
+	wrote    bool
+	// conn is nil after the end.
+	conn *upstreampool.Conn
+	pool *upstreampool.Pool
+}
+
+// Send runs a statement, and sends it again while the upstream answers that it
+// had no slot and has kept the transaction open.
+func (x *localTx) Send(r *TxRequest) (upstreampool.Answer, error) {
+	asked := x.local.Knowledge.Now()
+	a, err := x.send(r)
+	if err != nil {
+		x.Discard()
+		x.local.failed(x.upstream, err)
+		return a, err
+	}
+	if a.Ready.State == lineproto.Idle {
+		x.end(true)
+	}
+	if a.Code != lineproto.ReadOnly || !x.readOnly {
+		committed := x.wrote && a.Ready.State == lineproto.Idle
+		Answered(x.local.Knowledge, &Seen{Upstream: x.upstream, AskedAt: asked, Committed: committed}, &a)
+	}
+	x.wrote = x.wrote || r.Write
+	return a, nil
+}
+
+func (x *localTx) send(r *TxRequest) (upstreampool.Answer, error) {
+	if err := x.conn.Adopt(r.Deadline, &r.Session); err != nil {
+		return upstreampool.Answer{}, err
+	}
+	text, err := textFor(x.conn, &r.Statement, r.Deadline)
+	if err != nil {
+		return upstreampool.Answer{}, err
+	}
+	for giveUp := time.Now().Add(r.Wait); ; {
+		start := time.Now()
+		stop := x.local.watch(x.upstream)
+		a, err := x.conn.Query(r.Deadline, r.ID, text)
+		stop()
+		if err != nil {
+			return a, err
+		}
+		if a.Code != lineproto.Busy || a.Ready.State != lineproto.InTx || time.Now().After(giveUp) {
+			if a.Code == "" {
+				x.pool.Observe(time.Since(start))
+			}
+			return a, nil
+		}
+		time.Sleep(busyPause)
+	}
+}
+
+// end gives the connection back.
+func (x *localTx) end(reusable bool) {
+	if x.conn == nil {
+		return
+	}
+	x.pool.Release(x.conn, reusable)
+	x.conn = nil
+}
+
+// Discard closes the connection, which rolls the transaction back.
+func (x *localTx) Discard() { x.end(false) }
+
+// Rollback ends the transaction on the upstream and keeps the connection.
+func (x *localTx) Rollback() {
+	if x.conn == nil {
+		return
+	}
+	a, err := x.conn.Query(time.Now().Add(rollbackTimeout), lineproto.OwnID, "ROLLBACK")
+	x.end(err == nil && a.Code == "" && a.Ready.State == lineproto.Idle)
+}
