Run statements over the connections of the upstream's holder on large deployments

Ruled out: more connections for each VM (the limit of an upstream is 287 for 89 VMs); reads on fewer upstreams for each VM (a pair of workspace and service meets a VM every minute or so). Change: two hubs in an upstream's zone hold its connections, chosen by rendezvous hash. Other VMs send statements and transactions there over gRPC (Holder.Run, Holder.Transact), and use connections of their own while no holder can be used. The holder proves freshness at the moment of sending.

--- /dev/null
+++ b/holderlink/holderlink_test.go
@@ -0,0 +1,52 @@
+package holderlink
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
+)
+
+// timeoutError is an error of a time limit.
+type timeoutError struct{}
+
+func (timeoutError) Error() string { return "time limit" }
+func (timeoutError) Timeout() bool { return true }
+
+// Guards against a failure that says "not sent" on one side of the link and
+// "maybe sent" on the other, or the reverse.
+func TestFailuresKeepTheirMeaning(t *testing.T) {
+	broken := func(sent, dialing bool, err error) error {
+		return &upstreampool.BrokenError{Upstream: "i-1", Sent: sent, Dialing: dialing, Err: err}
+	}
+	for _, err := range []error{
+		upstreampool.ErrWaited, upstreampool.ErrFull, upstreampool.ErrWarming, upstreampool.ErrClosed, upstreamrun.ErrNotProved,
+		broken(true, false, errors.New("reset")), broken(false, false, errors.New("reset")),
+		broken(false, true, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)), broken(true, false, timeoutError{}),
+		&upstreampool.RefusedError{Upstream: "i-1", Code: lineproto.Misrouted, Text: "i-2"},
+	} {
+		got := fromFailure("i-1", toFailure(err))
+		if upstreamrun.Sent(got) != upstreamrun.Sent(err) || upstreamrun.TimedOut(got) != upstreamrun.TimedOut(err) {
+			t.Errorf("%v became %v", err, got)
+		}
+		if errors.Is(got, syscall.ECONNREFUSED) != errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("%v became %v", err, got)
+		}
+		var before, after *upstreampool.RefusedError
+		if errors.As(err, &before) != errors.As(got, &after) || before != nil && *before != *after {
+			t.Errorf("%v became %v", err, got)
+		}
+	}
+}
+
+// Guards against a reason of a newer version that is taken for "not sent".
+func TestUnknownFailureMayHaveBeenSent(t *testing.T) {
+	if err := fromFailure("i-1", &vmlinkv1.Failure{Reason: 99}); !upstreamrun.Sent(err) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/holderlink/server.go
@@ -0,0 +1,159 @@
+package holderlink
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
+)
+
+// restMargin is how much longer than its caller's VM a holder keeps a transaction
+// that rests: the caller's VM ends it, unless that VM is gone.
+const restMargin = 500 * time.Millisecond
+
+// Server runs statements for other VMs.
+type Server struct {
+	vmlinkv1.UnimplementedHolderServer
+
+	// Local runs statements over this VM's connections.
+	Local *upstreamrun.Local
+	// Arrived is told of each statement and transaction for an upstream.
+	Arrived func(model.UpstreamID)
+	// Stopping reports whether this VM stops soon.
+	Stopping func() bool
+
+	underWay atomic.Int64
+	served   atomic.Int64
+}
+
+// Served returns how many statements and transactions of other VMs have come here.
+func (s *Server) Served() int { return int(s.served.Load()) }
+
+// UnderWay returns how many statements and transactions of other VMs run here.
+func (s *Server) UnderWay() int { return int(s.underWay.Load()) }
+
+func (s *Server) enter() {
+	s.underWay.Add(1)
+	s.served.Add(1)
+}
+
+// Check returns at once.
+func (s *Server) Check(context.Context, *vmlinkv1.CheckRequest) (*vmlinkv1.CheckResponse, error) {
+	return &vmlinkv1.CheckResponse{Stopping: s.Stopping()}, nil
+}
+
+// Run runs one statement outside of a transaction.
+func (s *Server) Run(_ context.Context, r *vmlinkv1.RunRequest) (*vmlinkv1.RunResponse, error) {
+	s.enter()
+	defer s.underWay.Add(-1)
+	start := time.Now()
+	request := upstreamrun.Request{
+		Place: fromPlace(r.GetPlace()), Statement: fromStatement(r.GetStatement()),
+		Mode: upstreamrun.Mode(r.GetMode()), Session: fromSession(r.GetSession()),
+	}
+	if request.Mode > upstreamrun.ModePrimary {
+		return nil, status.Error(codes.InvalidArgument, "unknown mode")
+	}
+	s.Arrived(request.Upstream)
+	o, err := s.Local.Run(&request)
+	return s.response(request.Upstream, start, &o, err), nil
+}
+
+func (s *Server) response(id model.UpstreamID, start time.Time, o *upstreamrun.Outcome, err error) *vmlinkv1.RunResponse {
+	r := toResponse(o, err)
+	r.SpentUs = time.Since(start).Microseconds()
+	r.Stopping = s.Stopping()
+	if pool := s.Local.Knowledge.Pool(id); pool != nil {
+		r.UnderWay = int32(pool.Busy())
+	}
+	return r
+}
+
+// Transact runs one transaction.
+func (s *Server) Transact(stream grpc.BidiStreamingServer[vmlinkv1.TransactRequest, vmlinkv1.RunResponse]) error {
+	s.enter()
+	defer s.underWay.Add(-1)
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetOpen() == nil {
+		return status.Error(codes.InvalidArgument, "a transaction starts with its opening")
+	}
+	start := time.Now()
+	open := first.GetOpen()
+	request := upstreamrun.OpenRequest{
+		Place: fromPlace(open.GetPlace()), ReadOnly: open.GetReadOnly(), Session: fromSession(open.GetSession()),
+		IdleLimit: microseconds(open.GetIdleLimitUs()),
+	}
+	s.Arrived(request.Upstream)
+	tx, o, err := s.Local.Open(&request)
+	if tx != nil {
+		defer tx.Discard()
+	}
+	if sent := stream.Send(s.response(request.Upstream, start, &o, err)); sent != nil || err != nil || tx == nil {
+		return sent
+	}
+	return s.statements(stream, &request, tx)
+}
+
+// statements runs the statements of an open transaction until its end.
+func (s *Server) statements(stream grpc.BidiStreamingServer[vmlinkv1.TransactRequest, vmlinkv1.RunResponse], open *upstreamrun.OpenRequest, tx upstreamrun.Tx) error {
+	for {
+		r, err := s.next(stream, open)
+		if errors.Is(err, io.EOF) || r.GetRollback() {
+			tx.Rollback()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		st := r.GetStatement()
+		start := time.Now()
+		var o upstreamrun.Outcome
+		o.Answer, err = tx.Send(&upstreamrun.TxRequest{
+			Statement: fromStatement(st.GetStatement()), Session: fromSession(st.GetSession()),
+			Wait: microseconds(st.GetWaitUs()), Deadline: start.Add(microseconds(st.GetTimeoutUs())),
+		})
+		sent := stream.Send(s.response(open.Upstream, start, &o, err))
+		if sent != nil || err != nil || o.Ready.State == lineproto.Idle {
+			return sent
+		}
+	}
+}
+
+// received is one message of a stream.
+type received struct {
+	request *vmlinkv1.TransactRequest
+	err     error
+}
+
+// next waits for a message, for a bounded time where transactions may not rest for long.
+func (s *Server) next(stream grpc.BidiStreamingServer[vmlinkv1.TransactRequest, vmlinkv1.RunResponse], open *upstreamrun.OpenRequest) (*vmlinkv1.TransactRequest, error) {
+	if open.IdleLimit <= 0 {
+		return stream.Recv()
+	}
+	messages := make(chan received, 1)
+	go func() {
+		r, err := stream.Recv()
+		messages <- received{r, err}
+	}()
+	timer := time.NewTimer(open.IdleLimit + restMargin)
+	defer timer.Stop()
+	select {
+	case m := <-messages:
+		return m.request, m.err
+	case <-timer.C:
+		return nil, status.Error(codes.DeadlineExceeded, "the transaction rested for too long")
+	}
+}
--- /dev/null
+++ b/holderlink/transact.go
@@ -0,0 +1,115 @@
+package holderlink
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
+)
+
+// endTimeout bounds the wait for the holder's end of a transaction.
+const endTimeout = time.Second
+
+type transactStream = grpc.BidiStreamingClient[vmlinkv1.TransactRequest, vmlinkv1.RunResponse]
+
+// Tx is a transaction on a connection of the holder.
+type Tx struct {
+	client   *Client
+	upstream model.UpstreamID
+	stream   transactStream
+	cancel   context.CancelFunc
+	over     bool
+}
+
+// Open starts a transaction. Tx is nil if the upstream refused it.
+func (c *Client) Open(r *upstreamrun.OpenRequest) (*Tx, upstreamrun.Outcome, Report, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stream, err := c.rpc.Transact(ctx)
+	if err != nil {
+		cancel()
+		return nil, upstreamrun.Outcome{}, Report{}, c.unreachable(r.Upstream, err)
+	}
+	x := &Tx{client: c, upstream: r.Upstream, stream: stream, cancel: cancel}
+	open := &vmlinkv1.Open{
+		Place: toPlace(&r.Place), ReadOnly: r.ReadOnly, Session: toSession(&r.Session), IdleLimitUs: r.IdleLimit.Microseconds(),
+	}
+	a, err := x.ask(&vmlinkv1.TransactRequest{Step: &vmlinkv1.TransactRequest_Open{Open: open}}, r.Deadline)
+	if err != nil {
+		return nil, upstreamrun.Outcome{}, Report{}, err
+	}
+	o, err := fromResponse(r.Upstream, a)
+	if err != nil || o.Code != "" || o.Ready.State != lineproto.InTx {
+		x.end()
+		return nil, o, reportOf(a), err
+	}
+	return x, o, reportOf(a), nil
+}
+
+// ask sends a message and waits for its answer until deadline.
+func (x *Tx) ask(r *vmlinkv1.TransactRequest, deadline time.Time) (*vmlinkv1.RunResponse, error) {
+	timer := time.AfterFunc(time.Until(deadline)+hopAllowance, x.cancel)
+	defer timer.Stop()
+	var a *vmlinkv1.RunResponse
+	err := x.stream.Send(r)
+	if err == nil {
+		a, err = x.stream.Recv()
+	}
+	if err != nil {
+		x.end()
+		return nil, x.client.unreachable(x.upstream, err)
+	}
+	return a, nil
+}
+
+// end gives the stream up; the holder rolls back what is open.
+func (x *Tx) end() {
+	x.over = true
+	x.cancel()
+}
+
+// Send runs a statement of the transaction.
+func (x *Tx) Send(r *upstreamrun.TxRequest) (upstreampool.Answer, error) {
+	statement := &vmlinkv1.TxStatement{
+		Statement: toStatement(&r.Statement), Session: toSession(&r.Session),
+		WaitUs: r.Wait.Microseconds(), TimeoutUs: time.Until(r.Deadline).Microseconds(),
+	}
+	a, err := x.ask(&vmlinkv1.TransactRequest{Step: &vmlinkv1.TransactRequest_Statement{Statement: statement}}, r.Deadline)
+	if err != nil {
+		return upstreampool.Answer{}, err
+	}
+	o, err := fromResponse(x.upstream, a)
+	if err != nil || o.Ready.State == lineproto.Idle {
+		x.end()
+	}
+	return o.Answer, err
+}
+
+// Rollback ends the transaction; the holder keeps the connection.
+func (x *Tx) Rollback() {
+	if x.over {
+		return
+	}
+	x.over = true
+	timer := time.AfterFunc(endTimeout, x.cancel)
+	defer timer.Stop()
+	defer x.cancel()
+	rollback := &vmlinkv1.TransactRequest{Step: &vmlinkv1.TransactRequest_Rollback{Rollback: true}}
+	if err := x.stream.Send(rollback); err != nil {
+		return
+	}
+	// The holder ends the stream; without that, it rolls back when the stream is cancelled.
+	_, _ = x.stream.Recv()
+}
+
+// Discard ends the transaction and its connection.
+func (x *Tx) Discard() {
+	if !x.over {
+		x.end()
+	}
+}
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -96,9 +96,7 @@
 		return
 	}
 	request := &vmlinkv1.AnnounceRequest{Service: string(service), Primary: string(primary), Term: term}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, link := range p.links {
+	for address, link := range p.links.all() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
 			defer cancel()
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -31,6 +31,8 @@
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
+	// forwardedKept is how long a VM acts as a holder after a statement of another VM.
+	forwardedKept = 3 * time.Second
 	// isolatedAfter is how old the newest proof of all services is on a VM that
 	// counts as cut off.
 	isolatedAfter = 900 * time.Millisecond
@@ -39,6 +41,7 @@
 // cluster holds what this VM knows of the deployment, and its connections. It
 // implements lineproxy.Cluster.
 type cluster struct {
+	self     model.VMID
 	store    store.Store
 	formats  Formats
 	zone     model.Zone
@@ -68,16 +71,24 @@
 	// other VMs of a new primary.
 	isolated func() bool
 	announce func(service catalog.Service, primary model.UpstreamID, term uint64)
+	// holdersOf returns the VMs that hold the connections to an upstream, and
+	// forward runs statements there.
+	holdersOf func(zone model.Zone, id model.UpstreamID) []holderVM
+	forward   *forwarder
+	// forwardedAt is when a statement of another VM last arrived for an upstream.
+	forwardedAt map[model.UpstreamID]model.Time
 }
 
 func newCluster(o Options) *cluster {
 	c := &cluster{
-		store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
+		self: o.VM, store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
 		replicas: replicaset.New(), quota: quota.New(o.VM),
-		pools:    map[model.UpstreamID]*upstreampool.Pool{},
-		isolated: func() bool { return false },
-		follows:  func() bool { return false },
-		announce: func(catalog.Service, model.UpstreamID, uint64) {},
+		pools:       map[model.UpstreamID]*upstreampool.Pool{},
+		isolated:    func() bool { return false },
+		follows:     func() bool { return false },
+		announce:    func(catalog.Service, model.UpstreamID, uint64) {},
+		forwardedAt: map[model.UpstreamID]model.Time{},
+		holdersOf:   func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
 	c.probes = newProbes(c)
 	c.local.Knowledge = c
@@ -134,7 +145,10 @@
 		if pool == nil {
 			return 0
 		}
-		l := pool.Load(string(w))
+		l, forwarded := c.forward.loadOf(m)
+		if !forwarded {
+			l = pool.Load(string(w))
+		}
 		if m.Zone != c.zone {
 			l += crossZoneCost
 		}
@@ -151,11 +165,11 @@
 }
 
 // Run runs a statement on an upstream.
-func (c *cluster) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) { return c.local.Run(r) }
+func (c *cluster) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) { return c.forward.Run(r) }
 
 // Open starts a transaction on an upstream.
 func (c *cluster) Open(r *upstreamrun.OpenRequest) (upstreamrun.Tx, upstreamrun.Outcome, error) {
-	return c.local.Open(r)
+	return c.forward.Open(r)
 }
 
 // RefreshEvidence asks the primary how far its log reaches, or all replicas
@@ -251,7 +265,7 @@
 		return
 	}
 	c.dropPool(m.ID)
-	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m.Service, c.quota.LoadShare(c.Now())))
+	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m, c.quota.LoadShare(c.Now())))
 }
 
 // upstreamOf returns where the pools of an upstream connect to.
@@ -277,40 +291,95 @@
 	if pool := c.pools[id]; pool != nil {
 		pool.Close()
 		delete(c.pools, id)
+		delete(c.forwardedAt, id)
 	}
 }
 
-// shareOf returns how many connections to each upstream of a service this VM
-// may open: one, and of the others as large a part as load, its part of the
-// operations.
-func (c *cluster) shareOf(name catalog.Service, load float64) upstreampool.Share {
+// shareOf returns how many connections to an upstream this VM may open. load is
+// its part of the operations.
+func (c *cluster) shareOf(m *replicaset.Member, load float64) upstreampool.Share {
 	s := c.Catalog()
-	if s == nil || s.Service(name) == nil || c.vms == 0 {
+	if s == nil || s.Service(m.Service) == nil || c.vms == 0 {
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
-	// Each VM may have one; the rest follows the operations. After a loss of
-	// power, upstreams count the connections of the lost VMs for seconds, so
-	// idle connections leave another one free for each VM that returns.
-	// With more VMs than connections, a VM keeps one only while it uses it.
-	limit := s.Service(name).ConnectionLimit
+	limit := s.Service(m.Service).ConnectionLimit
 	limit -= max(leastReserved, limit/reservedPart)
-	if limit < 2*c.vms {
+	if holders := c.holdersOf(m.Zone, m.ID); len(holders) > 0 {
+		return holderShare(limit, c.vms, c.rankOf(m.ID, holders))
+	}
+	return ownShare(limit, c.vms, load)
+}
+
+// Ranks of a VM among those that hold an upstream's connections.
+const (
+	rankFirst = iota
+	rankSecond
+	rankNone
+)
+
+// rankOf returns this VM's rank for an upstream. The second holder stands in for
+// the first; a VM that others take for a holder acts as one.
+func (c *cluster) rankOf(id model.UpstreamID, holders []holderVM) int {
+	rank := slices.IndexFunc(holders, func(h holderVM) bool { return h.vm == c.self })
+	switch {
+	case rank == rankFirst:
+		return rankFirst
+	case rank == rankSecond && c.forward.usable(holders[rankFirst]) == nil:
+		return rankFirst
+	case rank == rankSecond || c.Now().Sub(c.forwardedAt[id]) < forwardedKept && c.forwardedAt[id] != 0:
+		return rankSecond
+	}
+	return rankNone
+}
+
+// arrived notes a statement of another VM that takes this one for a holder.
+func (c *cluster) arrived(id model.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	first := c.forwardedAt[id] == 0 || now.Sub(c.forwardedAt[id]) >= forwardedKept
+	c.forwardedAt[id] = now
+	if m, ok := c.replicas.Member(id); ok && first {
+		c.pools[id].SetShare(c.shareOf(&m, c.quota.LoadShare(now)))
+	}
+}
+
+// ownShare divides connections where each VM opens its own: each may have one,
+// the rest follows the operations. After a loss of power, upstreams count the
+// connections of the lost VMs for seconds, so idle connections leave another one
+// free for each VM that returns. With more VMs than connections, a VM keeps one
+// only while it uses it.
+func ownShare(limit, vms int, load float64) upstreampool.Share {
+	if limit < 2*vms {
 		return upstreampool.Share{Base: 0, Most: max(2, limit/busyVMs)}
 	}
-	divided := limit - c.vms
-	idle := divided - c.vms
+	divided := limit - vms
+	idle := divided - vms
 	return upstreampool.Share{
 		Base: 1 + int(float64(max(idle, 0))*load),
 		Most: 1 + int(float64(max(divided, 0))*load),
 	}
 }
 
+// holderShare divides connections where holders keep them. The first holder has half, so that
+// its connections of before a loss of power and after fit in together.
+func holderShare(limit, vms, rank int) upstreampool.Share {
+	quarter := limit / 4
+	switch rank {
+	case rankFirst:
+		return upstreampool.Share{Base: limit / 2, Most: limit / 2}
+	case rankSecond:
+		return upstreampool.Share{Base: 0, Most: max(quarter, 1)}
+	}
+	return upstreampool.Share{Base: 0, Most: max(quarter/max(vms-holdersPerUpstream, 1), 1)}
+}
+
 // reshare divides the connections anew.
 func (c *cluster) reshare() {
 	load := c.quota.LoadShare(c.Now())
 	for id, pool := range c.pools {
 		if m, ok := c.replicas.Member(id); ok {
-			pool.SetShare(c.shareOf(m.Service, load))
+			pool.SetShare(c.shareOf(&m, load))
 		}
 	}
 }
--- /dev/null
+++ b/linenode/holders_test.go
@@ -0,0 +1,86 @@
+package linenode
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Guards against VMs that disagree about who holds an upstream's connections,
+// and against one that holds those of many more upstreams than others.
+func TestHoldersAreSpreadAndAgreed(t *testing.T) {
+	all := deployment(100)
+	first := map[model.VMID]int{}
+	for i := range 240 {
+		id := model.UpstreamID(fmt.Sprint("i-", i))
+		zone := model.Zone(fmt.Sprint("zone-", i%4))
+		var agreed []holderVM
+		for vm := range all {
+			holders := holdersOf(newTopology(vm, all, nil).holders, zone, id)
+			if agreed == nil {
+				agreed = holders
+			}
+			if len(holders) != holdersPerUpstream || holders[0] != agreed[0] || holders[1] != agreed[1] {
+				t.Fatalf("%s: holders %v, others say %v", vm, holders, agreed)
+			}
+		}
+		if all[agreed[0].vm].Zone != zone {
+			t.Errorf("upstream %s of %s is held by %s", id, zone, agreed[0].vm)
+		}
+		first[agreed[0].vm]++
+	}
+	for vm, n := range first {
+		if n > 2*240/8 {
+			t.Errorf("%s is the first holder of %d upstreams", vm, n)
+		}
+	}
+}
+
+// Guards against holders that change because VMs lose the store for a while: the
+// connections of the old ones are still open then.
+func TestHubsOutliveTheLossOfTheStore(t *testing.T) {
+	all := deployment(100)
+	before := hubsOf(all, nil)
+	missing := map[model.VMID]memberEntry{}
+	for vm, e := range before {
+		if len(missing) < len(before)/2 {
+			missing[vm] = e
+			delete(all, vm)
+		}
+	}
+	after := hubsOf(all, missing)
+	for vm := range before {
+		if _, found := after[vm]; !found {
+			t.Errorf("%s is no hub any more", vm)
+		}
+	}
+	for zone, vms := range byCapacity(all) {
+		listed := 0
+		for _, vm := range vms {
+			if _, found := after[vm]; found {
+				listed++
+			}
+		}
+		if listed == 0 {
+			t.Errorf("%s has no hub in the list", zone)
+		}
+	}
+}
+
+// Guards against holders that together open more than the limit, also right
+// after a loss of power, while the connections of before still count.
+func TestHolderSharesFitTheLimit(t *testing.T) {
+	for _, limit := range []int{20, 45, 259} {
+		for _, vms := range []int{7, 8} {
+			first, second := holderShare(limit, vms, rankFirst), holderShare(limit, vms, rankSecond)
+			others := (vms - holdersPerUpstream) * holderShare(limit, vms, rankNone).Most
+			if sum := first.Most + second.Most + others; sum > limit+vms {
+				t.Errorf("limit %d, %d VMs: %d connections", limit, vms, sum)
+			}
+			if returned := first.Base + first.Most; returned > limit+1 {
+				t.Errorf("limit %d: %d connections of the first holder after its return", limit, returned)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/linenode/links.go
@@ -0,0 +1,72 @@
+package linenode
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// reconnectDelay bounds the pause between connection attempts to a peer, so
+	// that a peer that returns is heard within a second.
+	reconnectDelay = 500 * time.Millisecond
+	// deadPeer is how long a connection without an answer is kept.
+	deadPeer = time.Second
+)
+
+// links are the connections to other VMs, one to each.
+type links struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+func newLinks() *links { return &links{conns: map[string]*grpc.ClientConn{}} }
+
+// get returns the connection to an address, which may not be established yet.
+func (l *links) get(address string) (*grpc.ClientConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if link := l.conns[address]; link != nil {
+		return link, nil
+	}
+	link, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay / 4, Multiplier: 1.6, MaxDelay: reconnectDelay},
+			MinConnectTimeout: reconnectDelay,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: deadPeer}))
+	if err != nil {
+		return nil, err
+	}
+	l.conns[address] = link
+	return link, nil
+}
+
+// all returns the connections by address.
+func (l *links) all() map[string]*grpc.ClientConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	copied := make(map[string]*grpc.ClientConn, len(l.conns))
+	for address, link := range l.conns {
+		copied[address] = link
+	}
+	return copied
+}
+
+// retain closes the connections to addresses that are not wanted.
+func (l *links) retain(wanted map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, link := range l.conns {
+		if !wanted[address] {
+			// Calls that are under way fail; the peer is gone.
+			_ = link.Close()
+			delete(l.conns, address)
+		}
+	}
+}
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -41,6 +41,8 @@
 	// themselves or that a peer told of before the list was read.
 	listed  map[model.VMID]memberEntry
 	learned map[model.VMID]learnedVM
+	// missing are VMs that have gone from the list lately.
+	missing map[model.VMID]learnedVM
 	// shape is whom this VM asks, as of the last change of the VMs.
 	shape topology
 	// cutOff are the asked VMs that say that they are cut off themselves.
@@ -60,7 +62,7 @@
 func newMembers(o Options, c *cluster) *members {
 	return &members{
 		options: o, cluster: c, log: o.Log,
-		listed: map[model.VMID]memberEntry{}, cutOff: map[model.VMID]bool{}, learned: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
+		listed: map[model.VMID]memberEntry{}, cutOff: map[model.VMID]bool{}, learned: map[model.VMID]learnedVM{}, missing: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
 	}
 }
 
@@ -133,6 +135,7 @@
 	for vm, e := range listed {
 		changed = changed || m.listed[vm] != e
 	}
+	changed = m.noteMissing(listed) || changed
 	m.listed, m.read = listed, true
 	if !m.settled && m.writtenAt != 0 && askedAt.Sub(m.writtenAt) >= settleTime {
 		m.settled, changed = true, true
@@ -149,6 +152,25 @@
 	}
 }
 
+// noteMissing keeps the VMs that the next list lacks, for a while. It runs under
+// the mutex and returns true when one is no longer kept.
+func (m *members) noteMissing(next map[model.VMID]memberEntry) (forgotten bool) {
+	now := boottime.Now()
+	for vm, e := range m.listed {
+		if _, found := next[vm]; !found {
+			m.missing[vm] = learnedVM{entry: e, at: now}
+		}
+	}
+	for vm, l := range m.missing {
+		_, found := next[vm]
+		if old := now.Sub(l.at) > missingFor; found || old {
+			delete(m.missing, vm)
+			forgotten = forgotten || old
+		}
+	}
+	return forgotten
+}
+
 // learn takes over VMs that have spoken, and what they know of others as long
 // as the store's list has not been read.
 func (m *members) learn(found map[model.VMID]memberEntry, spoke bool) {
@@ -173,6 +195,10 @@
 	all := m.all()
 	m.mu.Lock()
 	settled := m.settled
+	missing := make(map[model.VMID]memberEntry, len(m.missing))
+	for vm, l := range m.missing {
+		missing[vm] = l.entry
+	}
 	m.mu.Unlock()
 	if !settled && len(all) == 1 {
 		return
@@ -182,7 +208,7 @@
 		vms = append(vms, vm)
 	}
 	slices.Sort(vms)
-	shape := newTopology(m.options.VM, all)
+	shape := newTopology(m.options.VM, all, missing)
 	m.mu.Lock()
 	m.shape = shape
 	m.mu.Unlock()
@@ -216,6 +242,27 @@
 	return m.shape
 }
 
+// holdersOf returns the VMs that hold the connections to an upstream of a zone.
+func (m *members) holdersOf(zone model.Zone, id model.UpstreamID) []holderVM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return holdersOf(m.shape.holders, zone, id)
+}
+
+// holders returns the VMs that hold connections.
+func (m *members) holders() []holderVM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []holderVM
+	for _, vms := range m.shape.holders {
+		all = append(all, vms...)
+	}
+	return all
+}
+
+// isHolder reports whether a VM holds connections at the given address.
+func (m *members) isHolder(h holderVM) bool { return slices.Contains(m.holders(), h) }
+
 // answered notes the answer of a VM; cutOff is what it says of itself.
 func (m *members) answered(vm model.VMID, at model.Time, cutOff bool) {
 	m.mu.Lock()
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/holderlink"
 	"github.com/chervilhatch/chervilhatch/lineproxy"
 	"github.com/chervilhatch/chervilhatch/pause"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
@@ -36,6 +37,8 @@
 	lists   *lists
 	duty    *duty
 	peers   *peers
+	forward *forwarder
+	holder  *holderlink.Server
 	callers *lineproxy.Server
 
 	stopping atomic.Bool
@@ -54,7 +57,12 @@
 	n.members = newMembers(o, n.cluster)
 	n.lists = newLists(o, n.cluster, n.members)
 	n.duty = newDuty(o, n.cluster, n.members)
-	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.duty)
+	links := newLinks()
+	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.duty, links)
+	n.forward = newForwarder(ctx, n.cluster, n.members, links)
+	n.holder = &holderlink.Server{Local: &n.cluster.local, Arrived: n.cluster.arrived, Stopping: n.stopping.Load}
+	n.cluster.forward = n.forward
+	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
 	n.cluster.follows = n.members.follows
 	n.cluster.announce = n.peers.announce
@@ -69,6 +77,7 @@
 	n.servePages()
 	n.grpc = grpc.NewServer()
 	vmlinkv1.RegisterVMLinkServer(n.grpc, n.peers)
+	vmlinkv1.RegisterHolderServer(n.grpc, n.holder)
 	n.background(func() {
 		if err := n.grpc.Serve(n.options.Peers); err != nil {
 			n.log.Error().Err(err).Msg("gRPC listener failed")
@@ -84,6 +93,7 @@
 	n.background(func() { n.members.run(n.ctx) })
 	n.background(func() { n.peers.run(n.ctx) })
 	n.background(func() { n.duty.run(n.ctx) })
+	n.background(func() { n.forward.run(n.ctx) })
 	n.background(n.tick)
 	n.log.Info().Str("vm", string(n.options.VM)).Str("zone", string(n.options.Zone)).
 		Str("callers", n.options.Callers.Addr().String()).Msg("started")
@@ -142,6 +152,10 @@
 	}
 }
 
+// forwardedPart is the part of the grace time that statements of other VMs have
+// after the callers of this one are served.
+const forwardedPart = 8
+
 // leaveTimeout bounds the removal of a stopped VM's entry, which else expires.
 const leaveTimeout = 300 * time.Millisecond
 
@@ -171,6 +185,7 @@
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	n.members.leave(leaveCtx)
+	n.finishForwarded(ctx)
 	n.cancel()
 	n.grpc.Stop()
 	for _, p := range n.pages {
@@ -180,6 +195,24 @@
 	n.log.Info().Msg("stopped")
 }
 
+// Forwarded returns how many statements and transactions of other VMs have come
+// to this one.
+func (n *Node) Forwarded() int { return n.holder.Served() }
+
+// forwardedPoll is how often a stop looks whether statements of other VMs are done.
+const forwardedPoll = 20 * time.Millisecond
+
+// finishForwarded lets the statements end that run here for other VMs, and tells
+// those to send no more.
+func (n *Node) finishForwarded(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Grace/forwardedPart)
+	defer cancel()
+	for n.holder.UnderWay() > 0 && pause.For(ctx, forwardedPoll) {
+	}
+	go n.grpc.GracefulStop()
+	pause.For(ctx, forwardedPoll)
+}
+
 // reachesAny reports whether an upstream of each service is known.
 func (c *cluster) reachesAny(s *catalog.Snapshot) bool {
 	c.mu.Lock()
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -76,6 +76,9 @@
 	// settleTime is within which VMs that start together have written their
 	// entries.
 	settleTime = 400 * time.Millisecond
+	// missingFor is how long a VM that has gone from the list keeps its part as
+	// a hub; it is above the usual length of a VM's trouble with the store.
+	missingFor = 15 * time.Second
 	// learnedFor is how long a VM that has spoken counts without an entry.
 	learnedFor    = 3 * time.Second
 	memberTTL     = 5 * time.Second
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/rs/zerolog"
 
@@ -23,16 +20,9 @@
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
 )
 
-const (
-	// reconnectDelay bounds the pause between connection attempts to a peer, so
-	// that a peer that returns is heard within a second.
-	reconnectDelay = 500 * time.Millisecond
-	// deadPeer is how long a connection without an answer is kept.
-	deadPeer = time.Second
-	// forgetContact is the age at which a contact with an upstream is no
-	// longer reported.
-	forgetContact = 5 * time.Second
-)
+// forgetContact is the age at which a contact with an upstream is no longer
+// reported.
+const forgetContact = 5 * time.Second
 
 // peers asks the other VMs what they know, and answers them.
 type peers struct {
@@ -48,8 +38,9 @@
 	// incarnation differs between two starts of this VM.
 	incarnation uint64
 
+	links *links
+
 	mu      sync.Mutex
-	links   map[string]*grpc.ClientConn
 	asking  map[string]bool
 	demands []quota.Demand
 	// summary sums the reports of this VM's zone while it is a hub.
@@ -59,12 +50,12 @@
 	sourceAt model.Time
 }
 
-func newPeers(o Options, c *cluster, m *members, l *lists, d *duty) *peers {
+func newPeers(o Options, c *cluster, m *members, l *lists, d *duty, links *links) *peers {
 	incarnation := rand.Uint64()
 	return &peers{
 		options: o, cluster: c, members: m, lists: l, duty: d, log: o.Log,
 		incarnation: incarnation, summary: quota.NewSummary(incarnation),
-		links: map[string]*grpc.ClientConn{}, asking: map[string]bool{},
+		links: links, asking: map[string]bool{},
 	}
 }
 
@@ -83,7 +74,7 @@
 		}
 		pause.For(ctx, interval)
 	}
-	p.forget(nil)
+	p.links.retain(nil)
 }
 
 // tick publishes what reaches this VM. A hub also takes the sum over all other
@@ -127,15 +118,10 @@
 	for _, address := range targets {
 		wanted[address] = true
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, link := range p.links {
-		if !wanted[address] {
-			// Calls that are under way fail; the peer is gone.
-			_ = link.Close()
-			delete(p.links, address)
-		}
+	for _, h := range p.members.holders() {
+		wanted[h.address] = true
 	}
+	p.links.retain(wanted)
 }
 
 // link returns the connection to a peer, unless a question to it is unanswered.
@@ -145,20 +131,9 @@
 	if p.asking[address] {
 		return nil, nil
 	}
-	link := p.links[address]
-	if link == nil {
-		var err error
-		link, err = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithConnectParams(grpc.ConnectParams{
-				Backoff:           backoff.Config{BaseDelay: reconnectDelay / 4, Multiplier: 1.6, MaxDelay: reconnectDelay},
-				MinConnectTimeout: reconnectDelay,
-			}),
-			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: deadPeer}))
-		if err != nil {
-			return nil, err
-		}
-		p.links[address] = link
+	link, err := p.links.get(address)
+	if err != nil {
+		return nil, err
 	}
 	p.asking[address] = true
 	return link, nil
--- a/linenode/topology_test.go
+++ b/linenode/topology_test.go
@@ -24,7 +24,7 @@
 
 func TestSmallDeploymentIsAMesh(t *testing.T) {
 	all := deployment(8)
-	shape := newTopology("vm-003", all)
+	shape := newTopology("vm-003", all, nil)
 	if shape.large || len(shape.ask) != 7 || len(shape.sources) != 7 {
 		t.Errorf("topology %+v", shape)
 	}
@@ -36,7 +36,7 @@
 	all := deployment(100)
 	hubs := 0
 	for vm, e := range all {
-		shape := newTopology(vm, all)
+		shape := newTopology(vm, all, nil)
 		if shape.hub {
 			hubs++
 			if e.Capacity < 0.8 || len(shape.ask) != 7 {
@@ -64,7 +64,7 @@
 	all := deployment(100)
 	for vm := range all {
 		m := newMembers(Options{VM: vm}, nil)
-		m.shape = newTopology(vm, all)
+		m.shape = newTopology(vm, all, nil)
 		for asked := range m.shape.ask {
 			m.answered(asked, boottime.Now(), true)
 		}
--- a/test/line/cluster_test.go
+++ b/test/line/cluster_test.go
@@ -28,6 +28,16 @@
 	callers []string
 	// grace is the time that a VM has to stop.
 	grace time.Duration
+	// spread puts the VMs into the zones of the upstreams in turn.
+	spread bool
+}
+
+// zone returns the zone of a VM.
+func (f *fixture) zone(vm int) model.Zone {
+	if !f.spread {
+		return "zone-a"
+	}
+	return model.Zone("zone-" + []string{"a", "b", "c"}[vm%3])
 }
 
 func newFixture(t *testing.T, vms int, o linegroup.Options) *fixture {
@@ -42,9 +52,19 @@
 	t.Helper()
 	f := &fixture{Platform: linetest.NewPlatform(t, o), t: t, grace: time.Second}
 	f.Open()
+	t.Cleanup(f.stopAll)
 	return f
 }
 
+// stopAll stops all VMs at the same time.
+func (f *fixture) stopAll() {
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		wg.Go(n.Stop)
+	}
+	wg.Wait()
+}
+
 // startAll runs VMs and waits until they are ready.
 func (f *fixture) startAll(vms int) {
 	f.t.Helper()
@@ -75,7 +95,7 @@
 	vm := model.VMID(fmt.Sprintf("vm-%d", i))
 	callers, peers := listen(f.t), listen(f.t)
 	n := linenode.New(linenode.Options{
-		VM: vm, Zone: "zone-a", PeerAddress: peers.Addr().String(),
+		VM: vm, Zone: f.zone(i), PeerAddress: peers.Addr().String(),
 		Callers: callers, Peers: peers, Ready: listen(f.t),
 		Store:    platform.NewStore(f.Store.Address(), time.Second, time.Second, registry),
 		Promoter: platform.NewPromoter(f.Store.Address(), time.Second, vm, registry),
@@ -83,7 +103,6 @@
 		Grace:    f.grace, Log: zerolog.New(io.Discard), Registry: registry,
 	})
 	n.Start()
-	f.t.Cleanup(n.Stop)
 	f.nodes = append(f.nodes, n)
 	f.callers = append(f.callers, callers.Addr().String())
 }
--- /dev/null
+++ b/test/line/holders_test.go
@@ -0,0 +1,61 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+)
+
+// manyVMs is above the number up to which all VMs open connections of their own.
+const manyVMs = 15
+
+func newLargeFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newPlatform(t, linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond})
+	f.spread = true
+	f.grace = 4 * time.Second
+	f.startAll(manyVMs)
+	return f
+}
+
+// Guards against lost, doubled or falsely refused writes when statements run over
+// the connections of other VMs, and those stop.
+func TestHoldersThatStop(t *testing.T) {
+	f := newLargeFixture(t)
+	f.Await("statements run at holders", func() bool {
+		c := f.dial(0, "own")
+		c.Query("READ item")
+		for _, n := range f.nodes {
+			if n.Forwarded() > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	w := f.startWriters(30)
+	time.Sleep(500 * time.Millisecond)
+	for i, n := range f.nodes {
+		if n.Forwarded() > 0 && i < manyVMs-2 {
+			n.Stop()
+			break
+		}
+	}
+	time.Sleep(time.Second)
+	w.stop()
+	w.Check(f.Platform)
+	if n := w.Count(lineproto.InDoubt); n > 0 {
+		t.Errorf("%d writes in doubt although the holder stopped as planned", n)
+	}
+	f.Await("writes succeed after the stop", func() bool {
+		r := f.dial(manyVMs-1, "own").Query("WRITE item data")
+		return r.OK()
+	})
+}
+
+// Guards against sessions that mix when they share the connections of a holder.
+func TestSessionsKeepTheirValuesApartAtHolders(t *testing.T) {
+	f := newLargeFixture(t)
+	checkSessionValues(t, f)
+}
--- a/test/line/path_test.go
+++ b/test/line/path_test.go
@@ -63,7 +63,10 @@
 // Guards against values and prepared statements of one session that reach
 // another, or that are lost between connections.
 func TestSessionsKeepTheirValuesApart(t *testing.T) {
-	f := newFixture(t, 1, linegroup.Options{ConnectionLimit: 6, Slots: 2, Work: time.Millisecond})
+	checkSessionValues(t, newFixture(t, 1, linegroup.Options{ConnectionLimit: 6, Slots: 2, Work: time.Millisecond}))
+}
+
+func checkSessionValues(t *testing.T, f *fixture) {
 	one, two := f.dial(0, "own"), f.dial(0, "own")
 	one.Want("SET color red")
 	two.Want("SET color blue")
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -336,6 +336,13 @@
 	return load + 2*latency*float64(1+len(p.waiters))
 }
 
+// Busy returns how many connections are in use or waited for.
+func (p *Pool) Busy() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open - len(p.idle) + len(p.waiters)
+}
+
 // Trim closes idle connections that are above the share or too old.
 func (p *Pool) Trim() {
 	p.mu.Lock()
