Let holders keep the connections of all deployments

Cause: on small deployments about half of the statements opened a connection as well, and the division by load let VMs exceed an upstream's limit while reports were late (TestConnectionLimit under load). Change: every deployment has holders; on a small one all VMs of an upstream's zone are candidates. The division of connections follows from the list of VMs alone and adds up to the limit at most. LoadShare and its test TestLoadSharesAddUpToOne (bound 1.15) are gone with the division by load; TestHolderSharesFitTheLimit takes its place with a bound of exactly the limit.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -47,8 +47,6 @@
 	// evenShare is the part of a rate that is divided evenly, so that a VM with
 	// new callers has some at once; the rest follows the demand.
 	evenShare = 0.12
-	// evenConnections is the part that LoadShare divides evenly.
-	evenConnections = 0.3
 	// unknownVMs is how many VMs share a rate while the list of VMs is unknown.
 	unknownVMs = 16
 	// leastCap is the least number of tokens that a VM may save up.
@@ -312,33 +310,6 @@
 	}
 }
 
-// LoadShare returns this VM's part of what VMs divide by the operations that
-// reach them. The parts of all VMs add up to at most one.
-func (s *State) LoadShare(now model.Time) float64 {
-	reported, total := 0.0, 0.0
-	for _, b := range s.workspaces {
-		reported += b.reported(now)
-		total += b.demand
-	}
-	heard := 1.0
-	for _, r := range s.reports {
-		if now.Sub(r.at) > aloneAfter {
-			continue
-		}
-		heard += float64(r.vms)
-		for _, d := range r.demands {
-			total += d.PerSecond
-		}
-	}
-	n := float64(max(len(s.members), 1))
-	if total <= 0 {
-		return 1 / n
-	}
-	// VMs that are not heard may still use their part.
-	byLoad := reported / total * min(1, heard/n)
-	return evenConnections/n + (1-evenConnections)*byLoad
-}
-
 // cap returns how many tokens this VM may save up.
 func (b *bucket) cap() float64 { return max(b.share*b.burst*savedPart, leastCap) }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -220,33 +220,3 @@
 	f.run(10*time.Second, scaled(800))
 	f.checkRate()
 }
-
-// Guards against VMs that together take more than there is to divide, while
-// callers arrive, move and VMs are cut off.
-func TestLoadSharesAddUpToOne(t *testing.T) {
-	for seed := range uint64(40) {
-		f := newFleet(t, seed, len(uneven), 100, 100)
-		phases := [][]float64{make([]float64, len(uneven)), scaled(60), slicesReversed(scaled(90)), scaled(200)}
-		for i, demand := range phases {
-			f.cut = map[int]bool{i: i%2 == 1}
-			for range 30 {
-				f.run(100*time.Millisecond, demand)
-				sum := 0.0
-				for _, s := range f.vms {
-					sum += s.LoadShare(f.now)
-				}
-				if sum > 1.15 {
-					t.Fatalf("seed %d, phase %d: the parts add up to %.2f", seed, i, sum)
-				}
-			}
-		}
-	}
-}
-
-func slicesReversed(list []float64) []float64 {
-	reversed := make([]float64, 0, len(list))
-	for i := len(list) - 1; i >= 0; i-- {
-		reversed = append(reversed, list[i])
-	}
-	return reversed
-}
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -25,9 +25,6 @@
 	// left for status queries and for VMs that come and go.
 	leastReserved = 2
 	reservedPart  = 10
-	// busyVMs is how many VMs may use an upstream at their most at the same
-	// time, where there are more VMs than connections.
-	busyVMs = 10
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
@@ -265,7 +262,7 @@
 		return
 	}
 	c.dropPool(m.ID)
-	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m, c.quota.LoadShare(c.Now())))
+	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m))
 }
 
 // upstreamOf returns where the pools of an upstream connect to.
@@ -295,19 +292,15 @@
 	}
 }
 
-// shareOf returns how many connections to an upstream this VM may open. load is
-// its part of the operations.
-func (c *cluster) shareOf(m *replicaset.Member, load float64) upstreampool.Share {
+// shareOf returns how many connections to an upstream this VM may open.
+func (c *cluster) shareOf(m *replicaset.Member) upstreampool.Share {
 	s := c.Catalog()
 	if s == nil || s.Service(m.Service) == nil || c.vms == 0 {
 		return upstreampool.Share{Base: 1, Most: 1}
 	}
 	limit := s.Service(m.Service).ConnectionLimit
 	limit -= max(leastReserved, limit/reservedPart)
-	if holders := c.holdersOf(m.Zone, m.ID); len(holders) > 0 {
-		return holderShare(limit, c.vms, c.rankOf(m.ID, holders))
-	}
-	return ownShare(limit, c.vms, load)
+	return holderShare(limit, c.vms, c.rankOf(m))
 }
 
 // Ranks of a VM among those that hold an upstream's connections.
@@ -317,16 +310,15 @@
 	rankNone
 )
 
-// rankOf returns this VM's rank for an upstream. The second holder stands in for
-// the first; a VM that others take for a holder acts as one.
-func (c *cluster) rankOf(id model.UpstreamID, holders []holderVM) int {
-	rank := slices.IndexFunc(holders, func(h holderVM) bool { return h.vm == c.self })
+// rankOf returns this VM's rank for an upstream. A VM that others take for a
+// holder acts as one.
+func (c *cluster) rankOf(m *replicaset.Member) int {
+	rank := slices.IndexFunc(c.holdersOf(m.Zone, m.ID), func(h holderVM) bool { return h.vm == c.self })
+	at := c.forwardedAt[m.ID]
 	switch {
-	case rank == rankFirst:
-		return rankFirst
-	case rank == rankSecond && c.forward.usable(holders[rankFirst]) == nil:
-		return rankFirst
-	case rank == rankSecond || c.Now().Sub(c.forwardedAt[id]) < forwardedKept && c.forwardedAt[id] != 0:
+	case rank >= 0:
+		return rank
+	case at != 0 && c.Now().Sub(at) < forwardedKept:
 		return rankSecond
 	}
 	return rankNone
@@ -340,46 +332,36 @@
 	first := c.forwardedAt[id] == 0 || now.Sub(c.forwardedAt[id]) >= forwardedKept
 	c.forwardedAt[id] = now
 	if m, ok := c.replicas.Member(id); ok && first {
-		c.pools[id].SetShare(c.shareOf(&m, c.quota.LoadShare(now)))
-	}
-}
-
-// ownShare divides connections where each VM opens its own: each may have one,
-// the rest follows the operations. After a loss of power, upstreams count the
-// connections of the lost VMs for seconds, so idle connections leave another one
-// free for each VM that returns. With more VMs than connections, a VM keeps one
-// only while it uses it.
-func ownShare(limit, vms int, load float64) upstreampool.Share {
-	if limit < 2*vms {
-		return upstreampool.Share{Base: 0, Most: max(2, limit/busyVMs)}
-	}
-	divided := limit - vms
-	idle := divided - vms
-	return upstreampool.Share{
-		Base: 1 + int(float64(max(idle, 0))*load),
-		Most: 1 + int(float64(max(divided, 0))*load),
+		c.pools[id].SetShare(c.shareOf(&m))
 	}
 }
 
-// holderShare divides connections where holders keep them. The first holder has half, so that
-// its connections of before a loss of power and after fit in together.
+// holderShare divides the connections of an upstream by the rank of a VM. The
+// first holder has half, so that its connections of before a loss of power and
+// those of after fit in together; upstreams count the old ones for seconds. Of the
+// other half each further VM may have one at least. Where the VMs are too many for
+// that, they still may, since they use it only while they reach no holder.
 func holderShare(limit, vms, rank int) upstreampool.Share {
-	quarter := limit / 4
+	first := limit / 2
+	further := max(vms-holdersPerUpstream, 1)
+	direct := limit / 4
+	if further < limit-first {
+		direct = max(direct, further)
+	}
 	switch rank {
 	case rankFirst:
-		return upstreampool.Share{Base: limit / 2, Most: limit / 2}
+		return upstreampool.Share{Base: first, Most: max(first, 1)}
 	case rankSecond:
-		return upstreampool.Share{Base: 0, Most: max(quarter, 1)}
+		return upstreampool.Share{Base: 0, Most: max(limit-first-direct, 1)}
 	}
-	return upstreampool.Share{Base: 0, Most: max(quarter/max(vms-holdersPerUpstream, 1), 1)}
+	return upstreampool.Share{Base: 0, Most: max(direct/further, 1)}
 }
 
 // reshare divides the connections anew.
 func (c *cluster) reshare() {
-	load := c.quota.LoadShare(c.Now())
 	for id, pool := range c.pools {
 		if m, ok := c.replicas.Member(id); ok {
-			pool.SetShare(c.shareOf(&m, load))
+			pool.SetShare(c.shareOf(&m))
 		}
 	}
 }
--- a/linenode/holders.go
+++ b/linenode/holders.go
@@ -19,10 +19,15 @@
 }
 
 // holdersOf returns the VMs that hold the connections to an upstream, the first
-// one first: VMs of the upstream's zone, so that they fail with it, among those
-// that candidates lists for the zone. Every VM computes the same.
+// one first: VMs of the upstream's zone, so that they fail with it, or of any zone
+// if that one has none. Every VM computes the same.
 func holdersOf(candidates map[model.Zone][]holderVM, zone model.Zone, id model.UpstreamID) []holderVM {
 	list := slices.Clone(candidates[zone])
+	if len(list) == 0 {
+		for _, vms := range candidates {
+			list = append(list, vms...)
+		}
+	}
 	slices.SortFunc(list, func(a, b holderVM) int {
 		return cmp.Or(cmp.Compare(weight(b.vm, id), weight(a.vm, id)), cmp.Compare(a.vm, b.vm))
 	})
--- a/linenode/holders_test.go
+++ b/linenode/holders_test.go
@@ -68,17 +68,23 @@
 	}
 }
 
-// Guards against holders that together open more than the limit, also right
-// after a loss of power, while the connections of before still count.
+// Guards against VMs that together open more connections than the limit, also right
+// after a loss of power, while those of before still count.
 func TestHolderSharesFitTheLimit(t *testing.T) {
-	for _, limit := range []int{20, 45, 259} {
-		for _, vms := range []int{7, 8} {
+	for limit := 4; limit < 300; limit++ {
+		for vms := 1; vms-holdersPerUpstream < limit/2; vms++ {
 			first, second := holderShare(limit, vms, rankFirst), holderShare(limit, vms, rankSecond)
-			others := (vms - holdersPerUpstream) * holderShare(limit, vms, rankNone).Most
-			if sum := first.Most + second.Most + others; sum > limit+vms {
+			sum := first.Most
+			if vms > 1 {
+				sum += second.Most
+			}
+			if others := vms - holdersPerUpstream; others > 0 {
+				sum += others * holderShare(limit, vms, rankNone).Most
+			}
+			if sum > limit {
 				t.Errorf("limit %d, %d VMs: %d connections", limit, vms, sum)
 			}
-			if returned := first.Base + first.Most; returned > limit+1 {
+			if returned := first.Base + first.Most; returned > limit {
 				t.Errorf("limit %d: %d connections of the first holder after its return", limit, returned)
 			}
 		}
--- a/linenode/topology.go
+++ b/linenode/topology.go
@@ -43,6 +43,7 @@
 	}
 	if !t.large {
 		for vm, e := range all {
+			t.holders[e.Zone] = append(t.holders[e.Zone], holderVM{vm: vm, address: e.Address})
 			if vm != self {
 				t.add(vm, e)
 				t.sources = append(t.sources, vm)
