Let a VM that is cut off with a few primaries send its callers away

Cause: a VM in a zone that is cut off stayed ready as long as the proof of any service was fresh, so one primary in its zone kept all its callers there until a new primary was elected elsewhere: two more seconds of refusals. Ruled out: leaving at the first silence of peers, since VMs that survive the loss of many others still serve. Change: proof of less than half of the services counts as none.

--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -30,7 +30,7 @@
 	crossZoneCost = 2.0
 	// forwardedKept is how long a VM acts as a holder after a statement of another VM.
 	forwardedKept = 3 * time.Second
-	// isolatedAfter is how old the newest proof of all services is on a VM that
+	// isolatedAfter is how old the newest proof of most services is on a VM that
 	// counts as cut off.
 	isolatedAfter = 900 * time.Millisecond
 )
@@ -200,7 +200,9 @@
 func (c *cluster) Suspect(id model.UpstreamID) { c.probes.suspect(id) }
 
 // Isolated reports whether this VM hears from few other VMs and has no recent
-// proof of any service's log, so that callers are better served elsewhere.
+// proof of the logs of most services, so that callers are better served elsewhere.
+// In a zone that is cut off, primaries go on for a while, but their commits reach
+// no replica elsewhere.
 func (c *cluster) Isolated() bool {
 	if !c.isolated() {
 		return false
@@ -208,12 +210,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
-	for _, v := range c.replicas.Views() {
-		if e, ok := c.replicas.NewestEvidence(v.Service); ok && now.Sub(e.At) < isolatedAfter {
-			return false
+	proved := 0
+	views := c.replicas.Views()
+	for i := range views {
+		if e, ok := c.replicas.NewestEvidence(views[i].Service); ok && now.Sub(e.At) < isolatedAfter {
+			proved++
 		}
 	}
-	return true
+	return proved*2 < len(views) || len(views) == 0
 }
 
 // Observe reports what an upstream did.
--- /dev/null
+++ b/linenode/isolated_test.go
@@ -0,0 +1,38 @@
+package linenode
+
+import (
+	"testing"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+)
+
+// Guards against a VM in a zone that is cut off which keeps its callers because a
+// primary is in that zone too, and against one that sends them away although it
+// only hears from few VMs.
+func TestCutOffVMSendsItsCallersAway(t *testing.T) {
+	services := []catalog.Service{"one", "two", "three"}
+	for proved := range len(services) + 1 {
+		c := newCluster(Options{VM: "vm", Log: zerolog.Nop(), Registry: metrics.NewRegistry()})
+		ev := &replicaset.Event{Kind: replicaset.EventRegistrations, AskedAt: c.Now()}
+		for _, s := range services {
+			ev.Registrations = append(ev.Registrations, replicaset.Registration{ID: model.UpstreamID("i-" + s), Service: s})
+		}
+		c.replicas.Apply(c.Now(), ev, nil)
+		for _, s := range services[:proved] {
+			c.replicas.Apply(c.Now(), &replicaset.Event{Kind: replicaset.EventEvidence, Service: s, Term: 1, AskedAt: c.Now()}, nil)
+		}
+		c.isolated = func() bool { return true }
+		if got, want := c.Isolated(), proved*2 < len(services); got != want {
+			t.Errorf("proof of %d of %d services: isolated %t, want %t", proved, len(services), got, want)
+		}
+		c.isolated = func() bool { return false }
+		if c.Isolated() {
+			t.Error("isolated although it hears from the others")
+		}
+	}
+}
