Refuse less within the rate after a partition and after a start of all VMs

Cause: when a partition healed, what the other side had admitted meanwhile was taken from the shared bucket although its part of the refill had been left to it; one bucket stood at -225. After a start of all VMs, a VM that heard its peers took 12% of an even part of the rate until its own demand was 0.8 s old. Ruled out: a fuller first bucket (0.5 to 0.8 of the burst made no difference). Change: admissions reported after a silence do not count, in a VM and in a hub's sum; for 1.5 s after its start a VM has an even part at least.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -27,6 +27,9 @@
 	// raiseDelay is how long a VM waits with a higher share of its own, until
 	// its peers have its report.
 	raiseDelay = 800 * time.Millisecond
+	// unknownFor is how long the demand of a VM that has started counts as
+	// unknown: raiseDelay after its first reports.
+	unknownFor = 1500 * time.Millisecond
 	// demandWindow smooths the arrivals: shares follow where callers are, not
 	// the chance of single seconds.
 	demandWindow = 3 * time.Second
@@ -82,6 +85,8 @@
 	reports    map[model.VMID]*report
 	workspaces map[model.Workspace]*bucket
 	ticked     model.Time
+	// startedAt is the time of the first configuration.
+	startedAt model.Time
 }
 
 // report is the newest report of a peer.
@@ -130,6 +135,9 @@
 
 // Configure takes over the rates of a configuration.
 func (s *State) Configure(now model.Time, c *catalog.Snapshot) {
+	if s.startedAt == 0 {
+		s.startedAt = now
+	}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
 		b := s.workspaces[w.Name]
@@ -175,9 +183,11 @@
 	if r != nil {
 		next.shares = r.shares
 	}
+	// While the peer was silent its part of the refill was left to it.
+	followed := r != nil && at.Sub(r.at) <= SilentAfter
 	for _, d := range heard.Demands {
 		next.demands[d.Workspace] = d
-		if b := s.workspaces[d.Workspace]; b != nil && r != nil {
+		if b := s.workspaces[d.Workspace]; b != nil && followed {
 			b.shared -= float64(admittedSince(r, next.incarnation, &d))
 		}
 	}
@@ -286,6 +296,10 @@
 		share = evenShare/heard + (1-evenShare)*b.reported(now)/total
 	}
 	share *= 1 - reserved
+	if now.Sub(s.startedAt) < unknownFor {
+		// The peers do not know this VM's demand yet.
+		share = max(share, 1/n)
+	}
 	b.silent = reserved
 	s.noteShares(now, name, total, heard)
 	b.alone = quiet*2 >= n
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -220,3 +220,40 @@
 	f.run(10*time.Second, scaled(800))
 	f.checkRate()
 }
+
+// Guards against refusals within the rate after a network partition has healed:
+// what the other side admitted meanwhile was left to it and must not count again.
+func TestNothingRefusedAfterAPartition(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, seed, len(uneven), 100, 100)
+		f.run(8*time.Second, scaled(62))
+		f.cut = map[int]bool{1: true, 5: true}
+		f.run(6*time.Second, scaled(62))
+		f.cut = map[int]bool{}
+		f.run(time.Second, scaled(62))
+		f.forget()
+		f.run(5*time.Second, scaled(62))
+		if f.refused > 0 {
+			t.Errorf("seed %d: %d of %d operations refused", seed, f.refused, f.asked)
+		}
+	}
+}
+
+// Guards against refusals within the rate after all VMs have started anew: a VM
+// whose demand its peers do not know yet still gets an even part.
+func TestFewRefusedAfterAStartOfAll(t *testing.T) {
+	asked, refused := 0, 0
+	for seed := range uint64(40) {
+		f := newFleet(t, seed, len(uneven), 100, 100)
+		f.run(8*time.Second, scaled(62))
+		for i := range f.vms {
+			f.start(i)
+		}
+		f.forget()
+		f.run(3*time.Second, scaled(62))
+		asked, refused = asked+f.asked, refused+f.refused
+	}
+	if refused*100 > asked {
+		t.Errorf("%d of %d operations refused", refused, asked)
+	}
+}
--- a/core/quota/summary.go
+++ b/core/quota/summary.go
@@ -41,11 +41,12 @@
 	}
 }
 
-// Hear takes over the report of a VM of the hub's zone.
+// Hear takes over the report of a VM of the hub's zone. What a VM admits while it
+// is silent does not count: its part of the rates was left to it meanwhile.
 func (s *Summary) Hear(now model.Time, heard *Report) {
 	last := s.vms[heard.VM]
 	next := &report{at: now, vms: 1, incarnation: heard.Incarnation, demands: byWorkspace(heard.Demands)}
-	if last != nil {
+	if last != nil && now.Sub(last.at) <= SilentAfter {
 		counted := s.counted[heard.VM]
 		if counted == nil {
 			counted = map[model.Workspace]uint64{}
@@ -72,7 +73,7 @@
 		return
 	}
 	next := report{at: now, vms: max(heard.VMs, 1), incarnation: heard.Incarnation, demands: byWorkspace(heard.Demands)}
-	if z.hub == heard.VM && z.incarnation == heard.Incarnation {
+	if z.hub == heard.VM && z.incarnation == heard.Incarnation && now.Sub(z.at) <= SilentAfter {
 		for i := range heard.Demands {
 			d := &heard.Demands[i]
 			if known, found := z.demands[d.Workspace]; found && d.Admitted > known.Admitted {
--- a/core/quota/summary_test.go
+++ b/core/quota/summary_test.go
@@ -122,3 +122,35 @@
 		}
 	}
 }
+
+// Guards against a zone or VM whose admissions during a partition are taken from
+// the shared bucket once more when it is heard again.
+func TestSummaryLeavesOutWhatWasAdmittedInSilence(t *testing.T) {
+	at := func(d time.Duration) model.Time { return model.Time(time.Hour).Add(d) }
+	told := func(vm model.VMID, admitted uint64) *Report {
+		return &Report{VM: vm, Incarnation: 1, VMs: 1, Demands: []Demand{{Workspace: "w", PerSecond: 1, Admitted: admitted}}}
+	}
+	s := NewSummary(7)
+	total := func(now model.Time) uint64 {
+		r := s.OthersOf(now, "hub", nil)
+		return byWorkspace(r.Demands)["w"].Admitted
+	}
+	s.Hear(at(0), told("vm", 100))
+	s.HearZone(at(0), "zone-b", told("other", 100))
+	s.Hear(at(time.Second), told("vm", 110))
+	s.HearZone(at(time.Second), "zone-b", told("other", 120))
+	before := total(at(time.Second))
+	if before != 30 {
+		t.Errorf("%d admitted, want 30", before)
+	}
+	healed := time.Second + 2*SilentAfter
+	s.Hear(at(healed), told("vm", 400))
+	s.HearZone(at(healed), "zone-b", told("other", 400))
+	if after := total(at(healed)); after != before {
+		t.Errorf("%d admitted after the silence, %d before", after, before)
+	}
+	s.Hear(at(healed+time.Second), told("vm", 401))
+	if after := total(at(healed + time.Second)); after != before+1 {
+		t.Errorf("%d admitted, want one more than %d", after, before)
+	}
+}
