--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -5,20 +5,36 @@
 	"errors"
 	"strings"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/store"
 )
 
-// dependency logs when the store is lost and regained.
+// dependency is one use of the store. It logs when the store is lost and
+// regained, and spaces the calls that the store does not serve.
 type dependency struct {
-	c    *cluster
-	name string
-	lost bool
+	c     *cluster
+	name  string
+	lost  bool
+	retry *backoff.ExponentialBackOff
+}
+
+func newDependency(c *cluster, name string) *dependency {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval, retry.Multiplier = storeRetry, longestStoreRetry, 2
+	return &dependency{c: c, name: name, retry: retry}
 }
 
+// wait pauses after a failed call.
+func (d *dependency) wait(ctx context.Context) { pause.For(ctx, d.retry.NextBackOff()) }
+
 func (d *dependency) result(err error) {
+	if err == nil {
+		d.retry.Reset()
+	}
 	switch {
 	case err != nil && !d.lost:
 		d.c.log.Warn().Err(err).Str("use", d.name).Msg("platform store lost")
@@ -30,7 +46,7 @@
 
 // followOperators keeps the configuration and the evacuations up to date.
 func (c *cluster) followOperators(ctx context.Context) {
-	state := dependency{c: c, name: "configuration"}
+	state := newDependency(c, "configuration")
 	for ctx.Err() == nil {
 		if c.follows() {
 			pause.For(ctx, storeRetry)
@@ -39,17 +55,17 @@
 		zones, revision, err := c.readOperators(ctx)
 		state.result(err)
 		for err == nil && !c.follows() {
-			err = c.watchOperators(ctx, zones, &revision, &state)
+			err = c.watchOperators(ctx, zones, &revision, state)
 			if errors.Is(err, store.ErrHistoryGone) {
 				break
 			}
 			if err != nil && ctx.Err() == nil {
 				state.result(err)
-				pause.For(ctx, storeRetry)
+				state.wait(ctx)
 				err = ctx.Err()
 			}
 		}
-		pause.For(ctx, storeRetry)
+		state.wait(ctx)
 	}
 }
 
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -76,7 +76,7 @@
 
 // run reads the lists whenever they are too old, until ctx ends.
 func (l *lists) run(ctx context.Context) {
-	state := dependency{c: l.cluster, name: "lists"}
+	state := newDependency(l.cluster, "lists")
 	for ctx.Err() == nil {
 		patience := min(listsInterval+time.Duration(l.members.rank())*listsPatience, longestListsWait)
 		if l.members.follows() {
@@ -96,7 +96,7 @@
 		state.result(err)
 		if err != nil {
 			l.cluster.Observe(&replicaset.Event{Kind: replicaset.EventStoreUnavailable})
-			pause.For(ctx, storeRetry)
+			state.wait(ctx)
 		}
 	}
 }
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -75,7 +75,7 @@
 
 // run keeps the entry until ctx ends.
 func (m *members) run(ctx context.Context) {
-	state := dependency{c: m.cluster, name: "entry of this VM"}
+	state := newDependency(m.cluster, "entry of this VM")
 	for ctx.Err() == nil {
 		err := m.renew(ctx)
 		if ctx.Err() != nil {
@@ -83,7 +83,7 @@
 		}
 		state.result(err)
 		if err != nil {
-			pause.For(ctx, storeRetry)
+			state.wait(ctx)
 			continue
 		}
 		pause.For(ctx, renewInterval)
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -69,8 +69,11 @@
 }
 
 const (
-	// storeRetry is the pause after a call that the store did not serve.
-	storeRetry = 200 * time.Millisecond
+	// storeRetry is the pause after the first call that the store did not serve;
+	// further ones double it, up to longestStoreRetry on average. That is below
+	// the time after which operators' writes have to be in force again.
+	storeRetry        = 200 * time.Millisecond
+	longestStoreRetry = 1200 * time.Millisecond
 	// memberTTL is how long the entry of a VM outlives its last renewal,
 	// which comes every renewInterval.
 	// settleTime is within which VMs that start together have written their
