Ask more often after the start, and follow the other hub sooner

Cause: after a start of all VMs, a report passes from VM to hub to hub to VM at intervals of 300 ms; until then a VM counts as alone and refuses above an even part of the rates. A VM whose hub died counted as alone from 0.9 s on and followed the other hub from 1 s on. Change: 60 ms between the first 16 questions; the other hub is followed after 0.65 s.

--- a/linenode/options.go
+++ b/linenode/options.go
@@ -88,14 +88,19 @@
 	renewInterval = 1500 * time.Millisecond
 	// observeInterval is how often a VM asks its peers.
 	observeInterval = 300 * time.Millisecond
-	// firstObserveInterval is the same until most peers have answered, for at
-	// most firstObserves times.
+	// firstObserveInterval is the same for the first firstObserves questions, in
+	// which reports pass through two hubs, and until most peers have answered, for
+	// at most scarceObserves questions.
 	firstObserveInterval = 60 * time.Millisecond
-	firstObserves        = 40
+	firstObserves        = 16
+	scarceObserves       = 40
 	// observeTimeout bounds such a question.
 	observeTimeout = 400 * time.Millisecond
 	// peerSilence is how long a VM counts as heard after its last answer.
 	peerSilence = 1000 * time.Millisecond
+	// sourceSilence is how long a VM follows a hub that does not answer: two
+	// questions, so that it hears from the other hub before it counts as alone.
+	sourceSilence = 650 * time.Millisecond
 	// trimInterval is how often idle connections are looked at.
 	trimInterval = 250 * time.Millisecond
 	// headerTimeout bounds how long a client of the HTTP pages may take.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -68,15 +68,19 @@
 			go p.ask(ctx, address)
 		}
 		p.forget(targets)
-		interval := observeInterval
-		if round < firstObserves && p.members.scarce() {
-			interval = firstObserveInterval
-		}
-		pause.For(ctx, interval)
+		pause.For(ctx, p.interval(round))
 	}
 	p.links.retain(nil)
 }
 
+// interval returns the pause after a round of questions, counted from the start.
+func (p *peers) interval(round int) time.Duration {
+	if round < firstObserves || round < scarceObserves && p.members.scarce() {
+		return firstObserveInterval
+	}
+	return observeInterval
+}
+
 // tick publishes what reaches this VM. A hub also takes the sum over all other
 // VMs from its own summary.
 func (p *peers) tick() {
@@ -227,7 +231,7 @@
 		if zone := shape.zones[vm]; zone != p.options.Zone {
 			p.summary.HearZone(asked, zone, &report)
 		}
-	case p.source == vm || p.source == "" || asked.Sub(p.sourceAt) > peerSilence:
+	case p.source == vm || p.source == "" || asked.Sub(p.sourceAt) > sourceSilence:
 		p.source, p.sourceAt = vm, asked
 		report.VM = quota.Others
 		p.cluster.quota.Hear(asked, &report)
