--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -69,6 +69,7 @@
 	f.heard(h, start, &report, err)
 	f.report(r.Upstream, err)
 	if err == nil {
+		o.Holder = h.vm
 		seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor, Committed: r.Write}
 		upstreamrun.Answered(f.cluster, &seen, &o.Answer)
 		f.load(r.Upstream, time.Since(start), &o, &report)
@@ -91,6 +92,7 @@
 	if err != nil {
 		return nil, o, err
 	}
+	o.Holder = h.vm
 	seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor}
 	upstreamrun.Answered(f.cluster, &seen, &o.Answer)
 	if tx == nil {
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -178,7 +178,7 @@
 	switch {
 	case a.Code == "":
 		o.log(p.ID, "read served", func(e *Entry) {
-			e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.ProofAge)
+			e.Str("upstream", string(id)).Str("holder", string(a.Holder)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.ProofAge)
 		})
 		return attempt{reply: answered(&a.Answer)}
 	case a.Code == lineproto.Lagging:
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -144,7 +144,7 @@
 	}
 	x.tx, x.upstream = tx, id
 	x.log(request, "transaction opened", func(e *Entry) {
-		e.Str("upstream", string(id)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.ProofAge)
+		e.Str("upstream", string(id)).Str("holder", string(out.Holder)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.ProofAge)
 	})
 	return true
 }
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -25,7 +25,7 @@
 	out, err := o.cluster.Run(&r)
 	switch {
 	case err == nil:
-		return o.writeAnswered(p, m.ID, &out.Answer)
+		return o.writeAnswered(p, m.ID, &out)
 	case upstreamrun.Sent(err):
 		return o.writeBroke(p, m.ID, err)
 	}
@@ -42,14 +42,14 @@
 	return attempt{reply: failure(lineproto.InDoubt, "the connection to the upstream was lost; the outcome is unknown")}
 }
 
-func (o *operation) writeAnswered(p *statement, id model.UpstreamID, a *upstreampool.Answer) attempt {
+func (o *operation) writeAnswered(p *statement, id model.UpstreamID, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
 		o.session.committed(a.Ready.Position)
 		o.log(p.ID, "write served", func(e *Entry) {
-			e.Str("upstream", string(id)).Str("position", lineproto.FormatPosition(a.Ready.Position))
+			e.Str("upstream", string(id)).Str("holder", string(a.Holder)).Str("position", lineproto.FormatPosition(a.Ready.Position))
 		})
-		return attempt{reply: answered(a)}
+		return attempt{reply: answered(&a.Answer)}
 	case a.Code == lineproto.ReadOnly:
 		o.log(p.ID, "upstream is not the primary", func(e *Entry) { e.Str("upstream", string(id)) })
 		return tryAgain("no primary")
@@ -57,7 +57,7 @@
 		return tryAgain(upstreamBusy)
 	}
 	o.log(p.ID, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
-	return attempt{reply: answered(a)}
+	return attempt{reply: answered(&a.Answer)}
 }
 
 // committed notes a commit of this session.
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -77,6 +77,8 @@
 	// Floor is the position that the read had to see, ProofAge the age of its proof.
 	Floor    model.Position
 	ProofAge time.Duration
+	// Holder is the VM whose connection was used, empty for this one.
+	Holder model.VMID
 }
 
 // Tx is an open transaction on one upstream. It is used by one goroutine at a time.
