Keep idle connections after the time limit of their last statement

Cause: half of the statements still opened a connection although holders serve all workspaces. A look at the socket of an idle connection fails once the deadline of the last statement on it has passed, so each connection that was idle for a second was closed as dead. Ruled out: the VMs' views of the holders (all statements of an upstream went to one VM), the share of the pool (129 allowed, 27 open), the upstream's own limit on idle connections (60 s). Change: the deadline is cleared before the look. TestIdleConnectionsOutliveTheLastTimeLimit fails without it.

--- a/upstreampool/conn.go
+++ b/upstreampool/conn.go
@@ -131,6 +131,10 @@
 	if c.broken || c.reader.Buffered() {
 		return false
 	}
+	// The look fails when the time limit of the last statement has passed.
+	if err := c.conn.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
 	raw, err := c.conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
--- a/upstreampool/pool_test.go
+++ b/upstreampool/pool_test.go
@@ -243,3 +243,24 @@
 		p.Release(get(t, p, "one"), true)
 	}
 }
+
+// Guards against idle connections that count as dead once the time limit of the
+// last statement on them has passed.
+func TestIdleConnectionsOutliveTheLastTimeLimit(t *testing.T) {
+	s := newServer(t)
+	p := newPool(s, Share{Base: 2, Most: 2})
+	c := get(t, p, "one")
+	const limit = 100 * time.Millisecond
+	if _, err := c.Query(time.Now().Add(limit), "id", "READ item"); err != nil {
+		t.Fatal(err)
+	}
+	p.Release(c, true)
+	time.Sleep(2 * limit)
+	p.Trim()
+	if again := get(t, p, "one"); again != c {
+		t.Error("the idle connection was given up")
+	}
+	if n := s.started.Load(); n != 1 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
