Let VMs that hear from a hub spare the store at their start

Change: a VM that hears from a hub waits for its lists; the first watch starts 300 ms after the first read.

--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -54,6 +54,8 @@
 		}
 		zones, revision, err := c.readOperators(ctx)
 		state.result(err)
+		// A VM that has just started may hear from a hub before it needs a watch.
+		pause.For(ctx, firstWatchDelay)
 		for err == nil && !c.follows() {
 			err = c.watchOperators(ctx, zones, &revision, state)
 			if errors.Is(err, store.ErrHistoryGone) {
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -78,14 +78,7 @@
 func (l *lists) run(ctx context.Context) {
 	state := newDependency(l.cluster, "lists")
 	for ctx.Err() == nil {
-		patience := min(listsInterval+time.Duration(l.members.rank())*listsPatience, longestListsWait)
-		if l.members.follows() {
-			patience = longestListsWait
-		}
-		if !l.members.known() {
-			patience = firstListsInterval
-		}
-		if l.age() < patience {
+		if l.age() < l.patience() {
 			pause.For(ctx, listsPoll)
 			continue
 		}
@@ -101,6 +94,17 @@
 	}
 }
 
+// patience returns how old the lists may become before this VM reads them.
+func (l *lists) patience() time.Duration {
+	switch {
+	case l.members.follows():
+		return longestListsWait
+	case !l.members.known():
+		return firstListsInterval
+	}
+	return min(listsInterval+time.Duration(l.members.rank())*listsPatience, longestListsWait)
+}
+
 func (l *lists) read(ctx context.Context) error {
 	asked := boottime.Now()
 	upstreams, _, err := l.options.Store.Range(ctx, l.options.Formats.RegistrationsPrefix, 0)
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -74,6 +74,9 @@
 	// the time after which operators' writes have to be in force again.
 	storeRetry        = 200 * time.Millisecond
 	longestStoreRetry = 1200 * time.Millisecond
+	// firstWatchDelay is the pause between the first read of what the operators
+	// have written and the watch; hubs answer within it.
+	firstWatchDelay = 300 * time.Millisecond
 	// memberTTL is how long the entry of a VM outlives its last renewal,
 	// which comes every renewInterval.
 	// settleTime is within which VMs that start together have written their
