Log when a VM becomes ready or unready; let holders return long answers

The log told nothing of the moment at which the platform stops sending sessions to a VM. Answers of more than 4 MiB from a holder would have failed at gRPC's limit; upstream connections keep up to 8 MiB.

--- a/linenode/links.go
+++ b/linenode/links.go
@@ -14,6 +14,9 @@
 	// reconnectDelay bounds the pause between connection attempts to a peer, so
 	// that a peer that returns is heard within a second.
 	reconnectDelay = 500 * time.Millisecond
+	// longestAnswer bounds a message of a peer; it is above the rows that an
+	// upstream connection keeps of one answer, 8 MiB.
+	longestAnswer = 12 << 20
 	// deadPeer is how long a connection without an answer is kept.
 	deadPeer = time.Second
 )
@@ -39,6 +42,7 @@
 			Backoff:           backoff.Config{BaseDelay: reconnectDelay / 4, Multiplier: 1.6, MaxDelay: reconnectDelay},
 			MinConnectTimeout: reconnectDelay,
 		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(longestAnswer)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: deadPeer}))
 	if err != nil {
 		return nil, err
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -42,6 +42,8 @@
 	callers *lineproxy.Server
 
 	stopping atomic.Bool
+	// toldReady is the last answer to whether this VM is ready.
+	toldReady atomic.Pointer[error]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -120,13 +122,27 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if err := n.Ready(); err != nil {
+	err := n.Ready()
+	n.logReady(err)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// logReady writes a line when the answer to whether this VM is ready changes.
+func (n *Node) logReady(err error) {
+	if last := n.toldReady.Swap(&err); last != nil && errors.Is(err, *last) {
+		return
+	}
+	if err != nil {
+		n.log.Info().Str("cause", err.Error()).Msg("not ready for new sessions")
+		return
+	}
+	n.log.Info().Msg("ready for new sessions")
+}
+
 // Ready returns nil when this VM takes new sessions.
 func (n *Node) Ready() error {
 	c := n.cluster.Catalog()
