--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -98,7 +98,9 @@
 	if tx == nil {
 		return nil, o, nil
 	}
-	return &forwardedTx{Tx: tx, forwarder: f, holder: h, upstream: r.Upstream, readOnly: r.ReadOnly}, o, nil
+	forwarded := &forwardedTx{Tx: tx, forwarder: f, holder: h}
+	forwarded.Upstream, forwarded.ReadOnly = r.Upstream, r.ReadOnly
+	return forwarded, o, nil
 }
 
 // choose returns the holder to use for an upstream and a client for it, or nil if
--- a/linenode/forwardtx.go
+++ b/linenode/forwardtx.go
@@ -3,9 +3,7 @@
 import (
 	"time"
 
-	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/holderlink"
-	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
@@ -13,11 +11,9 @@
 // forwardedTx is a transaction at a holder; it reports what the answers tell.
 type forwardedTx struct {
 	*holderlink.Tx
+	upstreamrun.TxProgress
 	forwarder *forwarder
 	holder    holderVM
-	upstream  model.UpstreamID
-	readOnly  bool
-	wrote     bool
 }
 
 // Send runs a statement of the transaction.
@@ -29,14 +25,9 @@
 	stop()
 	if err != nil {
 		f.heard(x.holder, start, &holderlink.Report{Spent: time.Since(start)}, err)
-		f.report(x.upstream, err)
+		f.report(x.Upstream, err)
 		return a, err
 	}
-	if a.Code != lineproto.ReadOnly || !x.readOnly {
-		committed := x.wrote && a.Ready.State == lineproto.Idle
-		seen := upstreamrun.Seen{Upstream: x.upstream, AskedAt: asked, Committed: committed}
-		upstreamrun.Answered(f.cluster, &seen, &a)
-	}
-	x.wrote = x.wrote || r.Write
+	x.Answered(f.cluster, asked, r, &a)
 	return a, nil
 }
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -44,11 +44,11 @@
 	stopping atomic.Bool
 	// toldReady is the last answer to whether this VM is ready.
 	toldReady atomic.Pointer[error]
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	grpc     *grpc.Server
-	pages    []*http.Server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	grpc      *grpc.Server
+	pages     []*http.Server
 }
 
 // New returns a node that has not started yet.
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -21,30 +22,15 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	text, err := textFor(conn, &r.Statement, r.Deadline)
+	var o Outcome
+	text, err := l.prepare(conn, r, &o)
 	if err != nil {
-		pool.Release(conn, false)
+		pool.Release(conn, errors.Is(err, ErrNotProved))
 		l.failed(r.Upstream, err)
 		return Outcome{}, err
 	}
-	var o Outcome
-	if r.Mode == ModeFresh {
-		var proved bool
-		o.Floor, o.ProofAge, proved = l.Knowledge.Floor(r.Service, r.Bound, r.Position)
-		if !proved {
-			pool.Release(conn, true)
-			return Outcome{}, ErrNotProved
-		}
-		text = after(o.Floor, text)
-	}
 	asked, start := l.Knowledge.Now(), time.Now()
-	stop := l.watch(r.Upstream)
-	if r.Mode == ModePrimary {
-		o.Answer, err = inTx(conn, r.ID, text, r.Deadline)
-	} else {
-		o.Answer, err = conn.Query(r.Deadline, r.ID, text)
-	}
-	stop()
+	o.Answer, err = l.send(conn, r, text)
 	pool.Release(conn, err == nil && o.Ready.State == lineproto.Idle)
 	if err != nil {
 		l.failed(r.Upstream, err)
@@ -55,6 +41,39 @@
 	return o, nil
 }
 
+// prepare returns the text to send. It proves a read fresh last, since proof ages
+// while the request waits for its connection.
+func (l *Local) prepare(conn *upstreampool.Conn, r *Request, o *Outcome) (string, error) {
+	text, err := textFor(conn, &r.Statement, r.Deadline)
+	if err != nil || r.Mode != ModeFresh {
+		return text, err
+	}
+	if err := l.prove(&r.Place, o); err != nil {
+		return "", err
+	}
+	return after(o.Floor, text), nil
+}
+
+// prove notes the position that a read has to see now.
+func (l *Local) prove(p *Place, o *Outcome) error {
+	var proved bool
+	o.Floor, o.ProofAge, proved = l.Knowledge.Floor(p.Service, p.Bound, p.Position)
+	if !proved {
+		return ErrNotProved
+	}
+	return nil
+}
+
+// send sends a statement in its mode.
+func (l *Local) send(conn *upstreampool.Conn, r *Request, text string) (upstreampool.Answer, error) {
+	stop := l.watch(r.Upstream)
+	defer stop()
+	if r.Mode == ModePrimary {
+		return inTx(conn, r.ID, text, r.Deadline)
+	}
+	return conn.Query(r.Deadline, r.ID, text)
+}
+
 // observeLoad keeps what an answer tells about how busy the upstream is.
 func observeLoad(pool *upstreampool.Pool, a *upstreampool.Answer, latency time.Duration) {
 	switch a.Code {
--- a/upstreamrun/report.go
+++ b/upstreamrun/report.go
@@ -40,6 +40,23 @@
 	k.Observe(&ev)
 }
 
+// TxProgress is what a transaction's answers have to be seen with.
+type TxProgress struct {
+	Upstream model.UpstreamID
+	ReadOnly bool
+	wrote    bool
+}
+
+// Answered reports what the answer to a statement tells, which was sent after
+// askedAt. A replica refuses writes of a read-only transaction as it should.
+func (x *TxProgress) Answered(k Knowledge, askedAt model.Time, r *TxRequest, a *upstreampool.Answer) {
+	if a.Code != lineproto.ReadOnly || !x.ReadOnly {
+		committed := x.wrote && a.Ready.State == lineproto.Idle
+		Answered(k, &Seen{Upstream: x.Upstream, AskedAt: askedAt, Committed: committed}, a)
+	}
+	x.wrote = x.wrote || r.Write
+}
+
 // Failed reports an upstream that could not be reached. A connection that broke
 // later says little about the upstream, which is then checked.
 func Failed(k Knowledge, id model.UpstreamID, err error) {
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
@@ -33,15 +32,12 @@
 	if err != nil {
 		return nil, Outcome{}, err
 	}
-	begin := "BEGIN"
 	var o Outcome
+	begin := "BEGIN"
 	if r.ReadOnly {
-		// Proof ages while the transaction waits for a connection.
-		var proved bool
-		o.Floor, o.ProofAge, proved = l.Knowledge.Floor(r.Service, r.Bound, r.Position)
-		if !proved {
+		if err := l.prove(&r.Place, &o); err != nil {
 			pool.Release(conn, true)
-			return nil, Outcome{}, ErrNotProved
+			return nil, Outcome{}, err
 		}
 		begin = after(o.Floor, "BEGIN READ")
 	}
@@ -59,15 +55,15 @@
 		pool.Release(conn, o.Ready.State == lineproto.Idle)
 		return nil, o, nil
 	}
-	return &localTx{local: l, upstream: r.Upstream, readOnly: r.ReadOnly, conn: conn, pool: pool}, o, nil
+	tx := &localTx{local: l, conn: conn, pool: pool}
+	tx.Upstream, tx.ReadOnly = r.Upstream, r.ReadOnly
+	return tx, o, nil
 }
 
 // localTx is a transaction on a connection of this VM.
 type localTx struct {
-	local    *Local
-	upstream model.UpstreamID
-	readOnly bool
-	wrote    bool
+	TxProgress
+	local *Local
 	// conn is nil after the end.
 	conn *upstreampool.Conn
 	pool *upstreampool.Pool
@@ -80,17 +76,13 @@
 	a, err := x.send(r)
 	if err != nil {
 		x.Discard()
-		x.local.failed(x.upstream, err)
+		x.local.failed(x.Upstream, err)
 		return a, err
 	}
 	if a.Ready.State == lineproto.Idle {
 		x.end(true)
 	}
-	if a.Code != lineproto.ReadOnly || !x.readOnly {
-		committed := x.wrote && a.Ready.State == lineproto.Idle
-		Answered(x.local.Knowledge, &Seen{Upstream: x.upstream, AskedAt: asked, Committed: committed}, &a)
-	}
-	x.wrote = x.wrote || r.Write
+	x.Answered(x.local.Knowledge, asked, r, &a)
 	return a, nil
 }
 
@@ -104,7 +96,7 @@
 	}
 	for giveUp := time.Now().Add(r.Wait); ; {
 		start := time.Now()
-		stop := x.local.watch(x.upstream)
+		stop := x.local.watch(x.Upstream)
 		a, err := x.conn.Query(r.Deadline, r.ID, text)
 		stop()
 		if err != nil {
