Inject faults between VMs in the soak

Statements now pass between VMs, so their connections are delayed, reset, cut one way and silenced as well. A VM can advertise another address for its peer listener (peer.advertise), as behind address translation; the soak puts a link there.

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -92,7 +92,7 @@
 		VM:          s.VM.ID,
 		Zone:        s.VM.Zone,
 		Capacity:    s.VM.Capacity,
-		PeerAddress: s.Peer.Listen,
+		PeerAddress: s.Peer.Address(),
 		Seeds:       s.Peer.Seeds,
 		Store:       platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
 		Promoter:    platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
--- a/settings/line.go
+++ b/settings/line.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -49,13 +50,18 @@
 
 // LinePeer is the listener for other VMs.
 type LinePeer struct {
-	Listen string   `json:"listen"`
-	Seeds  []string `json:"seeds"`
+	Listen string `json:"listen"`
+	// Advertise is where other VMs reach the listener; empty means Listen.
+	Advertise string   `json:"advertise"`
+	Seeds     []string `json:"seeds"`
 	// Insecure turns mutual TLS off, for networks that keep others out. There
 	// is no other form yet, so it has to be set.
 	Insecure bool `json:"insecure"`
 }
 
+// Address returns where other VMs reach the listener.
+func (p *LinePeer) Address() string { return cmp.Or(p.Advertise, p.Listen) }
+
 // LineStore is how to reach the platform's metadata store.
 type LineStore struct {
 	Address string           `json:"address"`
@@ -106,6 +112,9 @@
 	c.listen("callers.listen", s.Callers.Listen)
 	c.listen("ready.listen", s.Ready.Listen)
 	c.listen("peer.listen", s.Peer.Listen)
+	if s.Peer.Advertise != "" {
+		c.address("peer.advertise", s.Peer.Advertise)
+	}
 	for i, address := range s.Peer.Seeds {
 		c.address(fmt.Sprintf("peer.seeds[%d]", i), address)
 	}
--- a/settings/line_test.go
+++ b/settings/line_test.go
@@ -30,14 +30,21 @@
 	if s.Grace.Std() < time.Second {
 		t.Error("grace too short")
 	}
+	if s.Peer.Address() != "10.0.0.1:3" {
+		t.Errorf("peers reach the VM at %s", s.Peer.Address())
+	}
+	s.Peer.Advertise = "10.0.0.7:3"
+	if s.Peer.Address() != "10.0.0.7:3" {
+		t.Errorf("peers reach the VM at %s", s.Peer.Address())
+	}
 }
 
 // Guards against wrong files that are accepted, and against findings that are
 // reported one at a time.
 func TestLineFindings(t *testing.T) {
-	_, list := ParseLine("file", []byte(`{"vm": {"id": ""}, "peer": {"insecure": false}, "store": {"address": "x"}, "grace": "-1s", "more": 1}`))
+	_, list := ParseLine("file", []byte(`{"vm": {"id": ""}, "peer": {"insecure": false, "advertise": "y"}, "store": {"address": "x"}, "grace": "-1s", "more": 1}`))
 	text := list.Error()
-	for _, path := range []string{"vm.id", "vm.zone", "callers.listen", "peer.insecure", "store.address", "promoter.address", "grace", "more"} {
+	for _, path := range []string{"vm.id", "vm.zone", "callers.listen", "peer.insecure", "peer.advertise", "store.address", "promoter.address", "grace", "more"} {
 		if !strings.Contains(text, path+":") {
 			t.Errorf("no finding for %s in:\n%s", path, text)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -215,7 +215,7 @@
 	id := pick(w.random, []string{"a", "b", "c"})
 	v := pick(w.random, w.vms)
 	lasts := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-	switch w.random.IntN(12) {
+	switch w.random.IntN(14) {
 	case 0, 1:
 		w.cut(w.upstreams[id], "upstream "+id, lasts)
 	case 2:
@@ -245,6 +245,11 @@
 	case 10:
 		w.storeFault()
 	case 11:
+		w.cut(v.peers, "peers of "+v.settings, lasts)
+	case 12:
+		w.note("connections of peers to %s reset", v.settings)
+		v.peers.reset()
+	case 13:
 		w.note("configuration changed, %s deaf", id)
 		w.Configure(linetest.Key)
 		w.Group.Server(id).SetDeaf(true)
@@ -314,6 +319,9 @@
 		w.Group.Server(id).SetDeaf(false)
 		w.Group.Server(id).LoseAnswers(0)
 	}
+	for _, v := range w.vms {
+		v.peers.set(pass)
+	}
 	w.store.set(pass)
 	w.Store.Down.Store(false)
 	w.Store.LoseAnswers.Store(0)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -22,6 +22,8 @@
 	log      string
 	callers  string
 	ready    string
+	// peers is the link through which other VMs reach this one.
+	peers *link
 
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -46,11 +48,13 @@
 		t: t, binary: binary, settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"),
 		callers: freeAddress(t), ready: freeAddress(t),
 	}
+	peers := freeAddress(t)
+	v.peers = newLink(t, func() string { return peers })
 	content, err := json.Marshal(map[string]any{
 		"vm":       map[string]any{"id": name, "zone": fmt.Sprintf("zone-%c", 'a'+i%3)},
 		"callers":  map[string]any{"listen": v.callers, "max_descriptors": 4000},
 		"ready":    map[string]any{"listen": v.ready},
-		"peer":     map[string]any{"listen": freeAddress(t), "insecure": true},
+		"peer":     map[string]any{"listen": peers, "advertise": v.peers.address(), "insecure": true},
 		"store":    map[string]any{"address": store, "watch_wait": "1s"},
 		"promoter": map[string]any{"address": store},
 		"grace":    grace.String(),
