Take a list of VMs that outlives a restart as complete

Cause: after a start a VM waited 0.4 s for the entries of VMs that start with it, also when the list still had its own entry of before, and so those of the others; it was not ready meanwhile. Change: entries have the VM's incarnation; the list is complete if it has this VM's entry of another one.

--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -20,7 +20,7 @@
 		p.members.learn(map[model.VMID]memberEntry{model.VMID(r.GetVm()): e}, true)
 	}
 	a := &vmlinkv1.ObserveResponse{
-		Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.incarnation, Isolated: p.members.isolated(),
+		Vm: string(p.options.VM), DutyHolder: string(p.duty.holder()), Incarnation: p.members.incarnation, Isolated: p.members.isolated(),
 	}
 	version, raw := p.cluster.stored()
 	a.ConfigVersion = version
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,8 @@
 	Zone    model.Zone `json:"zone"`
 	// Capacity is the VM's share of a core; hubs are VMs with a large one.
 	Capacity float64 `json:"capacity"`
+	// Incarnation differs between two starts of the VM.
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // learnedVM is a VM that may not be in the store's list yet.
@@ -35,6 +38,8 @@
 	options Options
 	cluster *cluster
 	log     zerolog.Logger
+	// incarnation differs between two starts of this VM.
+	incarnation uint64
 
 	mu sync.Mutex
 	// listed are the VMs in the store's list, learned those that spoke
@@ -61,7 +66,7 @@
 
 func newMembers(o Options, c *cluster) *members {
 	return &members{
-		options: o, cluster: c, log: o.Log,
+		options: o, cluster: c, log: o.Log, incarnation: rand.Uint64(),
 		listed: map[model.VMID]memberEntry{}, cutOff: map[model.VMID]bool{}, learned: map[model.VMID]learnedVM{}, missing: map[model.VMID]learnedVM{}, heard: map[model.VMID]model.Time{},
 	}
 }
@@ -121,7 +126,7 @@
 
 // list takes over the entries of all VMs from a read that was sent at askedAt.
 func (m *members) list(askedAt model.Time, kvs []store.KeyValue) {
-	listed := map[model.VMID]memberEntry{m.options.VM: m.self()}
+	listed := map[model.VMID]memberEntry{}
 	for i := range kvs {
 		var e memberEntry
 		if err := json.Unmarshal(kvs[i].Value, &e); err != nil {
@@ -130,6 +135,10 @@
 		}
 		listed[model.VMID(strings.TrimPrefix(kvs[i].Key, membersPrefix))] = e
 	}
+	own, found := listed[m.options.VM]
+	// An entry of this VM's last life tells that the others are listed as well.
+	returned := found && own.Incarnation != m.incarnation
+	listed[m.options.VM] = m.self()
 	m.mu.Lock()
 	changed := len(listed) != len(m.listed)
 	for vm, e := range listed {
@@ -137,7 +146,7 @@
 	}
 	changed = m.noteMissing(listed) || changed
 	m.listed, m.read = listed, true
-	if !m.settled && m.writtenAt != 0 && askedAt.Sub(m.writtenAt) >= settleTime {
+	if !m.settled && (returned || m.writtenAt != 0 && askedAt.Sub(m.writtenAt) >= settleTime) {
 		m.settled, changed = true, true
 	}
 	for vm, l := range m.learned {
@@ -218,7 +227,9 @@
 
 // self returns the entry of this VM.
 func (m *members) self() memberEntry {
-	return memberEntry{Address: m.options.PeerAddress, Zone: m.options.Zone, Capacity: m.options.Capacity}
+	return memberEntry{
+		Address: m.options.PeerAddress, Zone: m.options.Zone, Capacity: m.options.Capacity, Incarnation: m.incarnation,
+	}
 }
 
 // all returns the entries of the VMs, this one included.
--- /dev/null
+++ b/linenode/members_test.go
@@ -0,0 +1,51 @@
+package linenode
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/store"
+)
+
+func entryOf(t *testing.T, vm string, e memberEntry) store.KeyValue {
+	value, err := json.Marshal(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.KeyValue{Key: membersPrefix + vm, Value: value, ModRevision: 1}
+}
+
+// Guards against a VM that takes no sessions for a while after a restart although
+// the list of VMs has outlived it, and against one that takes a list for complete
+// which only has its own new entry.
+func TestListThatOutlivesTheVMIsComplete(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		incarnation func(*members) uint64
+		want        bool
+	}{
+		{"entry of the last life", func(m *members) uint64 { return m.incarnation + 1 }, true},
+		{"new entry", func(m *members) uint64 { return m.incarnation }, false},
+	} {
+		o := Options{VM: "vm-1", Zone: "z", Log: zerolog.Nop(), Registry: metrics.NewRegistry()}
+		c := newCluster(o)
+		m := newMembers(o, c)
+		own := m.self()
+		own.Incarnation = tt.incarnation(m)
+		m.list(boottime.Now(), []store.KeyValue{entryOf(t, "vm-1", own), entryOf(t, "vm-2", memberEntry{Address: "a", Zone: "z"})})
+		if m.known() != tt.want {
+			t.Errorf("%s: known %t", tt.name, m.known())
+		}
+	}
+	m := newMembers(Options{VM: "vm-1", Log: zerolog.Nop(), Registry: metrics.NewRegistry()}, newCluster(Options{VM: "vm-1"}))
+	m.writtenAt = boottime.Now()
+	m.list(m.writtenAt.Add(settleTime+time.Millisecond), []store.KeyValue{entryOf(t, "vm-1", m.self())})
+	if !m.known() {
+		t.Error("the list has settled and is not known")
+	}
+}
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,9 +34,6 @@
 	duty    *duty
 	log     zerolog.Logger
 
-	// incarnation differs between two starts of this VM.
-	incarnation uint64
-
 	links *links
 
 	mu      sync.Mutex
@@ -51,10 +47,8 @@
 }
 
 func newPeers(o Options, c *cluster, m *members, l *lists, d *duty, links *links) *peers {
-	incarnation := rand.Uint64()
 	return &peers{
-		options: o, cluster: c, members: m, lists: l, duty: d, log: o.Log,
-		incarnation: incarnation, summary: quota.NewSummary(incarnation),
+		options: o, cluster: c, members: m, lists: l, duty: d, log: o.Log, summary: quota.NewSummary(m.incarnation),
 		links: links, asking: map[string]bool{},
 	}
 }
@@ -95,7 +89,7 @@
 	if !shape.hub {
 		return
 	}
-	p.summary.Hear(now, &quota.Report{VM: p.options.VM, Incarnation: p.incarnation, Demands: demands})
+	p.summary.Hear(now, &quota.Report{VM: p.options.VM, Incarnation: p.members.incarnation, Demands: demands})
 	others := p.summary.OthersOf(now, p.options.VM, nil)
 	p.cluster.quota.Hear(now, &others)
 }
@@ -162,7 +156,7 @@
 	version, _ := p.cluster.stored()
 	request := &vmlinkv1.ObserveRequest{
 		Vm: string(p.options.VM), ConfigVersion: version, Address: p.options.PeerAddress, Zone: string(p.options.Zone),
-		ListsAgeUs: uint64(p.lists.age().Microseconds()), Incarnation: p.incarnation,
+		ListsAgeUs: uint64(p.lists.age().Microseconds()), Incarnation: p.members.incarnation,
 	}
 	if shape := p.members.topology(); shape.large && !shape.hub {
 		p.mu.Lock()
