Record spans of all hops of the line protocol's path

A request has a span for its caller, for the hop to a holder and for the upstream, in one trace; the trace context goes over the link between VMs. The settings are those of the other path. telemetry.StartHop serves both paths; the holder package had its own copy. A read that is sent besides (hedged) now takes what it needs of its session before it runs: since statements moved to upstreamrun it read the session's position from its own goroutine. TestSpansOfAllHops guards against a hop without a span.

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -15,6 +15,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/tracing"
 	"github.com/chervilhatch/chervilhatch/linenode"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/settings"
@@ -27,6 +28,8 @@
 	// memoryPart is the percentage of the memory limit at which the garbage
 	// collector works harder; the rest is for the kernel's buffers.
 	memoryPart = 60
+	// flushTimeout bounds the export of the last spans at a stop.
+	flushTimeout = 500 * time.Millisecond
 	// promoterTimeout bounds a promotion call.
 	promoterTimeout = 900 * time.Millisecond
 )
@@ -42,6 +45,10 @@
 	if err != nil {
 		return err
 	}
+	stopTraces, err := tracing.Start(ctx, &s.Trace, s.VM.ID)
+	if err != nil {
+		return err
+	}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryPart / 100)
 	}
@@ -56,7 +63,9 @@
 	defer stopReloads()
 	<-ctx.Done()
 	n.Stop()
-	return nil
+	flushCtx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	return stopTraces(flushCtx)
 }
 
 func newLogger(s *settings.Line, registry metrics.Registry) (zerolog.Logger, error) {
@@ -101,6 +110,7 @@
 		Grace:       s.Grace.Std(),
 		Log:         log,
 		Registry:    registry,
+		Tracer:      telemetry.Tracer(),
 	}
 }
 
--- a/cmd/chervilhatchd/internal/run/run.go
+++ b/cmd/chervilhatchd/internal/run/run.go
@@ -11,6 +11,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/tracing"
 	"github.com/chervilhatch/chervilhatch/node"
 	"github.com/chervilhatch/chervilhatch/settings"
 	"github.com/chervilhatch/chervilhatch/store/grpcstore"
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	stopTraces, err := telemetry.StartTraces(ctx, traceOptions(s))
+	stopTraces, err := tracing.Start(ctx, &s.Trace, s.VM.ID)
 	if err != nil {
 		return err
 	}
@@ -72,17 +73,6 @@
 	return pages, nil
 }
 
-func traceOptions(s *settings.Settings) telemetry.TraceOptions {
-	return telemetry.TraceOptions{
-		Exporter: telemetry.Exporter(s.Trace.Exporter),
-		File:     s.Trace.File,
-		Endpoint: s.Trace.Endpoint,
-		Insecure: s.Trace.Insecure,
-		Ratio:    s.Trace.Ratio,
-		VM:       string(s.VM.ID),
-	}
-}
-
 // nodeOptions opens the listeners and loads the certificates.
 func nodeOptions(s *settings.Settings, log zerolog.Logger, registry metrics.Registry) (node.Options, error) {
 	o := node.Options{
--- a/holder/span.go
+++ b/holder/span.go
@@ -1,11 +1,8 @@
 package holder
 
 import (
-	"context"
-
-	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
+	"github.com/chervilhatch/chervilhatch/sqlstate"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
 // Names of the spans, one for each hop.
@@ -13,34 +10,18 @@
 	queueSpan       = "queue"
 	upstreamSpan    = "upstream"
 	replicationSpan = "replication wait"
-
-	traceParentHeader = "traceparent"
 )
 
-// hop is the span of one hop; the zero value records nothing.
-type hop struct {
-	span trace.Span
-}
-
 // startHop starts a span below the caller side's span of the batch.
-func (s *stream) startHop(ctx context.Context, name, traceParent string) hop {
-	tracer := s.holder.options.Tracer
-	if tracer == nil {
-		return hop{}
-	}
-	var format propagation.TraceContext
-	ctx = format.Extract(ctx, propagation.MapCarrier{traceParentHeader: traceParent})
-	_, span := tracer.Start(ctx, name)
-	return hop{span: span}
+func (s *stream) startHop(name, traceParent string) telemetry.Hop {
+	return telemetry.StartHop(s.holder.options.Tracer, traceParent, name)
 }
 
-// end ends the span; failed marks it as an error.
-func (h hop) end(failed bool) {
-	if h.span == nil {
-		return
-	}
-	if failed {
-		h.span.SetStatus(codes.Error, "")
+// asError returns a failure as an error; a nil pointer in an interface would not
+// be nil.
+func asError(failure *sqlstate.Error) error {
+	if failure == nil {
+		return nil
 	}
-	h.span.End()
+	return failure
 }
--- a/holder/stream.go
+++ b/holder/stream.go
@@ -94,18 +94,18 @@
 		return executor.Result{TxStatus: s.abandon()}, err
 	}
 	if seat == nil {
-		queue := s.startHop(ctx, queueSpan, b.TraceParent)
+		queue := s.startHop(queueSpan, b.TraceParent)
 		seat, err = s.acquire(&s.wait, b)
-		queue.end(err != nil)
+		queue.End(err)
 		if err != nil {
 			return executor.Result{TxStatus: s.abandon()}, err
 		}
 	}
 	x := newExchange(s, seat, b, sink)
 	defer x.release()
-	upstream := s.startHop(ctx, upstreamSpan, b.TraceParent)
+	upstream := s.startHop(upstreamSpan, b.TraceParent)
 	failure := x.run(ctx)
-	upstream.end(failure != nil)
+	upstream.End(asError(failure))
 	if failure == nil && x.needsMajority() {
 		seat.awaits = true
 		defer s.holder.options.Decider.EndWrite(seat.assignment)
--- a/holder/write.go
+++ b/holder/write.go
@@ -149,10 +149,10 @@
 }
 
 func (x *exchange) awaitMajority(ctx context.Context) error {
-	wait := x.stream.startHop(ctx, replicationSpan, x.batch.TraceParent)
+	wait := x.stream.startHop(replicationSpan, x.batch.TraceParent)
 	decider := x.stream.holder.options.Decider
 	err := decider.AwaitMajority(ctx, x.stream.hello.Database, x.position)
-	wait.end(err != nil)
+	wait.End(err)
 	return err
 }
 
--- a/holderlink/convert.go
+++ b/holderlink/convert.go
@@ -23,7 +23,7 @@
 	return &vmlinkv1.Place{
 		Upstream: string(p.Upstream), Service: string(p.Service), Workspace: p.Workspace, Priority: int32(p.Priority),
 		WaitUs: p.Wait.Microseconds(), TimeoutUs: time.Until(p.Deadline).Microseconds(), BoundUs: p.Bound.Microseconds(),
-		PositionTerm: p.Position.Term.Counter, Position: uint64(p.Position.Pos),
+		PositionTerm: p.Position.Term.Counter, Position: uint64(p.Position.Pos), Traceparent: p.TraceParent,
 	}
 }
 
@@ -33,6 +33,7 @@
 		Workspace: p.GetWorkspace(), Priority: int(p.GetPriority()),
 		Wait: microseconds(p.GetWaitUs()), Deadline: time.Now().Add(microseconds(p.GetTimeoutUs())),
 		Bound: microseconds(p.GetBoundUs()), Position: position(p.GetPositionTerm(), p.GetPosition()),
+		TraceParent: p.GetTraceparent(),
 	}
 }
 
--- a/holderlink/server.go
+++ b/holderlink/server.go
@@ -124,6 +124,7 @@
 		o.Answer, err = tx.Send(&upstreamrun.TxRequest{
 			Statement: fromStatement(st.GetStatement()), Session: fromSession(st.GetSession()),
 			Wait: microseconds(st.GetWaitUs()), Deadline: start.Add(microseconds(st.GetTimeoutUs())),
+			TraceParent: st.GetTraceparent(),
 		})
 		sent := stream.Send(s.response(open.Upstream, start, &o, err))
 		if sent != nil || err != nil || o.Ready.State == lineproto.Idle {
--- a/holderlink/transact.go
+++ b/holderlink/transact.go
@@ -78,6 +78,7 @@
 	statement := &vmlinkv1.TxStatement{
 		Statement: toStatement(&r.Statement), Session: toSession(&r.Session),
 		WaitUs: r.Wait.Microseconds(), TimeoutUs: time.Until(r.Deadline).Microseconds(),
+		Traceparent: r.TraceParent,
 	}
 	a, err := x.ask(&vmlinkv1.TransactRequest{Step: &vmlinkv1.TransactRequest_Statement{Statement: statement}}, r.Deadline)
 	if err != nil {
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -88,7 +88,7 @@
 		holdersOf:   func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
 	c.probes = newProbes(c)
-	c.local.Knowledge = c
+	c.local = upstreamrun.Local{Knowledge: c, Tracer: o.Tracer}
 	return c
 }
 
--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -7,12 +7,14 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/holderlink"
 	"github.com/chervilhatch/chervilhatch/pause"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
@@ -63,9 +65,12 @@
 		return f.cluster.local.Run(r)
 	}
 	asked, start := f.cluster.Now(), time.Now()
+	hop, forwarded := f.startHop(r.TraceParent, h), *r
+	forwarded.TraceParent = hop.TraceParent
 	stop := f.watch(h)
-	o, report, err := client.Run(r)
+	o, report, err := client.Run(&forwarded)
 	stop()
+	hop.End(err)
 	f.heard(h, start, &report, err)
 	f.report(r.Upstream, err)
 	if err == nil {
@@ -84,9 +89,12 @@
 		return f.cluster.local.Open(r)
 	}
 	asked, start := f.cluster.Now(), time.Now()
+	hop, opening := f.startHop(r.TraceParent, h), *r
+	opening.TraceParent = hop.TraceParent
 	stop := f.watch(h)
-	tx, o, report, err := client.Open(r)
+	tx, o, report, err := client.Open(&opening)
 	stop()
+	hop.End(err)
 	f.heard(h, start, &report, err)
 	f.report(r.Upstream, err)
 	if err != nil {
@@ -103,6 +111,13 @@
 	return forwarded, o, nil
 }
 
+// holderSpan names the hop to a holder.
+const holderSpan = "holder"
+
+func (f *forwarder) startHop(parent string, h holderVM) telemetry.Hop {
+	return telemetry.StartHop(f.cluster.local.Tracer, parent, holderSpan, attribute.String("chervilhatch.vm", string(h.vm)))
+}
+
 // choose returns the holder to use for an upstream and a client for it, or nil if
 // this VM's own connections are to be used.
 func (f *forwarder) choose(id model.UpstreamID) (holderVM, *holderlink.Client) {
--- a/linenode/forwardtx.go
+++ b/linenode/forwardtx.go
@@ -20,9 +20,12 @@
 func (x *forwardedTx) Send(r *upstreamrun.TxRequest) (upstreampool.Answer, error) {
 	f := x.forwarder
 	asked, start := f.cluster.Now(), time.Now()
+	hop, forwarded := f.startHop(r.TraceParent, x.holder), *r
+	forwarded.TraceParent = hop.TraceParent
 	stop := f.watch(x.holder)
-	a, err := x.Tx.Send(r)
+	a, err := x.Tx.Send(&forwarded)
 	stop()
+	hop.End(err)
 	if err != nil {
 		f.heard(x.holder, start, &holderlink.Report{Spent: time.Since(start)}, err)
 		f.report(x.Upstream, err)
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -69,7 +69,7 @@
 	n.cluster.follows = n.members.follows
 	n.cluster.announce = n.peers.announce
 	n.callers = lineproxy.NewServer(lineproxy.Options{
-		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions,
+		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions, Tracer: o.Tracer,
 	})
 	return n
 }
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -10,6 +10,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -66,6 +67,8 @@
 
 	Log      zerolog.Logger
 	Registry metrics.Registry
+	// Tracer records a span for each hop; nil records none.
+	Tracer trace.Tracer
 }
 
 const (
--- a/lineproxy/operation.go
+++ b/lineproxy/operation.go
@@ -112,6 +112,7 @@
 	return upstreamrun.Place{
 		Upstream: id, Service: o.route.Service, Workspace: o.who(), Priority: o.route.Priority,
 		Wait: max(t.waitLeft(), 0), Deadline: t.deadline, Bound: o.route.MaxStaleness, Position: o.sessionFloor(),
+		TraceParent: o.session.traceParent,
 	}
 }
 
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -67,7 +67,7 @@
 	if !ok {
 		return unservable("no primary")
 	}
-	return o.readOn(m.ID, upstreamrun.ModePrimary, p, t)
+	return o.readOn(o.request(m.ID, upstreamrun.ModePrimary, p, t))
 }
 
 // hedgeAfter is the part of a route's latency objective after which a read that
@@ -123,9 +123,11 @@
 	}
 }
 
+// startRead reads on one upstream besides. The session may go on to its next
+// request before that ends, so the goroutine gets all that it needs of it.
 func (o *operation) startRead(id model.UpstreamID, p *statement, t *timing, results chan<- attempt) {
-	limits := *t
-	go func() { results <- o.readOn(id, upstreamrun.ModeFresh, p, &limits) }()
+	r := o.request(id, upstreamrun.ModeFresh, p, t)
+	go func() { results <- o.readOn(r) }()
 }
 
 // floor returns the position that reads have to see, after asking the primary
@@ -153,32 +155,36 @@
 	return model.Position{}
 }
 
+// request describes a statement outside of a transaction.
+func (o *operation) request(id model.UpstreamID, mode upstreamrun.Mode, p *statement, t *timing) *upstreamrun.Request {
+	return &upstreamrun.Request{Place: o.place(id, t), Statement: p.Statement, Mode: mode, Session: o.state()}
+}
+
 // readOn reads on one upstream.
-func (o *operation) readOn(id model.UpstreamID, mode upstreamrun.Mode, p *statement, t *timing) attempt {
-	r := upstreamrun.Request{Place: o.place(id, t), Statement: p.Statement, Mode: mode, Session: o.state()}
-	out, err := o.cluster.Run(&r)
+func (o *operation) readOn(r *upstreamrun.Request) attempt {
+	out, err := o.cluster.Run(r)
 	switch {
 	case err == nil:
-		return o.readAnswered(p, id, &out)
+		return o.readAnswered(r, &out)
 	case upstreamrun.Sent(err):
-		return o.readBroke(p, id, err)
+		return o.readBroke(r, err)
 	}
 	return tryAgain(refusalCause(err))
 }
 
-func (o *operation) readBroke(p *statement, id model.UpstreamID, err error) attempt {
-	o.log(p.ID, "read lost its connection", func(e *Entry) { e.Str("upstream", string(id)).Err(err) })
+func (o *operation) readBroke(r *upstreamrun.Request, err error) attempt {
+	o.log(r.ID, "read lost its connection", func(e *Entry) { e.Str("upstream", string(r.Upstream)).Err(err) })
 	if upstreamrun.TimedOut(err) {
 		return attempt{reply: failure(lineproto.Timeout, "the statement's time limit passed")}
 	}
 	return tryAgain("connection lost")
 }
 
-func (o *operation) readAnswered(p *statement, id model.UpstreamID, a *upstreamrun.Outcome) attempt {
+func (o *operation) readAnswered(r *upstreamrun.Request, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
-		o.log(p.ID, "read served", func(e *Entry) {
-			e.Str("upstream", string(id)).Str("holder", string(a.Holder)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.ProofAge)
+		o.log(r.ID, "read served", func(e *Entry) {
+			e.Str("upstream", string(r.Upstream)).Str("holder", string(a.Holder)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.ProofAge)
 		})
 		return attempt{reply: answered(&a.Answer)}
 	case a.Code == lineproto.Lagging:
@@ -190,6 +196,6 @@
 		o.session.server.count("retried.busy")
 		return tryAgain(upstreamBusy)
 	}
-	o.log(p.ID, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(id)).Str("code", string(a.Code)) })
+	o.log(r.ID, "upstream failed the statement", func(e *Entry) { e.Str("upstream", string(r.Upstream)).Str("code", string(a.Code)) })
 	return attempt{reply: answered(&a.Answer)}
 }
--- a/lineproxy/server.go
+++ b/lineproxy/server.go
@@ -10,6 +10,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/telemetry"
@@ -47,6 +48,8 @@
 	Metrics metrics.Registry
 	// MaxSessions bounds the callers' connections.
 	MaxSessions int
+	// Tracer records a span for each request; nil records none.
+	Tracer trace.Tracer
 }
 
 // Server accepts callers.
@@ -57,6 +60,7 @@
 	metrics   metrics.Registry
 	latency   metrics.Histogram
 	limit     int
+	tracer    trace.Tracer
 
 	mu       sync.Mutex
 	sessions map[uint64]*session
@@ -77,6 +81,7 @@
 		metrics:   o.Metrics,
 		latency:   metrics.GetOrRegisterHistogram("requests.latency_us", o.Metrics, metrics.NewUniformSample(latencySample)),
 		limit:     o.MaxSessions,
+		tracer:    o.Tracer,
 		sessions:  map[uint64]*session{},
 	}
 }
--- a/lineproxy/session.go
+++ b/lineproxy/session.go
@@ -8,9 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
 const (
@@ -55,6 +58,8 @@
 
 	// refused is true when the last answer was that a request has not run.
 	refused bool
+	// traceParent is the W3C trace context of the request, empty without traces.
+	traceParent string
 	// busy is true while a request is being answered.
 	busy atomic.Bool
 }
@@ -185,12 +190,32 @@
 		return false
 	}
 	start := s.server.cluster.Now()
+	hop := s.startHop(id)
 	r := s.run(id, text)
+	hop.End(r.err())
 	s.refused = r.code == lineproto.Busy
 	s.server.finished(s.server.cluster.Now().Sub(start), &r)
 	return s.answer(&r)
 }
 
+// callerSpan names the hop from a caller.
+const callerSpan = "caller"
+
+func (s *session) startHop(id string) telemetry.Hop {
+	hop := telemetry.StartHop(s.server.tracer, "", callerSpan,
+		attribute.String("chervilhatch.request", id), attribute.String("chervilhatch.database", s.database))
+	s.traceParent = hop.TraceParent
+	return hop
+}
+
+// err returns the reply's error, nil after success.
+func (r *reply) err() error {
+	if r.code == "" {
+		return nil
+	}
+	return errors.New(string(r.code) + " " + r.text)
+}
+
 // validID reports whether a caller may use an id: the proxy's own statements
 // have one of their own.
 func validID(id string) bool { return id != "" && id != lineproto.OwnID }
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -153,7 +153,8 @@
 func (x *transaction) send(p *statement, t *timing) (upstreampool.Answer, error) {
 	return x.tx.Send(&upstreamrun.TxRequest{
 		Statement: p.Statement, Wait: max(t.waitLeft(), 0), Deadline: t.deadline,
-		Session: upstreampool.SessionState{ID: x.session.id, Values: x.session.values},
+		Session:     upstreampool.SessionState{ID: x.session.id, Values: x.session.values},
+		TraceParent: x.session.traceParent,
 	})
 }
 
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -21,8 +21,7 @@
 	if !ok {
 		return unservable("no primary")
 	}
-	r := upstreamrun.Request{Place: o.place(m.ID, t), Statement: p.Statement, Session: o.state()}
-	out, err := o.cluster.Run(&r)
+	out, err := o.cluster.Run(o.request(m.ID, upstreamrun.ModePlain, p, t))
 	switch {
 	case err == nil:
 		return o.writeAnswered(p, m.ID, &out)
--- a/settings/line.go
+++ b/settings/line.go
@@ -30,8 +30,9 @@
 	// Grace is the time from the request to stop until the process is killed.
 	Grace jsondoc.Duration `json:"grace"`
 	// MemoryMB is the process's memory limit in MB; 0 means none.
-	MemoryMB int `json:"memory_mb"`
-	Log      Log `json:"log"`
+	MemoryMB int   `json:"memory_mb"`
+	Log      Log   `json:"log"`
+	Trace    Trace `json:"trace"`
 }
 
 // SetDefaults sets the fields that a file may omit.
@@ -39,6 +40,7 @@
 	s.Grace = jsondoc.Duration(DefaultGrace)
 	s.Store.SetDefaults()
 	s.Log.SetDefaults()
+	s.Trace.SetDefaults()
 }
 
 // LineCallers is the listener for callers.
@@ -122,6 +124,7 @@
 	c.address("promoter.address", s.Promoter.Address)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.form", s.Log.Form, "json", "text")
+	c.checkTrace(&s.Trace)
 	if !s.Peer.Insecure {
 		source.Add("peer.insecure", "must be true: mutual TLS is not available with the line protocol")
 	}
--- a/test/line/cluster_test.go
+++ b/test/line/cluster_test.go
@@ -12,6 +12,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/linenode"
@@ -30,6 +31,8 @@
 	grace time.Duration
 	// spread puts the VMs into the zones of the upstreams in turn.
 	spread bool
+	// tracer records spans if it is not nil.
+	tracer trace.Tracer
 }
 
 // zone returns the zone of a VM.
@@ -106,7 +109,7 @@
 		Store:    platform.NewStore(f.Store.Address(), time.Second, time.Second, registry),
 		Promoter: platform.NewPromoter(f.Store.Address(), time.Second, vm, registry),
 		Formats:  platform.Formats(),
-		Grace:    f.grace, Log: zerolog.New(io.Discard), Registry: registry,
+		Grace:    f.grace, Log: zerolog.New(io.Discard), Registry: registry, Tracer: f.tracer,
 	})
 	n.Start()
 	f.nodes = append(f.nodes, n)
--- a/test/line/holders_test.go
+++ b/test/line/holders_test.go
@@ -4,6 +4,10 @@
 	"testing"
 	"time"
 
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
 )
@@ -12,11 +16,17 @@
 const manyVMs = 15
 
 func newLargeFixture(t *testing.T) *fixture {
+	t.Helper()
+	return startLarge(t, nil)
+}
+
+func startLarge(t *testing.T, tracer trace.Tracer) *fixture {
 	t.Helper()
 	f := unopened(t, linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond})
 	// Where this process gets little time, VMs hear from few others and take a
 	// small part of the rate; these tests are not about that.
 	f.Rate = 0
+	f.tracer = tracer
 	f.Open()
 	f.spread = true
 	f.grace = 4 * time.Second
@@ -63,3 +73,28 @@
 	f := newLargeFixture(t)
 	checkSessionValues(t, f)
 }
+
+// Guards against a hop without a span, and against spans outside the caller's trace.
+func TestSpansOfAllHops(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	f := startLarge(t, sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)).Tracer("test"))
+	f.Await("a statement passes all hops", func() bool {
+		for vm := range f.nodes {
+			f.dial(vm, "own").Query("READ item")
+		}
+		hops := map[string]map[string]bool{}
+		for _, span := range recorder.Ended() {
+			id := span.SpanContext().TraceID().String()
+			if hops[id] == nil {
+				hops[id] = map[string]bool{}
+			}
+			hops[id][span.Name()] = true
+		}
+		for _, names := range hops {
+			if names["caller"] && names["holder"] && names["upstream"] {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -5,8 +5,12 @@
 	"errors"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/telemetry"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
 
@@ -14,7 +18,18 @@
 const suspectAfter = 200 * time.Millisecond
 
 // Local runs statements over this VM's own connections.
-type Local struct{ Knowledge Knowledge }
+type Local struct {
+	Knowledge Knowledge
+	// Tracer records a span for each statement; nil records none.
+	Tracer trace.Tracer
+}
+
+// upstreamSpan names the hop to an upstream.
+const upstreamSpan = "upstream"
+
+func (l *Local) startHop(parent string, id model.UpstreamID) telemetry.Hop {
+	return telemetry.StartHop(l.Tracer, parent, upstreamSpan, attribute.String("chervilhatch.upstream", string(id)))
+}
 
 // Run runs a statement outside of a transaction.
 func (l *Local) Run(r *Request) (Outcome, error) {
@@ -30,7 +45,9 @@
 		return Outcome{}, err
 	}
 	asked, start := l.Knowledge.Now(), time.Now()
+	hop := l.startHop(r.TraceParent, r.Upstream)
 	o.Answer, err = l.send(conn, r, text)
+	hop.End(err)
 	pool.Release(conn, err == nil && o.Ready.State == lineproto.Idle)
 	if err != nil {
 		l.failed(r.Upstream, err)
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -42,9 +42,11 @@
 		begin = after(o.Floor, "BEGIN READ")
 	}
 	asked := l.Knowledge.Now()
+	hop := l.startHop(r.TraceParent, r.Upstream)
 	stop := l.watch(r.Upstream)
 	o.Answer, err = conn.Query(r.Deadline, lineproto.OwnID, begin)
 	stop()
+	hop.End(err)
 	if err != nil {
 		pool.Release(conn, false)
 		l.failed(r.Upstream, err)
@@ -73,7 +75,9 @@
 // had no slot and has kept the transaction open.
 func (x *localTx) Send(r *TxRequest) (upstreampool.Answer, error) {
 	asked := x.local.Knowledge.Now()
+	hop := x.local.startHop(r.TraceParent, x.Upstream)
 	a, err := x.send(r)
+	hop.End(err)
 	if err != nil {
 		x.Discard()
 		x.local.failed(x.Upstream, err)
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -61,6 +61,8 @@
 	// least: the session's last commit where the route promises that.
 	Bound    time.Duration
 	Position model.Position
+	// TraceParent is the W3C trace context of the last hop, empty without traces.
+	TraceParent string
 }
 
 // Request is one statement outside of a transaction.
@@ -99,6 +101,8 @@
 	// Wait bounds the wait for a slot, Deadline ends the statement.
 	Wait     time.Duration
 	Deadline time.Time
+	// TraceParent is as in Place.
+	TraceParent string
 }
 
 // Knowledge is what runs need to know of the upstreams and report of them.
