Split the forwarder and the division of connections into files of their own

What is known of holders (holderhealth.go) is apart from the choice of one (forward.go), and the division of connections (connections.go) from the cluster. One holderCall stands for what Run, Open and Send did three times. States of VMs that are no holders any more, and loads of upstreams that are gone, are dropped.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 lint:
 	go tool staticcheck $(PACKAGES)
 
-# Tests with an open entry in KNOWN-RED.txt are passed over and printed.
+# Tests with an open entry in KNOWN-RED.txt are passed over and printed. An entry has the lines "test: NAME",
+# "command:", "seen:" and "issue:".
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|')
 
 test:
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -21,15 +21,9 @@
 )
 
 const (
-	// leastReserved connections of an upstream's limit, or a tenth of it, are
-	// left for status queries and for VMs that come and go.
-	leastReserved = 2
-	reservedPart  = 10
 	// crossZoneCost is added to the load of an upstream in another zone, in
 	// milliseconds: the way there and back.
 	crossZoneCost = 2.0
-	// forwardedKept is how long a VM acts as a holder after a statement of another VM.
-	forwardedKept = 3 * time.Second
 	// isolatedAfter is how old the newest proof of most services is on a VM that
 	// counts as cut off.
 	isolatedAfter = 900 * time.Millisecond
@@ -248,6 +242,7 @@
 	case replicaset.EffectRemoved:
 		c.log.Info().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).Msg("upstream removed")
 		c.dropPool(e.Upstream)
+		c.forward.forget(e.Upstream)
 	case replicaset.EffectPrimary:
 		c.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Uint64("term", e.Term).Msg("primary changed")
 		if e.Upstream != "" && e.Term > 0 {
@@ -258,118 +253,6 @@
 	}
 }
 
-// setPool keeps the pool of an upstream whose phase changed and renews that of
-// one that started again or moved.
-func (c *cluster) setPool(m *replicaset.Member) {
-	pool := c.pools[m.ID]
-	if pool != nil && pool.Same(m.Address, m.Incarnation) {
-		return
-	}
-	c.dropPool(m.ID)
-	c.pools[m.ID] = upstreampool.New(upstreamOf(m), c.shareOf(m))
-}
-
-// upstreamOf returns where the pools of an upstream connect to.
-func upstreamOf(m *replicaset.Member) upstreampool.Upstream {
-	return upstreampool.Upstream{
-		ID: m.ID, Service: string(m.Service), Address: m.Address, Slots: m.Slots, Incarnation: m.Incarnation,
-	}
-}
-
-// setWarmup limits the statements to an upstream that is slow after its start:
-// each VM takes an even part of the service's rate.
-func (c *cluster) setWarmup(m *replicaset.Member) {
-	s := c.Catalog()
-	if s == nil || s.Service(m.Service) == nil || s.Service(m.Service).WarmupRate <= 0 {
-		return
-	}
-	rate := s.Service(m.Service).WarmupRate / float64(max(c.vms, 1))
-	c.log.Info().Str("upstream", string(m.ID)).Dur("cold", m.Cold).Float64("per_second", rate).Msg("upstream warms up")
-	c.pools[m.ID].SetWarmup(m.Cold, rate)
-}
-
-func (c *cluster) dropPool(id model.UpstreamID) {
-	if pool := c.pools[id]; pool != nil {
-		pool.Close()
-		delete(c.pools, id)
-		delete(c.forwardedAt, id)
-	}
-}
-
-// shareOf returns how many connections to an upstream this VM may open.
-func (c *cluster) shareOf(m *replicaset.Member) upstreampool.Share {
-	s := c.Catalog()
-	if s == nil || s.Service(m.Service) == nil || c.vms == 0 {
-		return upstreampool.Share{Base: 1, Most: 1}
-	}
-	limit := s.Service(m.Service).ConnectionLimit
-	limit -= max(leastReserved, limit/reservedPart)
-	return holderShare(limit, c.vms, c.rankOf(m))
-}
-
-// Ranks of a VM among those that hold an upstream's connections.
-const (
-	rankFirst = iota
-	rankSecond
-	rankNone
-)
-
-// rankOf returns this VM's rank for an upstream. A VM that others take for a
-// holder acts as one.
-func (c *cluster) rankOf(m *replicaset.Member) int {
-	rank := slices.IndexFunc(c.holdersOf(m.Zone, m.ID), func(h holderVM) bool { return h.vm == c.self })
-	at := c.forwardedAt[m.ID]
-	switch {
-	case rank >= 0:
-		return rank
-	case at != 0 && c.Now().Sub(at) < forwardedKept:
-		return rankSecond
-	}
-	return rankNone
-}
-
-// arrived notes a statement of another VM that takes this one for a holder.
-func (c *cluster) arrived(id model.UpstreamID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.Now()
-	first := c.forwardedAt[id] == 0 || now.Sub(c.forwardedAt[id]) >= forwardedKept
-	c.forwardedAt[id] = now
-	if m, ok := c.replicas.Member(id); ok && first {
-		c.pools[id].SetShare(c.shareOf(&m))
-	}
-}
-
-// holderShare divides the connections of an upstream by the rank of a VM. The
-// first holder has half, so that its connections of before a loss of power and
-// those of after fit in together; upstreams count the old ones for seconds. Of the
-// other half each further VM may have one at least. Where the VMs are too many for
-// that, they still may, since they use it only while they reach no holder.
-func holderShare(limit, vms, rank int) upstreampool.Share {
-	first := limit / 2
-	further := max(vms-holdersPerUpstream, 1)
-	direct := limit / 4
-	if further < limit-first {
-		direct = max(direct, further)
-	}
-	switch rank {
-	case rankFirst:
-		return upstreampool.Share{Base: first, Most: max(first, 1)}
-	case rankSecond:
-		return upstreampool.Share{Base: 0, Most: max(limit-first-direct, 1)}
-	}
-	return upstreampool.Share{Base: 0, Most: max(direct/further, 1)}
-}
-
-// reshare divides the connections anew.
-func (c *cluster) reshare() {
-	for id, pool := range c.pools {
-		if m, ok := c.replicas.Member(id); ok {
-			pool.SetShare(c.shareOf(&m))
-		}
-	}
-}
-
 // setMembers takes over the list of VMs, and those whose reports stand for all others.
 func (c *cluster) setMembers(vms, sources []model.VMID) {
 	c.mu.Lock()
@@ -416,24 +299,6 @@
 	return 0, nil
 }
 
-// trim closes connections that are no longer needed.
-func (c *cluster) trim() {
-	c.mu.Lock()
-	c.reshare()
-	pools := make([]*upstreampool.Pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		pools = append(pools, p)
-	}
-	c.mu.Unlock()
-	c.probes.trim()
-	open := 0
-	for _, p := range pools {
-		p.Trim()
-		open += p.Stats().Open
-	}
-	metrics.GetOrRegisterGauge("upstream.connections", c.registry).Update(int64(open))
-}
-
 func (c *cluster) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -8,8 +8,6 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/connectivity"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/holderlink"
@@ -18,20 +16,6 @@
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
-const (
-	// holderSilence is how long a holder may leave everything unanswered before
-	// it is checked; it is above what most statements take.
-	holderSilence = 250 * time.Millisecond
-	// holderDelay is how much longer than the holder itself an answer may take
-	// before the holder is checked.
-	holderDelay = 60 * time.Millisecond
-	// holderCheckTimeout is how long a check may take on a holder that is fit for
-	// use: a VM that is stopped, frozen or slow takes longer.
-	holderCheckTimeout = 60 * time.Millisecond
-	// holderCheckInterval is the pause between two checks.
-	holderCheckInterval = 150 * time.Millisecond
-)
-
 // forwarder runs statements over the connections of the upstream's holder, and
 // over this VM's own while no holder can be used.
 type forwarder struct {
@@ -45,15 +29,6 @@
 	loads   map[model.UpstreamID]*forwardedLoad
 }
 
-// holderState is what this VM knows of a holder, under the forwarder's mutex.
-type holderState struct {
-	// down holders get no new statements until a check succeeds.
-	down     bool
-	checking bool
-	// answeredAt is when the holder last answered.
-	answeredAt time.Time
-}
-
 func newForwarder(ctx context.Context, c *cluster, m *members, l *links) *forwarder {
 	return &forwarder{ctx: ctx, cluster: c, members: m, links: l, holders: map[model.VMID]*holderState{}, loads: map[model.UpstreamID]*forwardedLoad{}}
 }
@@ -64,22 +39,18 @@
 	if client == nil {
 		return f.cluster.local.Run(r)
 	}
-	asked, start := f.cluster.Now(), time.Now()
-	hop, forwarded := f.startHop(r.TraceParent, h), *r
-	forwarded.TraceParent = hop.TraceParent
-	stop := f.watch(h)
+	call, forwarded := f.begin(h, r.Upstream, r.TraceParent), *r
+	forwarded.TraceParent = call.span.TraceParent
 	o, report, err := client.Run(&forwarded)
-	stop()
-	hop.End(err)
-	f.heard(h, start, &report, err)
-	f.report(r.Upstream, err)
-	if err == nil {
-		o.Holder = h.vm
-		seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor, Committed: r.Write}
-		upstreamrun.Answered(f.cluster, &seen, &o.Answer)
-		f.load(r.Upstream, time.Since(start), &o, &report)
+	call.end(&report, err)
+	if err != nil {
+		return o, err
 	}
-	return o, err
+	o.Holder = h.vm
+	seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: call.asked, Floor: o.Floor, Committed: r.Write}
+	upstreamrun.Answered(f.cluster, &seen, &o.Answer)
+	f.load(r.Upstream, time.Since(call.start), &o, &report)
+	return o, nil
 }
 
 // Open starts a transaction on an upstream.
@@ -88,20 +59,15 @@
 	if client == nil {
 		return f.cluster.local.Open(r)
 	}
-	asked, start := f.cluster.Now(), time.Now()
-	hop, opening := f.startHop(r.TraceParent, h), *r
-	opening.TraceParent = hop.TraceParent
-	stop := f.watch(h)
+	call, opening := f.begin(h, r.Upstream, r.TraceParent), *r
+	opening.TraceParent = call.span.TraceParent
 	tx, o, report, err := client.Open(&opening)
-	stop()
-	hop.End(err)
-	f.heard(h, start, &report, err)
-	f.report(r.Upstream, err)
+	call.end(&report, err)
 	if err != nil {
 		return nil, o, err
 	}
 	o.Holder = h.vm
-	seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: asked, Floor: o.Floor}
+	seen := upstreamrun.Seen{Upstream: r.Upstream, AskedAt: call.asked, Floor: o.Floor}
 	upstreamrun.Answered(f.cluster, &seen, &o.Answer)
 	if tx == nil {
 		return nil, o, nil
@@ -111,6 +77,38 @@
 	return forwarded, o, nil
 }
 
+// holderCall is one call to a holder.
+type holderCall struct {
+	forwarder *forwarder
+	holder    holderVM
+	upstream  model.UpstreamID
+	// asked is a moment before the call, on the clock of the cluster.
+	asked     model.Time
+	start     time.Time
+	span      telemetry.Hop
+	stopWatch func()
+}
+
+// begin notes the start of a call; end has to be called after it.
+func (f *forwarder) begin(h holderVM, id model.UpstreamID, parent string) *holderCall {
+	return &holderCall{
+		forwarder: f, holder: h, upstream: id, asked: f.cluster.Now(), start: time.Now(),
+		span: f.startHop(parent, h), stopWatch: f.watch(h),
+	}
+}
+
+// end takes over what the answer, or its lack, tells about the holder, and what an
+// answered failure tells about the upstream.
+func (c *holderCall) end(r *holderlink.Report, err error) {
+	c.stopWatch()
+	c.span.End(err)
+	c.forwarder.heard(c.holder, c.start, r, err)
+	var unreachable *holderlink.UnreachableError
+	if err != nil && !errors.As(err, &unreachable) {
+		upstreamrun.Failed(c.forwarder.cluster, c.upstream, err)
+	}
+}
+
 // holderSpan names the hop to a holder.
 const holderSpan = "holder"
 
@@ -144,135 +142,6 @@
 	return f.members.holdersOf(m.Zone, id)
 }
 
-// usable returns the connection to a holder that is fit for use, or nil.
-func (f *forwarder) usable(h holderVM) *grpc.ClientConn {
-	f.mu.Lock()
-	down := f.state(h).down
-	f.mu.Unlock()
-	if down {
-		return nil
-	}
-	link, err := f.links.get(h.address)
-	if err != nil {
-		f.cluster.log.Error().Err(err).Str("address", h.address).Msg("holder cannot be called")
-		return nil
-	}
-	if link.GetState() != connectivity.Ready {
-		link.Connect()
-		return nil
-	}
-	return link
-}
-
-// state returns what is known of a holder, under the mutex.
-func (f *forwarder) state(h holderVM) *holderState {
-	s := f.holders[h.vm]
-	if s == nil {
-		s = &holderState{}
-		f.holders[h.vm] = s
-	}
-	return s
-}
-
-// watch has a holder checked if it leaves everything unanswered until the
-// returned function is called.
-func (f *forwarder) watch(h holderVM) (stop func()) {
-	start := time.Now()
-	timer := time.AfterFunc(holderSilence, func() {
-		f.mu.Lock()
-		silent := f.state(h).answeredAt.Before(start)
-		f.mu.Unlock()
-		if silent {
-			f.check(h)
-		}
-	})
-	return func() { timer.Stop() }
-}
-
-// heard takes over what an answer, or its lack, tells about a holder.
-func (f *forwarder) heard(h holderVM, start time.Time, r *holderlink.Report, err error) {
-	var unreachable *holderlink.UnreachableError
-	lost := errors.As(err, &unreachable)
-	took := time.Since(start)
-	f.mu.Lock()
-	s := f.state(h)
-	if lost && !unreachable.Timeout() || r.Stopping {
-		s.down = true
-	}
-	if !lost {
-		s.answeredAt = time.Now()
-	}
-	f.mu.Unlock()
-	if lost {
-		f.count("holder.lost")
-	}
-	if lost || r.Stopping || took-r.Spent > holderDelay {
-		f.check(h)
-	}
-}
-
-// check asks a holder until it answers in time and does not stop.
-func (f *forwarder) check(h holderVM) {
-	f.mu.Lock()
-	s := f.state(h)
-	busy := s.checking
-	s.checking = true
-	f.mu.Unlock()
-	if busy {
-		return
-	}
-	go func() {
-		fit := f.fit(h)
-		for !fit && f.ctx.Err() == nil {
-			f.setDown(h, true)
-			pause.For(f.ctx, holderCheckInterval)
-			fit = f.fit(h)
-		}
-		f.setDown(h, false)
-		f.mu.Lock()
-		s.checking = false
-		f.mu.Unlock()
-	}()
-}
-
-// fit reports whether a holder can be used, or is none any more.
-func (f *forwarder) fit(h holderVM) bool {
-	if !f.members.isHolder(h) {
-		return true
-	}
-	link, err := f.links.get(h.address)
-	if err != nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(f.ctx, holderCheckTimeout)
-	defer cancel()
-	stopping, err := holderlink.NewClient(h.vm, link).Check(ctx)
-	return err == nil && !stopping
-}
-
-// setDown notes whether a holder gets new statements.
-func (f *forwarder) setDown(h holderVM, down bool) {
-	f.mu.Lock()
-	s := f.state(h)
-	changed := s.down != down
-	s.down = down
-	if !down {
-		s.answeredAt = time.Now()
-	}
-	f.mu.Unlock()
-	if changed {
-		f.cluster.log.Info().Str("vm", string(h.vm)).Bool("down", down).Msg("holder of connections changed")
-	}
-}
-
-// report tells of an upstream that the holder could not reach.
-func (f *forwarder) report(id model.UpstreamID, err error) {
-	var unreachable *holderlink.UnreachableError
-	if err != nil && !errors.As(err, &unreachable) {
-		upstreamrun.Failed(f.cluster, id, err)
-	}
-}
-
 func (f *forwarder) count(name string) {
 	metrics.GetOrRegisterCounter(name, f.cluster.registry).Inc(1)
 }
@@ -280,7 +149,9 @@
 // run keeps the connections to holders open until ctx ends.
 func (f *forwarder) run(ctx context.Context) {
 	for pause.For(ctx, reconnectDelay) {
-		for _, h := range f.members.holders() {
+		holders := f.members.holders()
+		f.prune(holders)
+		for _, h := range holders {
 			if h.vm != f.cluster.self {
 				f.usable(h)
 			}
--- a/linenode/forwardload.go
+++ b/linenode/forwardload.go
@@ -66,3 +66,10 @@
 	}
 	return load
 }
+
+// forget drops what is known of an upstream that is gone.
+func (f *forwarder) forget(id model.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.loads, id)
+}
--- a/linenode/forwardtx.go
+++ b/linenode/forwardtx.go
@@ -18,19 +18,13 @@
 
 // Send runs a statement of the transaction.
 func (x *forwardedTx) Send(r *upstreamrun.TxRequest) (upstreampool.Answer, error) {
-	f := x.forwarder
-	asked, start := f.cluster.Now(), time.Now()
-	hop, forwarded := f.startHop(r.TraceParent, x.holder), *r
-	forwarded.TraceParent = hop.TraceParent
-	stop := f.watch(x.holder)
+	call, forwarded := x.forwarder.begin(x.holder, x.Upstream, r.TraceParent), *r
+	forwarded.TraceParent = call.span.TraceParent
 	a, err := x.Tx.Send(&forwarded)
-	stop()
-	hop.End(err)
+	call.end(&holderlink.Report{Spent: time.Since(call.start)}, err)
 	if err != nil {
-		f.heard(x.holder, start, &holderlink.Report{Spent: time.Since(start)}, err)
-		f.report(x.Upstream, err)
 		return a, err
 	}
-	x.Answered(f.cluster, asked, r, &a)
+	x.Answered(x.forwarder.cluster, call.asked, r, &a)
 	return a, nil
 }
