Test what answers and failures tell of upstreams, and the health of holders

The test of transactions found that a refused write counted as one that had been made: a later answer outside of the transaction would have been taken for proof of a commit. No path led there, since a transaction ends with its first error; the refused write no longer counts. Fails without the change.

--- /dev/null
+++ b/linenode/holderhealth_test.go
@@ -0,0 +1,116 @@
+package linenode
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/holderlink"
+	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+)
+
+// checkedHolder answers checks, slowly if told so.
+type checkedHolder struct {
+	vmlinkv1.UnimplementedHolderServer
+	slow     atomic.Bool
+	stopping atomic.Bool
+}
+
+func (h *checkedHolder) Check(context.Context, *vmlinkv1.CheckRequest) (*vmlinkv1.CheckResponse, error) {
+	if h.slow.Load() {
+		time.Sleep(2 * holderCheckTimeout)
+	}
+	return &vmlinkv1.CheckResponse{Stopping: h.stopping.Load()}, nil
+}
+
+// startHolder runs a holder and returns a forwarder that knows it.
+func startHolder(t *testing.T) (*checkedHolder, *forwarder, holderVM) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := &checkedHolder{}
+	server := grpc.NewServer()
+	vmlinkv1.RegisterHolderServer(server, served)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	o := Options{VM: "vm-1", Zone: "z", Log: zerolog.Nop(), Registry: metrics.NewRegistry()}
+	c := newCluster(o)
+	m := newMembers(o, c)
+	h := holderVM{vm: "vm-2", address: l.Addr().String()}
+	m.shape.holders = map[model.Zone][]holderVM{"z": {h}}
+	links := newLinks()
+	t.Cleanup(func() { links.retain(nil) })
+	return served, newForwarder(ctx, c, m, links), h
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// Guards against a holder that goes on getting statements although it is slow,
+// stops or leaves everything unanswered, and against one that gets none afterwards.
+func TestUnfitHolderGetsNothingUntilItIsFit(t *testing.T) {
+	served, f, h := startHolder(t)
+	usable := func() bool { return f.usable(h) != nil }
+	unusable := func() bool { return f.usable(h) == nil }
+	await(t, "connected", usable)
+
+	served.slow.Store(true)
+	f.heard(h, time.Now().Add(-2*holderDelay), &holderlink.Report{}, nil)
+	await(t, "slow holder left alone", unusable)
+	served.slow.Store(false)
+	await(t, "used again", usable)
+
+	served.stopping.Store(true)
+	f.heard(h, time.Now(), &holderlink.Report{Stopping: true}, nil)
+	if !unusable() {
+		t.Error("a holder that stops is used")
+	}
+	time.Sleep(2 * holderCheckInterval)
+	if !unusable() {
+		t.Error("a holder that still stops is used again")
+	}
+	served.stopping.Store(false)
+	await(t, "used again", usable)
+
+	served.slow.Store(true)
+	stop := f.watch(h)
+	defer stop()
+	await(t, "silent holder left alone", unusable)
+	served.slow.Store(false)
+	await(t, "used again", usable)
+}
+
+// Guards against a VM that waits for a holder which is no longer one.
+func TestFormerHolderIsNotChecked(t *testing.T) {
+	served, f, h := startHolder(t)
+	served.slow.Store(true)
+	f.members.mu.Lock()
+	f.members.shape.holders = nil
+	f.members.mu.Unlock()
+	f.check(h)
+	await(t, "check ended", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.state(h).checking
+	})
+	f.prune(nil)
+	if len(f.holders) != 0 {
+		t.Errorf("%d holders are remembered", len(f.holders))
+	}
+}
--- a/upstreamrun/report.go
+++ b/upstreamrun/report.go
@@ -54,7 +54,7 @@
 		committed := x.wrote && a.Ready.State == lineproto.Idle
 		Answered(k, &Seen{Upstream: x.Upstream, AskedAt: askedAt, Committed: committed}, a)
 	}
-	x.wrote = x.wrote || r.Write
+	x.wrote = x.wrote || r.Write && a.Code == ""
 }
 
 // Failed reports an upstream that could not be reached. A connection that broke
--- /dev/null
+++ b/upstreamrun/report_test.go
@@ -0,0 +1,126 @@
+package upstreamrun
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/upstreampool"
+)
+
+// recorder keeps what is reported.
+type recorder struct {
+	events   []replicaset.Event
+	suspects int
+}
+
+func (r *recorder) Now() model.Time                          { return 1 }
+func (r *recorder) Observe(ev *replicaset.Event)             { r.events = append(r.events, *ev) }
+func (r *recorder) Suspect(model.UpstreamID)                 { r.suspects++ }
+func (r *recorder) Pool(model.UpstreamID) *upstreampool.Pool { return nil }
+func (r *recorder) Floor(catalog.Service, time.Duration, model.Position) (model.Position, time.Duration, bool) {
+	return model.Position{}, 0, false
+}
+
+func answer(code lineproto.Code, state lineproto.TxState) *upstreampool.Answer {
+	a := &upstreampool.Answer{Code: code}
+	a.Ready.State = state
+	a.Ready.Position = model.Position{Pos: 7}
+	return a
+}
+
+// Guards against answers that are taken for proof of a commit, or of a lost role,
+// which they are not.
+func TestWhatAnswersTell(t *testing.T) {
+	floor := model.Position{Pos: 5}
+	for _, tt := range []struct {
+		name      string
+		committed bool
+		code      lineproto.Code
+		want      []replicaset.EventKind
+	}{
+		{"read", false, "", []replicaset.EventKind{replicaset.EventServed}},
+		{"write", true, "", []replicaset.EventKind{replicaset.EventCommitted}},
+		{"write refused by a replica", true, lineproto.ReadOnly, []replicaset.EventKind{replicaset.EventNotPrimary}},
+		{"replica behind", false, lineproto.Lagging, []replicaset.EventKind{replicaset.EventLagging}},
+		{"full", true, lineproto.Busy, nil},
+		{"failed", true, lineproto.Failed, nil},
+	} {
+		r := &recorder{}
+		Answered(r, &Seen{Upstream: "i-1", AskedAt: 3, Floor: floor, Committed: tt.committed}, answer(tt.code, lineproto.Idle))
+		var got []replicaset.EventKind
+		for _, ev := range r.events {
+			got = append(got, ev.Kind)
+			if ev.AskedAt != 3 || ev.Kind == replicaset.EventLagging && ev.Position != floor {
+				t.Errorf("%s: %+v", tt.name, ev)
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+			t.Errorf("%s: events %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a transaction whose reads count as commits, and against a replica
+// that counts as a lost primary because it refused a write of a read-only transaction.
+func TestWhatAnswersInTransactionsTell(t *testing.T) {
+	read, write := &TxRequest{}, &TxRequest{Statement: Statement{Write: true}}
+	commit := &TxRequest{}
+	r := &recorder{}
+	reading := TxProgress{Upstream: "i-1", ReadOnly: true}
+	reading.Answered(r, 1, read, answer("", lineproto.InTx))
+	reading.Answered(r, 1, write, answer(lineproto.ReadOnly, lineproto.TxFailed))
+	reading.Answered(r, 1, commit, answer("", lineproto.Idle))
+	writing := TxProgress{Upstream: "i-1"}
+	writing.Answered(r, 1, write, answer("", lineproto.InTx))
+	writing.Answered(r, 1, commit, answer("", lineproto.Idle))
+	var got []replicaset.EventKind
+	for _, ev := range r.events {
+		got = append(got, ev.Kind)
+	}
+	want := []replicaset.EventKind{
+		replicaset.EventServed, replicaset.EventServed, replicaset.EventServed, replicaset.EventCommitted,
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("events %v, want %v", got, want)
+	}
+}
+
+// Guards against an upstream that counts as unreachable because a connection broke
+// after it was made, or because no connection was free.
+func TestWhatFailuresTell(t *testing.T) {
+	broken := func(dialing bool, err error) error {
+		return &upstreampool.BrokenError{Upstream: "i-1", Dialing: dialing, Err: err}
+	}
+	for _, tt := range []struct {
+		name     string
+		err      error
+		kind     replicaset.EventKind
+		events   int
+		refused  bool
+		suspects int
+	}{
+		{"no connection", broken(true, errors.New("time limit")), replicaset.EventFailed, 1, false, 1},
+		{"nothing listens", broken(true, syscall.ECONNREFUSED), replicaset.EventFailed, 1, true, 1},
+		{"reset", broken(false, syscall.ECONNRESET), 0, 0, false, 1},
+		{"waited", upstreampool.ErrWaited, 0, 0, false, 0},
+		{"limit", &upstreampool.RefusedError{Upstream: "i-1", Code: lineproto.TooMany}, 0, 0, false, 0},
+		{"another one", &upstreampool.RefusedError{Upstream: "i-1", Code: lineproto.Misrouted, Text: "i-2"}, replicaset.EventReplaced, 1, false, 0},
+	} {
+		r := &recorder{}
+		Failed(r, "i-1", tt.err)
+		if len(r.events) != tt.events || r.suspects != tt.suspects {
+			t.Errorf("%s: events %v, %d checks", tt.name, r.events, r.suspects)
+			continue
+		}
+		if tt.events > 0 && (r.events[0].Kind != tt.kind || r.events[0].Refused != tt.refused) {
+			t.Errorf("%s: %+v", tt.name, r.events[0])
+		}
+	}
+}
