Let holders refuse what gets no new work, and keep warm-up rates with them

The holder now decides by what it knows itself; the statement is not run. - Nearly all statements for a cold upstream pass its first holder, which had only an even part of the warm-up rate. It has three quarters now.

--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -17,8 +17,18 @@
 		return Member{}, false
 	}
 	m := g.members[g.primary]
-	usable := !s.evacuated[m.Zone] && !g.exhausted(now, m) && !m.Failing()
-	return *m, usable
+	return *m, s.takesWork(now, g, m) && !m.Failing()
+}
+
+// TakesWork reports whether an upstream may get new work: it is known, its zone is
+// in service, and if it leaves, its last work is not over.
+func (s *State) TakesWork(now model.Time, id model.UpstreamID) bool {
+	m, g := s.member(id)
+	return m != nil && s.takesWork(now, g, m)
+}
+
+func (s *State) takesWork(now model.Time, g *group, m *Member) bool {
+	return !s.evacuated[m.Zone] && !g.exhausted(now, m)
 }
 
 // exhausted reports whether a leaving upstream has had its last work.
@@ -54,7 +64,7 @@
 	list := make([]Candidate, 0, len(g.members))
 	for _, id := range g.ids() {
 		m := g.members[id]
-		if s.evacuated[m.Zone] || m.missingSince != 0 && now.Sub(m.missingSince) > missingGrace/2 || g.exhausted(now, m) {
+		if !s.takesWork(now, g, m) || m.missingSince != 0 && now.Sub(m.missingSince) > missingGrace/2 {
 			continue
 		}
 		list = append(list, Candidate{Member: *m, rank: g.rank(now, m, floor), load: load(m)})
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -338,3 +338,23 @@
 		t.Error("the group stays incomplete")
 	}
 }
+
+// Guards against new work for an upstream of a zone out of service, for one whose
+// last work is over, and for one that is not known.
+func TestTakesWork(t *testing.T) {
+	s := New()
+	registrations := []Registration{
+		{ID: "stays", Service: "db", Zone: "a"}, {ID: "leaves", Service: "db", Zone: "b", Leaving: true}, {ID: "out", Service: "db", Zone: "c"},
+	}
+	start := model.Time(time.Hour)
+	s.Apply(start, &Event{Kind: EventRegistrations, Registrations: registrations, AskedAt: start}, nil)
+	s.Apply(start, &Event{Kind: EventEvacuations, Zones: []model.Zone{"c"}}, nil)
+	later := start.Add(lastWorkAfterNotice + time.Millisecond)
+	for id, want := range map[model.UpstreamID][2]bool{
+		"stays": {true, true}, "leaves": {true, false}, "out": {false, false}, "unknown": {false, false},
+	} {
+		if got := [2]bool{s.TakesWork(start, id), s.TakesWork(later, id)}; got != want {
+			t.Errorf("%s: takes work %v, want %v", id, got, want)
+		}
+	}
+}
--- a/holderlink/server.go
+++ b/holderlink/server.go
@@ -27,8 +27,9 @@
 
 	// Local runs statements over this VM's connections.
 	Local *upstreamrun.Local
-	// Arrived is told of each statement and transaction for an upstream.
-	Arrived func(model.UpstreamID)
+	// Admit is asked before each statement and transaction for an upstream; those
+	// that it refuses are not run.
+	Admit func(model.UpstreamID) error
 	// Stopping reports whether this VM stops soon.
 	Stopping func() bool
 
@@ -64,8 +65,11 @@
 	if request.Mode > upstreamrun.ModePrimary {
 		return nil, status.Error(codes.InvalidArgument, "unknown mode")
 	}
-	s.Arrived(request.Upstream)
-	o, err := s.Local.Run(&request)
+	var o upstreamrun.Outcome
+	err := s.Admit(request.Upstream)
+	if err == nil {
+		o, err = s.Local.Run(&request)
+	}
 	return s.response(request.Upstream, start, &o, err), nil
 }
 
@@ -96,8 +100,11 @@
 		Place: fromPlace(open.GetPlace()), ReadOnly: open.GetReadOnly(), Session: fromSession(open.GetSession()),
 		IdleLimit: microseconds(open.GetIdleLimitUs()),
 	}
-	s.Arrived(request.Upstream)
-	tx, o, err := s.Local.Open(&request)
+	var tx upstreamrun.Tx
+	var o upstreamrun.Outcome
+	if err = s.Admit(request.Upstream); err == nil {
+		tx, o, err = s.Local.Open(&request)
+	}
 	if tx != nil {
 		defer tx.Discard()
 	}
--- a/linenode/connections.go
+++ b/linenode/connections.go
@@ -16,6 +16,9 @@
 	// left for status queries and for VMs that come and go.
 	leastReserved = 2
 	reservedPart  = 10
+	// firstWarmupPart is the part of a warm-up rate that the first holder uses; the
+	// others need some for when they cannot reach it.
+	firstWarmupPart = 0.75
 	// forwardedKept is how long a VM acts as a holder after a statement of another VM.
 	forwardedKept = 3 * time.Second
 )
@@ -38,18 +41,30 @@
 	}
 }
 
-// setWarmup limits the statements to an upstream that is slow after its start:
-// each VM takes an even part of the service's rate.
+// setWarmup limits the statements to an upstream that is slow after its start to
+// this VM's part of the service's rate.
 func (c *cluster) setWarmup(m *replicaset.Member) {
 	s := c.Catalog()
 	if s == nil || s.Service(m.Service) == nil || s.Service(m.Service).WarmupRate <= 0 {
 		return
 	}
-	rate := s.Service(m.Service).WarmupRate / float64(max(c.vms, 1))
+	rate := s.Service(m.Service).WarmupRate * warmupPart(c.vms, c.rankOf(m))
 	c.log.Info().Str("upstream", string(m.ID)).Dur("cold", m.Cold).Float64("per_second", rate).Msg("upstream warms up")
 	c.pools[m.ID].SetWarmup(m.Cold, rate)
 }
 
+// warmupPart returns the part of a warm-up rate that a VM of a rank may use. Nearly
+// all statements pass the first holder; the parts of all VMs add up to one at most.
+func warmupPart(vms, rank int) float64 {
+	switch rank {
+	case rankFirst:
+		return firstWarmupPart
+	case rankSecond:
+		return (1 - firstWarmupPart) / 2
+	}
+	return (1 - firstWarmupPart) / 2 / float64(max(vms-holdersPerUpstream, 1))
+}
+
 func (c *cluster) dropPool(id model.UpstreamID) {
 	if pool := c.pools[id]; pool != nil {
 		pool.Close()
@@ -90,16 +105,21 @@
 	return rankNone
 }
 
-// arrived notes a statement of another VM that takes this one for a holder.
-func (c *cluster) arrived(id model.UpstreamID) {
+// admitForwarded notes new work of another VM that takes this one for a holder. It
+// fails if the upstream gets no new work; the other VM may not know yet.
+func (c *cluster) admitForwarded(id model.UpstreamID) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
+	if !c.replicas.TakesWork(now, id) {
+		return upstreampool.ErrClosed
+	}
 	first := c.forwardedAt[id] == 0 || now.Sub(c.forwardedAt[id]) >= forwardedKept
 	c.forwardedAt[id] = now
 	if m, ok := c.replicas.Member(id); ok && first {
 		c.pools[id].SetShare(c.shareOf(&m))
 	}
+	return nil
 }
 
 // holderShare divides the connections of an upstream by the rank of a VM. The
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -62,7 +62,7 @@
 	links := newLinks()
 	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.duty, links)
 	n.forward = newForwarder(ctx, n.cluster, n.members, links)
-	n.holder = &holderlink.Server{Local: &n.cluster.local, Arrived: n.cluster.arrived, Stopping: n.stopping.Load}
+	n.holder = &holderlink.Server{Local: &n.cluster.local, Admit: n.cluster.admitForwarded, Stopping: n.stopping.Load}
 	n.cluster.forward = n.forward
 	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -80,8 +80,6 @@
 	// firstWatchDelay is the pause between the first read of what the operators
 	// have written and the watch; hubs answer within it.
 	firstWatchDelay = 300 * time.Millisecond
-	// memberTTL is how long the entry of a VM outlives its last renewal,
-	// which comes every renewInterval.
 	// settleTime is within which VMs that start together have written their
 	// entries.
 	settleTime = 400 * time.Millisecond
@@ -89,7 +87,9 @@
 	// a hub; it is above the usual length of a VM's trouble with the store.
 	missingFor = 15 * time.Second
 	// learnedFor is how long a VM that has spoken counts without an entry.
-	learnedFor    = 3 * time.Second
+	learnedFor = 3 * time.Second
+	// memberTTL is how long the entry of a VM outlives its last renewal,
+	// which comes every renewInterval.
 	memberTTL     = 5 * time.Second
 	renewInterval = 1500 * time.Millisecond
 	// observeInterval is how often a VM asks its peers.
