--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -101,19 +101,20 @@
 
 func nodeOptions(s *settings.Line, log zerolog.Logger, registry metrics.Registry) linenode.Options {
 	return linenode.Options{
-		VM:          s.VM.ID,
-		Zone:        s.VM.Zone,
-		Capacity:    s.VM.Capacity,
-		PeerAddress: s.Peer.Address(),
-		Seeds:       s.Peer.Seeds,
-		Store:       platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
-		Promoter:    platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
-		Formats:     platform.Formats(),
-		MaxSessions: max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
-		Grace:       s.Grace.Std(),
-		Log:         log,
-		Registry:    registry,
-		Tracer:      telemetry.Tracer(),
+		VM:            s.VM.ID,
+		Zone:          s.VM.Zone,
+		Capacity:      s.VM.Capacity,
+		PeerAddress:   s.Peer.Address(),
+		Seeds:         s.Peer.Seeds,
+		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
+		Promoter:      platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
+		Formats:       platform.Formats(),
+		TokensChecked: s.Promoter.ChecksTokens,
+		MaxSessions:   max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
+		Grace:         s.Grace.Std(),
+		Log:           log,
+		Registry:      registry,
+		Tracer:        telemetry.Tracer(),
 	}
 }
 
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -12,8 +13,9 @@
 
 // The model runs a State against a simulated platform with three upstreams, in
 // steps of stepDuration. Each command and promotion call may be lost, executed
-// without a reply, or executed late; the primary and the lease holder may crash.
-// A scenario determines a run completely, so the tests enumerate all scenarios.
+// without a reply, or executed late; the primary and the lease holder may crash. A VM
+// that uses the primary as long as it is confirmed may be cut off from the lease holder.
+// A former primary serves on until it steps down. A scenario determines a run completely, so the tests enumerate all scenarios.
 const (
 	stepDuration = 100 * time.Millisecond
 	stepsPerRun  = 75
@@ -56,14 +58,25 @@
 	// deliveries are the faults by the sequence number of the command or call;
 	// all others are delivered.
 	deliveries map[int]delivery
+	// vmCutStep is the step from which the VM that uses the primary is cut off from the
+	// lease holder, and vmCutSteps for how long.
+	vmCutStep  int
+	vmCutSteps int
+	// fencesUnchecked is true if the platform accepts every fencing token.
+	fencesUnchecked bool
 	// ignoresFence injects a bug: replica c receives commits while it is fenced.
 	ignoresFence bool
+	// ignoresConfirmations injects a bug: the VM uses the primary that it was last told
+	// of, without a limit of time.
+	ignoresConfirmations bool
 }
 
 type modelUpstream struct {
 	received  int
 	fenceTerm uint64
 	alive     bool
+	// servesOn is true for a former primary that has not stepped down.
+	servesOn bool
 }
 
 type delayedEffect struct {
@@ -93,7 +106,13 @@
 	messagesSent int
 	members      map[model.UpstreamID]replicaset.Member
 	promotions   int
-	// violation describes the loss of an acknowledged commit, "" if none.
+	// records is what the store has of the last promotion.
+	records map[catalog.Service]Record
+	// vm is what the VM that uses the primary was last told, at vmAskedAt.
+	vm        Confirmation
+	vmAskedAt model.Time
+	// violation describes the loss of an acknowledged commit or the use of a former
+	// primary, "" if none.
 	violation string
 }
 
@@ -103,12 +122,13 @@
 	c := &modelCluster{
 		scenario: s, primary: "a", term: 1, upstreams: map[model.UpstreamID]*modelUpstream{},
 		holder: New(), revision: 1, members: map[model.UpstreamID]replicaset.Member{}, promotedAtStep: never,
+		records: map[catalog.Service]Record{},
 	}
 	for _, id := range upstreamIDs {
 		c.upstreams[id] = &modelUpstream{alive: true}
 		c.members[id] = replicaset.Member{Registration: replicaset.Registration{ID: id, Service: "db"}}
 	}
-	c.holder.Acquire(c.now(), c.revision)
+	c.holder.Acquire(c.now(), c.revision, maps.Clone(c.records))
 	return c
 }
 
@@ -124,6 +144,7 @@
 		c.injectFaults()
 		c.commit()
 		c.refreshMembers()
+		c.usePrimary()
 		if c.holder.Holding() {
 			for _, e := range c.holder.Tick(c.now(), c.input(), nil) {
 				c.deliver(e)
@@ -143,14 +164,14 @@
 		c.upstreams["a"].alive = false
 	}
 	if c.step == c.scenario.restartStep && !c.scenario.planned {
-		c.upstreams["a"].alive = true
+		c.upstreams["a"].alive, c.upstreams["a"].servesOn = true, false
 	}
 	if c.step == c.scenario.holderCrashStep {
 		c.holder = New()
 	}
 	if c.scenario.holderCrashStep != never && c.step == c.scenario.holderCrashStep+leaseExpirySteps {
 		c.revision++
-		c.holder.Acquire(c.now(), c.revision)
+		c.holder.Acquire(c.now(), c.revision, maps.Clone(c.records))
 	}
 	for _, d := range c.delayed {
 		if d.at == c.step {
@@ -200,6 +221,10 @@
 	if u.received < c.acknowledged {
 		c.violation = fmt.Sprintf("step %d: %s is promoted with %d of %d acknowledged commits", c.step, id, u.received, c.acknowledged)
 	}
+	if former := c.upstreams[c.primary]; former != nil && former.alive && c.primary != id {
+		former.servesOn = true
+	}
+	u.servesOn = false
 	c.primary = id
 	c.term++
 	c.promotions++
@@ -209,6 +234,40 @@
 	}
 }
 
+// vmCut reports whether the VM that uses the primary is cut off from the lease holder.
+func (c *modelCluster) vmCut() bool {
+	from := c.scenario.vmCutStep
+	return from != never && c.step >= from && c.step < from+c.scenario.vmCutSteps
+}
+
+// usePrimary makes the VM ask for a confirmation now and then, and use the primary as
+// long as it is confirmed. It checks that no other upstream has been promoted.
+func (c *modelCluster) usePrimary() {
+	if c.step%3 == 1 && !c.vmCut() {
+		for _, confirmed := range c.holder.Confirm(c.now(), modelVM) {
+			c.vm, c.vmAskedAt = confirmed, c.now()
+		}
+	}
+	confirmed := c.now().Sub(c.vmAskedAt) < ConfirmationTTL || c.scenario.ignoresConfirmations
+	if c.vm.Upstream != "" && confirmed && c.term > c.vm.Term && c.upstreams[c.vm.Upstream].servesOn {
+		c.violation = fmt.Sprintf("step %d: %s is used, but %q is the primary", c.step, c.vm.Upstream, c.primary)
+	}
+}
+
+// modelVM is the VM that uses the primary.
+const modelVM model.VMID = "vm"
+
+// withdraw ends the confirmation of the VM, unless the message is lost.
+func (c *modelCluster) withdraw(e *Effect) {
+	if c.vmCut() {
+		return
+	}
+	if !c.scenario.ignoresConfirmations {
+		c.vm = Confirmation{}
+	}
+	c.holder.ReportWithdrawn(e.Service, e.VM, e.SentAt)
+}
+
 // refreshMembers simulates the lease holder's regular status queries.
 func (c *modelCluster) refreshMembers() {
 	for _, id := range upstreamIDs {
@@ -235,9 +294,12 @@
 	m.FailedSince = 0
 	m.ContactAt, m.StatusAt = c.now(), c.now()
 	m.Status = replicaset.Status{
-		Primary: c.primary == id, Term: c.term, FencedTerm: u.fenceTerm,
+		Primary: c.primary == id || u.servesOn, Term: c.term, FencedTerm: u.fenceTerm,
 		Received: model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(u.received)},
 	}
+	if u.servesOn {
+		m.Status.Term = c.term - 1
+	}
 	c.members[id] = m
 }
 
@@ -255,12 +317,18 @@
 		Evacuated:    func(model.Zone) bool { return false },
 		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
 		Evidence:     func(catalog.Service) (replicaset.Evidence, bool) { return replicaset.Evidence{}, false },
-		SyncReplicas: func(catalog.Service) int { return 1 },
+		SyncReplicas: func(catalog.Service) int { return 1 }, FencesChecked: !c.scenario.fencesUnchecked,
 	}
 }
 
 // deliver sends a command or a promotion call, subject to the scenario's faults.
 func (c *modelCluster) deliver(e Effect) {
+	switch e.Kind {
+	case EffectWithdraw:
+		c.withdraw(&e)
+	case EffectPromote, EffectRecord:
+		c.records[e.Service] = e.Record
+	}
 	if e.Kind != EffectCommand && e.Kind != EffectPromote {
 		return
 	}
@@ -302,10 +370,10 @@
 func (c *modelCluster) execute(e *Effect) bool {
 	u := c.upstreams[e.Upstream]
 	if e.Kind == EffectPromote {
-		if e.Token < c.highestToken || !u.alive {
+		if e.Token < c.highestToken && !c.scenario.fencesUnchecked || !u.alive {
 			return false
 		}
-		c.highestToken = e.Token
+		c.highestToken = max(c.highestToken, e.Token)
 		if c.primary != e.Upstream {
 			c.promoting, c.promotedAtStep = e.Upstream, c.step+promoteSteps
 		}
@@ -325,6 +393,7 @@
 		if e.Term > c.term && c.primary == e.Upstream {
 			c.primary = ""
 		}
+		u.servesOn = u.servesOn && e.Term < c.term
 	}
 	return true
 }
@@ -342,7 +411,9 @@
 					if planned && restartStep != never {
 						continue
 					}
-					base := scenario{commitPattern: commitPattern, planned: planned, restartStep: restartStep, holderCrashStep: holderCrash}
+					base := scenario{
+						commitPattern: commitPattern, planned: planned, restartStep: restartStep, holderCrashStep: holderCrash, vmCutStep: never,
+					}
 					eachDelivery(base, fn)
 				}
 			}
@@ -350,6 +421,39 @@
 	}
 }
 
+// eachCutScenario calls fn with every scenario that has a VM cut off from the lease
+// holder and at most one delivery fault.
+func eachCutScenario(fn func(scenario)) {
+	for _, planned := range []bool{false, true} {
+		for _, unchecked := range []bool{false, true} {
+			for _, holderCrash := range []int{never, 9, 12, 16, 20} {
+				for cutStep := triggerStep - 3; cutStep < triggerStep+12; cutStep++ {
+					for _, cutSteps := range []int{4, 12, stepsPerRun} {
+						base := scenario{
+							planned: planned, restartStep: never, holderCrashStep: holderCrash,
+							vmCutStep: cutStep, vmCutSteps: cutSteps, fencesUnchecked: unchecked,
+						}
+						eachSingleDelivery(base, fn)
+					}
+				}
+			}
+		}
+	}
+}
+
+// eachSingleDelivery calls fn with base and with every placement of one delivery fault
+// in it.
+func eachSingleDelivery(base scenario, fn func(scenario)) {
+	fn(base)
+	for i := range faultableMessages {
+		for x := dropped; x < deliveries; x++ {
+			one := base
+			one.deliveries = map[int]delivery{i: x}
+			fn(one)
+		}
+	}
+}
+
 // eachDelivery calls fn with base and with every placement of one or two delivery
 // faults in it.
 func eachDelivery(base scenario, fn func(scenario)) {
@@ -406,3 +510,40 @@
 		t.Error("no scenario detects that replica c ignores its fence")
 	}
 }
+
+// Guards against the use of a former primary that serves on, by a VM that is cut off
+// from the lease holder, with and without a platform that checks fencing tokens.
+func TestNoVMUsesAFormerPrimary(t *testing.T) {
+	runs, promoted := 0, 0
+	eachCutScenario(func(s scenario) {
+		violation, promotions := s.run()
+		runs++
+		if promotions > 0 {
+			promoted++
+		}
+		if violation != "" {
+			t.Fatalf("%s in scenario %+v", violation, s)
+		}
+	})
+	if promoted*2 < runs {
+		t.Errorf("the primary changed in only %d of %d scenarios", promoted, runs)
+	}
+	t.Logf("%d scenarios, the primary changed in %d", runs, promoted)
+}
+
+// Guards against a model that cannot detect the use of a former primary: a VM that
+// ignores the end of its confirmation must cause a violation.
+func TestModelDetectsIgnoredConfirmations(t *testing.T) {
+	found := false
+	eachCutScenario(func(s scenario) {
+		if found || !s.planned {
+			return
+		}
+		s.ignoresConfirmations = true
+		violation, _ := s.run()
+		found = violation != ""
+	})
+	if !found {
+		t.Error("no scenario detects a VM that ignores the end of its confirmation")
+	}
+}
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -41,7 +41,7 @@
 		m.ContactAt, m.StatusAt = h.now, h.now
 		h.view.Members = append(h.view.Members, m)
 	}
-	h.state.Acquire(h.now, 7)
+	h.state.Acquire(h.now, 7, nil)
 	h.advance(time.Second)
 	return h
 }
@@ -71,7 +71,7 @@
 			return h.evidence, h.evidence.At != 0
 		},
 		SyncReplicas: func(catalog.Service) int { return 1 },
-		Isolated:     h.isolated,
+		Isolated:     h.isolated, FencesChecked: true,
 	}
 	h.effects = h.state.Tick(h.now, &in, h.effects[:0])
 	for _, e := range h.effects {
@@ -297,7 +297,7 @@
 	if len(h.promoteCalls) != promoteCalls {
 		t.Error("a VM without the lease called the platform")
 	}
-	h.state.Acquire(h.now, 8)
+	h.state.Acquire(h.now, 8, nil)
 	h.advance(3 * time.Second)
 	if next := h.promoteCalls[len(h.promoteCalls)-1].Token; next <= last {
 		t.Errorf("the next holder's token %d follows %d", next, last)
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -20,6 +20,8 @@
 	lastIssuedToken uint64
 	// maxToken is the last token of the reserved range.
 	maxToken uint64
+	// records has what the store had of each service at the time of the acquisition.
+	records  map[catalog.Service]Record
 	services map[catalog.Service]*serviceState
 }
 
@@ -40,14 +42,44 @@
 	// 0 if there is none.
 	orphanedFenceSince model.Time
 	lastCommandAt      map[model.UpstreamID]model.Time
+
+	// record is the last promotion of the service. callPending is true while its call
+	// may still be executed; calledAt is when it was sent, or when this VM learned of
+	// it, and unknownCalls the number of its calls whose outcome is not known.
+	record       Record
+	callPending  bool
+	calledAt     model.Time
+	unknownCalls int
+	// abandonedUntil is the time until which a call for another target than the last
+	// one may still be executed.
+	abandonedUntil model.Time
+	// confirmable is the primary that VMs may use, empty if none is confirmed.
+	// confirmedUntil has the time until which each VM may use it.
+	confirmable    Confirmation
+	confirmedUntil map[model.VMID]model.Time
+	// withdrawnAt is when VMs were last told that the primary is no longer confirmed.
+	withdrawnAt model.Time
+}
+
+func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
+	svc := &serviceState{
+		name: name, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
+		record: s.records[name],
+	}
+	if svc.record.Upstream != "" && !svc.record.Done {
+		svc.callPending, svc.calledAt, svc.unknownCalls = true, now, 1
+	}
+	return svc
 }
 
 // New returns the state of a VM that does not hold the lease.
 func New() *State { return &State{services: map[catalog.Service]*serviceState{}} }
 
 // Acquire records that this VM has acquired the lease. revision is unique to this
-// acquisition and higher than those of all earlier ones.
-func (s *State) Acquire(now model.Time, revision uint64) {
+// acquisition and higher than those of all earlier ones. records are those in the
+// store, read after the acquisition.
+func (s *State) Acquire(now model.Time, revision uint64, records map[catalog.Service]Record) {
+	s.records = records
 	s.holding, s.acquiredAt = true, now
 	s.lastIssuedToken = revision * tokensPerLease
 	s.maxToken = s.lastIssuedToken + tokensPerLease - 1
@@ -90,8 +122,11 @@
 	if svc == nil {
 		return
 	}
+	if o == OutcomeRefused || o == OutcomeRejected {
+		svc.unknownCalls--
+	}
 	if t := svc.transition; t != nil && t.token == token {
-		t.handleOutcome(now, o)
+		t.handleOutcome(o)
 	}
 }
 
@@ -104,10 +139,12 @@
 		v := &in.Views[i]
 		svc := s.services[v.Service]
 		if svc == nil {
-			svc = &serviceState{name: v.Service, lastCommandAt: map[model.UpstreamID]model.Time{}}
+			svc = s.newService(now, v.Service)
 			s.services[v.Service] = svc
 		}
+		out = svc.settle(now, v, out)
 		out = s.tickService(now, svc, v, in, out)
+		s.updateConfirmable(now, svc, v, in)
 	}
 	return out
 }
@@ -119,18 +156,19 @@
 	if svc.transition != nil {
 		return s.advance(now, svc, v, in, out)
 	}
+	out = svc.stepDownFormerPrimaries(now, v, out)
 	if now < svc.backoffUntil {
 		return out
 	}
 	cause, planned := s.transitionCause(now, svc, v, in)
 	if cause == "" {
-		return s.releaseOrphanedFences(now, svc, v, out)
+		return s.releaseOrphanedFences(now, svc, v, in, out)
 	}
 	t := &transition{planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1}
 	for i := range v.Members {
 		t.initialMembers = append(t.initialMembers, v.Members[i].ID)
 	}
-	if planned && !t.selectSwitchoverTarget(now, v, in) {
+	if planned && !t.selectSwitchoverTarget(now, svc, v, in) {
 		return out
 	}
 	svc.transition = t
@@ -203,6 +241,9 @@
 	if primaryLost(now, m, in) {
 		return "primary lost", false
 	}
+	if target := findMember(v, svc.record.Upstream); svc.callPending && target != nil && target.ID != v.Primary && reachable(now, target) {
+		return causeUnfinished, true
+	}
 	if m.Leaving {
 		return "primary leaves", true
 	}
@@ -259,11 +300,27 @@
 	return m.FailedSince == 0 && m.ContactAt != 0 && now.Sub(m.ContactAt) < contactMaxAge
 }
 
+// stepDownFormerPrimaries tells upstreams that still act as the primary of an earlier
+// term to step down.
+func (svc *serviceState) stepDownFormerPrimaries(now model.Time, v *replicaset.View, out []Effect) []Effect {
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.ID != v.Primary && m.Status.Primary && m.Status.Term < v.PrimaryTerm && m.FailedSince == 0 {
+			out = svc.sendCommand(now, m.ID, CommandStepDown, v.PrimaryTerm, commandRetryInterval, out)
+		}
+	}
+	return out
+}
+
 // releaseOrphanedFences releases fences that an earlier transition left behind. A
-// promotion call of an earlier lease holder may still be executed, so the current
-// primary is promoted again first. This changes nothing but the fencing token that
-// later calls must exceed.
-func (s *State) releaseOrphanedFences(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
+// promotion call of an earlier lease holder may still be executed. If the platform
+// checks fencing tokens, the current primary is promoted again first, which changes
+// nothing but the token that later calls must exceed. Otherwise the fences are kept
+// until the call can no longer be executed.
+func (s *State) releaseOrphanedFences(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
+	if svc.callPending && !in.FencesChecked {
+		return out
+	}
 	primary := findMember(v, v.Primary)
 	fenced := false
 	for i := range v.Members {
@@ -275,6 +332,9 @@
 	}
 	if svc.orphanedFenceSince == 0 {
 		svc.orphanedFenceSince = now
+		if !in.FencesChecked {
+			return out
+		}
 		return append(out, Effect{Kind: EffectPromote, Service: svc.name, Upstream: v.Primary, Token: s.token()})
 	}
 	if now.Sub(svc.orphanedFenceSince) < orphanedFenceTimeout {
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -44,7 +44,7 @@
 }
 
 // handleOutcome records the outcome of the last promotion call.
-func (t *transition) handleOutcome(_ model.Time, o Outcome) {
+func (t *transition) handleOutcome(o Outcome) {
 	switch o {
 	case OutcomeAccepted:
 		t.accepted = true
@@ -63,9 +63,9 @@
 	case phaseFence:
 		return s.fence(now, svc, v, in, out)
 	case phasePromote:
-		return s.promote(now, svc, v, out)
+		return s.promote(now, svc, v, in, out)
 	}
-	return s.unfence(now, svc, v, out)
+	return svc.unfence(now, v, out)
 }
 
 func (t *transition) enterPhase(now model.Time, p phase) { t.phase, t.phaseStartedAt = p, now }
@@ -83,10 +83,14 @@
 	})
 }
 
-// selectSwitchoverTarget selects the target of a switchover: the most advanced
-// reachable replica that is not leaving and not in an evacuated zone. It returns
-// false if there is none.
-func (t *transition) selectSwitchoverTarget(now model.Time, v *replicaset.View, in *Input) bool {
+// selectSwitchoverTarget selects the target of a switchover: the target of a promotion
+// call that is still pending, otherwise the most advanced reachable replica that is not
+// leaving and not in an evacuated zone. It returns false if there is none.
+func (t *transition) selectSwitchoverTarget(now model.Time, svc *serviceState, v *replicaset.View, in *Input) bool {
+	if t.cause == causeUnfinished {
+		t.target = svc.record.Upstream
+		return true
+	}
 	var best *replicaset.Member
 	for i := range v.Members {
 		c := &v.Members[i]
@@ -121,20 +125,49 @@
 	if !t.planned {
 		target = t.failoverTarget(v, in, svc)
 	}
-	if target == nil {
+	out = svc.withdraw(now, out)
+	if target == nil || !s.confirmationsEnded(now, svc) && !t.oldPrimarySteppedDown(v) {
 		return svc.fenceReplicas(now, v, out)
 	}
 	t.target, t.token = target.ID, s.token()
-	t.promoteSentAt, t.accepted, t.refused = now, false, false
+	t.accepted, t.refused = false, false
 	t.enterPhase(now, phasePromote)
-	return append(out,
-		Effect{Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm},
-		Effect{Kind: EffectPromote, Service: svc.name, Upstream: t.target, Token: t.token},
-	)
+	out = append(out, Effect{
+		Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm,
+	})
+	return svc.callPromote(now, v, in, out)
 }
 
-// causeStalled is the cause of a failover due to stalled replication.
-const causeStalled = "replicas receive nothing"
+// callPromote calls the platform to promote the target of the transition.
+func (svc *serviceState) callPromote(now model.Time, v *replicaset.View, in *Input, out []Effect) []Effect {
+	t := svc.transition
+	t.promoteSentAt = now
+	retargeted := svc.callPending && svc.record.Upstream != t.target
+	if retargeted && !in.FencesChecked {
+		svc.abandonedUntil = now.Add(lateCallTimeout)
+	}
+	if !svc.callPending || retargeted {
+		svc.record = Record{Upstream: t.target, Term: v.PrimaryTerm}
+	}
+	svc.callPending, svc.calledAt = true, now
+	svc.unknownCalls++
+	return append(out, Effect{Kind: EffectPromote, Service: svc.name, Upstream: t.target, Token: t.token, Record: svc.record})
+}
+
+// Causes of transitions that are treated differently from others.
+const (
+	causeStalled = "replicas receive nothing"
+	// causeUnfinished: a promotion call of an earlier transition may still be
+	// executed, so the promotion is completed.
+	causeUnfinished = "unfinished promotion"
+)
+
+// oldPrimarySteppedDown reports whether the old primary has confirmed during this
+// transition that it is a replica.
+func (t *transition) oldPrimarySteppedDown(v *replicaset.View) bool {
+	m := findMember(v, t.oldPrimary)
+	return m != nil && !m.Status.Primary && m.StatusAt >= t.startedAt && m.Status.Term != 0
+}
 
 // fenceReplicas fences the replicas that may still receive commits. In a switchover
 // the target keeps receiving, so that it gets all new commits. In a failover the
@@ -188,9 +221,9 @@
 // failoverTarget returns the upstream to promote once it is certain to have every
 // acknowledged commit, otherwise nil.
 func (t *transition) failoverTarget(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
-	best := t.mostAdvancedFenced(v, in)
+	best := t.mostAdvancedFenced(v, in, svc)
 	oldPrimary := findMember(v, t.oldPrimary)
-	steppedDown := oldPrimary != nil && !oldPrimary.Status.Primary && oldPrimary.StatusAt >= t.startedAt && oldPrimary.Status.Term != 0
+	steppedDown := t.oldPrimarySteppedDown(v)
 	// allFenced: no upstream is missing, and each one other than the old primary is
 	// fenced or had stopped before the newest evidence.
 	allFenced := t.allPresent(v)
@@ -237,10 +270,19 @@
 }
 
 // mostAdvancedFenced returns the fenced replica with the highest received position,
-// or nil if none is fenced. Among equals it prefers one that stays in service.
-func (t *transition) mostAdvancedFenced(v *replicaset.View, in *Input) *replicaset.Member {
+// or nil if none is fenced. Among equals it prefers the target of a promotion call that
+// is still pending, then one that stays in service.
+func (t *transition) mostAdvancedFenced(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	var best *replicaset.Member
-	stays := func(c *replicaset.Member) bool { return !c.Leaving && !in.Evacuated(c.Zone) }
+	preference := func(c *replicaset.Member) int {
+		switch {
+		case svc.callPending && c.ID == svc.record.Upstream:
+			return 2
+		case !c.Leaving && !in.Evacuated(c.Zone):
+			return 1
+		}
+		return 0
+	}
 	for i := range v.Members {
 		c := &v.Members[i]
 		if c.ID == t.oldPrimary || !t.fenced(c) {
@@ -251,7 +293,7 @@
 			continue
 		}
 		order := c.Status.Received.Compare(best.Status.Received)
-		if order > 0 || order == 0 && stays(c) && !stays(best) {
+		if order > 0 || order == 0 && preference(c) > preference(best) {
 			best = c
 		}
 	}
@@ -272,17 +314,20 @@
 
 // promote waits until the target is the primary, and retries the promotion call
 // while it is unanswered.
-func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
+func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
 	t := svc.transition
 	target := findMember(v, t.target)
 	if v.Primary == t.target && target.Status.Primary && target.StatusAt >= t.phaseStartedAt {
 		t.enterPhase(now, phaseUnfence)
-		return s.unfence(now, svc, v, out)
+		return svc.unfence(now, v, svc.recordPrimary(v, out))
 	}
 	if target == nil || t.refused || now.Sub(t.phaseStartedAt) > promoteTimeout {
 		// The next attempt uses a higher fencing token, so that this call can
-		// no longer be executed after it.
+		// no longer be executed after it if the platform checks tokens.
 		t.fenceTerm = highestTerm(v) + 1
+		if svc.unknownCalls <= 0 {
+			out = svc.recordPrimary(v, out)
+		}
 		if t.planned {
 			return svc.endTransition(now, "the promotion was refused", true, out)
 		}
@@ -290,15 +335,16 @@
 		return out
 	}
 	if !t.accepted && now.Sub(t.promoteSentAt) > promoteRetryInterval {
-		t.promoteSentAt = now
-		out = append(out, Effect{Kind: EffectPromote, Service: svc.name, Upstream: t.target, Token: t.token})
+		out = svc.callPromote(now, v, in, out)
 	}
 	return svc.sendCommand(now, t.target, CommandStatus, 0, statusPollInterval, out)
 }
 
-// unfence releases the fences and ends the transition.
-func (s *State) unfence(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
+// unfence releases the fences, tells the old primary to step down if it still serves,
+// and ends the transition.
+func (svc *serviceState) unfence(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
+	out = svc.stepDownFormerPrimaries(now, v, out)
 	remaining := 0
 	for i := range v.Members {
 		c := &v.Members[i]
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -12,6 +12,14 @@
 // acknowledged once one replica has received it. It is therefore safe to promote
 // the most advanced upstream once every replica that may have received a commit
 // is fenced, that is, receives no further commits.
+//
+// A former primary may continue to serve after a promotion. Statements that have to
+// see every commit, and writes, are therefore sent to a primary only while it is
+// confirmed: the lease holder tells each VM that asks which upstream is the primary,
+// and promotes no other one until the confirmation has ended, the VM has dropped it, or
+// the former primary has stepped down. A new lease holder first waits until those of
+// the former one have ended. It learns from the store which promotion call of the
+// former one may still be executed, and confirms no primary until that is settled.
 package promotion
 
 import (
@@ -115,8 +123,13 @@
 	// EffectCommand sends Command with Term to Upstream.
 	EffectCommand EffectKind = iota
 	// EffectPromote calls the platform to promote Upstream under the fencing
-	// token Token.
+	// token Token, after Record was written to the store.
 	EffectPromote
+	// EffectWithdraw tells VM that the primary of Service is no longer confirmed; the
+	// answer comes back with State.ReportWithdrawn.
+	EffectWithdraw
+	// EffectRecord writes Record to the store.
+	EffectRecord
 	// EffectTransitionStarted, EffectTargetSelected and EffectTransitionEnded
 	// report the progress of a transition, for the log.
 	EffectTransitionStarted
@@ -134,6 +147,10 @@
 	Command  CommandKind
 	Term     uint64
 	Token    uint64
+	Record   Record
+	// VM is the one that EffectWithdraw tells, and SentAt the time of the tick.
+	VM     model.VMID
+	SentAt model.Time
 	// Cause is why a transition started or ended.
 	Cause string
 	// Position is the log position that the selected target has received.
@@ -154,6 +171,9 @@
 	// SyncReplicas returns the number of replicas that must have received a
 	// commit before it is acknowledged.
 	SyncReplicas func(catalog.Service) int
+	// FencesChecked is true if the platform refuses promotion calls with a lower
+	// fencing token than it has seen for the service.
+	FencesChecked bool
 	// Isolated is true while this VM hears from less than half of the other VMs.
 	Isolated bool
 }
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -110,6 +110,15 @@
 	return slices.DeleteFunc(ids, func(id model.UpstreamID) bool { return id == g.lastPrimary })
 }
 
+// Upstreams returns the upstreams of a service.
+func (s *State) Upstreams(service catalog.Service) []model.UpstreamID {
+	g := s.groups[service]
+	if g == nil {
+		return nil
+	}
+	return g.ids()
+}
+
 // Evacuated reports whether a zone is evacuated, so that its upstreams get no new
 // requests.
 func (s *State) Evacuated(z model.Zone) bool { return s.evacuated[z] }
--- /dev/null
+++ b/core/replicaset/confirmation.go
@@ -0,0 +1,98 @@
+package replicaset
+
+import "github.com/chervilhatch/chervilhatch/core/model"
+
+// confirmation states that no other upstream becomes the primary before until than
+// the given one, the primary of term. A former primary may continue to serve after
+// a promotion, so that its own answers do not show whether it still is the primary.
+type confirmation struct {
+	upstream model.UpstreamID
+	term     uint64
+	until    model.Time
+}
+
+// ConfirmedUntil returns the time before which no other upstream than the given one
+// becomes the primary of its service; 0 if that is not known. It may be in the
+// future. A statement that arrived before it sees every commit that was acknowledged
+// before its arrival, even if it runs later.
+func (s *State) ConfirmedUntil(id model.UpstreamID) model.Time {
+	m, g := s.member(id)
+	if m == nil || g.confirmed.upstream != id || g.confirmed.term != g.primaryTerm {
+		return 0
+	}
+	return g.confirmed.until
+}
+
+// applyConfirmed applies a confirmation by the holder of the promotion lease. One
+// that was asked for before the last withdrawal is void.
+func (g *group) applyConfirmed(now model.Time, m *Member, ev *Event) {
+	if ev.SentAt <= g.withdrawnAt {
+		return
+	}
+	if ev.Term > m.steppedDownTerm {
+		g.recordPrimary(now, m, ev.Term)
+	}
+	g.confirm(now, confirmation{upstream: m.ID, term: ev.Term, until: ev.Until})
+}
+
+// applyWithdrawn ends the confirmation of the primary.
+func (g *group) applyWithdrawn(now model.Time) {
+	g.withdrawnAt = now
+	g.confirmed.until = min(g.confirmed.until, now)
+}
+
+// confirm adds a confirmation, unless the primary of a later term is known.
+func (g *group) confirm(now model.Time, c confirmation) {
+	if c.term < g.primaryTerm || c.term < g.confirmed.term {
+		return
+	}
+	if c.upstream == g.confirmed.upstream && c.term == g.confirmed.term {
+		c.until = max(c.until, g.confirmed.until)
+	}
+	g.confirmed = c
+	g.confirmEvidence(now)
+}
+
+// confirmByStatuses confirms the primary as of the oldest status of the other
+// upstreams, if none of them has taken part in a later term. An upstream that this
+// VM does not know may have been promoted, but not without a fence on one of the known
+// ones, so with a fence the list of upstreams has to be recent.
+func (s *State) confirmByStatuses(now model.Time, g *group) {
+	if g.primary == "" || len(g.members) < max(g.peakMembers, minConfirmingMembers) {
+		return
+	}
+	listRecent := now.Sub(s.listedAt) <= maxListAge
+	oldest := now
+	for id, m := range g.members {
+		if id == g.primary {
+			continue
+		}
+		if m.StatusAt == 0 || m.Status.Term > g.primaryTerm || m.Status.FencedTerm != 0 && !listRecent {
+			return
+		}
+		oldest = min(oldest, m.StatusAt)
+	}
+	g.confirm(now, confirmation{upstream: g.primary, term: g.primaryTerm, until: oldest})
+}
+
+// observePrimaryLog records how far the log of the primary m reached according to its
+// own answer. This is evidence only up to the time for which m is confirmed as the
+// primary.
+func (g *group) observePrimaryLog(now model.Time, m *Member, e evidence) {
+	if g.primary != m.ID || g.primaryTerm != e.term || e.term == g.observedLog.term && e.at <= g.observedLog.at {
+		return
+	}
+	g.observedLog = e
+	g.confirmEvidence(now)
+}
+
+// confirmEvidence adds the last observation of the primary's log to the evidence,
+// dated no later than the primary is confirmed.
+func (g *group) confirmEvidence(now model.Time) {
+	e := g.observedLog
+	if e.at == 0 || g.confirmed.upstream != g.primary || g.confirmed.term != e.term {
+		return
+	}
+	e.at = min(e.at, g.confirmed.until)
+	g.addEvidence(now, e)
+}
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -45,7 +45,21 @@
 
 func (f *fixture) advance(d time.Duration) { f.now = f.now.Add(d) }
 
+// status applies the status of an upstream. A primary is then also confirmed for a
+// second, as by the holder of the promotion lease.
 func (f *fixture) status(id string, primary bool, term uint64, received model.Position) {
+	f.unconfirmedStatus(id, primary, term, received)
+	if primary {
+		f.confirm(id, term, time.Second)
+	}
+}
+
+// confirm applies a confirmation of a primary for the next d.
+func (f *fixture) confirm(id string, term uint64, d time.Duration) {
+	f.apply(Event{Kind: EventConfirmed, Upstream: model.UpstreamID(id), Term: term, SentAt: f.now, Until: f.now.Add(d)})
+}
+
+func (f *fixture) unconfirmedStatus(id string, primary bool, term uint64, received model.Position) {
 	f.apply(Event{Kind: EventStatus, Upstream: model.UpstreamID(id), SentAt: f.now, Status: Status{
 		Primary: primary, Term: term, Received: received, Applied: received,
 	}})
@@ -120,7 +134,7 @@
 	f := newFixture()
 	f.status("a", true, 3, pos(3, 500))
 	f.advance(100 * ms)
-	f.status("a", true, 3, pos(3, 2))
+	f.unconfirmedStatus("a", true, 3, pos(3, 2))
 	if got := f.primary(); got != "" {
 		t.Errorf("primary %q", got)
 	}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -44,6 +44,13 @@
 	// peakMembers is the largest number of members since the group was last known
 	// to be complete.
 	peakMembers int
+	// confirmed is the confirmation of the primary, and withdrawnAt the time of the
+	// last withdrawal of one.
+	confirmed   confirmation
+	withdrawnAt model.Time
+	// observedLog is the newest observation of the primary's log. It becomes evidence
+	// as far as the primary is confirmed.
+	observedLog evidence
 }
 
 // New returns an empty state.
@@ -72,6 +79,9 @@
 	case EventEvidence:
 		s.group(ev.Service).addEvidence(now, evidence{at: ev.SentAt, position: ev.Position, term: ev.Term})
 		return out
+	case EventWithdrawn:
+		s.group(ev.Service).applyWithdrawn(now)
+		return out
 	}
 	m, g := s.member(ev.Upstream)
 	if m == nil {
@@ -85,6 +95,7 @@
 	switch ev.Kind {
 	case EventStatus:
 		g.applyStatus(now, m, ev)
+		s.confirmByStatuses(now, g)
 		if g.primary != m.ID {
 			s.addReplicaEvidence(now, g)
 		}
@@ -99,6 +110,8 @@
 		m.LaggingAt, m.LaggingBehind = now, ev.Position
 	case EventFailed:
 		m.recordFailure(now, ev.Refused)
+	case EventConfirmed:
+		g.applyConfirmed(now, m, ev)
 	case EventPrimary:
 		if ev.Term > m.steppedDownTerm || m.steppedDownTerm == 0 {
 			g.recordPrimary(now, m, ev.Term)
@@ -296,7 +309,7 @@
 		return
 	}
 	g.recordPrimary(now, m, ev.Status.Term)
-	g.addEvidence(now, evidence{at: ev.SentAt, position: ev.Status.Received, term: ev.Status.Term})
+	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Status.Received, term: ev.Status.Term})
 }
 
 // clearIncomplete marks the group as complete if replica m has reached a position
@@ -312,19 +325,18 @@
 }
 
 // lostLogEntries reports whether an upstream that reports itself as the primary has
-// a shorter log than the newest evidence shows for its term or a later one.
+// a shorter log than was observed for its term or a later one.
 func (g *group) lostLogEntries(m *Member) bool {
-	if len(g.evidence) == 0 {
-		return false
+	shorter := func(e evidence) bool {
+		return e.at != 0 && m.Status.Term <= e.term && m.Status.Received.Compare(e.position) < 0
 	}
-	newest := g.evidence[len(g.evidence)-1]
-	return m.Status.Term <= newest.term && m.Status.Received.Compare(newest.position) < 0
+	return shorter(g.observedLog) || len(g.evidence) > 0 && shorter(g.evidence[len(g.evidence)-1])
 }
 
 func (g *group) applyCommitted(now model.Time, m *Member, ev *Event) {
 	m.recordServed(now, ev.Position)
 	g.recordPrimary(now, m, ev.Position.Term.Counter)
-	g.addEvidence(now, evidence{at: ev.SentAt, position: ev.Position, term: ev.Position.Term.Counter})
+	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Position, term: ev.Position.Term.Counter})
 }
 
 // recordPrimary records m as the primary of a term, unless a primary of a newer
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -90,6 +90,13 @@
 	EventEvidence
 	// EventPrimary reports that a peer knows Upstream as the primary of Term.
 	EventPrimary
+	// EventConfirmed carries a confirmation by the holder of the promotion lease, in
+	// answer to a question sent at SentAt: Upstream is the primary of Term, and no
+	// other upstream becomes the primary before Until.
+	EventConfirmed
+	// EventWithdrawn reports that the holder of the promotion lease no longer confirms
+	// the primary of Service, because it is about to promote an upstream.
+	EventWithdrawn
 	// EventReplaced reports that another upstream answers at Upstream's address,
 	// so Upstream no longer exists.
 	EventReplaced
@@ -110,6 +117,7 @@
 	Position      model.Position
 	Term          uint64
 	SentAt        model.Time
+	Until         model.Time
 	Refused       bool
 	SyncReplicas  int
 }
@@ -210,6 +218,9 @@
 	// maxListAge is the maximum age of the list of upstreams for evidence from
 	// replicas.
 	maxListAge = 1500 * time.Millisecond
+	// minConfirmingMembers is the smallest number of upstreams whose statuses confirm a
+	// primary: without a replica nothing shows whether another upstream was promoted.
+	minConfirmingMembers = 2
 	// leavingDemoteAfter is how long a leaving upstream keeps its rank among the
 	// candidates for a read.
 	leavingDemoteAfter = 2 * time.Second
--- a/holderlink/convert.go
+++ b/holderlink/convert.go
@@ -93,11 +93,12 @@
 
 // errorsByReason has the errors that are transmitted as a reason alone.
 var errorsByReason = map[vmlinkv1.Reason]error{
-	vmlinkv1.Reason_REASON_WAITED:     upstreampool.ErrAcquireTimeout,
-	vmlinkv1.Reason_REASON_FULL:       upstreampool.ErrBusy,
-	vmlinkv1.Reason_REASON_WARMING:    upstreampool.ErrWarmingUp,
-	vmlinkv1.Reason_REASON_CLOSED:     upstreampool.ErrClosed,
-	vmlinkv1.Reason_REASON_NOT_PROVED: upstreamrun.ErrNoEvidence,
+	vmlinkv1.Reason_REASON_WAITED:      upstreampool.ErrAcquireTimeout,
+	vmlinkv1.Reason_REASON_FULL:        upstreampool.ErrBusy,
+	vmlinkv1.Reason_REASON_WARMING:     upstreampool.ErrWarmingUp,
+	vmlinkv1.Reason_REASON_CLOSED:      upstreampool.ErrClosed,
+	vmlinkv1.Reason_REASON_NOT_PROVED:  upstreamrun.ErrNoEvidence,
+	vmlinkv1.Reason_REASON_UNCONFIRMED: upstreamrun.ErrUnconfirmed,
 }
 
 func toFailure(err error) *vmlinkv1.Failure {
--- a/holderlink/server_test.go
+++ b/holderlink/server_test.go
@@ -28,6 +28,10 @@
 	k.t.Error("a statement was run")
 	return model.Position{}, 0, false
 }
+func (k noUpstreams) ConfirmPrimary(*upstreamrun.Place, model.Time) bool {
+	k.t.Error("a primary was to be confirmed for work that is refused")
+	return false
+}
 func (k noUpstreams) Pool(model.UpstreamID) *upstreampool.Pool { return nil }
 
 // Guards against a holder that runs statements for an upstream that is out of
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/quota"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
@@ -38,6 +40,12 @@
 		}
 	}
 	p.addUpstreamState(a)
+	for _, c := range p.transitions.confirmations(model.VMID(r.GetVm())) {
+		a.Confirmations = append(a.Confirmations, &vmlinkv1.Confirmation{
+			Service: string(c.Service), Upstream: string(c.Upstream), Term: c.Term,
+			ValidUs: uint64(promotion.ConfirmationTTL.Microseconds()),
+		})
+	}
 	return a, nil
 }
 
@@ -122,6 +130,31 @@
 	return &vmlinkv1.AnnounceResponse{}, nil
 }
 
+// errNoAddress means that the address of a VM is not known.
+var errNoAddress = errors.New("address of the VM not known")
+
+// withdraw tells a VM that the primary of a service is no longer confirmed.
+func (p *peers) withdraw(ctx context.Context, service catalog.Service, vm model.VMID) error {
+	e, found := p.members.all()[vm]
+	if !found {
+		return errNoAddress
+	}
+	link, err := p.links.get(e.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	_, err = vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service)})
+	return err
+}
+
+// Withdraw ends the confirmation of a service's primary on this VM.
+func (p *peers) Withdraw(_ context.Context, r *vmlinkv1.WithdrawRequest) (*vmlinkv1.WithdrawResponse, error) {
+	p.cluster.withdrawConfirmation(catalog.Service(r.GetService()))
+	return &vmlinkv1.WithdrawResponse{}, nil
+}
+
 // addUpstreamState adds evidence for each service, and the times at which upstreams
 // last answered this VM, to the answer.
 func (p *peers) addUpstreamState(a *vmlinkv1.ObserveResponse) {
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -47,7 +47,7 @@
 	rawConfig   []byte
 
 	// mu guards the fields from replicas to lastForwardedAt, except for the functions,
-	// probes, local and forward, which do not change after the start.
+	// probes, rounds, local and forward, which do not change after the start.
 	mu sync.Mutex
 	// replicas knows the upstreams of each service, which of them is the primary and
 	// what evidence there is. quota decides which operations to admit.
@@ -62,6 +62,7 @@
 	// probes sends status queries and commands; local runs statements over pools.
 	probes *probes
 	local  upstreamrun.Local
+	rounds *statusRounds
 	// evacuated are the evacuated zones as of operatorsRevision, a revision of the
 	// store.
 	operatorsRevision int64
@@ -94,6 +95,7 @@
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
 	c.probes = newProbes(c)
+	c.rounds = newStatusRounds(c)
 	c.local = upstreamrun.Local{Cluster: c, Tracer: o.Tracer}
 	return c
 }
@@ -179,11 +181,12 @@
 
 // RefreshEvidence gets newer evidence of how far the log of a service reaches: it
 // queries the status of the primary or, while no primary is known, of all replicas. It
-// reports whether all of them answered; it does not try replicas of which one is
-// already failing.
+// reports whether all of them answered and the primary, if one is known, is confirmed;
+// it does not try replicas of which one is already failing.
 func (c *cluster) RefreshEvidence(ctx context.Context, service catalog.Service) bool {
 	if m, ok := c.Primary(service); ok {
-		return c.probes.status(ctx, m.ID)
+		since := c.Now()
+		return c.probes.status(ctx, m.ID) && (c.confirmedSince(m.ID, since) || c.rounds.confirm(ctx, service, m.ID, since))
 	}
 	c.mu.Lock()
 	replicas := c.replicas.Replicas(service)
@@ -192,18 +195,7 @@
 		return m.Failing()
 	})
 	c.mu.Unlock()
-	if failing || len(replicas) == 0 {
-		return false
-	}
-	answers := make(chan bool, len(replicas))
-	for _, id := range replicas {
-		go func() { answers <- c.probes.status(ctx, id) }()
-	}
-	all := true
-	for range replicas {
-		all = <-answers && all
-	}
-	return all
+	return !failing && c.queryStatuses(ctx, replicas)
 }
 
 // Suspect starts status queries to an upstream that continue until it answers.
--- /dev/null
+++ b/linenode/confirm.go
@@ -0,0 +1,147 @@
+package linenode
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
+)
+
+// failedRoundPause is how long after a status round that has not confirmed a primary
+// the next round of the service may start.
+const failedRoundPause = 100 * time.Millisecond
+
+// statusRounds confirm primaries without the holder of the promotion lease: a round
+// queries the status of the upstreams of a service other than its primary; see
+// replicaset.State. Statements that wait for one share it.
+type statusRounds struct {
+	cluster *cluster
+
+	mu sync.Mutex
+	// rounds has the last round of each service.
+	rounds map[catalog.Service]*statusRound
+}
+
+// statusRound is one round of status queries.
+type statusRound struct {
+	startedAt model.Time
+	// done is closed at the end of the round; endedAt and answered are set before.
+	done    chan struct{}
+	endedAt model.Time
+	// answered is true if all upstreams have answered.
+	answered bool
+}
+
+func newStatusRounds(c *cluster) *statusRounds {
+	return &statusRounds{cluster: c, rounds: map[catalog.Service]*statusRound{}}
+}
+
+// ConfirmPrimary reports whether no upstream other than p.Upstream had become the
+// primary at since. Usually the holder of the promotion lease has confirmed it for some
+// time to come; otherwise this waits for a status round, for at most p.Wait.
+func (c *cluster) ConfirmPrimary(p *upstreamrun.Place, since model.Time) bool {
+	if c.confirmedSince(p.Upstream, since) {
+		return true
+	}
+	deadline := time.Now().Add(p.Wait)
+	if p.Deadline.Before(deadline) {
+		deadline = p.Deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return c.rounds.confirm(ctx, p.Service, p.Upstream, since)
+}
+
+// confirmedSince reports whether an upstream is confirmed as the primary at since.
+func (c *cluster) confirmedSince(id model.UpstreamID, since model.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas.ConfirmedUntil(id) >= since
+}
+
+// confirm waits until a round that started at since or later has confirmed the primary
+// id of a service. It returns false if that round fails or ctx ends first.
+func (r *statusRounds) confirm(ctx context.Context, service catalog.Service, id model.UpstreamID, since model.Time) bool {
+	for {
+		round := r.current(service)
+		select {
+		case <-round.done:
+		case <-ctx.Done():
+			return r.cluster.confirmedSince(id, since)
+		}
+		switch {
+		case r.cluster.confirmedSince(id, since):
+			return true
+		case round.startedAt >= since || !round.answered:
+			return false
+		}
+	}
+}
+
+// current returns the round that is running, a failed one that has just ended, or a new
+// one.
+func (r *statusRounds) current(service catalog.Service) *statusRound {
+	now := r.cluster.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.rounds[service]
+	if last != nil && (last.endedAt == 0 || !last.answered && now.Sub(last.endedAt) < failedRoundPause) {
+		return last
+	}
+	round := &statusRound{startedAt: now, done: make(chan struct{})}
+	r.rounds[service] = round
+	go r.run(service, round)
+	return round
+}
+
+// run queries the statuses of a round.
+func (r *statusRounds) run(service catalog.Service, round *statusRound) {
+	r.cluster.forward.count("status_rounds")
+	answered := r.cluster.queryStatuses(r.cluster.probes.ctx, r.cluster.roundMembers(service))
+	r.mu.Lock()
+	round.answered, round.endedAt = answered, r.cluster.Now()
+	r.mu.Unlock()
+	close(round.done)
+}
+
+// roundMembers returns the upstreams whose statuses confirm the primary of a service:
+// all others, and the primary as well while its term is not known.
+func (c *cluster) roundMembers(service catalog.Service) []model.UpstreamID {
+	primary, _ := c.Primary(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := c.replicas.Upstreams(service)
+	if primary.RoleTerm == 0 {
+		return ids
+	}
+	return slices.DeleteFunc(ids, func(id model.UpstreamID) bool { return id == primary.ID })
+}
+
+// queryStatuses queries the status of upstreams and reports whether all have answered.
+func (c *cluster) queryStatuses(ctx context.Context, ids []model.UpstreamID) bool {
+	answers := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() { answers <- c.probes.status(ctx, id) }()
+	}
+	all := len(ids) > 0
+	for range ids {
+		all = <-answers && all
+	}
+	return all
+}
+
+// applyConfirmation applies a confirmation by the holder of the promotion lease in
+// answer to a question sent at askedAt.
+func (c *cluster) applyConfirmation(id model.UpstreamID, term uint64, askedAt, until model.Time) {
+	c.Observe(&replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: id, Term: term, SentAt: askedAt, Until: until})
+}
+
+// withdrawConfirmation ends the confirmation of a service's primary on this VM.
+func (c *cluster) withdrawConfirmation(service catalog.Service) {
+	c.Observe(&replicaset.Event{Kind: replicaset.EventWithdrawn, Service: service})
+}
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -82,6 +82,7 @@
 	n.cluster.isolated = n.members.isolated
 	n.cluster.followsHub = n.members.followsHub
 	n.cluster.announce = n.peers.announce
+	n.transitions.withdraw = n.peers.withdraw
 	n.callers = lineproxy.NewServer(lineproxy.Options{
 		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions, Tracer: o.Tracer,
 	})
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -52,8 +52,9 @@
 	PromotionRefused error
 }
 
-// Promoter makes an upstream the primary of a service. Promotions with a lower fencing
-// token than one used before are refused.
+// Promoter makes an upstream the primary of a service. If it checks fencing tokens (see
+// Options.TokensChecked), it refuses promotions with a lower one than was used before.
+// A call without an answer may be executed seconds later.
 type Promoter interface {
 	Promote(ctx context.Context, service catalog.Service, id model.UpstreamID, token uint64) error
 }
@@ -80,6 +81,8 @@
 	Store    store.Store
 	Promoter Promoter
 	Formats  Formats
+	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
+	TokensChecked bool
 
 	// MaxSessions is the maximum number of connections of callers.
 	MaxSessions int
@@ -152,6 +155,9 @@
 	// promotionLeaseKey exists while a VM holds the promotion lease; the value is the
 	// ID of that VM.
 	promotionLeaseKey = ownPrefix + "duty/promotion"
+	// promotionsPrefix is followed by the name of a service; the value is the
+	// promotion.Record of its last promotion.
+	promotionsPrefix = ownPrefix + "promotions/"
 )
 
 // serveHTTP serves h on l in the background until the returned server is closed.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -211,6 +211,9 @@
 	for _, c := range a.GetContacts() {
 		p.transitions.recordContact(model.UpstreamID(c.GetUpstream()), requestSentAt.Add(-age(c.GetAgeUs())))
 	}
+	for _, c := range a.GetConfirmations() {
+		p.cluster.applyConfirmation(model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
+	}
 	p.report(requestSentAt, vm, a)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -70,6 +70,8 @@
 	leaseUntil model.Time
 	// lease is the ID of the lease in the store, 0 while this VM does not hold it.
 	lease int64
+	// leaseRevision is the revision of the lease's key while this VM holds it.
+	leaseRevision int64
 	// stopping is true once the VM shuts down; it then no longer acquires the lease.
 	stopping bool
 	// statusesSentAt is the time of the last call of requestStatuses.
@@ -80,6 +82,9 @@
 	// leaseHeld is true while this VM holds the lease. It is read without mu, also
 	// under cluster.mu.
 	leaseHeld atomic.Bool
+	// withdraw tells another VM that the primary of a service is no longer confirmed. It
+	// returns nil once the VM has answered.
+	withdraw func(ctx context.Context, service catalog.Service, vm model.VMID) error
 }
 
 func newTransitions(o Options, c *cluster, m *members) *transitions {
@@ -141,12 +146,16 @@
 		return idleTick
 	}
 	effects := t.state.Tick(now, t.input(), nil)
+	confirmations := t.state.Confirm(now, t.options.VM)
 	inTransition := t.state.InTransition()
 	statusesDue := now.Sub(t.statusesSentAt) >= primaryStatusInterval
 	if statusesDue {
 		t.statusesSentAt = now
 	}
 	t.mu.Unlock()
+	for i := range confirmations {
+		t.cluster.applyConfirmation(confirmations[i].Upstream, confirmations[i].Term, now, now.Add(promotion.ConfirmationTTL))
+	}
 	if statusesDue {
 		t.requestStatuses(ctx)
 	}
@@ -194,7 +203,8 @@
 			e, ok := evidence[s]
 			return e, ok
 		},
-		Isolated: t.members.isolated(),
+		Isolated:      t.members.isolated(),
+		FencesChecked: t.options.TokensChecked,
 		SyncReplicas: func(s catalog.Service) int {
 			if configuration == nil || configuration.Service(s) == nil {
 				return 0
@@ -248,6 +258,10 @@
 		t.sendCommand(ctx, e.Upstream, e.Command, e.Term)
 	case promotion.EffectPromote:
 		go t.promote(ctx, *e)
+	case promotion.EffectWithdraw:
+		t.executeWithdraw(ctx, e)
+	case promotion.EffectRecord:
+		go t.record(ctx, *e)
 	case promotion.EffectTransitionStarted:
 		t.log.Info().Str("service", string(e.Service)).Str("primary", string(e.Upstream)).Str("cause", e.Cause).
 			Uint64("fence_term", e.Term).Msg("change of primary started")
@@ -260,16 +274,54 @@
 	}
 }
 
+// confirmations returns the confirmations for a VM that asks for them; none unless this
+// VM holds the lease.
+func (t *transitions) confirmations(vm model.VMID) []promotion.Confirmation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := boottime.Now()
+	if now >= t.leaseUntil {
+		return nil
+	}
+	return t.state.Confirm(now, vm)
+}
+
+// executeWithdraw ends the confirmation of a service's primary on a VM, which may be
+// this one.
+func (t *transitions) executeWithdraw(ctx context.Context, e *promotion.Effect) {
+	if e.VM == t.options.VM {
+		t.cluster.withdrawConfirmation(e.Service)
+		t.reportWithdrawn(e)
+		return
+	}
+	go func(e promotion.Effect) {
+		if err := t.withdraw(ctx, e.Service, e.VM); err != nil {
+			// The confirmation ends by itself.
+			t.log.Debug().Err(err).Str("vm", string(e.VM)).Msg("withdrawal of a confirmation not answered")
+			return
+		}
+		t.reportWithdrawn(&e)
+	}(*e)
+}
+
+func (t *transitions) reportWithdrawn(e *promotion.Effect) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.ReportWithdrawn(e.Service, e.VM, e.SentAt)
+}
+
+// record writes the record of an ended promotion. Without it, the next holder of the
+// lease finds out by itself that the promotion has ended.
+func (t *transitions) record(ctx context.Context, e promotion.Effect) {
+	err := t.writeRecord(ctx, e.Service, e.Record)
+	t.log.Info().Err(err).Str("service", string(e.Service)).Str("upstream", string(e.Record.Upstream)).
+		Uint64("term", e.Record.Term).Msg("end of promotion recorded")
+}
+
 // promote calls the platform to promote an upstream and reports the outcome to the
 // state.
 func (t *transitions) promote(ctx context.Context, e promotion.Effect) {
-	if t.leaseHolder() == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
-	defer cancel()
-	err := t.options.Promoter.Promote(ctx, e.Service, e.Upstream, e.Token)
-	outcome := t.outcome(err)
+	outcome, err := t.callPromoter(ctx, &e)
 	t.log.Info().Err(err).Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).
 		Uint64("token", e.Token).Msg("promotion called")
 	t.mu.Lock()
@@ -277,6 +329,21 @@
 	t.state.ReportPromotion(boottime.Now(), e.Service, e.Token, outcome)
 }
 
+// callPromoter writes the record of a promotion and calls the platform, if this VM
+// still holds the lease then. An error of the store means that the call was not made.
+func (t *transitions) callPromoter(ctx context.Context, e *promotion.Effect) (promotion.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	if err := t.writeRecord(ctx, e.Service, e.Record); err != nil {
+		return promotion.OutcomeRejected, err
+	}
+	if t.leaseHolder() == "" {
+		return promotion.OutcomeRejected, errNotLeaseHolder
+	}
+	err := t.options.Promoter.Promote(ctx, e.Service, e.Upstream, e.Token)
+	return t.outcome(err), err
+}
+
 // outcome returns the outcome that an error of Promoter.Promote stands for.
 func (t *transitions) outcome(err error) promotion.Outcome {
 	switch {
@@ -357,11 +424,17 @@
 		t.log.Info().Err(err).Bool("held", err == nil).Msg("promotion duty not acquired")
 		return
 	}
+	records, err := t.readRecords(ctx)
+	if err != nil {
+		t.log.Warn().Err(err).Msg("records of promotions not read; the promotion duty is given back")
+		t.revokeLease(ctx, lease)
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lease = lease
+	t.lease, t.leaseRevision = lease, result.Revision
 	t.leaseUntil = sent.Add(promotionLeaseTTL - promotionLeaseMargin)
-	t.state.Acquire(boottime.Now(), uint64(result.Revision))
+	t.state.Acquire(boottime.Now(), uint64(result.Revision), records)
 	t.leaseHeld.Store(true)
 	t.log.Info().Int64("revision", result.Revision).Msg("promotion duty acquired")
 }
@@ -383,9 +456,13 @@
 		t.dropLeaseLocked(cause)
 	}
 	t.mu.Unlock()
-	if !holding {
-		return
+	if holding {
+		t.revokeLease(ctx, lease)
 	}
+}
+
+// revokeLease revokes a lease in the store.
+func (t *transitions) revokeLease(ctx context.Context, lease int64) {
 	if err := t.options.Store.LeaseRevoke(ctx, lease); err != nil {
 		t.log.Warn().Err(err).Msg("promotion duty not released; its lease will expire")
 	}
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -179,7 +179,7 @@
 	case upstreamrun.Sent(err):
 		return o.readConnLost(r, err)
 	}
-	return retryable(connFailureCause(err))
+	return notSent(err)
 }
 
 // readConnLost handles the loss of the connection after a read was sent.
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -113,10 +113,11 @@
 	}
 	r := unavailable("no upstream")
 	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
-		if x.openOn(c.ID, id, t) {
+		failed := x.openOn(c.ID, id, t)
+		if failed == nil {
 			return nil
 		}
-		r = retryable("the transaction could not be opened")
+		r = *failed
 		if t.remainingWait() <= 0 {
 			break
 		}
@@ -132,11 +133,7 @@
 		r := unavailable("no primary")
 		return &r
 	}
-	if !x.openOn(m.ID, id, t) {
-		r := retryable("the transaction could not be opened")
-		return &r
-	}
-	return nil
+	return x.openOn(m.ID, id, t)
 }
 
 // requiresPrimary reports whether the transaction must run on the primary.
@@ -144,20 +141,26 @@
 	return !x.readOnly || x.route.Freshness == catalog.FreshPrimary
 }
 
-// openOn starts the transaction on one upstream and reports whether that succeeded.
-func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits) bool {
+// openOn makes one attempt to start the transaction on one upstream. It returns nil on
+// success.
+func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits) *attempt {
 	r := upstreamrun.OpenRequest{
 		Place: x.place(id, t), ReadOnly: !x.requiresPrimary(), Session: x.sessionState(), IdleLimit: x.txIdleTimeout,
 	}
 	tx, out, err := x.cluster.Open(&r)
-	if err != nil || tx == nil {
-		return false
+	if err != nil {
+		failed := notSent(err)
+		return &failed
+	}
+	if tx == nil {
+		failed := retryable("the transaction could not be opened")
+		return &failed
 	}
 	x.tx, x.upstream = tx, id
 	x.log(request, "transaction opened", func(e *Entry) {
 		e.Str("upstream", string(id)).Str("holder", string(out.Holder)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.EvidenceAge)
 	})
-	return true
+	return nil
 }
 
 // send runs a statement in the transaction on the upstream.
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -29,7 +29,7 @@
 	case upstreamrun.Sent(err):
 		return o.writeConnLost(p, m.ID, err)
 	}
-	return retryable(connFailureCause(err))
+	return notSent(err)
 }
 
 // writeConnLost handles the loss of the connection after a write was sent. Its outcome
@@ -65,6 +65,16 @@
 // recordCommit records the log position of a commit of this session.
 func (s *session) recordCommit(p model.Position) { s.position = s.position.Max(p) }
 
+// notSent returns the attempt that results from err, the error of a statement that was
+// not sent. A statement that has waited for the confirmation of the primary in vain is
+// not tried again.
+func notSent(err error) attempt {
+	if errors.Is(err, upstreamrun.ErrUnconfirmed) {
+		return unavailable("primary not confirmed")
+	}
+	return retryable(connFailureCause(err))
+}
+
 // connFailureCause returns the cause that a refusal gives for err, the error of a
 // statement that was not sent.
 func connFailureCause(err error) string {
--- a/settings/line.go
+++ b/settings/line.go
@@ -85,6 +85,9 @@
 // LinePromoter configures the connection to the service that promotes upstreams.
 type LinePromoter struct {
 	Address string `json:"address"`
+	// ChecksTokens is true if the service refuses calls with a lower fencing token than
+	// it has seen.
+	ChecksTokens bool `json:"checks_tokens"`
 }
 
 // LoadLine reads and checks a settings file. The error is a findings.List if the
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -34,6 +34,9 @@
 
 // Run runs a statement outside of a transaction.
 func (l *Local) Run(r *Request) (Outcome, error) {
+	if (r.Mode == ModePrimary || r.Write) && !l.Cluster.ConfirmPrimary(&r.Place, l.Cluster.Now()) {
+		return Outcome{}, ErrUnconfirmed
+	}
 	conn, pool, err := l.connect(&r.Place, &r.Session)
 	if err != nil {
 		return Outcome{}, err
--- a/upstreamrun/report_test.go
+++ b/upstreamrun/report_test.go
@@ -18,10 +18,13 @@
 type recorder struct {
 	events   []replicaset.Event
 	suspects int
+	// confirmed is the answer of ConfirmPrimary.
+	confirmed bool
 }
 
 func (r *recorder) Now() model.Time                          { return 1 }
 func (r *recorder) Observe(ev *replicaset.Event)             { r.events = append(r.events, *ev) }
+func (r *recorder) ConfirmPrimary(*Place, model.Time) bool   { return r.confirmed }
 func (r *recorder) Suspect(model.UpstreamID)                 { r.suspects++ }
 func (r *recorder) Pool(model.UpstreamID) *upstreampool.Pool { return nil }
 func (r *recorder) Floor(catalog.Service, time.Duration, model.Position) (model.Position, time.Duration, bool) {
@@ -125,3 +128,43 @@
 		}
 	}
 }
+
+// Guards against writes, strict reads and transactions that are sent to a primary
+// which is not confirmed: another upstream may have been promoted. Reads with a floor
+// need no primary.
+func TestUnconfirmedPrimaryGetsNothing(t *testing.T) {
+	run := func(mode Mode, write bool) func(*Local) error {
+		return func(l *Local) error {
+			_, err := l.Run(&Request{Mode: mode, Statement: Statement{Write: write}})
+			return err
+		}
+	}
+	open := func(readOnly bool) func(*Local) error {
+		return func(l *Local) error {
+			_, _, err := l.Open(&OpenRequest{ReadOnly: readOnly})
+			return err
+		}
+	}
+	for name, tt := range map[string]struct {
+		send         func(*Local) error
+		needsPrimary bool
+	}{
+		"write":                 {run(ModePlain, true), true},
+		"strict read":           {run(ModePrimary, false), true},
+		"read with a floor":     {run(ModeFresh, false), false},
+		"transaction":           {open(false), true},
+		"read-only transaction": {open(true), false},
+	} {
+		for _, confirmed := range []bool{true, false} {
+			err := tt.send(&Local{Cluster: &recorder{confirmed: confirmed}})
+			// The recorder has no pools, so a statement that is sent fails there.
+			want := upstreampool.ErrClosed
+			if tt.needsPrimary && !confirmed {
+				want = ErrUnconfirmed
+			}
+			if !errors.Is(err, want) {
+				t.Errorf("%s, primary confirmed %t: %v, want %v", name, confirmed, err, want)
+			}
+		}
+	}
+}
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -28,6 +28,9 @@
 
 // Open begins a transaction. Tx is nil if the upstream refused it.
 func (l *Local) Open(r *OpenRequest) (Tx, Outcome, error) {
+	if !r.ReadOnly && !l.Cluster.ConfirmPrimary(&r.Place, l.Cluster.Now()) {
+		return nil, Outcome{}, ErrUnconfirmed
+	}
 	conn, pool, err := l.connect(&r.Place, &r.Session)
 	if err != nil {
 		return nil, Outcome{}, err
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -18,6 +18,10 @@
 // enough for the read's freshness bound. Nothing was sent.
 var ErrNoEvidence = errors.New("freshness cannot be proved")
 
+// ErrUnconfirmed means that another upstream may have become the primary, so that a
+// write, or a read that has to see every commit, cannot be sent. Nothing was sent.
+var ErrUnconfirmed = errors.New("primary not confirmed")
+
 // Mode is how a statement is run.
 type Mode uint8
 
@@ -121,6 +125,10 @@
 	Floor(service catalog.Service, bound time.Duration, session model.Position) (floor model.Position, age time.Duration, ok bool)
 	// Observe reports an event of an upstream.
 	Observe(ev *replicaset.Event)
+	// ConfirmPrimary reports whether no other upstream had become the primary of the
+	// service when the statement arrived, at since. It may wait for the proof, for at
+	// most Place.Wait.
+	ConfirmPrimary(p *Place, since model.Time) bool
 	// Suspect requests status queries to an upstream that does not answer.
 	Suspect(id model.UpstreamID)
 	// Pool returns the connection pool of an upstream, or nil.
