Let VMs vouch for the last confirmed primary while no lease holder answers

Cause: with confirmations by the holder of the promotion lease alone, an outage of the store ended strict service 0.9 s after the holder lost its lease, unless all replicas answered. Found by a simulation on the way: the next lease holder promoted what it took for the current primary again to raise the fencing token, which is a promotion if its view is out of date; and on a platform that does not check tokens, unanswered calls may be carried out after the next promotion.

Ruled out: statuses of only some replicas as proof (a replica may lose its fence by a restart, and the target of a switchover has none); an outage mode decided by the lease holder alone (it cannot tell an outage from its own cut).

Change: while no lease holder answers, each VM vouches for the primary that was last confirmed to it, for at most 15 s. More than half of the voters (all VMs of a small deployment, the hubs of a large one) confirm it. A lease holder promotes another upstream only after half of the voters have dropped the former one and their vouchers have ended, all of them have dropped it, or 15 s have passed. The skip of this wait after the old primary stepped down needs a settled record. Records name the targets of unanswered calls where tokens are not checked.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -1,7 +1,6 @@
 package promotion
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -24,6 +23,10 @@
 	lateCallTimeout = 10 * time.Second
 )
 
+// abandonedVouchPeriod is how long a holder of the promotion lease that cannot reach half
+// of the voters waits before it promotes another upstream.
+const abandonedVouchPeriod = replicaset.VouchPeriod + confirmationMargin
+
 // Record is what is kept in the store of the last promotion of a service, for the next
 // holder of the promotion lease. It is written before the promotion call.
 type Record struct {
@@ -35,6 +38,9 @@
 	// Done is true once the promotion has ended. Until then the call may still be
 	// executed.
 	Done bool `json:"done"`
+	// Late has the targets of earlier calls that may still be executed, because they
+	// were not answered and the platform does not check fencing tokens.
+	Late []model.UpstreamID `json:"late,omitempty"`
 }
 
 // Confirmation tells a VM that Upstream is the primary of Term, and that no other
@@ -59,6 +65,7 @@
 			continue
 		}
 		svc.confirmedUntil[vm] = now.Add(ConfirmationTTL + confirmationMargin)
+		svc.lastConfirmedAt = now
 		list = append(list, svc.confirmable)
 	}
 	return list
@@ -73,12 +80,17 @@
 	return names
 }
 
-// ReportWithdrawn records that a VM has dropped its confirmation of a service when it
-// was told so by the EffectWithdraw of the tick at sentAt.
-func (s *State) ReportWithdrawn(name catalog.Service, vm model.VMID, sentAt model.Time) {
+// ReportWithdrawn records that a VM has dropped its confirmation of a service and
+// vouches for its primary no more, when it was told so by the EffectWithdraw of the
+// tick at sentAt. Vouchers that it has given end within vouched.
+func (s *State) ReportWithdrawn(now model.Time, name catalog.Service, vm model.VMID, sentAt model.Time, vouched time.Duration) {
 	svc := s.services[name]
-	if svc != nil && svc.transition != nil && svc.transition.phase == phaseFence && sentAt >= svc.transition.startedAt {
-		delete(svc.confirmedUntil, vm)
+	if svc == nil || svc.transition == nil || svc.transition.phase != phaseFence || sentAt < svc.transition.startedAt {
+		return
+	}
+	delete(svc.confirmedUntil, vm)
+	if _, found := svc.transition.withdrawn[vm]; !found {
+		svc.transition.withdrawn[vm] = now.Add(vouched + confirmationMargin)
 	}
 }
 
@@ -87,7 +99,7 @@
 func (s *State) updateConfirmable(now model.Time, svc *serviceState, v *replicaset.View, in *Input) {
 	svc.confirmable = Confirmation{}
 	primary := findMember(v, v.Primary)
-	if primary == nil || v.PrimaryTerm == 0 || svc.callPending || now < svc.abandonedUntil {
+	if primary == nil || v.PrimaryTerm == 0 || svc.callPending || len(svc.lateTargets(now, v.Primary)) > 0 {
 		return
 	}
 	if svc.transition != nil && svc.transition.phase != phaseUnfence {
@@ -103,8 +115,9 @@
 }
 
 // confirmationsEnded reports whether no VM holds a confirmation of the primary any
-// more, neither by this holder of the promotion lease nor by an earlier one.
-func (s *State) confirmationsEnded(now model.Time, svc *serviceState) bool {
+// more: neither one by this holder of the promotion lease or an earlier one, nor one by
+// the vouchers of more than half of the voters.
+func (s *State) confirmationsEnded(now model.Time, svc *serviceState, in *Input) bool {
 	if now < s.acquiredAt.Add(ConfirmationTTL+confirmationMargin) {
 		return false
 	}
@@ -113,25 +126,68 @@
 			return false
 		}
 	}
-	return true
+	return svc.transition.vouchersEnded(now, in) || now >= max(s.acquiredAt, svc.lastConfirmedAt).Add(abandonedVouchPeriod)
+}
+
+// vouchersEnded reports whether all voters have dropped the primary, or so many that the
+// others cannot confirm it, and the vouchers of those have ended.
+func (t *transition) vouchersEnded(now model.Time, in *Input) bool {
+	withdrawn, ended := 0, 0
+	for _, vm := range in.Voters {
+		until, found := t.withdrawn[vm]
+		if !found {
+			continue
+		}
+		withdrawn++
+		if now >= until {
+			ended++
+		}
+	}
+	return withdrawn == len(in.Voters) || ended*2 >= len(in.Voters)
 }
 
-// withdraw asks the VMs that still hold a confirmation to drop it.
-func (svc *serviceState) withdraw(now model.Time, out []Effect) []Effect {
-	if now.Sub(svc.withdrawnAt) < commandRetryInterval {
+// withdraw asks the voters, and the VMs that still hold a confirmation, to drop the
+// primary.
+func (svc *serviceState) withdraw(now model.Time, in *Input, out []Effect) []Effect {
+	if now.Sub(svc.withdrawSentAt) < commandRetryInterval {
 		return out
 	}
-	svc.withdrawnAt = now
-	first := len(out)
+	svc.withdrawSentAt = now
+	vms := slices.Clone(in.Voters)
 	for vm, until := range svc.confirmedUntil {
-		if now < until {
+		if now < until && !slices.Contains(vms, vm) {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms)
+	for _, vm := range vms {
+		if _, withdrawn := svc.transition.withdrawn[vm]; !withdrawn {
 			out = append(out, Effect{Kind: EffectWithdraw, Service: svc.name, VM: vm, SentAt: now})
 		}
 	}
-	slices.SortFunc(out[first:], func(a, b Effect) int { return cmp.Compare(a.VM, b.VM) })
 	return out
 }
 
+// recordLateCall records that an unanswered call for target may still be executed.
+func (s *State) recordLateCall(now model.Time, svc *serviceState, target model.UpstreamID) {
+	if !s.fencesChecked {
+		svc.lateCallUntil[target] = now.Add(lateCallTimeout)
+	}
+}
+
+// lateTargets returns the upstreams other than except for which a promotion call may
+// still be executed.
+func (svc *serviceState) lateTargets(now model.Time, except model.UpstreamID) []model.UpstreamID {
+	var late []model.UpstreamID
+	for id, until := range svc.lateCallUntil {
+		if id != except && now < until {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	return late
+}
+
 // settle ends the uncertainty about a promotion call of an earlier transition once its
 // target is the primary of a later term, or once the call can no longer be executed.
 func (svc *serviceState) settle(now model.Time, v *replicaset.View, out []Effect) []Effect {
@@ -143,16 +199,16 @@
 	if !promoted && !expired {
 		return out
 	}
-	return svc.recordPrimary(v, out)
+	return svc.recordPrimary(now, v, out)
 }
 
 // recordPrimary records that no promotion call is pending and which upstream is the
 // primary.
-func (svc *serviceState) recordPrimary(v *replicaset.View, out []Effect) []Effect {
+func (svc *serviceState) recordPrimary(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	svc.callPending, svc.unknownCalls = false, 0
 	if v.Primary == "" {
 		return out
 	}
-	svc.record = Record{Upstream: v.Primary, Term: v.PrimaryTerm, Done: true}
+	svc.record = Record{Upstream: v.Primary, Term: v.PrimaryTerm, Done: true, Late: svc.lateTargets(now, "")}
 	return append(out, Effect{Kind: EffectRecord, Service: svc.name, Record: svc.record})
 }
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
@@ -21,8 +22,10 @@
 	// maxToken is the last token of the reserved range.
 	maxToken uint64
 	// records has what the store had of each service at the time of the acquisition.
-	records  map[catalog.Service]Record
-	services map[catalog.Service]*serviceState
+	records map[catalog.Service]Record
+	// fencesChecked is Input.FencesChecked of the last tick.
+	fencesChecked bool
+	services      map[catalog.Service]*serviceState
 }
 
 // serviceState is the state of one service that is kept between ticks.
@@ -50,24 +53,30 @@
 	callPending  bool
 	calledAt     model.Time
 	unknownCalls int
-	// abandonedUntil is the time until which a call for another target than the last
-	// one may still be executed.
-	abandonedUntil model.Time
+	// lateCallUntil has, by target, the time until which an unanswered promotion call
+	// may still be executed.
+	lateCallUntil map[model.UpstreamID]model.Time
 	// confirmable is the primary that VMs may use, empty if none is confirmed.
 	// confirmedUntil has the time until which each VM may use it.
 	confirmable    Confirmation
 	confirmedUntil map[model.VMID]model.Time
-	// withdrawnAt is when VMs were last told that the primary is no longer confirmed.
-	withdrawnAt model.Time
+	// lastConfirmedAt is when this holder last confirmed the primary to a VM, and
+	// withdrawSentAt when it last told VMs that the primary is no longer confirmed.
+	lastConfirmedAt model.Time
+	withdrawSentAt  model.Time
 }
 
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
 	svc := &serviceState{
 		name: name, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
-		record: s.records[name],
+		record: s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{},
+	}
+	for _, id := range svc.record.Late {
+		s.recordLateCall(now, svc, id)
 	}
 	if svc.record.Upstream != "" && !svc.record.Done {
 		svc.callPending, svc.calledAt, svc.unknownCalls = true, now, 1
+		s.recordLateCall(now, svc, svc.record.Upstream)
 	}
 	return svc
 }
@@ -122,8 +131,11 @@
 	if svc == nil {
 		return
 	}
-	if o == OutcomeRefused || o == OutcomeRejected {
+	switch o {
+	case OutcomeRefused, OutcomeRejected:
 		svc.unknownCalls--
+	case OutcomeUnknown:
+		s.recordLateCall(now, svc, svc.record.Upstream)
 	}
 	if t := svc.transition; t != nil && t.token == token {
 		t.handleOutcome(o)
@@ -135,6 +147,7 @@
 	if !s.holding {
 		return out
 	}
+	s.fencesChecked = in.FencesChecked
 	for i := range in.Views {
 		v := &in.Views[i]
 		svc := s.services[v.Service]
@@ -157,14 +170,15 @@
 		return s.advance(now, svc, v, in, out)
 	}
 	out = svc.stepDownFormerPrimaries(now, v, out)
-	if now < svc.backoffUntil {
+	// A new holder first needs its own observations of the upstreams.
+	if now < svc.backoffUntil || now.Sub(s.acquiredAt) < observationPeriod {
 		return out
 	}
 	cause, planned := s.transitionCause(now, svc, v, in)
 	if cause == "" {
-		return s.releaseOrphanedFences(now, svc, v, in, out)
+		return svc.releaseOrphanedFences(now, v, out)
 	}
-	t := &transition{planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1}
+	t := &transition{withdrawn: map[model.VMID]model.Time{}, planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1}
 	for i := range v.Members {
 		t.initialMembers = append(t.initialMembers, v.Members[i].ID)
 	}
@@ -172,7 +186,7 @@
 		return out
 	}
 	svc.transition = t
-	svc.lastCommandAt = map[model.UpstreamID]model.Time{}
+	svc.lastCommandAt, svc.withdrawSentAt = map[model.UpstreamID]model.Time{}, 0
 	out = append(out, Effect{Kind: EffectTransitionStarted, Service: svc.name, Upstream: v.Primary, Cause: cause, Term: t.fenceTerm})
 	return s.advance(now, svc, v, in, out)
 }
@@ -227,10 +241,6 @@
 // transitionCause returns why another upstream has to become the primary, or ""
 // if none has to. planned is true for a switchover.
 func (s *State) transitionCause(now model.Time, svc *serviceState, v *replicaset.View, in *Input) (cause string, planned bool) {
-	if now.Sub(s.acquiredAt) < observationPeriod {
-		// A new holder first needs its own observations of the upstreams.
-		return "", false
-	}
 	if v.Primary == "" {
 		if svc.noPrimarySince != 0 && now.Sub(svc.noPrimarySince) > noPrimaryTimeout {
 			return "no primary", false
@@ -241,8 +251,9 @@
 	if primaryLost(now, m, in) {
 		return "primary lost", false
 	}
-	if target := findMember(v, svc.record.Upstream); svc.callPending && target != nil && target.ID != v.Primary && reachable(now, target) {
-		return causeUnfinished, true
+	if svc.callPending && svc.record.Upstream != v.Primary {
+		target := findMember(v, svc.record.Upstream)
+		return causeUnfinished, target != nil && reachable(now, target)
 	}
 	if m.Leaving {
 		return "primary leaves", true
@@ -312,30 +323,16 @@
 	return out
 }
 
-// releaseOrphanedFences releases fences that an earlier transition left behind. A
-// promotion call of an earlier lease holder may still be executed. If the platform
-// checks fencing tokens, the current primary is promoted again first, which changes
-// nothing but the token that later calls must exceed. Otherwise the fences are kept
-// until the call can no longer be executed.
-func (s *State) releaseOrphanedFences(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
-	if svc.callPending && !in.FencesChecked {
-		return out
-	}
+// releaseOrphanedFences releases fences that an earlier transition left behind, unless
+// its promotion call may still be executed.
+func (svc *serviceState) releaseOrphanedFences(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	primary := findMember(v, v.Primary)
-	fenced := false
-	for i := range v.Members {
-		fenced = fenced || v.Members[i].Status.FencedTerm != 0
-	}
-	if !fenced || primary == nil || !reachable(now, primary) {
+	if svc.callPending || !anyFenced(v) || primary == nil || !reachable(now, primary) {
 		svc.orphanedFenceSince = 0
 		return out
 	}
 	if svc.orphanedFenceSince == 0 {
 		svc.orphanedFenceSince = now
-		if !in.FencesChecked {
-			return out
-		}
-		return append(out, Effect{Kind: EffectPromote, Service: svc.name, Upstream: v.Primary, Token: s.token()})
 	}
 	if now.Sub(svc.orphanedFenceSince) < orphanedFenceTimeout {
 		return out
@@ -348,6 +345,10 @@
 	return out
 }
 
+func anyFenced(v *replicaset.View) bool {
+	return slices.ContainsFunc(v.Members, func(m replicaset.Member) bool { return m.Status.FencedTerm != 0 })
+}
+
 // sendCommand appends a command unless the last one to the upstream was sent less
 // than interval ago.
 func (svc *serviceState) sendCommand(now model.Time, id model.UpstreamID, k CommandKind, term uint64, interval time.Duration, out []Effect) []Effect {
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -33,6 +33,9 @@
 	// all terms known before.
 	fenceTerm uint64
 	target    model.UpstreamID
+	// withdrawn are the VMs that have dropped the primary during this transition, with
+	// the time at which the vouchers that they gave end.
+	withdrawn map[model.VMID]model.Time
 
 	// token is the fencing token of the last promotion call.
 	token         uint64
@@ -63,7 +66,7 @@
 	case phaseFence:
 		return s.fence(now, svc, v, in, out)
 	case phasePromote:
-		return s.promote(now, svc, v, in, out)
+		return s.promote(now, svc, v, out)
 	}
 	return svc.unfence(now, v, out)
 }
@@ -118,15 +121,18 @@
 	if now.Sub(t.phaseStartedAt) > limit {
 		return svc.endTransition(now, "no target is safe in time", true, out)
 	}
-	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
+	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
 	target := t.switchoverTarget(v)
 	if !t.planned {
 		target = t.failoverTarget(v, in, svc)
 	}
-	out = svc.withdraw(now, out)
-	if target == nil || !s.confirmationsEnded(now, svc) && !t.oldPrimarySteppedDown(v) {
+	out = svc.withdraw(now, in, out)
+	// Only if no call is pending, the old primary is certain to be the one that was
+	// confirmed.
+	steppedDown := !svc.callPending && t.oldPrimarySteppedDown(v)
+	if target == nil || !steppedDown && !s.confirmationsEnded(now, svc, in) {
 		return svc.fenceReplicas(now, v, out)
 	}
 	t.target, t.token = target.ID, s.token()
@@ -135,19 +141,19 @@
 	out = append(out, Effect{
 		Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm,
 	})
-	return svc.callPromote(now, v, in, out)
+	return s.callPromote(now, svc, v, out)
 }
 
 // callPromote calls the platform to promote the target of the transition.
-func (svc *serviceState) callPromote(now model.Time, v *replicaset.View, in *Input, out []Effect) []Effect {
+func (s *State) callPromote(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
 	t.promoteSentAt = now
 	retargeted := svc.callPending && svc.record.Upstream != t.target
-	if retargeted && !in.FencesChecked {
-		svc.abandonedUntil = now.Add(lateCallTimeout)
+	if retargeted {
+		s.recordLateCall(now, svc, svc.record.Upstream)
 	}
 	if !svc.callPending || retargeted {
-		svc.record = Record{Upstream: t.target, Term: v.PrimaryTerm}
+		svc.record = Record{Upstream: t.target, Term: v.PrimaryTerm, Late: svc.lateTargets(now, "")}
 	}
 	svc.callPending, svc.calledAt = true, now
 	svc.unknownCalls++
@@ -158,7 +164,8 @@
 const (
 	causeStalled = "replicas receive nothing"
 	// causeUnfinished: a promotion call of an earlier transition may still be
-	// executed, so the promotion is completed.
+	// executed, so the promotion is completed, or another one made if its target cannot
+	// be reached.
 	causeUnfinished = "unfinished promotion"
 )
 
@@ -314,19 +321,19 @@
 
 // promote waits until the target is the primary, and retries the promotion call
 // while it is unanswered.
-func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
+func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
 	target := findMember(v, t.target)
 	if v.Primary == t.target && target.Status.Primary && target.StatusAt >= t.phaseStartedAt {
 		t.enterPhase(now, phaseUnfence)
-		return svc.unfence(now, v, svc.recordPrimary(v, out))
+		return svc.unfence(now, v, svc.recordPrimary(now, v, out))
 	}
 	if target == nil || t.refused || now.Sub(t.phaseStartedAt) > promoteTimeout {
 		// The next attempt uses a higher fencing token, so that this call can
 		// no longer be executed after it if the platform checks tokens.
 		t.fenceTerm = highestTerm(v) + 1
 		if svc.unknownCalls <= 0 {
-			out = svc.recordPrimary(v, out)
+			out = svc.recordPrimary(now, v, out)
 		}
 		if t.planned {
 			return svc.endTransition(now, "the promotion was refused", true, out)
@@ -335,7 +342,7 @@
 		return out
 	}
 	if !t.accepted && now.Sub(t.promoteSentAt) > promoteRetryInterval {
-		out = svc.callPromote(now, v, in, out)
+		out = s.callPromote(now, svc, v, out)
 	}
 	return svc.sendCommand(now, t.target, CommandStatus, 0, statusPollInterval, out)
 }
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -17,8 +17,10 @@
 // see every commit, and writes, are therefore sent to a primary only while it is
 // confirmed: the lease holder tells each VM that asks which upstream is the primary,
 // and promotes no other one until the confirmation has ended, the VM has dropped it, or
-// the former primary has stepped down. A new lease holder first waits until those of
-// the former one have ended. It learns from the store which promotion call of the
+// the former primary has stepped down. While no lease holder answers, for example since
+// the store is down, VMs vouch to each other for the last confirmed primary; see
+// replicaset.Voucher. A new lease holder first waits until the confirmations by the
+// former one have ended. It learns from the store which promotion call of the
 // former one may still be executed, and confirms no primary until that is settled.
 package promotion
 
@@ -171,6 +173,9 @@
 	// SyncReplicas returns the number of replicas that must have received a
 	// commit before it is acknowledged.
 	SyncReplicas func(catalog.Service) int
+	// Voters are the VMs that vouch for a primary while no holder of the promotion lease
+	// confirms it, including this one.
+	Voters []model.VMID
 	// FencesChecked is true if the platform refuses promotion calls with a lower
 	// fencing token than it has seen for the service.
 	FencesChecked bool
--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -32,12 +32,18 @@
 	if ev.Term > m.steppedDownTerm {
 		g.recordPrimary(now, m, ev.Term)
 	}
-	g.confirm(now, confirmation{upstream: m.ID, term: ev.Term, until: ev.Until})
+	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until}
+	if ev.SentAt > g.heardAt {
+		g.heard, g.heardAt = c, ev.SentAt
+	}
+	g.confirm(now, c)
 }
 
-// applyWithdrawn ends the confirmation of the primary.
+// applyWithdrawn ends the confirmation of the primary. Until the next one, this VM
+// neither vouches nor uses vouchers.
 func (g *group) applyWithdrawn(now model.Time) {
 	g.withdrawnAt = now
+	clear(g.vouchers)
 	g.confirmed.until = min(g.confirmed.until, now)
 }
 
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -22,6 +22,8 @@
 	// replaced has the incarnations of upstreams that were replaced while the store
 	// still lists them.
 	replaced map[model.UpstreamID]int64
+	// voters are the other VMs whose vouchers count.
+	voters []model.VMID
 }
 
 // group is the set of upstreams of one service.
@@ -48,6 +50,14 @@
 	// last withdrawal of one.
 	confirmed   confirmation
 	withdrawnAt model.Time
+	// heard is the last confirmation by a holder of the promotion lease, which was asked
+	// for at heardAt.
+	heard   confirmation
+	heardAt model.Time
+	// vouchers has the last voucher of each other VM; vouchedUntil is when the last
+	// voucher that this VM has given ends.
+	vouchers     map[model.VMID]voucher
+	vouchedUntil model.Time
 	// observedLog is the newest observation of the primary's log. It becomes evidence
 	// as far as the primary is confirmed.
 	observedLog evidence
@@ -112,6 +122,8 @@
 		m.recordFailure(now, ev.Refused)
 	case EventConfirmed:
 		g.applyConfirmed(now, m, ev)
+	case EventVouched:
+		s.applyVouched(now, g, ev)
 	case EventPrimary:
 		if ev.Term > m.steppedDownTerm || m.steppedDownTerm == 0 {
 			g.recordPrimary(now, m, ev.Term)
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -94,6 +94,9 @@
 	// answer to a question sent at SentAt: Upstream is the primary of Term, and no
 	// other upstream becomes the primary before Until.
 	EventConfirmed
+	// EventVouched carries a voucher of VM, which was asked for at SentAt: Upstream is the
+	// primary of Term until Until.
+	EventVouched
 	// EventWithdrawn reports that the holder of the promotion lease no longer confirms
 	// the primary of Service, because it is about to promote an upstream.
 	EventWithdrawn
@@ -118,6 +121,7 @@
 	Term          uint64
 	SentAt        model.Time
 	Until         model.Time
+	VM            model.VMID
 	Refused       bool
 	SyncReplicas  int
 }
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
@@ -40,13 +41,24 @@
 		}
 	}
 	p.addUpstreamState(a)
-	for _, c := range p.transitions.confirmations(model.VMID(r.GetVm())) {
+	p.addConfirmations(model.VMID(r.GetVm()), a)
+	return a, nil
+}
+
+// addConfirmations adds the confirmations of this VM if it holds the promotion lease,
+// and its vouchers, to the answer to vm.
+func (p *peers) addConfirmations(vm model.VMID, a *vmlinkv1.ObserveResponse) {
+	for _, c := range p.transitions.confirmations(vm) {
 		a.Confirmations = append(a.Confirmations, &vmlinkv1.Confirmation{
 			Service: string(c.Service), Upstream: string(c.Upstream), Term: c.Term,
 			ValidUs: uint64(promotion.ConfirmationTTL.Microseconds()),
 		})
 	}
-	return a, nil
+	for _, v := range p.cluster.vouchers() {
+		a.Vouchers = append(a.Vouchers, &vmlinkv1.Confirmation{
+			Service: string(v.Service), Upstream: string(v.Upstream), Term: v.Term, ValidUs: uint64(v.Valid.Microseconds()),
+		})
+	}
 }
 
 // addDemands adds the demands that the requesting VM needs to the answer a. A VM that
@@ -133,26 +145,27 @@
 // errNoAddress means that the address of a VM is not known.
 var errNoAddress = errors.New("address of the VM not known")
 
-// withdraw tells a VM that the primary of a service is no longer confirmed.
-func (p *peers) withdraw(ctx context.Context, service catalog.Service, vm model.VMID) error {
+// withdraw tells a VM that the primary of a service is no longer confirmed. It returns
+// for how long vouchers of that VM may still be used.
+func (p *peers) withdraw(ctx context.Context, service catalog.Service, vm model.VMID) (time.Duration, error) {
 	e, found := p.members.all()[vm]
 	if !found {
-		return errNoAddress
+		return 0, errNoAddress
 	}
 	link, err := p.links.get(e.Address)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	_, err = vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service)})
-	return err
+	r, err := vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service)})
+	return age(r.GetVouchedUs()), err
 }
 
 // Withdraw ends the confirmation of a service's primary on this VM.
 func (p *peers) Withdraw(_ context.Context, r *vmlinkv1.WithdrawRequest) (*vmlinkv1.WithdrawResponse, error) {
-	p.cluster.withdrawConfirmation(catalog.Service(r.GetService()))
-	return &vmlinkv1.WithdrawResponse{}, nil
+	vouched := p.cluster.withdrawConfirmation(catalog.Service(r.GetService()))
+	return &vmlinkv1.WithdrawResponse{VouchedUs: uint64(vouched.Microseconds())}, nil
 }
 
 // addUpstreamState adds evidence for each service, and the times at which upstreams
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,12 +31,14 @@
 // cluster holds what this VM knows of the deployment (configuration, upstreams, rate
 // limits) and its connections to upstreams. It implements lineproxy.Cluster.
 type cluster struct {
-	self     model.VMID
-	store    store.Store
-	formats  Formats
-	zone     model.Zone
-	log      zerolog.Logger
-	registry metrics.Registry
+	self model.VMID
+	// startedAt is the time of this VM's start.
+	startedAt model.Time
+	store     store.Store
+	formats   Formats
+	zone      model.Zone
+	log       zerolog.Logger
+	registry  metrics.Registry
 
 	// catalog is the configuration in force, nil before the first.
 	catalog atomic.Pointer[catalog.Snapshot]
@@ -85,7 +86,7 @@
 
 func newCluster(o Options) *cluster {
 	c := &cluster{
-		self: o.VM, store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
+		self: o.VM, startedAt: boottime.Now(), store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
 		replicas: replicaset.New(), quota: quota.New(o.VM),
 		pools:           map[model.UpstreamID]*upstreampool.Pool{},
 		isolated:        func() bool { return false },
@@ -190,12 +191,8 @@
 	}
 	c.mu.Lock()
 	replicas := c.replicas.Replicas(service)
-	failing := slices.ContainsFunc(replicas, func(id model.UpstreamID) bool {
-		m, _ := c.replicas.Member(id)
-		return m.Failing()
-	})
 	c.mu.Unlock()
-	return !failing && c.queryStatuses(ctx, replicas)
+	return !c.anyFailing(replicas) && c.queryStatuses(ctx, replicas)
 }
 
 // Suspect starts status queries to an upstream that continue until it answers.
@@ -262,12 +259,13 @@
 	}
 }
 
-// setMembers sets the list of VMs and the sources of reports; see topology.sources.
-func (c *cluster) setMembers(vms, sources []model.VMID) {
+// setMembers sets the list of VMs and what the topology says of them.
+func (c *cluster) setMembers(vms []model.VMID, t *topology) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.vms = len(vms)
-	c.quota.SetMembers(c.Now(), vms, sources)
+	c.quota.SetMembers(c.Now(), vms, t.sources)
+	c.replicas.SetVoters(t.voters)
 	c.updateShares()
 }
 
--- a/linenode/confirm.go
+++ b/linenode/confirm.go
@@ -14,7 +14,7 @@
 
 // failedRoundPause is how long after a status round that has not confirmed a primary
 // the next round of the service may start.
-const failedRoundPause = 100 * time.Millisecond
+const failedRoundPause = 250 * time.Millisecond
 
 // statusRounds confirm primaries without the holder of the promotion lease: a round
 // queries the status of the upstreams of a service other than its primary; see
@@ -102,7 +102,8 @@
 // run queries the statuses of a round.
 func (r *statusRounds) run(service catalog.Service, round *statusRound) {
 	r.cluster.forward.count("status_rounds")
-	answered := r.cluster.queryStatuses(r.cluster.probes.ctx, r.cluster.roundMembers(service))
+	ids := r.cluster.roundMembers(service)
+	answered := !r.cluster.anyFailing(ids) && r.cluster.queryStatuses(r.cluster.probes.ctx, ids)
 	r.mu.Lock()
 	round.answered, round.endedAt = answered, r.cluster.Now()
 	r.mu.Unlock()
@@ -122,6 +123,16 @@
 	return slices.DeleteFunc(ids, func(id model.UpstreamID) bool { return id == primary.ID })
 }
 
+// anyFailing reports whether any of the upstreams is failing.
+func (c *cluster) anyFailing(ids []model.UpstreamID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(ids, func(id model.UpstreamID) bool {
+		m, _ := c.replicas.Member(id)
+		return m.Failing()
+	})
+}
+
 // queryStatuses queries the status of upstreams and reports whether all have answered.
 func (c *cluster) queryStatuses(ctx context.Context, ids []model.UpstreamID) bool {
 	answers := make(chan bool, len(ids))
@@ -141,7 +152,25 @@
 	c.Observe(&replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: id, Term: term, SentAt: askedAt, Until: until})
 }
 
-// withdrawConfirmation ends the confirmation of a service's primary on this VM.
-func (c *cluster) withdrawConfirmation(service catalog.Service) {
+// applyVoucher applies a voucher of another VM in answer to a question sent at askedAt.
+func (c *cluster) applyVoucher(vm model.VMID, id model.UpstreamID, term uint64, askedAt, until model.Time) {
+	c.Observe(&replicaset.Event{Kind: replicaset.EventVouched, VM: vm, Upstream: id, Term: term, SentAt: askedAt, Until: until})
+}
+
+// withdrawConfirmation ends the confirmation of a service's primary on this VM. It
+// returns for how long vouchers of this VM may still be used, including those that it
+// gave before a restart.
+func (c *cluster) withdrawConfirmation(service catalog.Service) time.Duration {
 	c.Observe(&replicaset.Event{Kind: replicaset.EventWithdrawn, Service: service})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	return max(c.replicas.Vouched(now, service), c.startedAt.Add(replicaset.VoucherTTL).Sub(now))
+}
+
+// vouchers returns the vouchers of this VM for another one.
+func (c *cluster) vouchers() []replicaset.Voucher {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas.Vouch(c.Now())
 }
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -236,7 +236,7 @@
 	m.mu.Lock()
 	m.topo = topo
 	m.mu.Unlock()
-	m.cluster.setMembers(vms, topo.sources)
+	m.cluster.setMembers(vms, &topo)
 	m.log.Info().Int("vms", len(vms)).Str("source", source).Msg("list of VMs changed")
 }
 
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -214,6 +214,9 @@
 	for _, c := range a.GetConfirmations() {
 		p.cluster.applyConfirmation(model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
 	}
+	for _, c := range a.GetVouchers() {
+		p.cluster.applyVoucher(vm, model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
+	}
 	p.report(requestSentAt, vm, a)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
--- a/linenode/topology.go
+++ b/linenode/topology.go
@@ -33,6 +33,10 @@
 	// sources are the IDs of the reports that together cover all other VMs: those VMs
 	// in a mesh, quota.Others in a large deployment.
 	sources []model.VMID
+	// voters are the other VMs that vouch for primaries together with this one: all of
+	// them in a mesh, the hubs in a large deployment; none on a VM that does not vouch.
+	// VMs that have disappeared from the list are included.
+	voters []model.VMID
 	// holders are the VMs of each zone that may hold connections to its upstreams: all
 	// of them in a mesh, the hubs in a large deployment.
 	holders map[model.Zone][]holderVM
@@ -52,6 +56,12 @@
 			if vm != self {
 				t.add(vm, e)
 				t.sources = append(t.sources, vm)
+				t.voters = append(t.voters, vm)
+			}
+		}
+		for vm := range missing {
+			if _, listed := all[vm]; !listed {
+				t.voters = append(t.voters, vm)
 			}
 		}
 		return t
@@ -64,6 +74,9 @@
 		if vm != self && (t.hub || e.Zone == all[self].Zone) {
 			t.add(vm, e)
 		}
+		if vm != self && t.hub {
+			t.voters = append(t.voters, vm)
+		}
 	}
 	return t
 }
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -83,8 +83,8 @@
 	// under cluster.mu.
 	leaseHeld atomic.Bool
 	// withdraw tells another VM that the primary of a service is no longer confirmed. It
-	// returns nil once the VM has answered.
-	withdraw func(ctx context.Context, service catalog.Service, vm model.VMID) error
+	// returns for how long vouchers of that VM may still be used.
+	withdraw func(ctx context.Context, service catalog.Service, vm model.VMID) (vouched time.Duration, err error)
 }
 
 func newTransitions(o Options, c *cluster, m *members) *transitions {
@@ -205,6 +205,7 @@
 		},
 		Isolated:      t.members.isolated(),
 		FencesChecked: t.options.TokensChecked,
+		Voters:        append(t.members.topology().voters, t.options.VM),
 		SyncReplicas: func(s catalog.Service) int {
 			if configuration == nil || configuration.Service(s) == nil {
 				return 0
@@ -290,24 +291,24 @@
 // this one.
 func (t *transitions) executeWithdraw(ctx context.Context, e *promotion.Effect) {
 	if e.VM == t.options.VM {
-		t.cluster.withdrawConfirmation(e.Service)
-		t.reportWithdrawn(e)
+		t.reportWithdrawn(e, t.cluster.withdrawConfirmation(e.Service))
 		return
 	}
 	go func(e promotion.Effect) {
-		if err := t.withdraw(ctx, e.Service, e.VM); err != nil {
+		vouched, err := t.withdraw(ctx, e.Service, e.VM)
+		if err != nil {
 			// The confirmation ends by itself.
 			t.log.Debug().Err(err).Str("vm", string(e.VM)).Msg("withdrawal of a confirmation not answered")
 			return
 		}
-		t.reportWithdrawn(&e)
+		t.reportWithdrawn(&e, vouched)
 	}(*e)
 }
 
-func (t *transitions) reportWithdrawn(e *promotion.Effect) {
+func (t *transitions) reportWithdrawn(e *promotion.Effect, vouched time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.ReportWithdrawn(e.Service, e.VM, e.SentAt)
+	t.state.ReportWithdrawn(boottime.Now(), e.Service, e.VM, e.SentAt, vouched)
 }
 
 // record writes the record of an ended promotion. Without it, the next holder of the
@@ -430,6 +431,11 @@
 		t.revokeLease(ctx, lease)
 		return
 	}
+	for service, r := range records {
+		if r.Done {
+			t.cluster.Observe(&replicaset.Event{Kind: replicaset.EventPrimary, Service: service, Upstream: r.Upstream, Term: r.Term})
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lease, t.leaseRevision = lease, result.Revision
