--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -399,6 +399,12 @@
 	}
 }
 
+// ownedBefore reports whether the key of the lease was written by an earlier process of
+// this VM, which has ended. Its lease need not expire first.
+func (t *transitions) ownedBefore(existing *store.KeyValue) bool {
+	return string(existing.Value) == string(t.options.VM)
+}
+
 // acquireLease writes the key of the lease if no other VM has. The fencing tokens of
 // the holder are derived from the revision of that write, so that they are higher than
 // those of all earlier holders.
@@ -410,7 +416,7 @@
 		return
 	}
 	existing, err := t.options.Store.Get(ctx, promotionLeaseKey)
-	if err != nil || existing.ModRevision != 0 {
+	if err != nil || existing.ModRevision != 0 && !t.ownedBefore(&existing) {
 		return
 	}
 	sent := boottime.Now()
@@ -419,7 +425,7 @@
 		return
 	}
 	result, err := t.options.Store.Txn(ctx,
-		[]store.Condition{{Key: promotionLeaseKey}},
+		[]store.Condition{{Key: promotionLeaseKey, ModRevision: existing.ModRevision}},
 		[]store.Write{{Key: promotionLeaseKey, Value: []byte(t.options.VM), Lease: lease}})
 	if err != nil || !result.Succeeded {
 		t.log.Info().Err(err).Bool("held", err == nil).Msg("promotion duty not acquired")
