Add a former primary that serves on to the stand-in group and the soak

The stand-in group has a former primary that continues after a promotion until it is told to step down, or a second after it reaches the new one, a server that ignores STEPDOWN, and promotions that ignore fencing tokens. A promoted server applies its whole log at once; before, it could answer reads without its own latest commits.

TestFormerPrimaryServesOn covers a switchover and a failover of a silent primary, with and without checked tokens.

--- a/standin/linegroup/group.go
+++ b/standin/linegroup/group.go
@@ -25,6 +25,13 @@
 	Slots int
 	// Lag is the time between receiving and applying a commit on a replica.
 	Lag time.Duration
+	// FormerPrimaryServes makes a former primary continue as one after a promotion until
+	// it is told to step down, or until YieldAfter after it reaches the new primary.
+	FormerPrimaryServes bool
+	YieldAfter          time.Duration
+	// IgnoreTokens makes promotions with a lower fencing token than an earlier one
+	// succeed.
+	IgnoreTokens bool
 }
 
 // Commit is one transaction in the log.
@@ -101,10 +108,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.servers[id]
-	if token < g.token || s == nil || s.stopped {
+	if token < g.token && !g.options.IgnoreTokens || s == nil || s.stopped {
 		return false
 	}
-	g.token = token
+	g.token = max(g.token, token)
 	if g.primary == id {
 		return true
 	}
@@ -125,6 +132,11 @@
 		other.received = min(other.received, s.received)
 		other.fencedTerm = 0
 	}
+	if former := g.servers[g.primary]; former != nil && g.options.FormerPrimaryServes && !former.stopped {
+		former.servesOn(g.term - 1)
+	}
+	s.formerTerm = 0
+	s.applyAll()
 	g.primary = id
 	return true
 }
@@ -148,6 +160,19 @@
 	return append([]Commit(nil), g.log...)
 }
 
+// AcknowledgedCommits returns the number of commits that replicas have received.
+func (g *Group) AcknowledgedCommits() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for i := range g.log {
+		if !g.log[i].Acknowledged.IsZero() {
+			n = i + 1
+		}
+	}
+	return n
+}
+
 // NumberOf returns the number of the commit that contains the statement with
 // this id, or 0 if there is none.
 func (g *Group) NumberOf(id string) int {
@@ -178,6 +203,10 @@
 // received it. ok is false if s is not the primary, if s was stopped while
 // waiting, or if a promotion discarded the transaction.
 func (g *Group) commit(s *Server, ids []string) (number model.LogPos, ok bool) {
+	// No replica receives the commits of a former primary.
+	for s.FormerPrimary() && !s.isStopped() {
+		time.Sleep(time.Millisecond)
+	}
 	g.mu.Lock()
 	if g.primary != s.id {
 		g.mu.Unlock()
@@ -224,7 +253,7 @@
 		return
 	}
 	for _, s := range g.servers {
-		if s == primary || s.stopped || s.fencedTerm > 0 || s.receiveStopped {
+		if s == primary || s.stopped || s.fencedTerm > 0 || s.receiveStopped || s.actsAsFormerPrimary() {
 			continue
 		}
 		for s.received < primary.received {
--- a/standin/linegroup/server.go
+++ b/standin/linegroup/server.go
@@ -35,7 +35,14 @@
 	fencedTerm     uint64
 	stopped        bool
 	receiveStopped bool
-	conns          map[*conn]bool
+	// formerTerm is the term in which a former primary continues to serve, 0 otherwise.
+	// It steps down at yieldAt, unless newPrimaryCut is true.
+	formerTerm    uint64
+	yieldAt       time.Time
+	newPrimaryCut bool
+	// stepDownIgnored is true if the server does not carry out STEPDOWN.
+	stepDownIgnored bool
+	conns           map[*conn]bool
 	// overLimit counts the connections refused because of the limit.
 	overLimit int
 
@@ -109,6 +116,43 @@
 	s.receiveStopped = receiveStopped
 }
 
+// SetNewPrimaryCut keeps a former primary from reaching the new one, so that it serves
+// until it is told to step down. Reaching it again starts Options.YieldAfter.
+func (s *Server) SetNewPrimaryCut(cut bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.newPrimaryCut = cut
+	s.yieldAt = time.Now().Add(s.group.options.YieldAfter)
+}
+
+// IgnoreStepDown makes the server answer STEPDOWN without carrying it out.
+func (s *Server) IgnoreStepDown(ignore bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.stepDownIgnored = ignore
+}
+
+// servesOn makes a former primary continue in its term. The caller holds the group's
+// mutex.
+func (s *Server) servesOn(term uint64) {
+	s.formerTerm, s.yieldAt = term, time.Now().Add(s.group.options.YieldAfter)
+}
+
+// FormerPrimary reports whether the server is a former primary that still serves.
+func (s *Server) FormerPrimary() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.actsAsFormerPrimary()
+}
+
+// actsAsFormerPrimary is FormerPrimary for callers that hold the group's mutex.
+func (s *Server) actsAsFormerPrimary() bool {
+	if s.formerTerm != 0 && !s.newPrimaryCut && time.Now().After(s.yieldAt) {
+		s.formerTerm = 0
+	}
+	return s.formerTerm != 0
+}
+
 func (s *Server) isStopped() bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
@@ -130,10 +174,11 @@
 	}
 }
 
-// Start starts a stopped server again on the same address, with its log.
+// Start starts a stopped server again on the same address, with its log. A former primary
+// comes back as a replica.
 func (s *Server) Start() error {
 	s.group.mu.Lock()
-	s.stopped = false
+	s.stopped, s.formerTerm = false, 0
 	s.group.mu.Unlock()
 	return s.listen(s.address)
 }
@@ -144,6 +189,17 @@
 	s.appliedAt = append(s.appliedAt[:min(len(s.appliedAt), int(s.received)-1)], at)
 }
 
+// applyAll makes all received commits visible to reads. The caller holds the group's
+// mutex.
+func (s *Server) applyAll() {
+	now := time.Now()
+	for i := range s.appliedAt {
+		if s.appliedAt[i].After(now) {
+			s.appliedAt[i] = now
+		}
+	}
+}
+
 // applied returns the position of the last commit that reads see. The caller
 // holds the group's mutex.
 func (s *Server) applied() model.LogPos {
@@ -328,10 +384,13 @@
 	g := c.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !readOnly && g.primary != c.server.id {
+	term := g.term
+	if c.server.actsAsFormerPrimary() {
+		term = c.server.formerTerm
+	} else if !readOnly && g.primary != c.server.id {
 		return failure(lineproto.ReadOnly, c.server.id)
 	}
-	c.inTx, c.readOnly, c.term = true, readOnly, g.term
+	c.inTx, c.readOnly, c.term = true, readOnly, term
 	return complete(lineproto.NilValue)
 }
 
@@ -343,6 +402,9 @@
 	g := c.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if c.server.actsAsFormerPrimary() {
+		return !c.inTx || c.term == c.server.formerTerm
+	}
 	return g.primary == c.server.id && (!c.inTx || c.term == g.term)
 }
 
@@ -451,14 +513,21 @@
 	case "RESUME":
 		s.fencedTerm = 0
 	case "STEPDOWN":
-		if term > g.term && g.primary == s.id {
+		switch {
+		case s.stepDownIgnored:
+		case s.actsAsFormerPrimary() && term > s.formerTerm:
+			s.formerTerm = 0
+		case term > g.term && g.primary == s.id:
 			g.primary = ""
 		}
 	}
-	role := "replica"
-	if g.primary == s.id {
+	role, ownTerm := "replica", g.term
+	switch {
+	case s.actsAsFormerPrimary():
+		role, ownTerm = "primary", s.formerTerm
+	case g.primary == s.id:
 		role = "primary"
 	}
-	row := fmt.Sprintf("%s %s %d %s %d 0 %d %d", lineproto.Row, role, g.term, s.formatPosition(s.received), s.fencedTerm, len(s.slots), len(s.conns))
+	row := fmt.Sprintf("%s %s %d %s %d 0 %d %d", lineproto.Row, role, ownTerm, s.formatPosition(s.received), s.fencedTerm, len(s.slots), len(s.conns))
 	return append([]string{row}, complete(lineproto.NilValue)...)
 }
--- /dev/null
+++ b/test/line/former_test.go
@@ -0,0 +1,87 @@
+package line
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+)
+
+// formerPrimaryGroup is fastGroup with a former primary that serves on after a
+// promotion.
+func formerPrimaryGroup() linegroup.Options {
+	o := fastGroup
+	o.FormerPrimaryServes, o.YieldAfter = true, time.Second
+	return o
+}
+
+// strictReaders read on the strict route of all VMs until stop is called, and check
+// that each read sees every commit that was acknowledged before it.
+type strictReaders struct {
+	stopped chan struct{}
+	wg      sync.WaitGroup
+}
+
+func (f *fixture) startStrictReaders() *strictReaders {
+	r := &strictReaders{stopped: make(chan struct{})}
+	for vm := range f.nodes {
+		c := f.dial(vm, "strict")
+		r.wg.Go(func() {
+			for {
+				select {
+				case <-r.stopped:
+					return
+				default:
+				}
+				acknowledged := f.Group.AcknowledgedCommits()
+				if a := c.Query("READ item"); a.Code == "" && a.CommitsSeen() < acknowledged {
+					f.t.Errorf("read on VM %d saw %d of %d acknowledged commits", vm, a.CommitsSeen(), acknowledged)
+				}
+			}
+		})
+	}
+	return r
+}
+
+func (r *strictReaders) stop() {
+	close(r.stopped)
+	r.wg.Wait()
+}
+
+// After a promotion, no strict read may run on the former primary, which serves on
+// since it cannot reach the new one and does not step down; and no acknowledged write
+// may be lost or doubled. Covers a switchover, and a failover of a primary that is silent
+// for a while, on a platform that checks fencing tokens and on one that does not.
+func TestFormerPrimaryServesOn(t *testing.T) {
+	for name, depose := range map[string]func(f *fixture){
+		"switchover": func(f *fixture) { f.Register("a", "draining") },
+		"failover":   func(f *fixture) { f.Group.Server("a").SetSilent(true) },
+	} {
+		for _, ignoreTokens := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				o := formerPrimaryGroup()
+				o.IgnoreTokens = ignoreTokens
+				f := newFixture(t, 3, o)
+				w := f.startWriters(3)
+				r := f.startStrictReaders()
+				f.WaitFor("writes", func() bool { return w.Count("") > 50 })
+				f.Group.Server("a").SetNewPrimaryCut(true)
+				f.Group.Server("a").IgnoreStepDown(true)
+				depose(f)
+				f.WaitFor("another primary", func() bool { return f.Group.Primary() != "a" })
+				f.Group.Server("a").SetSilent(false)
+				served := w.Count("")
+				f.WaitFor("writes at the new primary", func() bool { return w.Count("") > served+50 })
+				if !f.Group.Server("a").FormerPrimary() {
+					t.Error("the former primary does not serve on")
+				}
+				f.Group.Server("a").SetNewPrimaryCut(false)
+				f.WaitFor("the end of the former primary", func() bool { return !f.Group.Server("a").FormerPrimary() })
+				r.stop()
+				w.stop()
+				w.Check(f.Platform)
+			})
+		}
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -32,6 +32,8 @@
 
 const (
 	defaultVMs = 4
+	// strictDatabase is the database of a route whose reads see every commit.
+	strictDatabase = "strict"
 	// callersPerVM is the number of concurrent callers of each VM.
 	callersPerVM = 4
 	// faultDuration is how long faults are injected.
@@ -119,8 +121,11 @@
 // recovery and the outcomes.
 func runSeed(t *testing.T, binary string, seed uint64) {
 	w := &soakRun{
-		Platform: linetest.NewPlatform(t, linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond}),
-		t:        t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(), start: time.Now(),
+		Platform: linetest.NewPlatform(t, linegroup.Options{
+			ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond,
+			FormerPrimaryServes: true, YieldAfter: time.Second, IgnoreTokens: seed%2 == 0,
+		}),
+		t: t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(), start: time.Now(),
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -135,16 +140,20 @@
 	w.Setup()
 	dir := t.TempDir()
 	for i := range envInt(t, "SOAK_VMS", defaultVMs) {
-		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address()))
+		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address(), seed%2 != 0))
 	}
 	for _, v := range w.vms {
 		v.start()
 	}
 	w.WaitFor("all VMs ready", w.allReady)
 	for _, v := range w.vms {
-		for range callersPerVM {
+		for i := range callersPerVM {
+			database := "own"
+			if i == 0 {
+				database = strictDatabase
+			}
 			w.wg.Add(1)
-			go w.runCaller(v)
+			go w.runCaller(v, database)
 		}
 	}
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
@@ -169,10 +178,10 @@
 
 // runCaller runs sessions on a VM until the run ends. It replaces a session only when
 // it breaks.
-func (w *soakRun) runCaller(v *vm) {
+func (w *soakRun) runCaller(v *vm, database string) {
 	defer w.wg.Done()
 	for !w.stopping.Load() {
-		c, m, err := linetest.TryConnect(w.t, v.callers, "STARTUP own "+linetest.Key)
+		c, m, err := linetest.TryConnect(w.t, v.callers, "STARTUP "+database+" "+linetest.Key)
 		if err != nil || m.Word != lineproto.Ready {
 			if c != nil {
 				_ = c.Conn.Close()
@@ -181,7 +190,7 @@
 			continue
 		}
 		c.Timeout = answerTimeout
-		if !w.runSession(c) {
+		if !w.runSession(c, database) {
 			w.brokenSessions.Add(1)
 			time.Sleep(reconnectDelay)
 		}
@@ -191,7 +200,7 @@
 
 // runSession sends requests until the session breaks or the run ends. It returns false
 // if the session broke.
-func (w *soakRun) runSession(c *linetest.Caller) bool {
+func (w *soakRun) runSession(c *linetest.Caller, database string) bool {
 	for i := 0; !w.stopping.Load(); i++ {
 		if i%3 == 0 {
 			last, ids := c.Transaction()
@@ -203,7 +212,7 @@
 		}
 		r := c.Query("WRITE item data")
 		w.outcomes.Record(&r, []string{r.ID})
-		if r.Broken || !w.checkRead(c, &r) {
+		if r.Broken || !w.checkRead(c, &r) || database == strictDatabase && !w.checkStrictRead(c) {
 			return false
 		}
 		time.Sleep(3 * time.Millisecond)
@@ -221,6 +230,17 @@
 	return !r.Broken
 }
 
+// checkStrictRead checks that a read on the strict route sees every commit that was
+// acknowledged before it. It returns false if the session broke.
+func (w *soakRun) checkStrictRead(c *linetest.Caller) bool {
+	acknowledged := w.Group.AcknowledgedCommits()
+	r := c.Query("READ item")
+	if r.OK() && r.CommitsSeen() < acknowledged {
+		w.t.Errorf("stale read %s: saw %d of %d acknowledged commits", r.ID, r.CommitsSeen(), acknowledged)
+	}
+	return !r.Broken
+}
+
 // recordEvent adds an event with the current time.
 func (w *soakRun) recordEvent(format string, args ...any) {
 	event := fmt.Sprintf(format, args...)
@@ -236,7 +256,7 @@
 	id := pickRandom(w.rng, []string{"a", "b", "c"})
 	v := pickRandom(w.rng, w.vms)
 	duration := time.Duration(200+w.rng.IntN(1800)) * time.Millisecond
-	switch w.rng.IntN(14) {
+	switch w.rng.IntN(16) {
 	case 0, 1:
 		w.disturbLink(w.upstreams[id], "upstream "+id, duration)
 	case 2:
@@ -275,10 +295,29 @@
 		w.Configure(linetest.Key)
 		w.Group.Server(id).SetReceiveStopped(true)
 		w.undoAfter(duration, func() { w.Group.Server(id).SetReceiveStopped(false) })
+	case 14:
+		w.isolateFormerPrimary(id, duration)
+	case 15:
+		w.recordEvent("upstream %s drains for %s", id, duration)
+		w.Register(id, "draining")
+		w.undoAfter(duration, func() { w.Register(id, "ready") })
 	}
 	time.Sleep(time.Duration(w.rng.IntN(400)) * time.Millisecond)
 }
 
+// isolateFormerPrimary keeps an upstream, once it is a former primary, from learning of
+// the new one for d.
+func (w *soakRun) isolateFormerPrimary(id string, d time.Duration) {
+	w.recordEvent("upstream %s serves on as a former primary for %s", id, d)
+	s := w.Group.Server(id)
+	s.SetNewPrimaryCut(true)
+	s.IgnoreStepDown(true)
+	w.undoAfter(d, func() {
+		s.SetNewPrimaryCut(false)
+		s.IgnoreStepDown(false)
+	})
+}
+
 // undoAfter calls undo after d in the background. The run waits for it.
 func (w *soakRun) undoAfter(d time.Duration, undo func()) {
 	w.wg.Add(1)
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -44,8 +44,9 @@
 }
 
 // newVM writes the settings of a VM without starting it. store is the address at which
-// the VM reaches the store and the promoter.
-func newVM(t *testing.T, binary, dir string, i int, store string) *vm {
+// the VM reaches the store and the promoter; checksTokens is whether the promoter checks
+// fencing tokens.
+func newVM(t *testing.T, binary, dir string, i int, store string, checksTokens bool) *vm {
 	name := fmt.Sprintf("vm-%d", i)
 	v := &vm{
 		t: t, binary: binary, settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"),
@@ -59,7 +60,7 @@
 		"ready":    map[string]any{"listen": v.ready},
 		"peer":     map[string]any{"listen": peers, "advertise": v.peers.address(), "insecure": true},
 		"store":    map[string]any{"address": store, "watch_wait": "1s"},
-		"promoter": map[string]any{"address": store},
+		"promoter": map[string]any{"address": store, "checks_tokens": checksTokens},
 		"grace":    gracePeriod.String(),
 	})
 	if err != nil {
