Contain panics in one request, session or background task

Cause: a panic in a gRPC handler, a session or a background goroutine ended the process, for both protocols' VM links.

Change: package panics; gRPC servers answer a call that panics with Internal, which callers treat as possibly run; a session of the line protocol that panics is closed and rolled back, a read is answered with FAILED, and background work is run again after a second. Sessions of the PostgreSQL protocol are not covered yet.

--- a/linenode/confirm.go
+++ b/linenode/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
@@ -137,7 +138,12 @@
 func (c *cluster) queryStatuses(ctx context.Context, ids []model.UpstreamID) bool {
 	answers := make(chan bool, len(ids))
 	for _, id := range ids {
-		go func() { answers <- c.probes.status(ctx, id) }()
+		go func() {
+			answered := false
+			defer func() { answers <- answered }()
+			// The log has the error.
+			_ = panics.Call(c.log, "status query", func() { answered = c.probes.status(ctx, id) })
+		}()
 	}
 	all := len(ids) > 0
 	for range ids {
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -15,6 +15,7 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/quota"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
 )
@@ -68,7 +69,7 @@
 		p.publishDemands()
 		targets := p.targets()
 		for _, address := range targets {
-			go p.observe(ctx, address)
+			panics.Go(p.log, "poll of a peer", func() { p.observe(ctx, address) })
 		}
 		p.closeUnused(targets)
 		pause.For(ctx, p.interval(round))
--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -14,6 +14,7 @@
 	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
@@ -101,7 +102,7 @@
 	if alreadyChecking {
 		return
 	}
-	go func() {
+	panics.Go(p.cluster.log, "status queries to an upstream", func() {
 		defer func() {
 			p.mu.Lock()
 			delete(p.suspects, id)
@@ -119,7 +120,7 @@
 			}
 			pause.For(p.ctx, suspectInterval)
 		}
-	}()
+	})
 }
 
 // answers reports whether an upstream answers a status query, has answered another
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -14,6 +14,7 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/store"
 )
@@ -242,15 +243,17 @@
 	if busy {
 		return
 	}
-	go func() {
+	panics.Go(t.log, "command to an upstream", func() {
+		defer func() {
+			t.mu.Lock()
+			delete(t.commandInFlight, id)
+			t.mu.Unlock()
+		}()
 		err := t.cluster.probes.send(ctx, id, k, term)
 		if k != promotion.CommandStatus {
 			t.log.Info().Err(err).Str("upstream", string(id)).Str("order", k.String()).Uint64("term", term).Msg("command sent to upstream")
 		}
-		t.mu.Lock()
-		delete(t.commandInFlight, id)
-		t.mu.Unlock()
-	}()
+	})
 }
 
 func (t *transitions) execute(ctx context.Context, e *promotion.Effect) {
@@ -258,11 +261,13 @@
 	case promotion.EffectCommand:
 		t.sendCommand(ctx, e.Upstream, e.Command, e.Term)
 	case promotion.EffectPromote:
-		go t.promote(ctx, *e)
+		call := *e
+		panics.Go(t.log, "promotion call", func() { t.promote(ctx, call) })
 	case promotion.EffectWithdraw:
 		t.executeWithdraw(ctx, e)
 	case promotion.EffectRecord:
-		go t.record(ctx, *e)
+		call := *e
+		panics.Go(t.log, "record of a promotion", func() { t.record(ctx, call) })
 	case promotion.EffectTransitionStarted:
 		t.log.Info().Str("service", string(e.Service)).Str("primary", string(e.Upstream)).Str("cause", e.Cause).
 			Uint64("fence_term", e.Term).Msg("change of primary started")
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -7,6 +7,7 @@
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
@@ -136,7 +137,12 @@
 // from the session is copied into the request first.
 func (o *operation) startRead(id model.UpstreamID, p *statement, t *timeLimits, results chan<- attempt) {
 	r := o.request(id, upstreamrun.ModeFresh, p, t)
-	go func() { results <- o.readOn(r) }()
+	go func() {
+		a := attempt{reply: failure(lineproto.Failed, "internal error")}
+		// The log has the error.
+		_ = panics.Call(o.session.server.log, "read", func() { a = o.readOn(r) })
+		results <- a
+	}()
 }
 
 // floor returns the minimum log position of reads. If no evidence is recent enough,
--- a/lineproxy/server.go
+++ b/lineproxy/server.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
@@ -134,7 +135,8 @@
 	go func() {
 		defer s.wg.Done()
 		defer s.remove(c.id)
-		c.serve()
+		// The log has the error, and serve has closed the session.
+		_ = panics.Call(s.log, "session", c.serve)
 	}()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/chervilhatch/chervilhatch/operator"
 	oprelay "github.com/chervilhatch/chervilhatch/operator/relay"
 	"github.com/chervilhatch/chervilhatch/pause"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/peer"
 	operatorv1 "github.com/chervilhatch/chervilhatch/proto/operator/v1"
 	peerv1 "github.com/chervilhatch/chervilhatch/proto/peer/v1"
@@ -187,7 +188,7 @@
 }
 
 func (n *Node) serveGRPC(l net.Listener, creds credentials.TransportCredentials, register func(*grpc.Server)) {
-	s := grpc.NewServer(grpc.Creds(creds))
+	s := grpc.NewServer(append(panics.ServerOptions(n.log), grpc.Creds(creds))...)
 	register(s)
 	n.grpc = append(n.grpc, s)
 	n.wg.Add(1)
