Let stopping holders finish accepted statements, and read lists less often at the start

Cause: a stopping VM gave the statements that it ran for others an eighth of its grace period after the drain of its own callers, and cut the rest, whose callers were told that the outcome is unknown.

Change: one bound counted from the start of the stop, nine tenths of the grace period. The lists are read again only once they can have settled, and a VM whose hub can send them waits 0.7 s longer for that.

TestStoppingHolderFinishesLongStatements fails without the first change (INDOUBT).

--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -22,9 +22,11 @@
 	// lists may become than those of the VM of rank 0. Usually that VM reads them, and
 	// the others get them from it.
 	listsStagger = 500 * time.Millisecond
-	// initialListsInterval replaces listsInterval after the start, until other VMs are
-	// known.
-	initialListsInterval = 200 * time.Millisecond
+	// initialListsInterval replaces listsInterval after the start, until the list of VMs
+	// has settled; a list that is read earlier again cannot have settled.
+	initialListsInterval = listSettleTime + 50*time.Millisecond
+	// initialHubWait is how much longer a VM waits that a hub can send the lists to.
+	initialHubWait = 700 * time.Millisecond
 	// listsPollInterval is the interval at which a VM checks the age of its lists.
 	listsPollInterval = 100 * time.Millisecond
 	// minListsAgeGain is by how much lists have to be newer than those of a peer to be
@@ -110,6 +112,8 @@
 	switch {
 	case l.members.followsHub():
 		return maxListsInterval
+	case !l.members.known() && l.members.hasHub():
+		return initialListsInterval + initialHubWait
 	case !l.members.known():
 		return initialListsInterval
 	}
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -333,11 +333,17 @@
 	return !topo.large || topo.hub
 }
 
+// hasHub reports whether this VM is one of those that get the lists from a hub. The hub
+// may not have answered yet.
+func (m *members) hasHub() bool {
+	topo := m.topology()
+	return topo.large && !topo.hub
+}
+
 // followsHub reports whether this VM gets what operators write, and usually the lists,
 // from a hub. Other VMs, and a VM that is isolated from its hubs, use the store.
 func (m *members) followsHub() bool {
-	topo := m.topology()
-	return topo.large && !topo.hub && !m.isolated()
+	return m.hasHub() && !m.isolated()
 }
 
 // rank returns the number of VMs with a lower ID that have answered within
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -14,6 +14,7 @@
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/holderlink"
 	"github.com/chervilhatch/chervilhatch/lineproxy"
+	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
 	"github.com/chervilhatch/chervilhatch/telemetry"
@@ -92,7 +93,7 @@
 // Start serves the listeners and starts the background work. It does not block.
 func (n *Node) Start() {
 	n.serveHTTPPages()
-	n.grpc = grpc.NewServer()
+	n.grpc = grpc.NewServer(panics.ServerOptions(n.log)...)
 	vmlinkv1.RegisterVMLinkServer(n.grpc, n.peers)
 	vmlinkv1.RegisterHolderServer(n.grpc, n.holder)
 	n.spawn(func() {
@@ -116,12 +117,16 @@
 		Str("callers", n.options.Callers.Addr().String()).Msg("started")
 }
 
-// spawn runs fn in a goroutine of the background work.
+// panicRestartDelay is the pause before background work that panicked is run again.
+const panicRestartDelay = time.Second
+
+// spawn runs fn in a goroutine of the background work, and again if it panics.
 func (n *Node) spawn(fn func()) {
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
-		fn()
+		for panics.Call(n.log, "background work", fn) != nil && pause.For(n.ctx, panicRestartDelay) {
+		}
 	}()
 }
 
@@ -184,10 +189,9 @@
 	}
 }
 
-// forwardedGraceDivisor: after its own callers are drained, a stopping VM waits for
-// the statements that it runs for other VMs, for at most the grace period divided by
-// this.
-const forwardedGraceDivisor = 8
+// stopMarginDivisor divides the grace period; the quotient is left for the end of the
+// process after a stopping VM has waited for the statements that it runs for others.
+const stopMarginDivisor = 10
 
 // leaveTimeout bounds the removal of a stopping VM's member entry. An entry that is
 // not removed expires after memberTTL.
@@ -211,6 +215,7 @@
 func (n *Node) Stop() {
 	n.log.Info().Int("sessions", n.callers.Sessions()).Dur("grace", n.options.Grace).Msg("stopping")
 	n.stopping.Store(true)
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), n.options.Grace)
 	defer cancel()
 	// Runs concurrently, since a slow store must not shorten the drain of the callers.
@@ -221,7 +226,7 @@
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	n.members.leave(leaveCtx)
-	n.finishForwarded(ctx)
+	n.finishForwarded(ctx, started.Add(n.options.Grace-n.options.Grace/stopMarginDivisor))
 	n.cancel()
 	n.grpc.Stop()
 	for _, p := range n.pages {
@@ -239,11 +244,11 @@
 // statements of other VMs have ended.
 const forwardedPollInterval = 20 * time.Millisecond
 
-// finishForwarded waits until the statements that run here for other VMs have ended.
-// It then starts a graceful stop of the gRPC server, which tells the other VMs to send
+// finishForwarded waits until the statements that run here for other VMs have ended, or
+// until the deadline. It then starts a graceful stop of the gRPC server, which tells the other VMs to send
 // no more requests.
-func (n *Node) finishForwarded(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.options.Grace/forwardedGraceDivisor)
+func (n *Node) finishForwarded(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	for n.holder.InFlight() > 0 && pause.For(ctx, forwardedPollInterval) {
 	}
--- a/test/line/holders_test.go
+++ b/test/line/holders_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+	"github.com/chervilhatch/chervilhatch/test/linetest"
 )
 
 // largeClusterVMs exceeds the largest number of VMs that all have connections to the
@@ -105,3 +106,31 @@
 		return false
 	})
 }
+
+// A holder that stops has to let the statements of other VMs end that it has accepted,
+// as long as its grace period allows.
+func TestStoppingHolderFinishesLongStatements(t *testing.T) {
+	f := newFixtureWithoutVMs(t, linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: 1500 * time.Millisecond})
+	f.grace = 2 * time.Second
+	f.startAll(2)
+	callers := []*linetest.Caller{f.dial(0, "own"), f.dial(1, "own")}
+	holder := -1
+	f.WaitFor("a statement run at a holder", func() bool {
+		for i, c := range callers {
+			c.Query("WRITE item data")
+			if f.nodes[1-i].Forwarded() > 0 {
+				holder = 1 - i
+				return true
+			}
+		}
+		return false
+	})
+	before := f.nodes[holder].Forwarded()
+	result := make(chan linetest.Result, 1)
+	go func() { result <- callers[1-holder].Query("WRITE item data") }()
+	f.WaitFor("the statement at the holder", func() bool { return f.nodes[holder].Forwarded() > before })
+	f.nodes[holder].Stop()
+	if r := <-result; !r.OK() {
+		t.Errorf("statement of a stopping holder: %s %s", r.Code, r.Text)
+	}
+}
