--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -296,7 +296,7 @@
 		w.Group.Server(id).SetReceiveStopped(true)
 		w.undoAfter(duration, func() { w.Group.Server(id).SetReceiveStopped(false) })
 	case 14:
-		w.isolateFormerPrimary(id, duration)
+		w.isolateFormerPrimary(v, duration)
 	case 15:
 		w.recordEvent("upstream %s drains for %s", id, duration)
 		w.Register(id, "draining")
@@ -305,14 +305,21 @@
 	time.Sleep(time.Duration(w.rng.IntN(400)) * time.Millisecond)
 }
 
-// isolateFormerPrimary keeps an upstream, once it is a former primary, from learning of
-// the new one for d.
-func (w *soakRun) isolateFormerPrimary(id string, d time.Duration) {
-	w.recordEvent("upstream %s serves on as a former primary for %s", id, d)
+// isolateFormerPrimary drains the primary and keeps it, as a former primary, from
+// learning of the new one for d, while other VMs do not reach v.
+func (w *soakRun) isolateFormerPrimary(v *vm, d time.Duration) {
+	id := w.Group.Primary()
+	if id == "" {
+		return
+	}
+	w.recordEvent("upstream %s drains and serves on as a former primary for %s", id, d)
 	s := w.Group.Server(id)
 	s.SetNewPrimaryCut(true)
 	s.IgnoreStepDown(true)
+	w.Register(id, "draining")
+	w.disturbLink(v.peers, "peers of "+v.settings, d)
 	w.undoAfter(d, func() {
+		w.Register(id, "ready")
 		s.SetNewPrimaryCut(false)
 		s.IgnoreStepDown(false)
 	})
