Send lists only if they have changed, and the configuration compressed

Cause: a hub sent the lists of upstreams and VMs in full (40 KB on the large deployment) each time they had been read again, each second, to the VMs of its zone and to the other hubs, and each VM decoded them again; and a configuration with 1,500 routes more went to each VM in full, through hubs that also carry the zone's statements.

Change: requests carry a digest of the keys and revisions of the lists; lists with the same digest are answered with their age alone and are not decoded again. The configuration is compressed once a version.

--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -28,16 +28,20 @@
 	}
 	version, raw := p.cluster.storedConfig()
 	a.ConfigVersion = version
-	if version > r.GetConfigVersion() {
+	switch {
+	case version <= r.GetConfigVersion():
+	case r.GetAcceptsGzip():
+		a.ConfigGzip = p.cluster.compressedConfig()
+	default:
 		a.Config = raw
 	}
 	a.OperatorsRevision, a.Evacuated = p.cluster.evacuations()
 	p.addDemands(&topo, r, a)
 	p.addMembers(&topo, a)
 	if l, newer := p.lists.newerThan(age(r.GetListsAgeUs())); newer {
-		a.Lists = &vmlinkv1.Lists{
-			AgeUs:     uint64(boottime.Now().Sub(l.sentAt).Microseconds()),
-			Upstreams: toEntries(l.upstreams), Vms: toEntries(l.vms),
+		a.Lists = &vmlinkv1.Lists{AgeUs: uint64(boottime.Now().Sub(l.sentAt).Microseconds()), Unchanged: l.digest == r.GetListsDigest()}
+		if !a.Lists.Unchanged {
+			a.Lists.Upstreams, a.Lists.Vms = toEntries(l.upstreams), toEntries(l.vms)
 		}
 	}
 	p.addUpstreamState(a)
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -46,6 +46,8 @@
 	// store, which is passed on to peers.
 	rawConfigMu sync.Mutex
 	rawConfig   []byte
+	// gzipConfig is rawConfig compressed, nil until a peer has asked for it.
+	gzipConfig []byte
 
 	// mu guards the fields from replicas to lastForwardedAt, except for the functions,
 	// probes, rounds, local and forward, which do not change after the start.
@@ -283,7 +285,7 @@
 		c.rawConfigMu.Unlock()
 		return
 	}
-	c.rawConfig = rawConfig
+	c.rawConfig, c.gzipConfig = rawConfig, nil
 	c.catalog.Store(s)
 	c.rawConfigMu.Unlock()
 	c.mu.Lock()
@@ -307,6 +309,16 @@
 	return 0, nil
 }
 
+// compressedConfig returns the configuration in force, compressed once for all peers.
+func (c *cluster) compressedConfig() []byte {
+	c.rawConfigMu.Lock()
+	defer c.rawConfigMu.Unlock()
+	if c.gzipConfig == nil {
+		c.gzipConfig = compress(c.rawConfig)
+	}
+	return c.gzipConfig
+}
+
 // close closes all connections to upstreams.
 func (c *cluster) close() {
 	c.mu.Lock()
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
 	"sync"
 	"time"
 
@@ -44,6 +47,24 @@
 	sentAt    model.Time
 	upstreams []store.KeyValue
 	vms       []store.KeyValue
+	// digest differs between lists with different contents.
+	digest uint64
+	// registrations and members are the decoded contents.
+	registrations []replicaset.Registration
+	members       map[model.VMID]memberEntry
+}
+
+// digestOf returns the digest of lists: a hash of all keys and revisions.
+func digestOf(upstreams, vms []store.KeyValue) uint64 {
+	h := fnv.New64a()
+	for _, list := range [][]store.KeyValue{upstreams, vms} {
+		for i := range list {
+			// Writes to a hash.Hash never return an error.
+			_, _ = h.Write([]byte(list[i].Key))
+			_ = binary.Write(h, binary.LittleEndian, list[i].ModRevision)
+		}
+	}
+	return h.Sum64()
 }
 
 // lists keeps the newest lists that this VM or a peer has read from the store.
@@ -76,6 +97,13 @@
 	return boottime.Now().Sub(l.current.sentAt)
 }
 
+// digest returns the digest of the lists, 0 before the first.
+func (l *lists) digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current.digest
+}
+
 // newerThan returns the lists if they are newer by minListsAgeGain than lists of the
 // given age.
 func (l *lists) newerThan(age time.Duration) (storeLists, bool) {
@@ -136,19 +164,38 @@
 
 // install applies lists unless newer ones are known.
 func (l *lists) install(next storeLists) {
+	next.digest = digestOf(next.upstreams, next.vms)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next.sentAt <= l.current.sentAt {
 		return
 	}
-	l.current = next
-	l.cluster.Observe(l.registrations(&next))
-	l.members.applyList(next.sentAt, next.vms)
+	if next.digest != l.current.digest {
+		next.registrations, next.members = l.decodeRegistrations(&next), l.members.decode(next.vms)
+		l.current = next
+	}
+	l.apply(next.sentAt)
+}
+
+// confirm applies that the lists with the digest were still current at sentAt.
+func (l *lists) confirm(sentAt model.Time, digest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sentAt > l.current.sentAt && digest == l.current.digest {
+		l.apply(sentAt)
+	}
+}
+
+// apply applies the lists as of sentAt. The caller holds mu.
+func (l *lists) apply(sentAt model.Time) {
+	l.current.sentAt = sentAt
+	l.cluster.Observe(&replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: sentAt, Registrations: l.current.registrations})
+	l.members.applyList(sentAt, maps.Clone(l.current.members))
 }
 
-// registrations decodes the registrations of upstreams. The caller holds mu.
-func (l *lists) registrations(from *storeLists) *replicaset.Event {
-	ev := &replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: from.sentAt}
+// decodeRegistrations decodes the registrations of upstreams. The caller holds mu.
+func (l *lists) decodeRegistrations(from *storeLists) []replicaset.Registration {
+	var registrations []replicaset.Registration
 	for i := range from.upstreams {
 		kv := &from.upstreams[i]
 		r, err := l.options.Formats.Registration(kv.Key, kv.Value)
@@ -159,7 +206,7 @@
 			}
 			continue
 		}
-		ev.Registrations = append(ev.Registrations, r)
+		registrations = append(registrations, r)
 	}
-	return ev
+	return registrations
 }
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -135,8 +135,8 @@
 	return nil
 }
 
-// applyList applies the entries of all VMs, from a read sent at sentAt.
-func (m *members) applyList(sentAt model.Time, kvs []store.KeyValue) {
+// decode decodes the entries of VMs.
+func (m *members) decode(kvs []store.KeyValue) map[model.VMID]memberEntry {
 	listed := map[model.VMID]memberEntry{}
 	for i := range kvs {
 		var e memberEntry
@@ -146,6 +146,12 @@
 		}
 		listed[model.VMID(strings.TrimPrefix(kvs[i].Key, membersPrefix))] = e
 	}
+	return listed
+}
+
+// applyList applies the entries of all VMs, from a read sent at sentAt, and keeps the
+// map.
+func (m *members) applyList(sentAt model.Time, listed map[model.VMID]memberEntry) {
 	own, found := listed[m.options.VM]
 	// If the entry of this VM's previous incarnation has not expired, neither have
 	// those of the other VMs, so the list is complete.
--- a/linenode/members_test.go
+++ b/linenode/members_test.go
@@ -39,14 +39,14 @@
 		m := newMembers(o, c)
 		own := m.self()
 		own.Incarnation = tt.incarnation(m)
-		m.applyList(boottime.Now(), []store.KeyValue{entryOf(t, "vm-1", own), entryOf(t, "vm-2", memberEntry{Address: "a", Zone: "z"})})
+		m.applyList(boottime.Now(), m.decode([]store.KeyValue{entryOf(t, "vm-1", own), entryOf(t, "vm-2", memberEntry{Address: "a", Zone: "z"})}))
 		if m.known() != tt.want {
 			t.Errorf("%s: other VMs known: %t", tt.name, m.known())
 		}
 	}
 	m := newMembers(Options{VM: "vm-1", Log: zerolog.Nop(), Registry: metrics.NewRegistry()}, newCluster(Options{VM: "vm-1"}))
 	m.writtenAt = boottime.Now()
-	m.applyList(m.writtenAt.Add(listSettleTime+time.Millisecond), []store.KeyValue{entryOf(t, "vm-1", m.self())})
+	m.applyList(m.writtenAt.Add(listSettleTime+time.Millisecond), m.decode([]store.KeyValue{entryOf(t, "vm-1", m.self())}))
 	if !m.known() {
 		t.Error("the list was read after listSettleTime and other VMs are not known")
 	}
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -175,6 +175,7 @@
 		request.Demands = toDemands(p.demands)
 		p.mu.Unlock()
 	}
+	request.ListsDigest, request.AcceptsGzip = p.lists.digest(), true
 	requestSentAt := boottime.Now()
 	answer, err := vmlinkv1.NewVMLinkClient(conn).Observe(ctx, request)
 	if err != nil {
@@ -182,20 +183,23 @@
 		p.log.Debug().Err(err).Str("address", address).Msg("peer did not answer")
 		return
 	}
-	p.handleAnswer(requestSentAt, answer)
+	p.handleAnswer(requestSentAt, request.ListsDigest, answer)
 }
 
-// handleAnswer applies what a peer knows. The ages in an answer are counted back from
+// handleAnswer applies what a peer knows. listsDigest is the digest in the request. The ages in an answer are counted back from
 // the time when the request was sent, so that no delay makes information look newer
 // than it is.
-func (p *peers) handleAnswer(requestSentAt model.Time, a *vmlinkv1.ObserveResponse) {
+func (p *peers) handleAnswer(requestSentAt model.Time, listsDigest uint64, a *vmlinkv1.ObserveResponse) {
 	vm := model.VMID(a.GetVm())
 	p.members.recordAnswer(vm, requestSentAt, a.GetIsolated())
 	p.transitions.handleAnswer(vm, model.VMID(a.GetDutyHolder()), requestSentAt)
-	if len(a.GetConfig()) > 0 {
-		p.cluster.install(a.GetConfig(), "peer "+a.GetVm())
+	if config := p.receivedConfig(a); len(config) > 0 {
+		p.cluster.install(config, "peer "+a.GetVm())
 	}
-	if l := a.GetLists(); l != nil {
+	switch l := a.GetLists(); {
+	case l.GetUnchanged():
+		p.lists.confirm(requestSentAt.Add(-age(l.GetAgeUs())), listsDigest)
+	case l != nil:
 		p.lists.install(storeLists{
 			sentAt: requestSentAt.Add(-age(l.GetAgeUs())), upstreams: fromEntries(l.GetUpstreams()), vms: fromEntries(l.GetVms()),
 		})
@@ -226,6 +230,20 @@
 	}
 }
 
+// receivedConfig returns the configuration in an answer in its stored encoding, empty if
+// there is none.
+func (p *peers) receivedConfig(a *vmlinkv1.ObserveResponse) []byte {
+	if len(a.GetConfigGzip()) == 0 {
+		return a.GetConfig()
+	}
+	config, err := decompress(a.GetConfigGzip())
+	if err != nil {
+		p.log.Error().Err(err).Str("vm", a.GetVm()).Msg("undecodable configuration ignored")
+		return nil
+	}
+	return config
+}
+
 // report applies the demands in the answer of a peer. In a mesh they are those of the
 // peer, between hubs of different zones those of the peer's zone, and from a hub to a
 // VM of its zone those of all other VMs.
