--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -73,6 +73,8 @@
 	// followsHub reports whether a hub passes on to this VM what operators write; see
 	// members.followsHub.
 	followsHub func() bool
+	// awaitsHub reports whether a hub may pass it on soon; see members.awaitsHub.
+	awaitsHub func() bool
 	// isolated is members.isolated, one of the conditions of Isolated. announce is
 	// peers.announce, called when a service gets another primary.
 	isolated func() bool
@@ -93,6 +95,7 @@
 		pools:           map[model.UpstreamID]*upstreampool.Pool{},
 		isolated:        func() bool { return false },
 		followsHub:      func() bool { return false },
+		awaitsHub:       func() bool { return false },
 		announce:        func(catalog.Service, model.UpstreamID, uint64) {},
 		lastForwardedAt: map[model.UpstreamID]model.Time{},
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -51,6 +51,7 @@
 // ends. While a hub passes them on to this VM, it does not use the store.
 func (c *cluster) followOperators(ctx context.Context) {
 	health := newStoreHealth(c, "configuration")
+	c.awaitHub(ctx)
 	for ctx.Err() == nil {
 		if c.followsHub() {
 			pause.For(ctx, storeRetryDelay)
@@ -75,6 +76,16 @@
 	}
 }
 
+// awaitHub waits after the start until a hub has passed the configuration on to this VM,
+// for at most initialHubWait. A VM that gets nothing from a hub does not wait longer than
+// it takes to learn that from the list of VMs.
+func (c *cluster) awaitHub(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, initialHubWait)
+	defer cancel()
+	for c.awaitsHub() && !(c.followsHub() && c.Catalog() != nil) && pause.For(ctx, initialHubPoll) {
+	}
+}
+
 // readOperators reads all keys that operators write. It returns the evacuated zones
 // and the revision from which to watch.
 func (c *cluster) readOperators(ctx context.Context) (map[model.Zone]bool, int64, error) {
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -346,6 +346,15 @@
 	return topo.large && !topo.hub
 }
 
+// awaitsHub reports whether a hub may soon send what it passes on: the list of VMs has
+// not been read yet, or this VM has a hub.
+func (m *members) awaitsHub() bool {
+	m.mu.Lock()
+	read := m.listRead
+	m.mu.Unlock()
+	return !read || m.hasHub()
+}
+
 // followsHub reports whether this VM gets what operators write, and usually the lists,
 // from a hub. Other VMs, and a VM that is isolated from its hubs, use the store.
 func (m *members) followsHub() bool {
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -82,6 +82,7 @@
 	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
 	n.cluster.followsHub = n.members.followsHub
+	n.cluster.awaitsHub = n.members.awaitsHub
 	n.cluster.announce = n.peers.announce
 	n.transitions.withdraw = n.peers.withdraw
 	n.callers = lineproxy.NewServer(lineproxy.Options{
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -103,6 +103,9 @@
 	// after the store returns.
 	storeRetryDelay    = 200 * time.Millisecond
 	maxStoreRetryDelay = 1200 * time.Millisecond
+	// initialHubPoll is the interval at which a VM checks after its start whether a hub
+	// has passed the configuration on.
+	initialHubPoll = 20 * time.Millisecond
 	// initialWatchDelay is the pause between the first read of the keys that operators
 	// write and the watch on them. Hubs answer within it, and a VM that gets this
 	// information from a hub needs no watch.
