Send callers elsewhere once neither peers nor the store are reached

Ruled out: a shorter time until peers count as lost, which would empty VMs in a short hiccup.

Change: a VM that is isolated from its peers and does not reach the store is not ready.

--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -161,6 +161,10 @@
 	return views
 }
 
+// StoreUnavailable reports whether the last attempt of this VM to read the registrations
+// failed.
+func (s *State) StoreUnavailable() bool { return s.storeUnavailable }
+
 // HasUpstreams reports whether a service has a known upstream.
 func (s *State) HasUpstreams(service catalog.Service) bool {
 	g := s.groups[service]
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -204,15 +204,19 @@
 func (c *cluster) Suspect(id model.UpstreamID) { c.probes.suspect(id) }
 
 // Isolated reports whether callers are better served by another VM: this VM is
-// isolated (see members.isolated) and has no recent evidence for more than half of the
-// services, or knows no service. In a zone that is cut off from the others, primaries
-// continue to answer for a while, but their commits reach no replica in another zone.
+// isolated (see members.isolated) and does not reach the store either, or it has no recent
+// evidence for more than half of the services, or knows no service. In a zone that is cut
+// off from the others, primaries continue to answer for a while, but their commits reach
+// no replica in another zone.
 func (c *cluster) Isolated() bool {
 	if !c.isolated() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.replicas.StoreUnavailable() {
+		return true
+	}
 	now := c.Now()
 	withEvidence := 0
 	views := c.replicas.Views()
--- a/linenode/isolated_test.go
+++ b/linenode/isolated_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against an isolated VM that keeps its callers because it has evidence of the
-// few services whose primary is in its zone, and against a VM that rejects its callers
+// few services whose primary is in its zone, or, while it does not reach the store
+// either, of more of them, and against a VM that rejects its callers
 // although it reaches most services or enough peers.
 func TestVMWithoutPeersAndEvidenceIsIsolated(t *testing.T) {
 	services := []catalog.Service{"one", "two", "three"}
@@ -30,6 +31,10 @@
 		if got, want := c.Isolated(), withEvidence*2 < len(services); got != want {
 			t.Errorf("evidence of %d of %d services: isolated %t, want %t", withEvidence, len(services), got, want)
 		}
+		c.Observe(&replicaset.Event{Kind: replicaset.EventStoreUnavailable})
+		if !c.Isolated() {
+			t.Errorf("evidence of %d of %d services: not isolated although it reaches neither peers nor the store", withEvidence, len(services))
+		}
 		c.isolated = func() bool { return false }
 		if c.Isolated() {
 			t.Error("isolated although it hears from its peers")
