--- a/holderlink/server_test.go
+++ b/holderlink/server_test.go
@@ -17,7 +17,7 @@
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
-// noUpstreams is a Knowledge without upstreams. The test fails if a statement is
+// noUpstreams is a Cluster without upstreams. The test fails if a statement is
 // run.
 type noUpstreams struct{ t *testing.T }
 
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -22,7 +22,8 @@
 	// steps down by itself.
 	formerPrimaryYield = time.Second
 	confirmService     = catalog.Service("db")
-	// ends are the VMs, the upstreams and the store, between which links are cut.
+	// storeEnd names the store among the ends of the links that are cut; the others are the
+	// IDs of VMs and upstreams.
 	storeEnd = "store"
 )
 
