Log when freshness is proved by replicas, and how many upstreams a decision knew

What callers saw: nothing new; a report of a read on an upstream that lacked an acknowledged commit could not be told apart from its causes by the logs. Cause: the line of a read has its floor and the age of the evidence, but not whether the evidence came from the primary or from the replicas, nor how many upstreams the VM knew. Bounded: one line a service and change.

--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -140,6 +140,7 @@
 	t.enterPhase(now, phasePromote)
 	out = append(out, Effect{
 		Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm,
+		Members: len(v.Members),
 	})
 	return s.callPromote(now, svc, v, out)
 }
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -157,6 +157,9 @@
 	Cause string
 	// Position is the log position that the selected target has received.
 	Position model.Position
+	// Members is the number of upstreams that are known when a transition starts or
+	// selects its target.
+	Members int
 	// Elapsed is the duration of an ended transition.
 	Elapsed time.Duration
 }
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -25,19 +25,22 @@
 	Term     uint64
 }
 
+// public returns e as other packages see it.
+func (e evidence) public() Evidence { return Evidence{At: e.at, Position: e.position, Term: e.term} }
+
 // addEvidence appends evidence, which is stored in order of time. It ignores
 // evidence that is not newer than the newest stored one or of an earlier term, and
-// drops stored evidence older than evidenceRetention.
-func (g *group) addEvidence(now model.Time, e evidence) {
+// drops stored evidence older than evidenceRetention. It reports whether it has stored e.
+func (g *group) addEvidence(now model.Time, e evidence) (added bool) {
 	n := len(g.evidence)
 	if n > 0 {
 		newest := &g.evidence[n-1]
 		if e.term < newest.term || e.at <= newest.at {
-			return
+			return false
 		}
 		if n > 1 && newest.at.Sub(g.evidence[n-2].at) < evidenceMinInterval {
 			*newest = e
-			return
+			return true
 		}
 	}
 	g.evidence = append(g.evidence, e)
@@ -48,6 +51,7 @@
 	if old > 0 {
 		g.evidence = append(g.evidence[:0], g.evidence[old:]...)
 	}
+	return true
 }
 
 // addReplicaEvidence derives evidence from the replicas alone while the primary
@@ -55,15 +59,15 @@
 // so the replica with the longest log has every acknowledged commit. This requires
 // that all replicas are known: the list of upstreams has to be recent, and no known
 // upstream may be missing from it, because its replacement may not be listed yet.
-func (s *State) addReplicaEvidence(now model.Time, g *group) {
+func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
 	if g.syncReplicas == 0 || g.lastPrimary == "" || now.Sub(s.listedAt) > maxListAge {
-		return
+		return out
 	}
 	if len(g.members) < g.peakMembers || g.members[g.lastPrimary] == nil {
-		return
+		return out
 	}
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
-		return
+		return out
 	}
 	combined := evidence{at: now, term: g.primaryTerm}
 	replicas := 0
@@ -72,15 +76,20 @@
 			continue
 		}
 		if m.StatusAt == 0 || now.Sub(m.StatusAt) > maxReplicaStatusAge || m.Status.Primary {
-			return
+			return out
 		}
 		replicas++
 		combined.at = min(combined.at, m.StatusAt)
 		combined.position = combined.position.Max(m.Status.Received)
 	}
-	if replicas > 0 {
-		g.addEvidence(now, combined)
+	if replicas == 0 || !g.addEvidence(now, combined) || g.evidenceFromReplicas {
+		return out
 	}
+	g.evidenceFromReplicas = true
+	return append(out, Effect{
+		Kind: EffectReplicaEvidence, Service: g.name, Upstream: g.lastPrimary, Term: combined.term, Evidence: combined.public(),
+		Members: len(g.members), ListAge: now.Sub(s.listedAt),
+	})
 }
 
 // Floor returns the minimum log position of a read with the staleness bound: a log
@@ -116,6 +125,5 @@
 	if g == nil || len(g.evidence) == 0 {
 		return Evidence{}, false
 	}
-	e := g.evidence[len(g.evidence)-1]
-	return Evidence{At: e.at, Position: e.position, Term: e.term}, true
+	return g.evidence[len(g.evidence)-1].public(), true
 }
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -61,6 +61,9 @@
 	// observedLog is the newest observation of the primary's log. It becomes evidence
 	// as far as the primary is confirmed.
 	observedLog evidence
+	// evidenceFromReplicas is true after evidence was derived from the replicas, until
+	// the primary's log is observed again.
+	evidenceFromReplicas bool
 }
 
 // New returns an empty state.
@@ -107,7 +110,7 @@
 		g.applyStatus(now, m, ev)
 		s.confirmByStatuses(now, g)
 		if g.primary != m.ID {
-			s.addReplicaEvidence(now, g)
+			out = s.addReplicaEvidence(now, g, out)
 		}
 	case EventCommitted:
 		g.applyCommitted(now, m, ev)
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -145,6 +145,10 @@
 	EffectWarmup
 	// EffectEvacuated reports that the set of evacuated zones changed.
 	EffectEvacuated
+	// EffectReplicaEvidence reports that the evidence of Service is derived from its
+	// replicas from now on; Evidence is the first such evidence, Members the number of
+	// known upstreams, and ListAge the age of the list of upstreams.
+	EffectReplicaEvidence
 )
 
 // Effect is an output of State.Apply.
@@ -154,6 +158,9 @@
 	Upstream model.UpstreamID
 	Term     uint64
 	Member   Member
+	Evidence Evidence
+	Members  int
+	ListAge  time.Duration
 }
 
 // Member is this VM's view of an upstream.
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/quota"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/store"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -265,6 +266,10 @@
 		}
 	case replicaset.EffectEvacuated:
 		c.log.Info().Msg("evacuated zones changed")
+	case replicaset.EffectReplicaEvidence:
+		c.log.Info().Str("service", string(e.Service)).Str("primary", string(e.Upstream)).Uint64("term", e.Term).
+			Str("position", lineproto.FormatPosition(e.Evidence.Position)).Dur("proof_age", c.Now().Sub(e.Evidence.At)).
+			Int("upstreams", e.Members).Dur("list_age", e.ListAge).Msg("freshness proved by replicas")
 	}
 }
 
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -270,10 +270,10 @@
 		panics.Go(t.log, "record of a promotion", func() { t.record(ctx, call) })
 	case promotion.EffectTransitionStarted:
 		t.log.Info().Str("service", string(e.Service)).Str("primary", string(e.Upstream)).Str("cause", e.Cause).
-			Uint64("fence_term", e.Term).Msg("change of primary started")
+			Uint64("fence_term", e.Term).Int("upstreams", e.Members).Msg("change of primary started")
 	case promotion.EffectTargetSelected:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
-			Uint64("received", uint64(e.Position.Pos)).Msg("new primary chosen")
+			Uint64("received", uint64(e.Position.Pos)).Int("upstreams", e.Members).Msg("new primary chosen")
 	case promotion.EffectTransitionEnded:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
 			Dur("elapsed", e.Elapsed).Msg("change of primary ended")
