--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -374,3 +374,67 @@
 		}
 	}
 }
+
+// Guards against reads on a replica that lacks acknowledged commits, after a start of the
+// VM while the entries of upstreams come back after an outage of the store: a replica
+// that is not listed yet may be the only one that has received a commit.
+func TestNoReplicaEvidenceFromFirstLists(t *testing.T) {
+	f := &fixture{State: New(), now: start}
+	f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+	f.setRegistrations(registration("a", true), registration("b", false))
+	f.status("a", true, 1, pos(1, 10))
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.advance(1300 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false))
+	f.status("b", false, 1, pos(1, 10))
+	if _, ok := f.floor(time.Second, model.Position{}); ok {
+		t.Error("evidence from the one replica in the first lists")
+	}
+}
+
+// Guards against reads on a replica that lacks acknowledged commits, after another one
+// was replaced or has lost its entry: it or its replacement may be the only one that has
+// received a commit.
+func TestNoReplicaEvidenceFromPartOfTheGroup(t *testing.T) {
+	for name, lose := range map[string]func(*fixture){
+		"replaced": func(f *fixture) { f.apply(Event{Kind: EventReplaced, Upstream: "c"}) },
+		"entry expired": func(f *fixture) {
+			f.setRegistrations(registration("a", true), registration("b", false))
+			f.advance(missingGracePeriod)
+		},
+	} {
+		f := newFixture()
+		f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+		f.advance(3 * time.Second)
+		f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+		lose(f)
+		f.setRegistrations(registration("a", true), registration("b", false))
+		f.advance(100 * ms)
+		f.status("a", true, 1, pos(1, 11))
+		f.status("b", false, 1, pos(1, 11))
+		f.apply(Event{Kind: EventFailed, Upstream: "a"})
+		f.advance(1300 * ms)
+		f.setRegistrations(registration("a", true), registration("b", false))
+		f.status("b", false, 1, pos(1, 11))
+		if _, ok := f.floor(time.Second, model.Position{}); ok {
+			t.Errorf("%s: evidence from the remaining replica", name)
+		}
+	}
+}
+
+// Guards against evidence that is newer than the list of upstreams it relies on: a replica
+// that was added since may be the only one that has received a commit.
+func TestReplicaEvidenceIsNotNewerThanTheList(t *testing.T) {
+	f := newFixture()
+	f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+	f.status("a", true, 1, pos(1, 10))
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.advance(3 * time.Second)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+	f.advance(700 * ms)
+	f.status("b", false, 1, pos(1, 12))
+	f.status("c", false, 1, pos(1, 12))
+	if _, age, ok := f.Floor(f.now, "db", 2*time.Second, model.Position{}); !ok || age < 700*ms {
+		t.Errorf("evidence of age %v (%t) from a list of age %v", age, ok, 700*ms)
+	}
+}
