Derive evidence from replicas only from a complete list of upstreams

What callers saw: reads on an upstream that lacked an acknowledged commit. Cause: a VM that has just started took its first list of upstreams for complete. Entries that expired during an outage of the store are back only about two seconds after its return, and a replica that is not listed yet may be the only one that has received a commit. Ruled out: a VM that runs on keeps known upstreams for that time and is not affected. Change: the list counts as complete once one was read the grace period of registrations after the first; until then there is no evidence from replicas, and no confirmation of a primary beside a fence.

--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -62,18 +62,18 @@
 // confirmByStatuses confirms the primary as of the oldest status of the other
 // upstreams, if none of them has taken part in a later term. An upstream that this
 // VM does not know may have been promoted, but not without a fence on one of the known
-// ones, so with a fence the list of upstreams has to be recent.
+// ones, so with a fence the list of upstreams has to be complete and recent.
 func (s *State) confirmByStatuses(now model.Time, g *group) {
 	if g.primary == "" || len(g.members) < max(g.peakMembers, minConfirmingMembers) {
 		return
 	}
-	listRecent := now.Sub(s.listedAt) <= maxListAge
+	allKnown := s.listComplete() && now.Sub(s.listedAt) <= maxListAge
 	oldest := now
 	for id, m := range g.members {
 		if id == g.primary {
 			continue
 		}
-		if m.StatusAt == 0 || m.Status.Term > g.primaryTerm || m.Status.FencedTerm != 0 && !listRecent {
+		if m.StatusAt == 0 || m.Status.Term > g.primaryTerm || m.Status.FencedTerm != 0 && !allKnown {
 			return
 		}
 		oldest = min(oldest, m.StatusAt)
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -57,10 +57,10 @@
 // addReplicaEvidence derives evidence from the replicas alone while the primary
 // does not answer. A commit is acknowledged only after a replica has received it,
 // so the replica with the longest log has every acknowledged commit. This requires
-// that all replicas are known: the list of upstreams has to be recent, and no known
-// upstream may be missing from it, because its replacement may not be listed yet.
+// that all replicas are known: the list of upstreams has to be complete and recent, and no
+// known upstream may be missing from it, because its replacement may not be listed yet.
 func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
-	if g.syncReplicas == 0 || g.lastPrimary == "" || now.Sub(s.listedAt) > maxListAge {
+	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
 	}
 	if len(g.members) < g.peakMembers || g.members[g.lastPrimary] == nil {
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -17,8 +17,9 @@
 	storeUnavailableAt model.Time
 	storeUnavailable   bool
 	// listedAt is the time when the read that returned the current registrations
-	// was sent.
-	listedAt model.Time
+	// was sent, firstListedAt that of the first read since the start of the VM, 0 before.
+	listedAt      model.Time
+	firstListedAt model.Time
 	// replaced has the incarnations of upstreams that were replaced while the store
 	// still lists them.
 	replaced map[model.UpstreamID]int64
@@ -83,6 +84,9 @@
 		return s.applyRegistrations(now, ev, out)
 	case EventStoreUnavailable:
 		s.storeUnavailable, s.storeUnavailableAt = true, now
+		if !s.listComplete() {
+			s.firstListedAt = 0
+		}
 		return out
 	case EventEvacuations:
 		return s.applyEvacuations(ev, out)
@@ -162,6 +166,9 @@
 		s.resetMissingSince(now)
 	}
 	s.listedAt = ev.SentAt
+	if s.firstListedAt == 0 {
+		s.firstListedAt = ev.SentAt
+	}
 	present := make(map[model.UpstreamID]bool, len(ev.Registrations))
 	for i := range ev.Registrations {
 		r := &ev.Registrations[i]
@@ -178,6 +185,14 @@
 	return s.removeMissing(now, present, out)
 }
 
+// listComplete reports whether the list has all upstreams that run and reach the store.
+// A VM that has started does not know whether the store was unavailable shortly before;
+// registrations that have expired meanwhile are back within missingGracePeriod. Later,
+// upstreams whose registrations are missing remain members for that long.
+func (s *State) listComplete() bool {
+	return s.firstListedAt != 0 && s.listedAt.Sub(s.firstListedAt) >= missingGracePeriod
+}
+
 func (s *State) resetMissingSince(now model.Time) {
 	for _, g := range s.groups {
 		for _, m := range g.members {
