Derive no evidence from replicas of a group that has become smaller

What callers saw: reads on an upstream that lacked an acknowledged commit. Cause: after an upstream was replaced or had lost its entry, the group counted as complete again once one of the remaining replicas had caught up. The replacement counts for acknowledgements before it is listed, and an upstream that has only lost its entry goes on to; each may be the only one that has received a commit. Change: without an answer of the primary, evidence from the replicas needs as many upstreams as the group has had, apart from those that left as they had announced (TestReplicaEvidenceAfterPlannedReplacement). A group that has lost an upstream for good gives no such evidence until it is replaced; its reads are refused while the primary is changed.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -57,13 +57,14 @@
 // addReplicaEvidence derives evidence from the replicas alone while the primary
 // does not answer. A commit is acknowledged only after a replica has received it,
 // so the replica with the longest log has every acknowledged commit. This requires
-// that all replicas are known: the list of upstreams has to be complete and recent, and no
-// known upstream may be missing from it, because its replacement may not be listed yet.
+// that all replicas are known: the list of upstreams has to be complete and recent, and
+// the group must not be smaller than it was, except for upstreams that have left as
+// announced. A replacement may not be listed yet.
 func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
 	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
 	}
-	if len(g.members) < g.peakMembers || g.members[g.lastPrimary] == nil {
+	if len(g.members) < g.fullMembers || g.members[g.lastPrimary] == nil {
 		return out
 	}
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -438,3 +438,26 @@
 		t.Errorf("evidence of age %v (%t) from a list of age %v", age, ok, 700*ms)
 	}
 }
+
+// Guards against a planned replacement after which a group gives no evidence from its
+// replicas any more.
+func TestReplicaEvidenceAfterPlannedReplacement(t *testing.T) {
+	f := newFixture()
+	f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+	leaving := registration("c", false)
+	leaving.Leaving, leaving.Sequence = true, 2
+	f.setRegistrations(registration("a", true), registration("b", false), leaving, registration("d", false))
+	for range 3 {
+		f.advance(missingGracePeriod)
+		f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
+	}
+	f.status("a", true, 1, pos(1, 10))
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.advance(1300 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
+	f.status("b", false, 1, pos(1, 12))
+	f.status("d", false, 1, pos(1, 12))
+	if _, ok := f.floor(time.Second, model.Position{}); !ok {
+		t.Error("no evidence from the replicas of a group that is complete again")
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -47,6 +47,9 @@
 	// peakMembers is the largest number of members since the group was last known
 	// to be complete.
 	peakMembers int
+	// fullMembers is the largest number of members, without those that have left after
+	// they announced it. One that has only lost its registration may still run.
+	fullMembers int
 	// confirmed is the confirmation of the primary, and withdrawnAt the time of the
 	// last withdrawal of one.
 	confirmed   confirmation
@@ -214,6 +217,7 @@
 		g.members[r.ID] = m
 		s.services[r.ID] = r.Service
 		g.peakMembers = max(g.peakMembers, len(g.members))
+		g.fullMembers = max(g.fullMembers, len(g.members))
 		if r.Leaving {
 			m.LeavingAt = now
 		}
@@ -289,6 +293,9 @@
 	m, g := s.member(id)
 	delete(g.members, id)
 	delete(s.services, id)
+	if m.Leaving {
+		g.fullMembers--
+	}
 	g.incompleteSince = now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
