Date evidence from replicas no later than the list of upstreams

What callers saw: reads on an upstream that lacked an acknowledged commit. Cause: evidence from the replicas was dated by their answers, though the list that says which replicas there are may be 1.5 s older. A replica that was added since counts for acknowledgements. Change: the date is that of the list if that is earlier.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -59,7 +59,8 @@
 // so the replica with the longest log has every acknowledged commit. This requires
 // that all replicas are known: the list of upstreams has to be complete and recent, and
 // the group must not be smaller than it was, except for upstreams that have left as
-// announced. A replacement may not be listed yet.
+// announced. A replacement may not be listed yet, so the evidence is no newer than the
+// list.
 func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
 	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
@@ -70,7 +71,7 @@
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
 		return out
 	}
-	combined := evidence{at: now, term: g.primaryTerm}
+	combined := evidence{at: min(now, s.listedAt), term: g.primaryTerm}
 	replicas := 0
 	for id, m := range g.members {
 		if id == g.lastPrimary {
