Change no primary while the list of upstreams may be incomplete

Cause: a lease holder that has just started took its first list for complete: it started a failover of a primary that was alive and not listed yet, and fenced and compared only the replicas that were listed. The simulation of confirmations now reads lists each second, as VMs do; the fixtures of other tests say that their views are complete.

--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -33,7 +33,7 @@
 func newHarness(t *testing.T) *harness {
 	h := &harness{
 		t: t, state: New(), now: model.Time(time.Hour), evacuated: map[model.Zone]bool{}, peerContacts: map[model.UpstreamID]model.Time{},
-		view: replicaset.View{Service: "db", Primary: "a", PrimaryTerm: 1},
+		view: replicaset.View{Service: "db", Primary: "a", PrimaryTerm: 1, ListComplete: true},
 	}
 	for i, id := range []model.UpstreamID{"a", "b", "c"} {
 		m := replicaset.Member{Registration: replicaset.Registration{ID: id, Service: "db", Zone: model.Zone("zone-" + id)}}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -239,8 +239,11 @@
 }
 
 // transitionCause returns why another upstream has to become the primary, or ""
-// if none has to. planned is true for a switchover.
+// if none has to or not all upstreams may be known. planned is true for a switchover.
 func (s *State) transitionCause(now model.Time, svc *serviceState, v *replicaset.View, in *Input) (cause string, planned bool) {
+	if !v.ListComplete {
+		return "", false
+	}
 	if v.Primary == "" {
 		if svc.noPrimarySince != 0 && now.Sub(svc.noPrimarySince) > noPrimaryTimeout {
 			return "no primary", false
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -142,6 +142,10 @@
 	// Incomplete is true after the removal or restart of an upstream that may have
 	// received commits that the remaining replicas have not.
 	Incomplete bool
+	// ListedAt is the time when the list of upstreams was read. ListComplete is false while
+	// it may lack upstreams that run, as after the start of this VM.
+	ListedAt     model.Time
+	ListComplete bool
 }
 
 // Views returns the views of all services that have upstreams, in order of their
@@ -152,7 +156,10 @@
 		if len(g.members) == 0 {
 			continue
 		}
-		v := View{Service: g.name, Primary: g.primary, PrimaryTerm: g.primaryTerm, Incomplete: g.incompleteSince != 0}
+		v := View{
+			Service: g.name, Primary: g.primary, PrimaryTerm: g.primaryTerm, Incomplete: g.incompleteSince != 0,
+			ListedAt: s.listedAt, ListComplete: s.listComplete(),
+		}
 		for _, id := range g.ids() {
 			v.Members = append(v.Members, *g.members[id])
 		}
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -22,6 +22,8 @@
 	// steps down by itself.
 	formerPrimaryYield = time.Second
 	confirmService     = catalog.Service("db")
+	// confirmListInterval is the interval at which VMs read the list of upstreams.
+	confirmListInterval = time.Second
 	// storeEnd names the store among the ends of the links that are cut; the others are the
 	// IDs of VMs and upstreams.
 	storeEnd = "store"
@@ -49,6 +51,7 @@
 	revision    uint64
 	frozenUntil time.Duration
 	startedAt   time.Duration
+	listedAt    time.Duration
 	contacts    map[model.UpstreamID]model.Time
 	incarnation int
 }
@@ -154,6 +157,7 @@
 
 // list applies the registrations of all upstreams.
 func (w *confirmWorld) list(v *confirmVM) {
+	v.listedAt = w.now
 	ev := replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: w.clock()}
 	for _, u := range w.upstreams {
 		ev.Registrations = append(ev.Registrations, replicaset.Registration{
@@ -284,6 +288,9 @@
 			}
 		}
 	}
+	if w.now-v.listedAt >= confirmListInterval && w.reaches(string(v.id), storeEnd) {
+		w.list(v)
+	}
 	for _, u := range w.upstreams {
 		if w.rng.Intn(16) == 0 || w.holder == v && w.rng.Intn(6) == 0 {
 			w.command(v, u, promotion.CommandStatus, 0)
