Choose a new primary only with a list of upstreams read since the change began

What callers saw: nothing yet; found by reading, after commits were lost on an incomplete list. Cause: a failover fences and compares the replicas of a list that may be 1.5 s old. A replica that was added since counts for acknowledgements, and may be the only one that has received a commit. Change: the lease holder reads the lists when a change of primary begins, and chooses a target only with a list read since then. While the store is down no promotion could be recorded before either.

--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -304,7 +304,7 @@
 }
 
 func (c *modelCluster) input() *Input {
-	v := replicaset.View{Service: "db", PrimaryTerm: c.term, ListComplete: true}
+	v := replicaset.View{Service: "db", PrimaryTerm: c.term, ListedAt: c.now(), ListComplete: true}
 	for _, id := range upstreamIDs {
 		m := c.members[id]
 		if m.Status.Primary && m.Status.Term == c.term {
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -53,6 +53,7 @@
 func (h *harness) advance(d time.Duration) {
 	for end := h.now.Add(d); h.now < end; {
 		h.now = h.now.Add(10 * ms)
+		h.view.ListedAt = h.now
 		for i := range h.view.Members {
 			if m := &h.view.Members[i]; m.FailedSince == 0 {
 				m.ContactAt, m.StatusAt = h.now, h.now
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -124,10 +124,7 @@
 	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
-	target := t.switchoverTarget(v)
-	if !t.planned {
-		target = t.failoverTarget(v, in, svc)
-	}
+	target := t.selectTarget(v, in, svc)
 	out = svc.withdraw(now, in, out)
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
@@ -204,6 +201,19 @@
 	return c.Status.FencedTerm >= t.fenceTerm && c.StatusAt >= t.startedAt
 }
 
+// selectTarget returns the upstream to promote, or nil while none is safe. The list of
+// upstreams has to be newer than the transition: a replica that was added shortly before
+// may have received commits, and is fenced as well once it is known.
+func (t *transition) selectTarget(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+	switch {
+	case v.ListedAt < t.startedAt:
+		return nil
+	case t.planned:
+		return t.switchoverTarget(v)
+	}
+	return t.failoverTarget(v, in, svc)
+}
+
 // switchoverTarget returns the target once all other replicas are fenced and the
 // target has received everything that they have, otherwise nil.
 func (t *transition) switchoverTarget(v *replicaset.View) *replicaset.Member {
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -148,6 +148,14 @@
 	return min(listsInterval+time.Duration(l.members.rank())*listsStagger, maxListsInterval)
 }
 
+// refresh reads the lists now, for a decision that needs newer ones than are known. If
+// that fails, run reads them when they are due.
+func (l *lists) refresh(ctx context.Context) {
+	if err := l.read(ctx); err != nil && ctx.Err() == nil {
+		l.cluster.log.Info().Err(err).Msg("lists not read for a change of primary")
+	}
+}
+
 func (l *lists) read(ctx context.Context) error {
 	start := boottime.Now()
 	upstreams, _, err := l.options.Store.Range(ctx, l.options.Formats.RegistrationsPrefix, 0)
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -85,6 +85,7 @@
 	n.cluster.awaitsHub = n.members.awaitsHub
 	n.cluster.announce = n.peers.announce
 	n.transitions.withdraw = n.peers.withdraw
+	n.transitions.refreshLists = n.lists.refresh
 	n.callers = lineproxy.NewServer(lineproxy.Options{
 		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions, Tracer: o.Tracer,
 	})
