Test decisions after a replica has left with commits that only it had received; it fails

Cause: a lease holder that had just started took a stalled primary's unreceived commits for unacknowledged. They had been acknowledged through a replica that left before that start. Evidence from the replicas has the same fault. Log of the lease holder, started at 17.8 s: "change of primary started" with the cause "replicas receive nothing" at 19.63 s, "new primary chosen" with received 223 at 19.65 s; commits 224 to 233 were acknowledged at 15.0 s and later, the upstream that left was known to the other VMs until 20.1 s.

--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -461,3 +461,38 @@
 		t.Error("no evidence from the replicas of a group that is complete again")
 	}
 }
+
+// Guards against reads on a replica that lacks acknowledged commits, after another one has
+// left that was the only one to receive them, and against a promotion without them: known
+// by this VM, or before its start.
+func TestGroupIsIncompleteAfterAReplicaHasLeft(t *testing.T) {
+	leaving := registration("c", false)
+	leaving.Leaving, leaving.Sequence = true, 2
+	for name, before := range map[string][]Registration{
+		"known":             {registration("a", true), registration("b", false), registration("d", false), leaving},
+		"before this start": {registration("a", true), registration("b", false), registration("d", false)},
+	} {
+		f := &fixture{State: New(), now: start}
+		f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+		f.setRegistrations(before...)
+		for range 4 {
+			f.advance(missingGracePeriod)
+			f.setRegistrations(before[:3]...)
+		}
+		f.advance(100 * ms)
+		f.status("a", true, 1, pos(1, 15))
+		f.status("b", false, 1, pos(1, 10))
+		f.status("d", false, 1, pos(1, 10))
+		if !f.Views()[0].Incomplete {
+			t.Errorf("%s: the group counts as complete", name)
+		}
+		f.apply(Event{Kind: EventFailed, Upstream: "a"})
+		f.advance(1300 * ms)
+		f.setRegistrations(before[:3]...)
+		f.status("b", false, 1, pos(1, 10))
+		f.status("d", false, 1, pos(1, 10))
+		if _, ok := f.floor(time.Second, model.Position{}); ok {
+			t.Errorf("%s: evidence from the remaining replicas", name)
+		}
+	}
+}
