Treat a group as incomplete until a replica has caught up since the start of the VM

Cause: "incomplete" was known only to VMs that had seen the other replica go, and evidence from the replicas did not look at it once the smaller group was taken for the whole. Change: a group is incomplete from when a VM learns of it, and evidence from its replicas needs a complete one. It becomes complete as before, once a replica has what the primary had later. A failover of a lost primary waits for that only if there is evidence of the primary's log, or this VM saw the other upstream go: a first form that always waited never replaced a primary that was lost right after a start (TestLostStoreAnswers). The fixture of the tests answers its first query 1 ms after the first list, so that its evidence is newer; no check is changed.

--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -278,13 +278,17 @@
 // acknowledged commit. If another replica has disappeared, commits may have been
 // acknowledged by that one only. best must then reach the position of the newest
 // evidence of the primary's log. This is not required if the old primary is gone as
-// well, because no remaining upstream has a longer log than best.
+// well, because no remaining upstream has a longer log than best. A VM that has just
+// started and has no evidence knows neither of commits nor of a replica that received them.
 func (t *transition) hasAllCommits(best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
 	if !v.Incomplete || oldPrimary == nil {
 		return true
 	}
 	e, ok := in.Evidence(svc.name)
-	return ok && best.Status.Received.Compare(e.Position) >= 0
+	if !ok {
+		return !v.MemberLost
+	}
+	return best.Status.Received.Compare(e.Position) >= 0
 }
 
 // mostAdvancedFenced returns the fenced replica with the highest received position,
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -57,15 +57,15 @@
 // addReplicaEvidence derives evidence from the replicas alone while the primary
 // does not answer. A commit is acknowledged only after a replica has received it,
 // so the replica with the longest log has every acknowledged commit. This requires
-// that all replicas are known: the list of upstreams has to be complete and recent, and
-// the group must not be smaller than it was, except for upstreams that have left as
-// announced. A replacement may not be listed yet, so the evidence is no newer than the
-// list.
+// that all replicas are known: the list of upstreams has to be complete and recent, the
+// group must not be smaller than it was, except for upstreams that have left as announced,
+// and one of the replicas must have caught up since the last one has left. A replacement
+// may not be listed yet, so the evidence is no newer than the list.
 func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
 	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
 	}
-	if len(g.members) < g.fullMembers || g.members[g.lastPrimary] == nil {
+	if g.incompleteSince != 0 || len(g.members) < g.fullMembers || g.members[g.lastPrimary] == nil {
 		return out
 	}
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -33,6 +33,7 @@
 func newFixture() *fixture {
 	f := &fixture{State: New(), now: start}
 	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+	f.advance(ms)
 	return f
 }
 
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -41,9 +41,12 @@
 	lastPrimary   model.UpstreamID
 	primaryLostAt model.Time
 	syncReplicas  int
-	// incompleteSince is the time when an upstream last was removed or restarted. It
-	// is 0 once a replica has received the log that the primary had after that.
+	// incompleteSince is the time when an upstream last was removed or restarted, at first
+	// when this VM learned of the group, since others may have left before. It is 0 once a
+	// replica has received the log that the primary had after that.
 	incompleteSince model.Time
+	// memberLost is true if this VM saw an upstream removed or restarted since then.
+	memberLost bool
 	// peakMembers is the largest number of members since the group was last known
 	// to be complete.
 	peakMembers int
@@ -212,6 +215,9 @@
 	}
 	g := s.group(r.Service)
 	m := g.members[r.ID]
+	if len(g.members) == 0 {
+		g.incompleteSince = now
+	}
 	if m == nil {
 		m = &Member{Registration: *r}
 		g.members[r.ID] = m
@@ -234,7 +240,7 @@
 	m.Registration = *r
 	if restarted {
 		*m = Member{Registration: *r}
-		g.incompleteSince = now
+		g.incompleteSince, g.memberLost = now, true
 	}
 	if r.Leaving && m.LeavingAt == 0 {
 		m.LeavingAt = now
@@ -296,7 +302,7 @@
 	if m.Leaving {
 		g.fullMembers--
 	}
-	g.incompleteSince = now
+	g.incompleteSince, g.memberLost = now, true
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
 	if g.primary == id {
@@ -355,7 +361,7 @@
 	for i := range g.evidence {
 		e := &g.evidence[i]
 		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.Status.Received.Compare(e.position) >= 0 {
-			g.incompleteSince = 0
+			g.incompleteSince, g.memberLost = 0, false
 			g.peakMembers = len(g.members)
 		}
 	}
