Show how evidence from replicas misses acknowledged commits

What callers saw: reads on a copy that lacked commits older than the staleness bound. Cause: a late status of the primary, overtaken by a commit, counts as that of a replica: the primary is taken for lost, ends the incompleteness of its own group, and the one replica left counts as all. A restarted replica takes its own place without the commits that it had.

--- /dev/null
+++ b/core/replicaset/replicaevidence_test.go
@@ -0,0 +1,77 @@
+package replicaset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// newSyncFixture returns a fixture in which commits are acknowledged by a replica and
+// the primary a has been at 10.
+func newSyncFixture() *fixture {
+	f := newFixture()
+	f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+	f.status("a", true, 1, pos(1, 10))
+	f.advance(3 * time.Second)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+	return f
+}
+
+// expectEvidence fails if the newest evidence is below a position that was acknowledged
+// before it.
+func (f *fixture) expectEvidence(t *testing.T, name string, acknowledged model.Position) {
+	t.Helper()
+	if e, _ := f.NewestEvidence("db"); e.Position.Compare(acknowledged) < 0 {
+		t.Errorf("%s: evidence %v, %v old, although %v was acknowledged", name, e.Position, f.now.Sub(e.At), acknowledged)
+	}
+}
+
+// Guards against a primary that completes its own group: its late status, overtaken by
+// a commit, must not make the one replica left, which has received nothing for long,
+// count as all replicas once the other one was replaced.
+func TestLateStatusOfThePrimaryDoesNotCompleteTheGroup(t *testing.T) {
+	f := newSyncFixture()
+	f.apply(Event{Kind: EventReplaced, Upstream: "c"})
+	f.advance(100 * ms)
+	f.status("a", true, 1, pos(1, 20))
+	f.advance(100 * ms)
+	f.status("b", false, 1, pos(1, 10))
+	asked := f.now
+	f.advance(100 * ms)
+	f.apply(Event{Kind: EventCommitted, Upstream: "a", SentAt: f.now, Position: pos(1, 22)})
+	f.apply(Event{Kind: EventStatus, Upstream: "a", SentAt: asked, Status: Status{Primary: true, Term: 1, Received: pos(1, 21)}})
+	if v := f.Views()[0]; !v.Incomplete {
+		t.Error("the group is complete, although no replica has received the log since")
+	}
+	if f.primary() != "a" {
+		t.Error("the primary is lost by a late status")
+	}
+	f.advance(100 * ms)
+	f.status("b", false, 1, pos(1, 10))
+	f.expectEvidence(t, "only b left", pos(1, 20))
+}
+
+// Guards against a replica that takes the place of another one without its commits: a
+// group in which as many upstreams are known as before may still lack the one that had
+// received the last commits.
+func TestNoReplicaEvidenceAfterAReplicaLostItsLog(t *testing.T) {
+	restarted := registration("c", false)
+	restarted.Incarnation = 2
+	for name, next := range map[string][]Registration{
+		"c restarted":        {registration("a", true), registration("b", false), restarted},
+		"c gone, d is there": {registration("a", true), registration("b", false), registration("d", false)},
+	} {
+		f := newSyncFixture()
+		f.status("a", true, 1, pos(1, 20))
+		f.apply(Event{Kind: EventFailed, Upstream: "a"})
+		if next[2].ID != "c" {
+			f.apply(Event{Kind: EventReplaced, Upstream: "c"})
+		}
+		f.advance(100 * ms)
+		f.setRegistrations(next...)
+		f.status("b", false, 1, pos(1, 12))
+		f.status(string(next[2].ID), false, 1, pos(1, 12))
+		f.expectEvidence(t, name, pos(1, 20))
+	}
+}
