Keep the primary when its status is overtaken by a commit

Cause: a status of the primary that was asked for before a commit and arrives after its answer has a shorter log than is known by then. The primary counted as one that had lost its log: it was dropped, and as if it were a replica it completed its own group. Evidence then came from the replicas that were left. Evidence: TestLateStatusOfThePrimaryDoesNotCompleteTheGroup failed before and passes now. Change: a log counts as lost only if it is shorter than was known when the status was asked for; only an upstream other than the primary of the time completes a group.

--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -88,6 +88,7 @@
 	if g.primary != m.ID || g.primaryTerm != e.term || e.term == g.observedLog.term && e.at <= g.observedLog.at {
 		return
 	}
+	e.learnedAt = now
 	g.observedLog, g.evidenceFromReplicas = e, false
 	g.confirmEvidence(now)
 }
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -14,6 +14,8 @@
 	at       model.Time
 	position model.Position
 	term     uint64
+	// learnedAt is when this VM learned of it.
+	learnedAt model.Time
 }
 
 // Evidence is a commit watermark of a service: a log that reaches Position
@@ -32,6 +34,7 @@
 // evidence that is not newer than the newest stored one or of an earlier term, and
 // drops stored evidence older than evidenceRetention. It reports whether it has stored e.
 func (g *group) addEvidence(now model.Time, e evidence) (added bool) {
+	e.learnedAt = now
 	n := len(g.evidence)
 	if n > 0 {
 		newest := &g.evidence[n-1]
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -346,21 +346,25 @@
 	m.recordContact(now)
 	m.Status, m.StatusAt = ev.Status, ev.SentAt
 	m.Applied = m.Applied.Max(ev.Status.Applied)
-	if !ev.Status.Primary || g.lostLogEntries(m) {
+	switch {
+	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
 		g.clearIncomplete(m)
 		return
+	case g.lostLogEntries(m):
+		g.recordNotPrimary(now, m)
+		return
 	}
 	g.recordPrimary(now, m, ev.Status.Term)
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Status.Received, term: ev.Status.Term})
 }
 
 // clearIncomplete marks the group as complete if replica m has reached a position
-// that the primary had after the group became incomplete.
+// that another upstream had as the primary after the group became incomplete.
 func (g *group) clearIncomplete(m *Member) {
 	for i := range g.evidence {
 		e := &g.evidence[i]
-		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.Status.Received.Compare(e.position) >= 0 {
+		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.RoleTerm != e.term && m.Status.Received.Compare(e.position) >= 0 {
 			g.incompleteSince, g.memberLost = 0, false
 			g.peakMembers = len(g.members)
 		}
@@ -368,10 +372,11 @@
 }
 
 // lostLogEntries reports whether an upstream that reports itself as the primary has
-// a shorter log than was observed for its term or a later one.
+// a shorter log than had been observed for its term or a later one when it was asked. Its
+// answer may be older than what this VM has learned since.
 func (g *group) lostLogEntries(m *Member) bool {
 	shorter := func(e evidence) bool {
-		return e.at != 0 && m.Status.Term <= e.term && m.Status.Received.Compare(e.position) < 0
+		return e.at != 0 && e.learnedAt < m.StatusAt && m.Status.Term <= e.term && m.Status.Received.Compare(e.position) < 0
 	}
 	return shorter(g.observedLog) || len(g.evidence) > 0 && shorter(g.evidence[len(g.evidence)-1])
 }
