Notice a replica that has restarted without its log by its position

What callers saw: reads on a copy that lacked acknowledged commits. Cause: a replica that restarts under its ID without its log answers at once, but its registration shows the restart only with the next list. Until then the group counted as complete. Change: a status with a shorter log than the one before, in the same term, makes the group incomplete; evidence from the replicas below a known position of the term is not used.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -87,7 +87,7 @@
 		combined.at = min(combined.at, m.StatusAt)
 		combined.position = combined.position.Max(m.Status.Received)
 	}
-	if replicas == 0 || !g.addEvidence(now, combined) || g.evidenceFromReplicas {
+	if replicas == 0 || g.belowEvidence(combined) || !g.addEvidence(now, combined) || g.evidenceFromReplicas {
 		return out
 	}
 	g.evidenceFromReplicas = true
@@ -97,6 +97,13 @@
 	})
 }
 
+// belowEvidence reports whether newer evidence has a lower position than is known already
+// for its term: an upstream has then lost its log, or is not known.
+func (g *group) belowEvidence(e evidence) bool {
+	n := len(g.evidence)
+	return n > 0 && g.evidence[n-1].term == e.term && e.position.Compare(g.evidence[n-1].position) < 0
+}
+
 // Floor returns the minimum log position of a read with the staleness bound: a log
 // that reaches it has every commit acknowledged up to bound before now, and every
 // commit up to the session's own position. age is the age of the evidence used. ok
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -344,6 +344,10 @@
 // applyStatus updates the role, position and evidence from an upstream's status.
 func (g *group) applyStatus(now model.Time, m *Member, ev *Event) {
 	m.recordContact(now)
+	if m.StatusAt != 0 && ev.Status.Term <= m.Status.Term && ev.Status.Received.Compare(m.Status.Received) < 0 {
+		// The upstream has restarted without its log; its registration will show that later.
+		g.incompleteSince, g.memberLost = now, true
+	}
 	m.Status, m.StatusAt = ev.Status, ev.SentAt
 	m.Applied = m.Applied.Max(ev.Status.Applied)
 	switch {
