Hold a planned change of primary back while its group is incomplete

What callers saw: nothing yet; found in the review of the stale read. Acknowledged commits could be lost. Cause: a switchover compared its target with the other replicas only. If a replica had left that alone had the last commits, and the others received nothing at the time, it promoted one without them. Evidence: TestNoSwitchoverInAnIncompleteGroup failed before (promoted at 10, 15 were acknowledged) and passes now. Change: no target while the group is incomplete; the primary serves on, and the switchover is tried again.

--- /dev/null
+++ b/core/promotion/group_test.go
@@ -0,0 +1,99 @@
+package promotion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+)
+
+// groupHarness is a listHarness with a log position and a role of its own for each upstream.
+type groupHarness struct {
+	*listHarness
+	received map[model.UpstreamID]uint64
+	replica  map[model.UpstreamID]bool
+}
+
+func newGroupHarness() *groupHarness {
+	return &groupHarness{listHarness: newListHarness(), received: map[model.UpstreamID]uint64{}, replica: map[model.UpstreamID]bool{}}
+}
+
+func (h *groupHarness) status(id model.UpstreamID) {
+	p := model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(h.received[id])}
+	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventStatus, Upstream: id, SentAt: h.now, Status: replicaset.Status{
+		Primary: id == "a" && !h.replica[id], Term: 1, Received: p, Applied: p, FencedTerm: h.fenced[id],
+	}}, nil)
+	if id == "a" && !h.replica[id] {
+		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: "a", Term: 1, SentAt: h.now, Until: h.now.Add(100 * time.Millisecond)}, nil)
+	}
+}
+
+// step lets all known upstreams answer or fail, ticks, and carries out commands, for d.
+func (h *groupHarness) step(d time.Duration) {
+	for end := h.now.Add(d); h.now < end; h.now = h.now.Add(50 * time.Millisecond) {
+		for _, id := range h.view.Upstreams("db") {
+			if h.down[id] {
+				h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventFailed, Upstream: id}, nil)
+			} else {
+				h.status(id)
+			}
+		}
+		in := h.input()
+		for _, e := range h.state.Tick(h.now, in, nil) {
+			h.execute(&e)
+		}
+	}
+}
+
+func (h *groupHarness) input() *Input {
+	return &Input{
+		Views: h.view.Views(), Voters: []model.VMID{"vm"}, FencesChecked: true,
+		Evacuated:    func(model.Zone) bool { return false },
+		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
+		SyncReplicas: func(catalog.Service) int { return 1 },
+		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return h.view.NewestEvidence(s) },
+	}
+}
+
+// Guards against a switchover in a group that has lost the only replica with the last commits:
+// the target has what the other replicas have, but not what the primary has acknowledged.
+func TestNoSwitchoverInAnIncompleteGroup(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10, "d": 10}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, 1, nil)
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	// Commits 11 to 15 reach c only and are acknowledged; the VM has evidence of them.
+	h.received["a"], h.received["c"] = 15, 15
+	h.step(300 * time.Millisecond)
+	// c leaves and is replaced by d; the replicas that are left receive nothing for a while.
+	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventReplaced, Upstream: "c"}, nil)
+	h.list("a", "b", "d")
+	h.step(200 * time.Millisecond)
+	v := h.view.Views()[0]
+	e, _ := h.view.NewestEvidence("db")
+	if !v.Incomplete || e.Position.Pos != 15 {
+		t.Fatalf("fixture: incomplete %t, evidence %v", v.Incomplete, e.Position)
+	}
+	// The primary announces that it leaves.
+	ev := replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: h.now}
+	for _, id := range []model.UpstreamID{"a", "b", "d"} {
+		ev.Registrations = append(ev.Registrations, replicaset.Registration{
+			ID: id, Service: "db", Address: string(id) + ":1", Zone: model.Zone("zone-" + id), Slots: 3, Primary: id == "a", Leaving: id == "a", Sequence: 2, Incarnation: 1,
+		})
+	}
+	h.view.Apply(h.now, &ev, nil)
+	for range 3 {
+		h.step(200 * time.Millisecond)
+		ev.SentAt = h.now
+		h.view.Apply(h.now, &ev, nil)
+	}
+	if h.promoted != "" {
+		t.Errorf("%q was promoted at %d by a switchover, although 11 to 15 were acknowledged through c and the evidence has them", h.promoted, h.received[h.promoted])
+	}
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -215,10 +215,11 @@
 }
 
 // switchoverTarget returns the target once all other replicas are fenced and the
-// target has received everything that they have, otherwise nil.
+// target has received everything that they have, otherwise nil. In an incomplete group a
+// replica that has gone may be the only one that had received a commit.
 func (t *transition) switchoverTarget(v *replicaset.View) *replicaset.Member {
 	target := findMember(v, t.target)
-	if target == nil {
+	if target == nil || v.Incomplete {
 		return nil
 	}
 	for i := range v.Members {
