Take a former primary that lost its log for no proof of the commits

What callers saw: nothing yet; found in the review of the stale read. Acknowledged commits could be lost. Cause: a former primary that answered as a replica counted as one that has every acknowledged commit, also after a restart without its log. A replica behind the commits, or the empty former primary itself, was promoted. Evidence: TestFormerPrimaryWithoutItsLogProvesNothing (promoted at 10, 20 were acknowledged) and TestFormerPrimaryWithoutItsLogIsNotPromoted (promoted at 0) failed before and pass now. Change: a former primary counts only if it reaches the newest evidence of the log.

--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -97,3 +97,49 @@
 		t.Errorf("%q was promoted at %d by a switchover, although 11 to 15 were acknowledged through c and the evidence has them", h.promoted, h.received[h.promoted])
 	}
 }
+
+// Guards against a former primary that has restarted without its log and counts as stepped
+// down with all acknowledged commits.
+func TestFormerPrimaryWithoutItsLogProvesNothing(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 10, "c": 20}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, 1, nil)
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	// c, which alone has received 11 to 20, and a do not answer; a comes back empty.
+	h.down["a"], h.down["c"] = true, true
+	h.step(1500 * time.Millisecond)
+	h.list("a", "b", "c")
+	if h.promoted != "" {
+		t.Fatalf("promoted %q already", h.promoted)
+	}
+	h.down["a"], h.replica["a"], h.received["a"] = false, true, 0
+	h.step(1500 * time.Millisecond)
+	if h.promoted != "" {
+		t.Errorf("%q was promoted at %d; 11 to 20 were acknowledged through c, which is not fenced", h.promoted, h.received[h.promoted])
+	}
+}
+
+// Guards against the promotion of a former primary that has restarted without its log, while no
+// replica answers.
+func TestFormerPrimaryWithoutItsLogIsNotPromoted(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 20, "c": 20}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, 1, nil)
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	h.down["a"], h.down["b"], h.down["c"] = true, true, true
+	h.step(1500 * time.Millisecond)
+	h.list("a", "b", "c")
+	h.down["a"], h.replica["a"], h.received["a"] = false, true, 0
+	h.step(1500 * time.Millisecond)
+	if h.promoted != "" {
+		t.Errorf("%q was promoted at %d; 20 commits were acknowledged", h.promoted, h.received[h.promoted])
+	}
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -242,7 +242,7 @@
 func (t *transition) failoverTarget(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	best := t.mostAdvancedFenced(v, in, svc)
 	oldPrimary := findMember(v, t.oldPrimary)
-	steppedDown := t.oldPrimarySteppedDown(v)
+	steppedDown := t.oldPrimarySteppedDown(v) && hasLog(oldPrimary, in, svc)
 	// allFenced: no upstream is missing, and each one other than the old primary is
 	// fenced or had stopped before the newest evidence.
 	allFenced := t.allPresent(v)
@@ -264,6 +264,13 @@
 	return nil
 }
 
+// hasLog reports whether an upstream reaches the newest evidence of the primary's log. A
+// former primary that does not has restarted without its log.
+func hasLog(m *replicaset.Member, in *Input, svc *serviceState) bool {
+	e, ok := in.Evidence(svc.name)
+	return !ok || m.Status.Received.Compare(e.Position) >= 0
+}
+
 // allPresent reports whether all initial members are still known. An upstream that
 // has been removed since may have received commits until then.
 func (t *transition) allPresent(v *replicaset.View) bool {
