Confirm no primary by a replica without a term or beside another primary

What callers saw: nothing yet; found in the review of the stale read. Strict reads could run on a former primary. Cause: the statuses that confirm a primary were taken from a replica that had restarted without its log, its term and its fence, and in spite of another upstream that answered as the primary of the same term. Evidence: TestRestartedReplicaDoesNotConfirm failed before and passes now. Change: such answers confirm nothing.

--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -73,7 +73,10 @@
 		if id == g.primary {
 			continue
 		}
-		if m.StatusAt == 0 || m.Status.Term > g.primaryTerm || m.Status.FencedTerm != 0 && !allKnown {
+		if !m.hasAnsweredWithTerm() || m.Status.Term > g.primaryTerm || m.Status.FencedTerm != 0 && !allKnown {
+			return
+		}
+		if m.Status.Primary && m.Status.Term == g.primaryTerm {
 			return
 		}
 		oldest = min(oldest, m.StatusAt)
@@ -81,6 +84,10 @@
 	g.confirm(now, confirmation{upstream: g.primary, term: g.primaryTerm, until: oldest})
 }
 
+// hasAnsweredWithTerm reports whether the upstream has answered a status query and still
+// knows a term. One that has restarted without its log does not.
+func (m *Member) hasAnsweredWithTerm() bool { return m.StatusAt != 0 && m.Status.Term != 0 }
+
 // observePrimaryLog records how far the log of the primary m reached according to its
 // own answer. This is evidence only up to the time for which m is confirmed as the
 // primary.
--- a/core/replicaset/confirmation_test.go
+++ b/core/replicaset/confirmation_test.go
@@ -111,3 +111,16 @@
 		t.Errorf("confirmed until %v after the oldest status", got.Sub(oldest))
 	}
 }
+
+// Guards against the confirmation of a former primary by a replica that has restarted without
+// its fence and its term.
+func TestRestartedReplicaDoesNotConfirm(t *testing.T) {
+	f := newSyncFixture()
+	f.advance(2 * time.Second)
+	f.unconfirmedStatus("a", true, 1, pos(1, 10))
+	f.unconfirmedStatus("b", false, 1, pos(1, 10))
+	f.apply(Event{Kind: EventStatus, Upstream: "c", SentAt: f.now, Status: Status{}})
+	if f.ConfirmedUntil("a") >= f.now {
+		t.Error("a is confirmed by a replica of term 0 with an empty log")
+	}
+}
