Tell peers a primary only with evidence of its own term

What callers saw: nothing yet; found in the review of the stale read. Strict statements could run on a former primary. Cause: an answer to a peer had the primary of the sender's view and the term of its evidence. If the sender had taken over evidence of a later term and not the new primary, peers recorded the former primary in that term. Evidence: TestPeersAreNotToldAPrimaryOfAnotherTerm failed before and passes now. Change: the primary is left out unless the terms agree; peers learn it by other ways within a poll.

--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -180,11 +180,14 @@
 	now := boottime.Now()
 	for _, v := range p.cluster.replicas.Views() {
 		if e, ok := p.cluster.replicas.NewestEvidence(v.Service); ok {
-			a.Evidence = append(a.Evidence, &vmlinkv1.Evidence{
+			evidence := &vmlinkv1.Evidence{
 				Service: string(v.Service), Term: e.Term, PositionTerm: e.Position.Term.Counter,
 				Position: uint64(e.Position.Pos), AgeUs: uint64(now.Sub(e.At).Microseconds()),
-				Primary: string(v.Primary),
-			})
+			}
+			if v.PrimaryTerm == e.Term {
+				evidence.Primary = string(v.Primary)
+			}
+			a.Evidence = append(a.Evidence, evidence)
 		}
 		for i := range v.Members {
 			m := &v.Members[i]
--- a/linenode/lists_test.go
+++ b/linenode/lists_test.go
@@ -108,3 +108,24 @@
 		t.Errorf("%q was decompressed", got)
 	}
 }
+
+// Guards against a former primary that peers take for the primary of a later term: evidence
+// of a term came with the primary of another one.
+func TestPeersAreNotToldAPrimaryOfAnotherTerm(t *testing.T) {
+	p := newListsFixture("vm-0")
+	now := p.cluster.Now()
+	for _, ev := range []replicaset.Event{
+		{Kind: replicaset.EventRegistrations, SentAt: now, Registrations: []replicaset.Registration{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}},
+		{Kind: replicaset.EventPrimary, Service: "s", Upstream: "a", Term: 1, SentAt: now},
+		{Kind: replicaset.EventEvidence, Service: "s", Position: model.Position{Term: model.Term{Counter: 2}, Pos: 10}, Term: 2, SentAt: now},
+	} {
+		p.cluster.Observe(&ev)
+	}
+	a, err := p.Observe(t.Context(), &vmlinkv1.ObserveRequest{Vm: "vm-1", Zone: "z"})
+	if err != nil || len(a.GetEvidence()) != 1 {
+		t.Fatalf("answer %+v, %v", a, err)
+	}
+	if e := a.GetEvidence()[0]; e.GetPrimary() != "" {
+		t.Errorf("primary %q of term 1 is sent as that of term %d", e.GetPrimary(), e.GetTerm())
+	}
+}
