Derive no evidence from replicas beside an upstream of a later term

Cause: the last known primary is left out of the comparison, also where it answers as a replica of a later term, in which it may be the only one that has received a commit. An upstream without a term, which has restarted, counted as a replica. Evidence: TestNoReplicaEvidenceBesideALaterTerm failed before and passes now. Change: no evidence while any upstream is in a later term than the known primary, or knows none.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -77,10 +77,13 @@
 	combined := evidence{at: min(now, s.listedAt), term: g.primaryTerm}
 	replicas := 0
 	for id, m := range g.members {
+		if m.Status.Term > g.primaryTerm {
+			return out
+		}
 		if id == g.lastPrimary {
 			continue
 		}
-		if m.StatusAt == 0 || now.Sub(m.StatusAt) > maxReplicaStatusAge || m.Status.Primary {
+		if !m.hasAnsweredWithTerm() || now.Sub(m.StatusAt) > maxReplicaStatusAge || m.Status.Primary {
 			return out
 		}
 		replicas++
--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -75,3 +75,26 @@
 		f.expectEvidence(t, name, pos(1, 20))
 	}
 }
+
+// Guards against evidence from replicas that leaves out the last known primary although that
+// upstream answers as a replica of a later term, in which it may be the only one that has
+// received a commit.
+func TestNoReplicaEvidenceBesideALaterTerm(t *testing.T) {
+	f := newSyncFixture()
+	f.status("a", true, 1, pos(1, 10))
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	if f.Views()[0].Incomplete {
+		t.Fatal("fixture: incomplete")
+	}
+	// d, added since the last list, becomes the primary of term 2; its commits reach a first.
+	f.advance(300 * ms)
+	f.setRegistrations(registration("a", false), registration("b", false), registration("c", false))
+	f.status("a", false, 2, pos(2, 15))
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	e, _ := f.NewestEvidence("db")
+	if e.At == f.now && e.Position.Compare(pos(2, 15)) < 0 {
+		t.Errorf("evidence %v of now in term %d, although a answers with %v in term 2", e.Position, e.Term, pos(2, 15))
+	}
+}
