Notice a restarted replica by what its reads had seen

What callers saw: nothing yet; found in the review of the stale read. Reads could miss acknowledged commits. Cause: a replica that restarts without its log was noticed only by a VM that had asked for its status before. VMs that do not hold the promotion lease ask replicas only once the primary is lost. Evidence: TestNoReplicaEvidenceFromARestartedReplica failed before and passes now. Change: a status is compared with the positions that reads on the upstream had seen when it was asked for.

--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -98,3 +98,28 @@
 		t.Errorf("evidence %v of now in term %d, although a answers with %v in term 2", e.Position, e.Term, pos(2, 15))
 	}
 }
+
+// Guards against evidence from a replica that has restarted without its log and was never asked
+// for its status before, as on VMs that do not hold the promotion lease: nothing shows that its
+// log has become shorter.
+func TestNoReplicaEvidenceFromARestartedReplica(t *testing.T) {
+	f := newSyncFixture()
+	f.status("a", true, 1, pos(1, 20))
+	f.status("b", false, 1, pos(1, 20)) // completes the group
+	if f.Views()[0].Incomplete {
+		t.Fatal("fixture: incomplete")
+	}
+	f.advance(200 * ms)
+	// Commits 21 to 30 are acknowledged through c; a crashes; c restarts empty.
+	acknowledged := f.now
+	f.apply(Event{Kind: EventServed, Upstream: "c", Position: pos(1, 30)}) // a read on c showed its log
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.advance(300 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+	f.status("b", false, 1, pos(1, 20))
+	f.apply(Event{Kind: EventStatus, Upstream: "c", SentAt: f.now, Status: Status{}})
+	e, _ := f.NewestEvidence("db")
+	if e.At > acknowledged && e.Position.Compare(pos(1, 30)) < 0 {
+		t.Errorf("evidence %v dated %v after 30 was acknowledged, from an empty replica of term 0 whose reads had seen 30", e.Position, e.At.Sub(acknowledged))
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -344,12 +344,12 @@
 // applyStatus updates the role, position and evidence from an upstream's status.
 func (g *group) applyStatus(now model.Time, m *Member, ev *Event) {
 	m.recordContact(now)
-	if m.StatusAt != 0 && ev.Status.Term <= m.Status.Term && ev.Status.Received.Compare(m.Status.Received) < 0 {
-		// The upstream has restarted without its log; its registration will show that later.
-		g.incompleteSince, g.memberLost = now, true
+	if m.lostLog(ev) {
+		// The registration will show the restart later.
+		g.incompleteSince, g.memberLost, m.Applied = now, true, model.Position{}
 	}
 	m.Status, m.StatusAt = ev.Status, ev.SentAt
-	m.Applied = m.Applied.Max(ev.Status.Applied)
+	m.recordApplied(now, ev.Status.Applied)
 	switch {
 	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
@@ -363,6 +363,17 @@
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Status.Received, term: ev.Status.Term})
 }
 
+// lostLog reports whether the log that an upstream reports is shorter than it was known to
+// be in its term, so that it has restarted without it.
+func (m *Member) lostLog(ev *Event) bool {
+	known := m.Status.Received
+	if ev.SentAt > m.appliedAt {
+		known = known.Max(m.Applied)
+	}
+	next := &ev.Status
+	return next.Term <= max(m.Status.Term, known.Term.Counter) && next.Received.Compare(known) < 0
+}
+
 // clearIncomplete marks the group as complete if replica m has reached a position
 // that another upstream had as the primary after the group became incomplete.
 func (g *group) clearIncomplete(m *Member) {
@@ -423,7 +434,13 @@
 
 func (m *Member) recordServed(now model.Time, p model.Position) {
 	m.recordContact(now)
-	m.Applied = m.Applied.Max(p)
+	m.recordApplied(now, p)
+}
+
+func (m *Member) recordApplied(now model.Time, p model.Position) {
+	if p.Compare(m.Applied) > 0 {
+		m.Applied, m.appliedAt = p, now
+	}
 }
 
 func (m *Member) recordFailure(now model.Time, refused bool) {
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -177,6 +177,8 @@
 	// Applied is the highest position known to be visible to reads of this
 	// incarnation.
 	Applied model.Position
+	// appliedAt is when Applied was learned.
+	appliedAt model.Time
 	// ContactAt is the time of the upstream's last answer, 0 if there was none.
 	ContactAt model.Time
 	// FailedSince is the time of the first failure since the last answer, 0 if
