Let no former primary complete its own group

What callers saw: nothing yet; found in the review of the stale read. Cause: a VM that knows the primary from its registration only took it for one of the replicas, once it had stepped down, that have caught up. Evidence: TestFormerPrimaryDoesNotCompleteItsGroup failed before and passes now. Change: the last known primary completes no group.

--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -123,3 +123,22 @@
 		t.Errorf("evidence %v dated %v after 30 was acknowledged, from an empty replica of term 0 whose reads had seen 30", e.Position, e.At.Sub(acknowledged))
 	}
 }
+
+// Guards against a former primary that completes its own group on a VM that has not seen it as
+// the primary of its term: only the registration says so, and the evidence comes from a peer.
+func TestFormerPrimaryDoesNotCompleteItsGroup(t *testing.T) {
+	f := &fixture{State: New(), now: start}
+	f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
+	f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
+	f.advance(100 * ms)
+	// A peer that knows no primary at the moment has evidence of commits 11 to 15, which were
+	// acknowledged through a replica that has left.
+	f.apply(Event{Kind: EventEvidence, Service: "db", Position: pos(1, 15), Term: 1, SentAt: f.now})
+	f.advance(100 * ms)
+	f.status("b", false, 1, pos(1, 10))
+	f.status("d", false, 1, pos(1, 10))
+	f.status("a", false, 1, pos(1, 15)) // stepped down
+	if !f.Views()[0].Incomplete {
+		t.Error("the group is complete, although only the former primary has the log")
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -377,6 +377,9 @@
 // clearIncomplete marks the group as complete if replica m has reached a position
 // that another upstream had as the primary after the group became incomplete.
 func (g *group) clearIncomplete(m *Member) {
+	if m.ID == g.lastPrimary {
+		return
+	}
 	for i := range g.evidence {
 		e := &g.evidence[i]
 		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.RoleTerm != e.term && m.Status.Received.Compare(e.position) >= 0 {
