Count the age of the first list from its answer, and keep it while peers send lists

What callers saw: nothing yet; found in the review of the stale read. Cause: the time after which a list counts as complete ran from the sending of the first read, whose answer may be late, and began anew with each failed read, though lists of peers arrived. The first took an incomplete list for complete, the second kept a VM from ever having a complete one. Evidence: TestFirstListAnsweredLateIsNotComplete and TestListBecomesCompleteByPeers (45 s without a complete list) failed before and pass now. Change: the time runs from the answer, and begins anew only if no recent list is known.

--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -497,3 +497,32 @@
 		}
 	}
 }
+
+// Guards against a first list whose answer was late: it was sent 2.4 s before the store
+// returned, so that the next one, 0.1 s after the return, counts as complete.
+func TestFirstListAnsweredLateIsNotComplete(t *testing.T) {
+	f := &fixture{State: New(), now: start}
+	sent := f.now
+	f.advance(2400 * ms) // the store returns and answers with the entries that are back already
+	f.apply(Event{Kind: EventRegistrations, SentAt: sent, Registrations: []Registration{registration("a", true), registration("b", false)}})
+	f.advance(100 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false))
+	if f.Views()[0].ListComplete {
+		t.Error("the list is complete 100 ms after the first answer")
+	}
+}
+
+// Guards against a list that never becomes complete on a VM whose own reads of the store
+// fail now and then while peers send it lists.
+func TestListBecomesCompleteByPeers(t *testing.T) {
+	f := newFixture()
+	for range 30 {
+		f.advance(time.Second)
+		f.apply(Event{Kind: EventStoreUnavailable}) // own read refused
+		f.advance(500 * ms)
+		f.setRegistrations(registration("a", true), registration("b", false), registration("c", false)) // from a peer
+	}
+	if !f.Views()[0].ListComplete {
+		t.Error("list not complete after 45 s of lists from peers")
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -17,7 +17,7 @@
 	storeUnavailableAt model.Time
 	storeUnavailable   bool
 	// listedAt is the time when the read that returned the current registrations
-	// was sent, firstListedAt that of the first read since the start of the VM, 0 before.
+	// was sent, firstListedAt that of the first answer since the start of the VM, 0 before.
 	listedAt      model.Time
 	firstListedAt model.Time
 	// replaced has the incarnations of upstreams that were replaced while the store
@@ -90,7 +90,7 @@
 		return s.applyRegistrations(now, ev, out)
 	case EventStoreUnavailable:
 		s.storeUnavailable, s.storeUnavailableAt = true, now
-		if !s.listComplete() {
+		if !s.listComplete() && now.Sub(s.listedAt) > maxListAge {
 			s.firstListedAt = 0
 		}
 		return out
@@ -173,7 +173,7 @@
 	}
 	s.listedAt = ev.SentAt
 	if s.firstListedAt == 0 {
-		s.firstListedAt = ev.SentAt
+		s.firstListedAt = now
 	}
 	present := make(map[model.UpstreamID]bool, len(ev.Registrations))
 	for i := range ev.Registrations {
