Let a smaller group give evidence again after a minute

What callers saw: nothing yet; found in the review of the stale read. Reads would be refused while a primary is changed. Cause: the size of a group only grew. An unplanned replacement that is listed before the entry of the lost upstream has gone made it larger by one for the life of the process, and evidence from its replicas was never used again. Evidence: TestReplicaEvidenceAfterUnplannedReplacement failed before (evidence 1.3 s old although all answer) and passes now. Change: an upstream that has lost its entry counts as one that may still run for a minute.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -68,7 +68,7 @@
 	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
 	}
-	if g.incompleteSince != 0 || len(g.members) < g.fullMembers || g.members[g.lastPrimary] == nil {
+	if g.incompleteSince != 0 || g.mayLackMember(now) || g.members[g.lastPrimary] == nil {
 		return out
 	}
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
@@ -100,6 +100,11 @@
 	})
 }
 
+// mayLackMember reports whether an upstream that is no member may still run.
+func (g *group) mayLackMember(now model.Time) bool {
+	return len(g.members) < g.fullMembers && now.Sub(g.removedAt) < departureTimeout
+}
+
 // belowEvidence reports whether newer evidence has a lower position than is known already
 // for its term: an upstream has then lost its log, or is not known.
 func (g *group) belowEvidence(e evidence) bool {
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -526,3 +526,25 @@
 		t.Error("list not complete after 45 s of lists from peers")
 	}
 }
+
+// Guards against a group that for ever gives no evidence from its replicas after an unplanned
+// replacement whose new upstream is listed before the entry of the lost one has gone.
+func TestReplicaEvidenceAfterUnplannedReplacement(t *testing.T) {
+	f := newSyncFixture()
+	f.setRegistrations(registration("a", true), registration("b", false), registration("d", false), registration("c", false))
+	for range 70 {
+		f.advance(time.Second)
+		f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
+		f.status("a", true, 1, pos(1, 20))
+		f.status("b", false, 1, pos(1, 20))
+		f.status("d", false, 1, pos(1, 20))
+	}
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.advance(1300 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
+	f.status("b", false, 1, pos(1, 20))
+	f.status("d", false, 1, pos(1, 20))
+	if e, _ := f.NewestEvidence("db"); f.now.Sub(e.At) > 100*ms {
+		t.Errorf("newest evidence is %v old although all upstreams answered", f.now.Sub(e.At))
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -51,8 +51,10 @@
 	// to be complete.
 	peakMembers int
 	// fullMembers is the largest number of members, without those that have left after
-	// they announced it. One that has only lost its registration may still run.
+	// they announced it. One that has only lost its registration may still run; after
+	// departureTimeout from removedAt, the last removal of a member, it counts as gone.
 	fullMembers int
+	removedAt   model.Time
 	// confirmed is the confirmation of the primary, and withdrawnAt the time of the
 	// last withdrawal of one.
 	confirmed   confirmation
@@ -302,7 +304,7 @@
 	if m.Leaving {
 		g.fullMembers--
 	}
-	g.incompleteSince, g.memberLost = now, true
+	g.incompleteSince, g.memberLost, g.removedAt = now, true, now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
 	if g.primary == id {
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -228,6 +228,9 @@
 	// maxReplicaStatusAge is the maximum age of the replicas' statuses that are
 	// combined into evidence, and so the maximum time between them.
 	maxReplicaStatusAge = 600 * time.Millisecond
+	// departureTimeout is how long an upstream that has lost its registration without an
+	// announcement may still run and count for acknowledgements.
+	departureTimeout = time.Minute
 	// maxListAge is the maximum age of the list of upstreams for evidence from
 	// replicas.
 	maxListAge = 1500 * time.Millisecond
