Bound the wait of a new lease holder for commits that no replica has

What callers saw: nothing yet; found in the review of the stale read. No writes to a service until an operator helps. Cause: since a group counts as incomplete from the start of a VM, a new lease holder waited without end if its evidence has a commit that no replica received, and the lost primary stays listed. Change: the wait for a replica that may have left before is bounded to 10 s; one that this VM saw go still counts.

--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -143,3 +143,28 @@
 		t.Errorf("%q was promoted at %d; 20 commits were acknowledged", h.promoted, h.received[h.promoted])
 	}
 }
+
+// Guards against a failover that waits for ever: the primary is lost to all VMs but still
+// listed, and the lease holder, which has started lately, has evidence of a commit that no
+// replica received.
+func TestFailoverDespiteAnUnreplicatedCommit(t *testing.T) {
+	for _, tail := range []uint64{0, 1} {
+		h := newGroupHarness()
+		h.received = map[model.UpstreamID]uint64{"b": 10, "c": 10}
+		h.down["a"] = true
+		h.list("a", "b", "c")
+		h.state.Acquire(h.now, 1, nil)
+		h.step(50 * time.Millisecond)
+		p := model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(10 + tail)}
+		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventPrimary, Service: "db", Upstream: "a", Term: 1, SentAt: h.now}, nil)
+		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventEvidence, Service: "db", Position: p, Term: 1, SentAt: h.now}, nil)
+		begin := h.now
+		for h.promoted == "" && h.now.Sub(begin) < 20*time.Second {
+			h.step(500 * time.Millisecond)
+			h.list("a", "b", "c")
+		}
+		if h.promoted == "" {
+			t.Errorf("no upstream was promoted within %v, with %d unreplicated commits", h.now.Sub(begin), tail)
+		}
+	}
+}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -30,7 +30,9 @@
 
 // serviceState is the state of one service that is kept between ticks.
 type serviceState struct {
-	name       catalog.Service
+	name catalog.Service
+	// knownSince is when this lease holder first saw the service.
+	knownSince model.Time
 	transition *transition
 	// backoffUntil is when the next transition may start after a failed one.
 	backoffUntil model.Time
@@ -68,7 +70,7 @@
 
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
 	svc := &serviceState{
-		name: name, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
+		name: name, knownSince: now, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
 		record: s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{},
 	}
 	for _, id := range svc.record.Late {
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -124,7 +124,7 @@
 	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
-	target := t.selectTarget(v, in, svc)
+	target := t.selectTarget(now, v, in, svc)
 	out = svc.withdraw(now, in, out)
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
@@ -204,14 +204,14 @@
 // selectTarget returns the upstream to promote, or nil while none is safe. The list of
 // upstreams has to be newer than the transition: a replica that was added shortly before
 // may have received commits, and is fenced as well once it is known.
-func (t *transition) selectTarget(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+func (t *transition) selectTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	switch {
 	case v.ListedAt < t.startedAt:
 		return nil
 	case t.planned:
 		return t.switchoverTarget(v)
 	}
-	return t.failoverTarget(v, in, svc)
+	return t.failoverTarget(now, v, in, svc)
 }
 
 // switchoverTarget returns the target once all other replicas are fenced and the
@@ -239,7 +239,7 @@
 
 // failoverTarget returns the upstream to promote once it is certain to have every
 // acknowledged commit, otherwise nil.
-func (t *transition) failoverTarget(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+func (t *transition) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	best := t.mostAdvancedFenced(v, in, svc)
 	oldPrimary := findMember(v, t.oldPrimary)
 	steppedDown := t.oldPrimarySteppedDown(v) && hasLog(oldPrimary, in, svc)
@@ -253,7 +253,7 @@
 		}
 	}
 	switch {
-	case allFenced && best != nil && t.hasAllCommits(best, oldPrimary, v, in, svc):
+	case allFenced && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
 		return best
 	case steppedDown && best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
 		return best
@@ -286,15 +286,18 @@
 // acknowledged commit. If another replica has disappeared, commits may have been
 // acknowledged by that one only. best must then reach the position of the newest
 // evidence of the primary's log. This is not required if the old primary is gone as
-// well, because no remaining upstream has a longer log than best. A VM that has just
-// started and has no evidence knows neither of commits nor of a replica that received them.
-func (t *transition) hasAllCommits(best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
+// well, because no remaining upstream has a longer log than best. If this VM saw no
+// replica go, it waits for at most unknownDepartureTimeout, and not at all without evidence.
+func (t *transition) hasAllCommits(now model.Time, best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
 	if !v.Incomplete || oldPrimary == nil {
 		return true
 	}
 	e, ok := in.Evidence(svc.name)
+	if !v.MemberLost && (!ok || now.Sub(svc.knownSince) > unknownDepartureTimeout) {
+		return true
+	}
 	if !ok {
-		return !v.MemberLost
+		return false
 	}
 	return best.Status.Received.Compare(e.Position) >= 0
 }
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -61,6 +61,10 @@
 	statusPollInterval = 40 * time.Millisecond
 	// promoteRetryInterval is the interval between retries of a promotion call.
 	promoteRetryInterval = 400 * time.Millisecond
+	// unknownDepartureTimeout is how long a new lease holder allows for a replica that left
+	// before this VM knew the group. It is longer than the entry of a lost primary lasts,
+	// which ends the wait as well.
+	unknownDepartureTimeout = 10 * time.Second
 	// fenceTimeout ends a failover that has found no safe target, because not
 	// all upstreams can be fenced.
 	fenceTimeout = 6 * time.Second
