Read the lists once for all changes of primary that begin together, and again after a failure

What callers saw: nothing yet; found in the review of the stale read. Cause: each change of primary read the lists by itself: twenty reads at once for a lost zone. After a failed read the next came when the lists were due, up to 4 s later. A change whose promotion had failed accepted a list from its first start. Evidence: TestRefreshReadsTheListsOnceAndAtOnce; the second part by reading. Change: the loop that reads the lists does it at once when asked, and repeats failed reads; each fencing phase asks.

--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -189,7 +189,7 @@
 	}
 	svc.transition = t
 	svc.lastCommandAt, svc.withdrawSentAt = map[model.UpstreamID]model.Time{}, 0
-	out = append(out, Effect{Kind: EffectTransitionStarted, Service: svc.name, Upstream: v.Primary, Cause: cause, Term: t.fenceTerm, Members: len(v.Members)})
+	out = append(out, Effect{Kind: EffectTransitionStarted, Service: svc.name, Upstream: v.Primary, Cause: cause, Term: t.fenceTerm, Members: len(v.Members)}, Effect{Kind: EffectListNeeded, Service: svc.name})
 	return s.advance(now, svc, v, in, out)
 }
 
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -202,11 +202,11 @@
 }
 
 // selectTarget returns the upstream to promote, or nil while none is safe. The list of
-// upstreams has to be newer than the transition: a replica that was added shortly before
+// upstreams has to be newer than the fencing phase: a replica that was added shortly before
 // may have received commits, and is fenced as well once it is known.
 func (t *transition) selectTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	switch {
-	case v.ListedAt < t.startedAt:
+	case v.ListedAt < t.phaseStartedAt:
 		return nil
 	case t.planned:
 		return t.switchoverTarget(v)
@@ -365,7 +365,7 @@
 			return svc.endTransition(now, "the promotion was refused", true, out)
 		}
 		t.enterPhase(now, phaseFence)
-		return out
+		return append(out, Effect{Kind: EffectListNeeded, Service: svc.name})
 	}
 	if !t.accepted && now.Sub(t.promoteSentAt) > promoteRetryInterval {
 		out = s.callPromote(now, svc, v, out)
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -136,6 +136,8 @@
 	EffectWithdraw
 	// EffectRecord writes Record to the store.
 	EffectRecord
+	// EffectListNeeded asks for a list of upstreams that is read from now on.
+	EffectListNeeded
 	// EffectTransitionStarted, EffectTargetSelected and EffectTransitionEnded
 	// report the progress of a transition, for the log.
 	EffectTransitionStarted
--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -11,7 +11,6 @@
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
-	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/store"
 )
 
@@ -72,18 +71,23 @@
 	options Options
 	cluster *cluster
 	members *members
+	// wake ends the pause of run.
+	wake chan struct{}
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// current are the newest lists.
 	current storeLists
+	// neededSince is the time from which on a read of the lists is needed, 0 before the
+	// first refresh.
+	neededSince model.Time
 	// unreadable has the keys of registrations that cannot be decoded, so that each is
 	// logged once.
 	unreadable map[string]bool
 }
 
 func newLists(o Options, c *cluster, m *members) *lists {
-	return &lists{options: o, cluster: c, members: m, unreadable: map[string]bool{}}
+	return &lists{options: o, cluster: c, members: m, wake: make(chan struct{}, 1), unreadable: map[string]bool{}}
 }
 
 // age returns the age of the lists, or the time since the boot of the VM before the
@@ -119,8 +123,8 @@
 func (l *lists) run(ctx context.Context) {
 	health := newStoreHealth(l.cluster, "lists")
 	for ctx.Err() == nil {
-		if l.age() < l.maxAge() {
-			pause.For(ctx, listsPollInterval)
+		if !l.due() {
+			l.waitUntilDue(ctx)
 			continue
 		}
 		err := l.read(ctx)
@@ -148,11 +152,34 @@
 	return min(listsInterval+time.Duration(l.members.rank())*listsStagger, maxListsInterval)
 }
 
-// refresh reads the lists now, for a decision that needs newer ones than are known. If
-// that fails, run reads them when they are due.
-func (l *lists) refresh(ctx context.Context) {
-	if err := l.read(ctx); err != nil && ctx.Err() == nil {
-		l.cluster.log.Info().Err(err).Msg("lists not read for a change of primary")
+// refresh makes run read the lists now, and again after a failure, until newer ones than
+// the present are known. Several requests share one read.
+func (l *lists) refresh() {
+	l.mu.Lock()
+	l.neededSince = boottime.Now()
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// due reports whether this VM has to read the lists.
+func (l *lists) due() bool {
+	l.mu.Lock()
+	needed := l.current.sentAt < l.neededSince
+	l.mu.Unlock()
+	return needed || l.age() >= l.maxAge()
+}
+
+// waitUntilDue pauses for listsPollInterval or until refresh is called.
+func (l *lists) waitUntilDue(ctx context.Context) {
+	timer := time.NewTimer(listsPollInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.wake:
 	}
 }
 
--- a/linenode/lists_test.go
+++ b/linenode/lists_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -129,3 +132,34 @@
 		t.Errorf("primary %q of term 1 is sent as that of term %d", e.GetPrimary(), e.GetTerm())
 	}
 }
+
+// Guards against a change of primary that waits until the lists are due, seconds later, and
+// against one read of the store for each of many changes that begin together.
+func TestRefreshReadsTheListsOnceAndAtOnce(t *testing.T) {
+	p := newListsFixture("vm-0")
+	s := &countingStore{}
+	p.lists.options.Store = s
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p.lists.install(storeLists{sentAt: boottime.Now()})
+	go p.lists.run(ctx)
+	time.Sleep(listsPollInterval / 2)
+	for range 20 {
+		p.lists.refresh()
+	}
+	time.Sleep(listsPollInterval / 2)
+	if reads := s.ranges.Load(); reads < 2 || reads > 4 {
+		t.Errorf("%d ranges were read, want one or two reads of both lists", reads)
+	}
+}
+
+// countingStore counts reads and returns empty lists.
+type countingStore struct {
+	store.Store
+	ranges atomic.Int32
+}
+
+func (s *countingStore) Range(context.Context, string, int) ([]store.KeyValue, int64, error) {
+	s.ranges.Add(1)
+	return nil, 0, nil
+}
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -87,7 +87,7 @@
 	// returns for how long vouchers of that VM may still be used.
 	withdraw func(ctx context.Context, service catalog.Service, vm model.VMID) (vouched time.Duration, err error)
 	// refreshLists is lists.refresh.
-	refreshLists func(ctx context.Context)
+	refreshLists func()
 }
 
 func newTransitions(o Options, c *cluster, m *members) *transitions {
@@ -270,10 +270,11 @@
 	case promotion.EffectRecord:
 		call := *e
 		panics.Go(t.log, "record of a promotion", func() { t.record(ctx, call) })
+	case promotion.EffectListNeeded:
+		t.refreshLists()
 	case promotion.EffectTransitionStarted:
 		t.log.Info().Str("service", string(e.Service)).Str("primary", string(e.Upstream)).Str("cause", e.Cause).
 			Uint64("fence_term", e.Term).Int("upstreams", e.Members).Msg("change of primary started")
-		panics.Go(t.log, "read of the lists", func() { t.refreshLists(ctx) })
 	case promotion.EffectTargetSelected:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
 			Uint64("received", uint64(e.Position.Pos)).Int("upstreams", e.Members).Msg("new primary chosen")
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -447,7 +447,7 @@
 		w.logf("%s effect %d %s %s cause %q vm %s token %d record %+v", v.id, e.Kind, e.Upstream, e.Command, e.Cause, e.VM, e.Token, e.Record)
 	}
 	switch e.Kind {
-	case promotion.EffectTransitionStarted:
+	case promotion.EffectListNeeded:
 		if w.reaches(string(v.id), storeEnd) {
 			w.list(v)
 		}
