--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -38,6 +38,8 @@
 	compactedRevision int64
 	// nextLease is the id of the newest lease.
 	nextLease int64
+	// era rises by one each time the store comes back from a copy.
+	era atomic.Int64
 	// changed is closed and replaced when watches have to look for events.
 	changed chan struct{}
 
@@ -73,6 +75,7 @@
 		items: map[string]Item{}, leases: map[int64]lease{}, revision: 1, nextLease: 100,
 		changed: make(chan struct{}), listener: l,
 	}
+	s.era.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /chervilhatch/kv-key", s.get)
 	mux.HandleFunc("GET /chervilhatch/kv-range", s.list)
@@ -182,9 +185,24 @@
 	s.changed = make(chan struct{})
 }
 
+// headerEra names the era of the store in each response.
+const headerEra = "Store-Era"
+
+// eraWriter adds headerEra to a response, with the era at the time of the response.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set(headerEra, strconv.FormatInt(w.store.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // injectFaults counts the calls, and refuses them while Down is set.
 func (s *Store) injectFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = eraWriter{ResponseWriter: w, store: s}
 		s.calls.Add(1)
 		if s.Down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -241,7 +259,7 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/test/platform/adapter_test.go
+++ b/test/platform/adapter_test.go
@@ -23,7 +23,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	return s, platform.NewStore(s.Address(), 500*time.Millisecond, 300*time.Millisecond, metrics.NewRegistry())
+	return s, newClient(s)
+}
+
+// newClient returns another client of a store.
+func newClient(s *metastore.Store) *platform.Store {
+	return platform.NewStore(s.Address(), 500*time.Millisecond, 300*time.Millisecond, metrics.NewRegistry())
 }
 
 func TestKeys(t *testing.T) {
