--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,3 +176,25 @@
 		t.Errorf("LeaseKeepAlive: %v", err)
 	}
 }
+
+// Guards against a restore that nobody is told of, and against one that is reported more
+// than once.
+func TestRestoreIsReportedOnce(t *testing.T) {
+	s, client := newStore(t)
+	var changes []store.GenerationChange
+	client.OnGeneration(func(c store.GenerationChange) { changes = append(changes, c) })
+	get := func() {
+		if _, err := client.Get(t.Context(), "k"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	get()
+	get()
+	s.Restore(s.Copy())
+	get()
+	get()
+	want := []store.GenerationChange{{First: true, New: 1, Call: "get"}, {Old: 1, New: 2, Call: "get"}}
+	if !slices.Equal(changes, want) {
+		t.Errorf("changes %+v, want %+v", changes, want)
+	}
+}
