Keep evacuations that an older copy of the store lacks

Callers: reads ran in a zone whose evacuation had been confirmed, from the restore until the operators wrote it again, which takes up to two seconds. Cause: the list of evacuated zones read from the copy replaced the known one. What is missing in the first list of a new generation now remains for the grace period of registrations, and is logged when it is kept and when that ends. What an operator takes back in the same generation ends at once, as before. Ruled out: keeping until the zone is seen again, since it may have been taken back before the restore.

--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -57,7 +57,7 @@
 // ReadCandidates returns the upstreams that may serve a read at floor, in the
 // order in which they are to be tried. load estimates how long a statement takes on
 // an upstream; candidates of the same rank are ordered by it. An upstream whose
-// registration has been missing for half of missingGracePeriod is left out.
+// registration has been missing for half of MissingGracePeriod is left out.
 func (s *State) ReadCandidates(now model.Time, service catalog.Service, floor model.Position, load func(*Member) float64) []Candidate {
 	g := s.groups[service]
 	if g == nil {
@@ -66,7 +66,7 @@
 	list := make([]Candidate, 0, len(g.members))
 	for _, id := range g.ids() {
 		m := g.members[id]
-		if !s.eligible(now, g, m) || m.missingSince != 0 && now.Sub(m.missingSince) > missingGracePeriod/2 {
+		if !s.eligible(now, g, m) || m.missingSince != 0 && now.Sub(m.missingSince) > MissingGracePeriod/2 {
 			continue
 		}
 		list = append(list, Candidate{Member: *m, rank: g.rank(now, m, floor), load: load(m)})
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -259,7 +259,7 @@
 				m.missingSince = 0
 			case m.missingSince == 0:
 				m.missingSince = now
-			case now.Sub(m.missingSince) >= missingGracePeriod:
+			case now.Sub(m.missingSince) >= MissingGracePeriod:
 				out = s.remove(now, id, out)
 			}
 		}
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -185,7 +185,7 @@
 	// LeavingAt is the time when this VM learned that the upstream is leaving.
 	LeavingAt model.Time
 
-	// missingSince is the start of missingGracePeriod while the registration is
+	// missingSince is the start of MissingGracePeriod while the registration is
 	// missing from the store, 0 while it is present.
 	missingSince model.Time
 	// steppedDownTerm is the newest term in which the upstream is known to have
@@ -200,10 +200,10 @@
 
 // Time limits.
 const (
-	// missingGracePeriod is how long a registration may be missing from the store
+	// MissingGracePeriod is how long a registration may be missing from the store
 	// before its upstream is removed. Registrations that expired while the store
 	// was unavailable are back within two seconds of its return.
-	missingGracePeriod = 2500 * time.Millisecond
+	MissingGracePeriod = 2500 * time.Millisecond
 	// evidenceRetention is the maximum age of stored evidence. Routes with a
 	// larger staleness bound use newer evidence than they need.
 	evidenceRetention = 5 * time.Second
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -70,6 +70,9 @@
 	// store.
 	operatorsRevision int64
 	evacuated         []string
+	// keptZones are zones that remain evacuated until the given time although evacuated
+	// lacks them; see keepMissingZones.
+	keptZones map[string]model.Time
 	// followsHub reports whether a hub passes on to this VM what operators write; see
 	// members.followsHub.
 	followsHub func() bool
@@ -98,6 +101,7 @@
 		awaitsHub:       func() bool { return false },
 		announce:        func(catalog.Service, model.UpstreamID, uint64) {},
 		lastForwardedAt: map[model.UpstreamID]model.Time{},
+		keptZones:       map[string]model.Time{},
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
 	c.probes = newProbes(c)
--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/cenkalti/backoff/v5"
@@ -156,16 +157,58 @@
 }
 
 // applyEvacuations is setEvacuatedZones for a list of names. It ignores a revision
-// that is not newer than the current one.
+// that is not newer than the current one. A zone that is missing because the store has
+// come back from an older copy remains evacuated for replicaset.MissingGracePeriod.
 func (c *cluster) applyEvacuations(revision int64, zones []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision <= c.operatorsRevision {
 		return
 	}
+	if c.operatorsRevision != 0 && store.Generation(revision) != store.Generation(c.operatorsRevision) {
+		c.keepMissingZones(zones)
+	}
 	c.operatorsRevision, c.evacuated = revision, zones
+	c.updateEvacuations()
+}
+
+// keepMissingZones keeps the evacuation of the zones that are in force and not in next.
+// The caller holds mu.
+func (c *cluster) keepMissingZones(next []string) {
+	until := c.Now().Add(replicaset.MissingGracePeriod)
+	for _, z := range c.evacuated {
+		if !slices.Contains(next, z) {
+			c.keptZones[z] = until
+			c.log.Warn().Str("zone", z).Dur("for", replicaset.MissingGracePeriod).Msg("evacuation is missing from an older copy of the store and kept")
+		}
+	}
+}
+
+// dropKeptZones ends the evacuations that keepMissingZones has kept for long enough.
+func (c *cluster) dropKeptZones() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dropped := false
+	for z, until := range c.keptZones {
+		if c.Now() >= until {
+			delete(c.keptZones, z)
+			dropped = true
+			c.log.Info().Str("zone", z).Bool("written_again", slices.Contains(c.evacuated, z)).Msg("evacuation no longer kept")
+		}
+	}
+	if dropped {
+		c.updateEvacuations()
+	}
+}
+
+// updateEvacuations applies the evacuated zones and those that are kept. The caller holds
+// mu.
+func (c *cluster) updateEvacuations() {
 	ev := replicaset.Event{Kind: replicaset.EventEvacuations}
-	for _, z := range zones {
+	for _, z := range c.evacuated {
+		ev.Zones = append(ev.Zones, model.Zone(z))
+	}
+	for z := range c.keptZones {
 		ev.Zones = append(ev.Zones, model.Zone(z))
 	}
 	c.applyLocked(&ev)
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -183,10 +183,12 @@
 	return nil
 }
 
-// trimLoop closes connections that are no longer needed, every trimInterval.
+// trimLoop closes connections and ends evacuations that are no longer needed, every
+// trimInterval.
 func (n *Node) trimLoop() {
 	for pause.For(n.ctx, trimInterval) {
 		n.cluster.trim()
+		n.cluster.dropKeptZones()
 	}
 }
 
