Let one VM hold the promotion lease when the store comes back from a copy, and doubt lost records

Seen in tests: with a copy that lacks the lease, another VM acquired it at once while the holder acted and confirmed primaries; a next holder took the records of promotions in the copy for complete and confirmed a primary that a call without a record might still replace. Cause: the lease and the records of the former generation end without their holder knowing.

Each acquisition now also writes a mark with the store's generation. In a generation without an acquisition, the VM that held the lease until it saw the generation takes it back at once and writes its records again; any other VM waits for the lease's lifetime after it first saw the generation, whatever entry the copy has, and confirms no primary for the time that an unanswered promotion call may take, unless a call of its own settles a service. The mark says whether that is over. A VM logs each change of generation with the call that showed it, and what it keeps or gives up.

Not done as first planned: a promotion call for the present primary to settle the doubt. If a late call is executed just before, that call promotes the former primary, and commits that the other has acknowledged may be lost. VMs vouch for the primary in the meantime, as they do while the store is down.

Ruled out: keeping the lease over the restore, since its id may be another VM's. Revisions of keys written in one transaction may differ, so that of the lease's key is read.

--- /dev/null
+++ b/core/promotion/claim.go
@@ -0,0 +1,68 @@
+package promotion
+
+import (
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+)
+
+// Mark is kept in the store next to the promotion lease and written by each acquisition.
+// A store that has come back from an older copy of itself is in a new generation; the
+// mark then tells whether the lease was acquired in that one before.
+type Mark struct {
+	// Generation is the generation of the store in which the lease was acquired last.
+	Generation int64 `json:"generation"`
+	// Settled is true once the records in the store are complete: no promotion call whose
+	// record was lost with an earlier generation can still be executed.
+	Settled bool `json:"settled"`
+}
+
+// Claim is what a VM knows when it tries to acquire the promotion lease.
+type Claim struct {
+	// Generation is the store's generation, and SeenAt when this VM first saw the store
+	// in it. SawEarlier is true if it has seen an earlier one.
+	Generation int64
+	SeenAt     model.Time
+	SawEarlier bool
+	// HeldUntilSeen is true if this VM held the lease until it saw Generation.
+	HeldUntilSeen bool
+	// Exists is true if the lease's key exists, and Own if this VM has written it.
+	Exists bool
+	Own    bool
+	// Mark is the mark in the store, nil if there is none.
+	Mark *Mark
+}
+
+// Verdict is what a VM may do about a Claim.
+type Verdict struct {
+	// Acquire is true if it may acquire the lease. Cause tells why not.
+	Acquire bool
+	Cause   string
+	// KeepRecords is true if its own records of promotions are complete and those in the
+	// store may not be.
+	KeepRecords bool
+	// CallsUnknown is true if promotion calls may still be executed of which neither the
+	// store nor this VM has a record.
+	CallsUnknown bool
+}
+
+// Decide returns what the VM may do. ttl is the lifetime of the lease after its last
+// renewal. In a new generation the lease of the former one does not keep other VMs from
+// acquiring it, so all but its holder wait until that one has certainly stopped.
+func (c *Claim) Decide(now model.Time, ttl time.Duration) Verdict {
+	switch {
+	case c.Mark != nil && c.Mark.Generation == c.Generation:
+		if c.Exists && !c.Own {
+			return Verdict{Cause: "held by another VM"}
+		}
+		return Verdict{Acquire: true, CallsUnknown: !c.Mark.Settled}
+	case c.HeldUntilSeen:
+		return Verdict{Acquire: true, KeepRecords: true}
+	case c.Mark == nil && c.Exists && !c.Own:
+		return Verdict{Cause: "held by another VM"}
+	case now < c.SeenAt.Add(ttl):
+		return Verdict{Cause: "a holder of the former generation may still act"}
+	}
+	// Without a mark, an entry or an earlier generation, this is the first holder of all.
+	return Verdict{Acquire: true, CallsUnknown: c.Mark != nil || c.Exists || c.SawEarlier}
+}
--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -99,7 +99,7 @@
 func (s *State) updateConfirmable(now model.Time, svc *serviceState, v *replicaset.View, in *Input) {
 	svc.confirmable = Confirmation{}
 	primary := findMember(v, v.Primary)
-	if primary == nil || v.PrimaryTerm == 0 || svc.callPending || len(svc.lateTargets(now, v.Primary)) > 0 {
+	if primary == nil || v.PrimaryTerm == 0 || svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
 		return
 	}
 	if svc.transition != nil && svc.transition.phase != phaseUnfence {
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -128,7 +128,7 @@
 		c.upstreams[id] = &modelUpstream{alive: true}
 		c.members[id] = replicaset.Member{Registration: replicaset.Registration{ID: id, Service: "db"}}
 	}
-	c.holder.Acquire(c.now(), c.revision, maps.Clone(c.records))
+	c.holder.Acquire(c.now(), Acquisition{Revision: c.revision, Records: maps.Clone(c.records)})
 	return c
 }
 
@@ -171,7 +171,7 @@
 	}
 	if c.scenario.holderCrashStep != never && c.step == c.scenario.holderCrashStep+leaseExpirySteps {
 		c.revision++
-		c.holder.Acquire(c.now(), c.revision, maps.Clone(c.records))
+		c.holder.Acquire(c.now(), Acquisition{Revision: c.revision, Records: maps.Clone(c.records)})
 	}
 	for _, d := range c.delayed {
 		if d.at == c.step {
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -41,7 +41,7 @@
 		m.ContactAt, m.StatusAt = h.now, h.now
 		h.view.Members = append(h.view.Members, m)
 	}
-	h.state.Acquire(h.now, 7, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 7})
 	h.advance(time.Second)
 	return h
 }
@@ -252,7 +252,7 @@
 		if !reachable {
 			h.markFailed(target)
 		}
-		h.state.Acquire(h.now, 9, map[catalog.Service]Record{"db": {Upstream: target, Term: 1}})
+		h.state.Acquire(h.now, Acquisition{Revision: 9, Records: map[catalog.Service]Record{"db": {Upstream: target, Term: 1}}})
 		for range 100 {
 			h.advance(20 * ms)
 			if confirmed := h.state.Confirm(h.now, "vm"); len(confirmed) > 0 {
@@ -320,7 +320,7 @@
 	if len(h.promoteCalls) != promoteCalls {
 		t.Error("a VM without the lease called the platform")
 	}
-	h.state.Acquire(h.now, 8, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 8})
 	h.advance(3 * time.Second)
 	if next := h.promoteCalls[len(h.promoteCalls)-1].Token; next <= last {
 		t.Errorf("the next holder's token %d follows %d", next, last)
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	maxToken uint64
 	// records has what the store had of each service at the time of the acquisition.
 	records map[catalog.Service]Record
+	// unknownUntil is the time until which promotion calls may be executed that records
+	// lacks.
+	unknownUntil model.Time
 	// fencesChecked is Input.FencesChecked of the last tick.
 	fencesChecked bool
 	services      map[catalog.Service]*serviceState
@@ -56,6 +60,8 @@
 	// lateCallUntil has, by target, the time until which an unanswered promotion call
 	// may still be executed.
 	lateCallUntil map[model.UpstreamID]model.Time
+	// unknownUntil is State.unknownUntil, 0 once those calls cannot be executed any more.
+	unknownUntil model.Time
 	// confirmable is the primary that VMs may use, empty if none is confirmed.
 	// confirmedUntil has the time until which each VM may use it.
 	confirmable    Confirmation
@@ -69,7 +75,7 @@
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
 	svc := &serviceState{
 		name: name, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
-		record: s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{},
+		record: s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{}, unknownUntil: s.unknownUntil,
 	}
 	for _, id := range svc.record.Late {
 		s.recordLateCall(now, svc, id)
@@ -84,17 +90,51 @@
 // New returns the state of a VM that does not hold the lease.
 func New() *State { return &State{services: map[catalog.Service]*serviceState{}} }
 
-// Acquire records that this VM has acquired the lease. revision is unique to this
-// acquisition and higher than those of all earlier ones. records are those in the
-// store, read after the acquisition.
-func (s *State) Acquire(now model.Time, revision uint64, records map[catalog.Service]Record) {
-	s.records = records
+// Acquisition is an acquisition of the promotion lease.
+type Acquisition struct {
+	// Revision is unique to this acquisition and higher than those of all earlier ones.
+	Revision uint64
+	// Records are those in the store, read after the acquisition, or those that this VM
+	// had itself if Verdict.KeepRecords was set.
+	Records map[catalog.Service]Record
+	// CallsUnknown is Verdict.CallsUnknown.
+	CallsUnknown bool
+}
+
+// Acquire records that this VM has acquired the lease.
+func (s *State) Acquire(now model.Time, a Acquisition) {
+	s.records = a.Records
 	s.holding, s.acquiredAt = true, now
-	s.lastIssuedToken = revision * tokensPerLease
+	s.unknownUntil = 0
+	if a.CallsUnknown {
+		s.unknownUntil = now.Add(lateCallTimeout)
+	}
+	s.lastIssuedToken = a.Revision * tokensPerLease
 	s.maxToken = s.lastIssuedToken + tokensPerLease - 1
 	s.services = map[catalog.Service]*serviceState{}
 }
 
+// Settled reports whether no promotion call from before the acquisition can be executed
+// any more for which there may be no record in the store.
+func (s *State) Settled(now model.Time) bool { return now.Sub(s.acquiredAt) >= lateCallTimeout }
+
+// Records returns what the store has, or should have, of the last promotion of each
+// service.
+func (s *State) Records(now model.Time) map[catalog.Service]Record {
+	records := maps.Clone(s.records)
+	if records == nil {
+		records = map[catalog.Service]Record{}
+	}
+	for name, svc := range s.services {
+		if svc.record.Upstream != "" {
+			r := svc.record
+			r.Late = svc.lateTargets(now, "")
+			records[name] = r
+		}
+	}
+	return records
+}
+
 // Lose records that this VM no longer holds the lease: Tick returns no effects
 // until the next Acquire.
 func (s *State) Lose() {
@@ -132,6 +172,11 @@
 		return
 	}
 	switch o {
+	case OutcomeAccepted:
+		if s.fencesChecked {
+			// Calls with lower tokens are refused from now on.
+			svc.unknownUntil = 0
+		}
 	case OutcomeRefused, OutcomeRejected:
 		svc.unknownCalls--
 	case OutcomeUnknown:
@@ -255,6 +300,9 @@
 		target := findMember(v, svc.record.Upstream)
 		return causeUnfinished, target != nil && reachable(now, target)
 	}
+	if now < svc.unknownUntil && anyFenced(v) {
+		return causeUnfinished, false
+	}
 	if m.Leaving {
 		return "primary leaves", true
 	}
@@ -327,7 +375,7 @@
 // its promotion call may still be executed.
 func (svc *serviceState) releaseOrphanedFences(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	primary := findMember(v, v.Primary)
-	if svc.callPending || !anyFenced(v) || primary == nil || !reachable(now, primary) {
+	if svc.uncertain(now) || !anyFenced(v) || primary == nil || !reachable(now, primary) {
 		svc.orphanedFenceSince = 0
 		return out
 	}
@@ -345,6 +393,12 @@
 	return out
 }
 
+// uncertain reports whether a promotion call that is not part of the present transition
+// may still be executed.
+func (svc *serviceState) uncertain(now model.Time) bool {
+	return svc.callPending || now < svc.unknownUntil
+}
+
 func anyFenced(v *replicaset.View) bool {
 	return slices.ContainsFunc(v.Members, func(m replicaset.Member) bool { return m.Status.FencedTerm != 0 })
 }
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -131,7 +131,7 @@
 	out = svc.withdraw(now, in, out)
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
-	steppedDown := !svc.callPending && t.oldPrimarySteppedDown(v)
+	steppedDown := !svc.uncertain(now) && t.oldPrimarySteppedDown(v)
 	if target == nil || !steppedDown && !s.confirmationsEnded(now, svc, in) {
 		return svc.fenceReplicas(now, v, out)
 	}
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -11,12 +11,14 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/holderlink"
 	"github.com/chervilhatch/chervilhatch/lineproxy"
 	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	vmlinkv1 "github.com/chervilhatch/chervilhatch/proto/vmlink/v1"
+	"github.com/chervilhatch/chervilhatch/store"
 	"github.com/chervilhatch/chervilhatch/telemetry"
 )
 
@@ -78,6 +80,9 @@
 	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.transitions, links)
 	n.forward = newForwarder(ctx, n.cluster, n.members, links)
 	n.holder = &holderlink.Server{Local: &n.cluster.local, Admit: n.cluster.admitForwarded, Stopping: n.stopping.Load}
+	if g, ok := o.Store.(store.Generational); ok {
+		g.OnGeneration(n.handleGeneration)
+	}
 	n.cluster.forward = n.forward
 	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
@@ -91,6 +96,19 @@
 	return n
 }
 
+// handleGeneration logs the generation of the store and, when it changes, takes into
+// account that what the store had of the former one may be gone.
+func (n *Node) handleGeneration(g store.GenerationChange) {
+	now := boottime.Now()
+	event := n.log.Info()
+	message := "generation of the store"
+	if !g.First {
+		event, message = n.log.Warn(), "the store has come back from an older copy"
+	}
+	event.Int64("old", g.Old).Int64("new", g.New).Str("call", g.Call).Msg(message)
+	n.transitions.handleGeneration(now, &g)
+}
+
 // Start serves the listeners and starts the background work. It does not block.
 func (n *Node) Start() {
 	n.serveHTTPPages()
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -158,6 +158,9 @@
 	// promotionLeaseKey exists while a VM holds the promotion lease; the value is the
 	// ID of that VM.
 	promotionLeaseKey = ownPrefix + "duty/promotion"
+	// promotionMarkKey has the promotion.Mark of the last acquisition of the promotion
+	// lease. It begins with promotionLeaseKey, so that both are read together.
+	promotionMarkKey = promotionLeaseKey + "-generation"
 	// promotionsPrefix is followed by the name of a service; the value is the
 	// promotion.Record of its last promotion.
 	promotionsPrefix = ownPrefix + "promotions/"
--- a/linenode/promotionrecord.go
+++ b/linenode/promotionrecord.go
@@ -32,10 +32,16 @@
 	return records, nil
 }
 
+// recordWrite returns the change of the store that writes the record of a promotion.
+func recordWrite(service catalog.Service, r promotion.Record) (store.Write, error) {
+	value, err := json.Marshal(r)
+	return store.Write{Key: promotionsPrefix + string(service), Value: value}, err
+}
+
 // writeRecord writes the record of a promotion, on the condition that this VM still
 // holds the promotion lease.
 func (t *transitions) writeRecord(ctx context.Context, service catalog.Service, r promotion.Record) error {
-	value, err := json.Marshal(r)
+	write, err := recordWrite(service, r)
 	if err != nil {
 		return err
 	}
@@ -44,7 +50,7 @@
 	t.mu.Unlock()
 	result, err := t.options.Store.Txn(ctx,
 		[]store.Condition{{Key: promotionLeaseKey, ModRevision: revision}},
-		[]store.Write{{Key: promotionsPrefix + string(service), Value: value}})
+		[]store.Write{write})
 	if err != nil {
 		return err
 	}
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -73,6 +73,18 @@
 	lease int64
 	// leaseRevision is the revision of the lease's key while this VM holds it.
 	leaseRevision int64
+	// generation is the newest one of the store that this VM has seen, since
+	// generationSeenAt; sawEarlier is true if it has seen another before.
+	generation       int64
+	generationSeenAt model.Time
+	sawEarlier       bool
+	// heldUntilGeneration is the generation until which this VM last held the lease, and
+	// heldRecords what it knew of promotions then. 0 if it has not held one that long.
+	heldUntilGeneration int64
+	heldRecords         map[catalog.Service]promotion.Record
+	// markPending is true while this VM holds the lease and the mark in the store is not
+	// settled.
+	markPending bool
 	// stopping is true once the VM shuts down; it then no longer acquires the lease.
 	stopping bool
 	// statusesSentAt is the time of the last call of requestStatuses.
@@ -173,7 +185,7 @@
 func (t *transitions) dropLeaseLocked(cause string) {
 	t.state.Lose()
 	t.leaseHeld.Store(false)
-	t.lease = 0
+	t.lease, t.markPending = 0, false
 	t.log.Warn().Str("cause", cause).Msg("promotion duty lost")
 }
 
@@ -378,8 +390,9 @@
 			t.giveUpLease(ctx, "a hub has to hold the duty")
 		case holding:
 			t.renewLease(ctx, lease)
+			t.settleMark(ctx)
 		case silent && t.members.known() && t.members.mayHoldLease():
-			pause.For(ctx, time.Duration(t.members.rank())*acquireStagger)
+			t.awaitTurn(ctx)
 			t.acquireLease(ctx)
 		}
 		pause.For(ctx, promotionLeaseRenewInterval)
@@ -394,6 +407,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
+	case t.lease != lease:
+		// It was dropped while the call was under way.
 	case err == nil:
 		t.leaseUntil = sent.Add(promotionLeaseTTL - promotionLeaseMargin)
 		if t.state.TokensExhausted() {
@@ -404,58 +419,6 @@
 	}
 }
 
-// ownedBefore reports whether the key of the lease was written by an earlier process of
-// this VM, which has ended. Its lease need not expire first.
-func (t *transitions) ownedBefore(existing *store.KeyValue) bool {
-	return string(existing.Value) == string(t.options.VM)
-}
-
-// acquireLease writes the key of the lease if no other VM has. The fencing tokens of
-// the holder are derived from the revision of that write, so that they are higher than
-// those of all earlier holders.
-func (t *transitions) acquireLease(ctx context.Context) {
-	t.mu.Lock()
-	silent := boottime.Now().Sub(t.leaseHolderHeardAt) > leaseHolderTimeout
-	t.mu.Unlock()
-	if !silent {
-		return
-	}
-	existing, err := t.options.Store.Get(ctx, promotionLeaseKey)
-	if err != nil || existing.ModRevision != 0 && !t.ownedBefore(&existing) {
-		return
-	}
-	sent := boottime.Now()
-	lease, err := t.options.Store.LeaseGrant(ctx, promotionLeaseTTL)
-	if err != nil {
-		return
-	}
-	result, err := t.options.Store.Txn(ctx,
-		[]store.Condition{{Key: promotionLeaseKey, ModRevision: existing.ModRevision}},
-		[]store.Write{{Key: promotionLeaseKey, Value: []byte(t.options.VM), Lease: lease}})
-	if err != nil || !result.Succeeded {
-		t.log.Info().Err(err).Bool("held", err == nil).Msg("promotion duty not acquired")
-		return
-	}
-	records, err := t.readRecords(ctx)
-	if err != nil {
-		t.log.Warn().Err(err).Msg("records of promotions not read; the promotion duty is given back")
-		t.revokeLease(ctx, lease)
-		return
-	}
-	for service, r := range records {
-		if r.Done {
-			t.cluster.Observe(&replicaset.Event{Kind: replicaset.EventPrimary, Service: service, Upstream: r.Upstream, Term: r.Term})
-		}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lease, t.leaseRevision = lease, result.Revision
-	t.leaseUntil = sent.Add(promotionLeaseTTL - promotionLeaseMargin)
-	t.state.Acquire(boottime.Now(), uint64(result.Revision), records)
-	t.leaseHeld.Store(true)
-	t.log.Info().Int64("revision", result.Revision).Msg("promotion duty acquired")
-}
-
 // releaseLease gives the lease up for good before the VM stops.
 func (t *transitions) releaseLease(ctx context.Context) {
 	t.mu.Lock()
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -394,7 +394,7 @@
 			}
 		}
 		w.logf("%s acquires the lease, records %+v", v.id, records)
-		v.promotion.Acquire(w.clock(), w.revision, records)
+		v.promotion.Acquire(w.clock(), promotion.Acquisition{Revision: w.revision, Records: records})
 	}
 }
 
