--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -374,3 +374,36 @@
 		}
 	}
 }
+
+// Guards against an upstream that has left and gets statements again, because the store
+// has come back from a copy that still lists it. Later entries of the same upstream and
+// of one that has started again count.
+func TestEntryOfUpstreamThatHasLeftIsIgnored(t *testing.T) {
+	f := newFixture()
+	leave := func() {
+		for range 2 {
+			f.setRegistrations(registration("a", true), registration("b", false))
+			f.advance(MissingGracePeriod)
+		}
+	}
+	// isUsed applies an entry of c and reports whether c is used.
+	isUsed := func(entry Registration) bool {
+		f.setRegistrations(registration("a", true), registration("b", false), entry)
+		_, found := f.Member("c")
+		return found
+	}
+	leave()
+	entry := registration("c", false)
+	if isUsed(entry) {
+		t.Error("the upstream is used again")
+	}
+	entry.Sequence++
+	if !isUsed(entry) {
+		t.Error("the upstream is not used although it has written again")
+	}
+	leave()
+	entry.Incarnation, entry.Sequence = 2, 0
+	if !isUsed(entry) {
+		t.Error("the upstream is not used although it has started again")
+	}
+}
