Ignore old entries of upstreams that have left

Callers would wait for connections to an upstream that is gone, and a failover for its fence, once the store came back from a copy that still lists it. Cause: a removed upstream was forgotten, so an old entry counted as a new upstream. What was last known of a removed upstream is now remembered for a minute; an entry of the same incarnation that is no newer is ignored, which is logged once. Ruled out: a longer grace period, which does not help against an entry that comes back.

TestEntryOfUpstreamThatHasLeftIsIgnored fails before and passes after.

--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -22,10 +22,21 @@
 	// replaced has the incarnations of upstreams that were replaced while the store
 	// still lists them.
 	replaced map[model.UpstreamID]int64
+	// departed has the upstreams that were removed within departedRetention.
+	departed map[model.UpstreamID]departure
 	// voters are the other VMs whose vouchers count.
 	voters []model.VMID
 }
 
+// departure is the last that was known of a removed upstream, at the time at.
+type departure struct {
+	incarnation int64
+	sequence    int64
+	at          model.Time
+	// reported is true once an older entry was ignored.
+	reported bool
+}
+
 // group is the set of upstreams of one service.
 type group struct {
 	name     catalog.Service
@@ -70,6 +81,7 @@
 		services:  map[model.UpstreamID]catalog.Service{},
 		evacuated: map[model.Zone]bool{},
 		replaced:  map[model.UpstreamID]int64{},
+		departed:  map[model.UpstreamID]departure{},
 	}
 }
 
@@ -191,6 +203,9 @@
 	}
 	g := s.group(r.Service)
 	m := g.members[r.ID]
+	if m == nil && s.hasDeparted(r) {
+		return s.reportDeparted(r, out)
+	}
 	if m == nil {
 		m = &Member{Registration: *r}
 		g.members[r.ID] = m
@@ -260,13 +275,38 @@
 			case m.missingSince == 0:
 				m.missingSince = now
 			case now.Sub(m.missingSince) >= MissingGracePeriod:
+				s.departed[id] = departure{incarnation: m.Incarnation, sequence: m.Sequence, at: now}
 				out = s.remove(now, id, out)
 			}
 		}
 	}
+	for id, d := range s.departed {
+		if now.Sub(d.at) > departedRetention {
+			delete(s.departed, id)
+		}
+	}
 	return out
 }
 
+// hasDeparted reports whether a registration is no newer than the last one of an upstream
+// that was removed, as in an older copy of the store.
+func (s *State) hasDeparted(r *Registration) bool {
+	d, found := s.departed[r.ID]
+	// An upstream without a sequence does not tell which of its entries is newer.
+	return found && d.sequence > 0 && d.incarnation == r.Incarnation && r.Sequence <= d.sequence
+}
+
+// reportDeparted reports the first ignored registration of an upstream that was removed.
+func (s *State) reportDeparted(r *Registration, out []Effect) []Effect {
+	d := s.departed[r.ID]
+	if d.reported {
+		return out
+	}
+	d.reported = true
+	s.departed[r.ID] = d
+	return append(out, Effect{Kind: EffectIgnored, Service: r.Service, Upstream: r.ID, Member: Member{Registration: *r}})
+}
+
 func (s *State) remove(now model.Time, id model.UpstreamID, out []Effect) []Effect {
 	m, g := s.member(id)
 	delete(g.members, id)
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -145,6 +145,9 @@
 	EffectWarmup
 	// EffectEvacuated reports that the set of evacuated zones changed.
 	EffectEvacuated
+	// EffectIgnored reports that a registration of Upstream is ignored, because it is no
+	// newer than the last one before the upstream was removed.
+	EffectIgnored
 )
 
 // Effect is an output of State.Apply.
@@ -204,6 +207,9 @@
 	// before its upstream is removed. Registrations that expired while the store
 	// was unavailable are back within two seconds of its return.
 	MissingGracePeriod = 2500 * time.Millisecond
+	// departedRetention is how long a removed upstream is remembered. It is longer than a
+	// copy from which the store may come back is old.
+	departedRetention = time.Minute
 	// evidenceRetention is the maximum age of stored evidence. Routes with a
 	// larger staleness bound use newer evidence than they need.
 	evidenceRetention = 5 * time.Second
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -267,6 +267,9 @@
 		if e.Upstream != "" && e.Term > 0 {
 			c.announce(e.Service, e.Upstream, e.Term)
 		}
+	case replicaset.EffectIgnored:
+		c.log.Warn().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).
+			Int64("incarnation", e.Member.Incarnation).Int64("sequence", e.Member.Sequence).Msg("old registration of a removed upstream ignored")
 	case replicaset.EffectEvacuated:
 		c.log.Info().Msg("evacuated zones changed")
 	}
