--- a/test/line/restored_test.go
+++ b/test/line/restored_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/metastore"
+	"github.com/chervilhatch/chervilhatch/test/linetest"
 )
 
 // outage is how long the store is away before it comes back from a copy.
@@ -121,3 +122,27 @@
 	f.writeMuch(20)
 	f.WaitFor("the new configuration", func() bool { return session.Query("READ item").Code == lineproto.NoAuth })
 }
+
+// Guards against a VM that starts after the store came back from a copy and serves by the
+// configuration in it, although its peers have a newer one.
+func TestVMStartedAfterRestoreHasNewestConfiguration(t *testing.T) {
+	for name, vm := range map[string]int{"new VM": 2, "restarted VM": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, fastGroup)
+			c := f.Store.Copy()
+			session := f.dial(0, "own")
+			f.Configure("another-key")
+			f.WaitFor("the new configuration", func() bool { return session.Query("READ item").Code == lineproto.NoAuth })
+			if vm == 1 {
+				f.nodes[1].Stop()
+			}
+			f.restore(c)
+			f.start(vm)
+			started := len(f.nodes) - 1
+			f.WaitFor("the started VM to be ready", func() bool { return f.nodes[started].Ready() == nil })
+			if _, m := linetest.Connect(t, f.callers[started], "STARTUP own "+linetest.Key); m.Word == lineproto.Ready {
+				t.Error("a key that the newest configuration lacks was accepted")
+			}
+		})
+	}
+}
