--- a/core/promotion/claim.go
+++ b/core/promotion/claim.go
@@ -35,9 +35,11 @@
 
 // Verdict is what a VM may do about a Claim.
 type Verdict struct {
-	// Acquire is true if it may acquire the lease. Cause tells why not.
-	Acquire bool
-	Cause   string
+	// Acquire is true if it may acquire the lease. Cause tells why not, and NotBefore, if
+	// it is not 0, when that ends.
+	Acquire   bool
+	Cause     string
+	NotBefore model.Time
 	// KeepRecords is true if its own records of promotions are complete and those in the
 	// store may not be.
 	KeepRecords bool
@@ -61,7 +63,7 @@
 	case c.Mark == nil && c.Exists && !c.Own:
 		return Verdict{Cause: "held by another VM"}
 	case now < c.SeenAt.Add(ttl):
-		return Verdict{Cause: "a holder of the former generation may still act"}
+		return Verdict{Cause: "a holder of the former generation may still act", NotBefore: c.SeenAt.Add(ttl)}
 	}
 	// Without a mark, an entry or an earlier generation, this is the first holder of all.
 	return Verdict{Acquire: true, CallsUnknown: c.Mark != nil || c.Exists || c.SawEarlier}
--- a/core/promotion/claim_test.go
+++ b/core/promotion/claim_test.go
@@ -14,6 +14,7 @@
 func TestClaim(t *testing.T) {
 	const ttl = 2 * time.Second
 	seen := model.Time(time.Hour)
+	tooEarly := Verdict{Cause: "a holder of the former generation may still act", NotBefore: seen.Add(ttl)}
 	settled, unsettled, former := &Mark{Generation: 5, Settled: true}, &Mark{Generation: 5}, &Mark{Generation: 4, Settled: true}
 	for name, tt := range map[string]struct {
 		claim Claim
@@ -24,11 +25,11 @@
 		"free in an unsettled generation":     {Claim{Mark: unsettled}, 0, Verdict{Acquire: true, CallsUnknown: true}},
 		"held in this generation":             {Claim{Mark: settled, Exists: true, HeldUntilSeen: true}, time.Hour, Verdict{Cause: "held by another VM"}},
 		"own former process":                  {Claim{Mark: settled, Exists: true, Own: true}, 0, Verdict{Acquire: true}},
-		"new generation, at once":             {Claim{Mark: former}, 0, Verdict{Cause: "a holder of the former generation may still act"}},
-		"new generation, just before the end": {Claim{Mark: former}, ttl - 1, Verdict{Cause: "a holder of the former generation may still act"}},
+		"new generation, at once":             {Claim{Mark: former}, 0, tooEarly},
+		"new generation, just before the end": {Claim{Mark: former}, ttl - 1, tooEarly},
 		"new generation":                      {Claim{Mark: former}, ttl, Verdict{Acquire: true, CallsUnknown: true}},
 		"new generation, entry in the copy":   {Claim{Mark: former, Exists: true}, ttl, Verdict{Acquire: true, CallsUnknown: true}},
-		"new generation, own entry":           {Claim{Mark: former, Exists: true, Own: true}, 0, Verdict{Cause: "a holder of the former generation may still act"}},
+		"new generation, own entry":           {Claim{Mark: former, Exists: true, Own: true}, 0, tooEarly},
 		"new generation, its former holder":   {Claim{Mark: former, Exists: true, HeldUntilSeen: true}, 0, Verdict{Acquire: true, KeepRecords: true}},
 		"copy without a mark":                 {Claim{SawEarlier: true}, ttl, Verdict{Acquire: true, CallsUnknown: true}},
 		"copy without a mark, former holder":  {Claim{SawEarlier: true, HeldUntilSeen: true}, 0, Verdict{Acquire: true, KeepRecords: true}},
--- a/linenode/acquire.go
+++ b/linenode/acquire.go
@@ -24,7 +24,7 @@
 func (t *transitions) handleGeneration(now model.Time, g *store.GenerationChange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.generation, t.generationSeenAt = g.New, now
+	t.generation, t.generationSeenAt, t.claimNotBefore = g.New, now, 0
 	if g.First {
 		return
 	}
@@ -91,14 +91,35 @@
 	return c
 }
 
+// maySeekLease reports whether it is time to try to acquire the lease.
+func (t *transitions) maySeekLease() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := boottime.Now()
+	return now.Sub(t.leaseHolderHeardAt) > leaseHolderTimeout && now >= t.claimNotBefore
+}
+
+// decide returns what this VM may do about the lease, and its own records of promotions
+// if they are to be kept.
+func (t *transitions) decide(claim *promotion.Claim) (promotion.Verdict, map[catalog.Service]promotion.Record) {
+	verdict := claim.Decide(boottime.Now(), promotionLeaseTTL)
+	if !verdict.Acquire {
+		t.log.Debug().Str("cause", verdict.Cause).Int64("generation", claim.Generation).Msg("promotion duty not claimed")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.claimNotBefore = verdict.NotBefore
+	if !verdict.KeepRecords {
+		return verdict, nil
+	}
+	return verdict, t.heldRecords
+}
+
 // acquireLease writes the key of the lease if this VM may. The fencing tokens of the
 // holder are derived from the revision of that write, so that they are higher than those
 // of all earlier holders.
 func (t *transitions) acquireLease(ctx context.Context) {
-	t.mu.Lock()
-	silent := boottime.Now().Sub(t.leaseHolderHeardAt) > leaseHolderTimeout
-	t.mu.Unlock()
-	if !silent {
+	if !t.maySeekLease() {
 		return
 	}
 	keys, err := t.readLeaseKeys(ctx)
@@ -106,17 +127,10 @@
 		return
 	}
 	claim := t.claim(&keys)
-	verdict := claim.Decide(boottime.Now(), promotionLeaseTTL)
+	verdict, kept := t.decide(claim)
 	if !verdict.Acquire {
-		t.log.Debug().Str("cause", verdict.Cause).Int64("generation", claim.Generation).Msg("promotion duty not claimed")
 		return
 	}
-	t.mu.Lock()
-	kept := t.heldRecords
-	t.mu.Unlock()
-	if !verdict.KeepRecords {
-		kept = nil
-	}
 	mark := promotion.Mark{Generation: claim.Generation, Settled: !verdict.CallsUnknown && len(kept) <= maxRecordsPerTxn}
 	sent := boottime.Now()
 	lease, err := t.options.Store.LeaseGrant(ctx, promotionLeaseTTL)
@@ -128,27 +142,38 @@
 		t.log.Info().Err(err).Bool("held", err == nil).Msg("promotion duty not acquired")
 		return
 	}
-	// The revisions of the keys of one transaction may differ.
-	written, err := t.readLeaseKeys(ctx)
-	if err == nil && (store.Generation(result.Revision) != claim.Generation || string(written.lease.Value) != string(t.options.VM)) {
-		t.log.Info().Msg("promotion duty given back, since the store has come back from an older copy")
-		t.revokeLease(ctx, lease)
-		return
-	}
-	records, readErr := t.readRecords(ctx)
-	if err = errors.Join(err, readErr); err != nil {
-		t.log.Warn().Err(err).Msg("records of promotions not read; the promotion duty is given back")
+	revision, records, err := t.readBack(ctx, mark.Generation)
+	if err != nil {
+		t.log.Warn().Err(err).Msg("the promotion duty is given back")
 		t.revokeLease(ctx, lease)
 		return
 	}
 	for service, r := range kept {
 		records[service] = r
 	}
-	t.startHolding(sent, lease, written.lease.ModRevision, mark, promotion.Acquisition{
+	t.startHolding(sent, lease, revision, mark, promotion.Acquisition{
 		Revision: uint64(result.Revision), Records: records, CallsUnknown: verdict.CallsUnknown,
 	})
 }
 
+// errLeaseLost means that the lease was acquired in another generation of the store than
+// the decision to do so was made for.
+var errLeaseLost = errors.New("the store has come back from an older copy meanwhile")
+
+// readBack reads the revision of the lease's key after an acquisition, which need not be
+// that of the transaction, and the records of promotions.
+func (t *transitions) readBack(ctx context.Context, generation int64) (int64, map[catalog.Service]promotion.Record, error) {
+	keys, err := t.readLeaseKeys(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if store.Generation(keys.lease.ModRevision) != generation || string(keys.lease.Value) != string(t.options.VM) {
+		return 0, nil, errLeaseLost
+	}
+	records, err := t.readRecords(ctx)
+	return keys.lease.ModRevision, records, err
+}
+
 // writeLease writes the key of the lease, the mark and the kept records, if nobody else
 // has since keys was read.
 func (t *transitions) writeLease(ctx context.Context, keys *leaseKeys, lease int64, mark promotion.Mark, kept map[catalog.Service]promotion.Record) (store.TxnResult, error) {
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -78,6 +78,8 @@
 	generation       int64
 	generationSeenAt model.Time
 	sawEarlier       bool
+	// claimNotBefore is when this VM may try to acquire the lease in this generation.
+	claimNotBefore model.Time
 	// heldUntilGeneration is the generation until which this VM last held the lease, and
 	// heldRecords what it knew of promotions then. 0 if it has not held one that long.
 	heldUntilGeneration int64
