--- a/store/generation.go
+++ b/store/generation.go
@@ -36,6 +36,7 @@
 // itself.
 type Generational interface {
 	// OnGeneration sets a function that is called at each GenerationChange, before the
-	// call that showed it returns. It has to be set before the first call.
+	// call that showed it returns. It has to be set before the first call, and must not call
+	// the store.
 	OnGeneration(fn func(GenerationChange))
 }
--- a/test/line/restored_test.go
+++ b/test/line/restored_test.go
@@ -146,3 +146,30 @@
 		})
 	}
 }
+
+// Guards against a configuration that is late because a VM, which has just learned that
+// the store lost its history, waits as long as after many failed calls. The bound is the
+// users' time for a change, counted from the store's return.
+func TestConfigurationAfterLongOutageIsInForceInTime(t *testing.T) {
+	const applyTime = 3 * time.Second
+	f := newFixture(t, 4, fastGroup)
+	var sessions []*linetest.Caller
+	for vm := range f.nodes {
+		sessions = append(sessions, f.dial(vm, "own"))
+	}
+	c := f.Store.Copy()
+	f.Store.Down.Store(true)
+	time.Sleep(4 * time.Second)
+	f.Store.Restore(c)
+	f.Configure("another-key")
+	f.Store.Down.Store(false)
+	returned := time.Now()
+	for vm, session := range sessions {
+		f.WaitFor("the new configuration", func() bool { return session.Query("READ item").Code == lineproto.NoAuth })
+		if took := time.Since(returned); took > applyTime {
+			t.Errorf("VM %d: configuration in force after %v", vm, took)
+		} else {
+			t.Logf("VM %d: configuration in force after %v", vm, took)
+		}
+	}
+}
