--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -198,3 +198,59 @@
 		t.Errorf("changes %+v, want %+v", changes, want)
 	}
 }
+
+// longWait is a time for which the store holds a watch without changes back; a watch that
+// ends within promptly has not waited for it.
+const (
+	longWait = 5 * time.Second
+	promptly = time.Second
+)
+
+// endsCompacted fails the test unless a watch ends promptly with store.ErrCompacted.
+func endsCompacted(t *testing.T, ended <-chan error) {
+	t.Helper()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, store.ErrCompacted) {
+			t.Errorf("watch: %v", err)
+		}
+	case <-time.After(promptly):
+		t.Error("the watch goes on")
+	}
+}
+
+// Guards against a VM that learns seconds late that the store came back from a copy, since
+// its next watch waits for a change in a revision that was given out again.
+func TestFirstCallOfWatchDoesNotWait(t *testing.T) {
+	s, client := newStore(t)
+	client.WatchWait = longWait
+	c := s.Copy()
+	_, revision, err := client.Range(t.Context(), "op/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Restore(c)
+	ended := make(chan error, 1)
+	go func() { ended <- client.Watch(t.Context(), "op/", revision, func(store.Change) {}) }()
+	endsCompacted(t, ended)
+}
+
+// Guards against a watch that waits on although another call has shown that the store
+// came back from a copy.
+func TestWaitingWatchEndsOnceRestoreIsSeen(t *testing.T) {
+	s, client := newStore(t)
+	client.WatchWait = longWait
+	c := s.Copy()
+	_, revision, err := client.Range(t.Context(), "op/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- client.Watch(t.Context(), "op/", revision, func(store.Change) {}) }()
+	time.Sleep(2 * 150 * time.Millisecond)
+	s.Restore(c)
+	if _, err := client.Get(t.Context(), "any"); err != nil {
+		t.Fatal(err)
+	}
+	endsCompacted(t, ended)
+}
