Notice at once that the store came back from a copy, and read the operators' keys again

A confirmed change could be in force only 5.7 s after the store's return, with 3 s allowed: the first watch after the outage was held back by the store, up to 2.5 s, as the revision had been given out again, and after the failure the VM waited as long as after many failed calls. Ruled out: shorter waits of all watches, which would cost calls.

--- a/linenode/follow.go
+++ b/linenode/follow.go
@@ -65,6 +65,8 @@
 		for err == nil && !c.followsHub() {
 			err = c.watchOperators(ctx, zones, &revision, health)
 			if errors.Is(err, store.ErrCompacted) {
+				// The store has answered.
+				health.retry.Reset()
 				break
 			}
 			if err != nil && ctx.Err() == nil {
