--- a/standin/metastore/copy.go
+++ b/standin/metastore/copy.go
@@ -35,3 +35,6 @@
 
 // Era returns the era of the store.
 func (s *Store) Era() int64 { return s.era.Load() }
+
+// SetEra sets the era, which is 1 at first.
+func (s *Store) SetEra(era int64) { s.era.Store(era) }
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -254,3 +255,19 @@
 	}
 	endsCompacted(t, ended)
 }
+
+// Guards against a store that counts as unavailable because its eras begin at a high
+// number, such as a time.
+func TestHighEra(t *testing.T) {
+	s, client := newStore(t)
+	s.SetEra(1_774_494_050_022)
+	c := s.Copy()
+	revision := mustTxn(t, client, put("k", "1"))
+	if revision <= 0 || revision > math.MaxInt64/1024 {
+		t.Errorf("revision %d is not positive, or too high for fencing tokens", revision)
+	}
+	s.Restore(c)
+	if next := mustTxn(t, client, put("k", "2")); next <= revision {
+		t.Errorf("revision %d after %d", next, revision)
+	}
+}
