--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -63,7 +63,7 @@
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10, "d": 10}
 	h.list("a", "b", "c")
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	for range 4 {
 		h.step(time.Second)
 		h.list("a", "b", "c")
@@ -104,7 +104,7 @@
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 10, "c": 20}
 	h.list("a", "b", "c")
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	for range 4 {
 		h.step(time.Second)
 		h.list("a", "b", "c")
@@ -129,7 +129,7 @@
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 20, "c": 20}
 	h.list("a", "b", "c")
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	for range 4 {
 		h.step(time.Second)
 		h.list("a", "b", "c")
@@ -153,7 +153,7 @@
 		h.received = map[model.UpstreamID]uint64{"b": 10, "c": 10}
 		h.down["a"] = true
 		h.list("a", "b", "c")
-		h.state.Acquire(h.now, 1, nil)
+		h.state.Acquire(h.now, Acquisition{Revision: 1})
 		h.step(50 * time.Millisecond)
 		p := model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(10 + tail)}
 		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventPrimary, Service: "db", Upstream: "a", Term: 1, SentAt: h.now}, nil)
--- a/core/promotion/list_test.go
+++ b/core/promotion/list_test.go
@@ -96,7 +96,7 @@
 func TestNoFailoverOnFirstLists(t *testing.T) {
 	h := newListHarness()
 	h.list("b")
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	h.run(time.Second)
 	h.list("b", "c")
 	h.run(time.Second)
@@ -111,7 +111,7 @@
 func TestFailoverOnceTheListIsComplete(t *testing.T) {
 	h := newListHarness()
 	h.down["a"] = true
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	for range 6 {
 		h.list("a", "b", "c")
 		h.run(time.Second)
@@ -126,7 +126,7 @@
 func TestFailoverFencesReplicasAddedSinceTheLastList(t *testing.T) {
 	h := newListHarness()
 	h.list("a", "b", "c")
-	h.state.Acquire(h.now, 1, nil)
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
 	h.run(3 * time.Second)
 	h.list("a", "b", "c")
 	h.run(100 * time.Millisecond)
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -401,7 +401,7 @@
 		"replaced": func(f *fixture) { f.apply(Event{Kind: EventReplaced, Upstream: "c"}) },
 		"entry expired": func(f *fixture) {
 			f.setRegistrations(registration("a", true), registration("b", false))
-			f.advance(missingGracePeriod)
+			f.advance(MissingGracePeriod)
 		},
 	} {
 		f := newFixture()
@@ -449,7 +449,7 @@
 	leaving.Leaving, leaving.Sequence = true, 2
 	f.setRegistrations(registration("a", true), registration("b", false), leaving, registration("d", false))
 	for range 3 {
-		f.advance(missingGracePeriod)
+		f.advance(MissingGracePeriod)
 		f.setRegistrations(registration("a", true), registration("b", false), registration("d", false))
 	}
 	f.status("a", true, 1, pos(1, 10))
@@ -477,7 +477,7 @@
 		f.apply(Event{Kind: EventSyncReplicas, Service: "db", SyncReplicas: 1})
 		f.setRegistrations(before...)
 		for range 4 {
-			f.advance(missingGracePeriod)
+			f.advance(MissingGracePeriod)
 			f.setRegistrations(before[:3]...)
 		}
 		f.advance(100 * ms)
@@ -548,3 +548,36 @@
 		t.Errorf("newest evidence is %v old although all upstreams answered", f.now.Sub(e.At))
 	}
 }
+
+// Guards against an upstream that has left and gets statements again, because the store
+// has come back from a copy that still lists it. Later entries of the same upstream and
+// of one that has started again count.
+func TestEntryOfUpstreamThatHasLeftIsIgnored(t *testing.T) {
+	f := newFixture()
+	leave := func() {
+		for range 2 {
+			f.setRegistrations(registration("a", true), registration("b", false))
+			f.advance(MissingGracePeriod)
+		}
+	}
+	// isUsed applies an entry of c and reports whether c is used.
+	isUsed := func(entry Registration) bool {
+		f.setRegistrations(registration("a", true), registration("b", false), entry)
+		_, found := f.Member("c")
+		return found
+	}
+	leave()
+	entry := registration("c", false)
+	if isUsed(entry) {
+		t.Error("the upstream is used again")
+	}
+	entry.Sequence++
+	if !isUsed(entry) {
+		t.Error("the upstream is not used although it has written again")
+	}
+	leave()
+	entry.Incarnation, entry.Sequence = 2, 0
+	if !isUsed(entry) {
+		t.Error("the upstream is not used although it has started again")
+	}
+}
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -149,6 +149,9 @@
 	// replicas from now on; Evidence is the first such evidence, Members the number of
 	// known upstreams, and ListAge the age of the list of upstreams.
 	EffectReplicaEvidence
+	// EffectIgnored reports that a registration of Upstream is ignored, because it is no
+	// newer than the last one before the upstream was removed.
+	EffectIgnored
 )
 
 // Effect is an output of State.Apply.
@@ -194,7 +197,7 @@
 	// LeavingAt is the time when this VM learned that the upstream is leaving.
 	LeavingAt model.Time
 
-	// missingSince is the start of missingGracePeriod while the registration is
+	// missingSince is the start of MissingGracePeriod while the registration is
 	// missing from the store, 0 while it is present.
 	missingSince model.Time
 	// steppedDownTerm is the newest term in which the upstream is known to have
@@ -209,10 +212,13 @@
 
 // Time limits.
 const (
-	// missingGracePeriod is how long a registration may be missing from the store
+	// MissingGracePeriod is how long a registration may be missing from the store
 	// before its upstream is removed. Registrations that expired while the store
 	// was unavailable are back within two seconds of its return.
-	missingGracePeriod = 2500 * time.Millisecond
+	MissingGracePeriod = 2500 * time.Millisecond
+	// departedRetention is how long a removed upstream is remembered. It is longer than a
+	// copy from which the store may come back is old.
+	departedRetention = time.Minute
 	// evidenceRetention is the maximum age of stored evidence. Routes with a
 	// larger staleness bound use newer evidence than they need.
 	evidenceRetention = 5 * time.Second
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -71,6 +71,9 @@
 	// store.
 	operatorsRevision int64
 	evacuated         []string
+	// keptZones are zones that remain evacuated until the given time although evacuated
+	// lacks them; see keepMissingZones.
+	keptZones map[string]model.Time
 	// followsHub reports whether a hub passes on to this VM what operators write; see
 	// members.followsHub.
 	followsHub func() bool
@@ -99,6 +102,7 @@
 		awaitsHub:       func() bool { return false },
 		announce:        func(catalog.Service, model.UpstreamID, uint64) {},
 		lastForwardedAt: map[model.UpstreamID]model.Time{},
+		keptZones:       map[string]model.Time{},
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
 	c.probes = newProbes(c)
@@ -264,6 +268,9 @@
 		if e.Upstream != "" && e.Term > 0 {
 			c.announce(e.Service, e.Upstream, e.Term)
 		}
+	case replicaset.EffectIgnored:
+		c.log.Warn().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).
+			Int64("incarnation", e.Member.Incarnation).Int64("sequence", e.Member.Sequence).Msg("old registration of a removed upstream ignored")
 	case replicaset.EffectEvacuated:
 		c.log.Info().Msg("evacuated zones changed")
 	case replicaset.EffectReplicaEvidence:
