--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -168,3 +168,85 @@
 		}
 	}
 }
+
+// Guards against a failover that takes evidence from before the loss of a replica for
+// everything that this replica may have received.
+func TestNoFailoverOnEvidenceOlderThanTheLossOfAReplica(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	h.step(200 * time.Millisecond)
+	if v := h.view.Views()[0]; v.Incomplete || !v.ListComplete {
+		t.Fatalf("fixture: incomplete %t, list complete %t", v.Incomplete, v.ListComplete)
+	}
+	// Commits 11 to 15 are acknowledged through c within the next 50 ms. Then the primary
+	// crashes and c is replaced.
+	h.down["a"] = true
+	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventReplaced, Upstream: "c"}, nil)
+	for range 6 {
+		h.step(500 * time.Millisecond)
+		h.list("a", "b")
+	}
+	if h.promoted == "b" {
+		e, _ := h.view.NewestEvidence("db")
+		t.Errorf("b was promoted at 10; the evidence %v is from before the loss of c, through which later commits were acknowledged", e.Position)
+	}
+}
+
+// Guards against a failover that runs into its limit because a replica has left meanwhile, and
+// then goes on as if that replica had never been there.
+func TestNoFailoverAfterAReplicaLeftDuringIt(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 15}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	// 11 to 15 were acknowledged through c after the last status of the primary; c does not
+	// answer and leaves.
+	h.down["a"], h.down["c"] = true, true
+	h.step(1500 * time.Millisecond)
+	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventReplaced, Upstream: "c"}, nil)
+	for range 20 {
+		h.step(500 * time.Millisecond)
+		h.list("a", "b")
+	}
+	if h.promoted != "" {
+		t.Errorf("%q was promoted at %d, although c may have received more after the newest evidence", h.promoted, h.received[h.promoted])
+	}
+}
+
+// Guards against a promotion without fencing a replica that had started before the list was
+// read and registers up to 630 ms later.
+func TestFailoverAwaitsReplicasThatRegisterLate(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10, "d": 15}
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+	h.down["a"] = true
+	for range 40 {
+		h.step(50 * time.Millisecond)
+		if h.started {
+			break
+		}
+	}
+	h.list("a", "b", "c") // the refresh; d, started 300 ms ago, writes its entry 300 ms later
+	h.step(300 * time.Millisecond)
+	early := h.promoted
+	h.list("a", "b", "c", "d")
+	h.step(time.Second)
+	if early != "" && h.fenced["d"] == 0 {
+		t.Errorf("%q was promoted within 300 ms of the list, without d, which had received 11 to 15", early)
+	}
+}
--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -142,3 +142,64 @@
 		t.Error("the group is complete, although only the former primary has the log")
 	}
 }
+
+// Guards against evidence dated by a list that lacks a replica which had started before it
+// was read and registers up to 630 ms later.
+func TestNoReplicaEvidenceBesideLateRegistration(t *testing.T) {
+	f := newSyncFixture()
+	f.status("a", true, 1, pos(1, 10))
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	if f.Views()[0].Incomplete {
+		t.Fatal("fixture: incomplete")
+	}
+	// d starts now; commits 11 to 15 are acknowledged through d alone within 300 ms.
+	f.advance(300 * ms)
+	acknowledged := f.now
+	f.advance(50 * ms)
+	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false)) // d not written yet
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	e, _ := f.NewestEvidence("db")
+	if e.At > acknowledged && e.Position.Compare(pos(1, 15)) < 0 {
+		t.Errorf("evidence %v dated %v after commit 15 was acknowledged through d", e.Position, e.At.Sub(acknowledged))
+	}
+}
+
+// Guards against a list that counts as complete right after an outage of the store on a VM that
+// runs on: a replica that started during the outage is not known from before, and writes its
+// first entry up to two seconds after the return.
+func TestListAfterAnOutageIsNotCompleteAtOnce(t *testing.T) {
+	f := newSyncFixture()
+	f.advance(500 * ms)
+	for range 10 {
+		f.apply(Event{Kind: EventStoreUnavailable})
+		f.advance(time.Second)
+	}
+	f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+	if f.Views()[0].ListComplete {
+		t.Error("the first list after an outage of 10 s is complete at once")
+	}
+}
+
+// Guards against refusing reads while the primary is lost, only since its last status had
+// commits that no replica has received (so that they were never acknowledged).
+func TestReplicaEvidenceDespiteUnreplicatedCommits(t *testing.T) {
+	f := newSyncFixture()
+	f.status("a", true, 1, pos(1, 10))
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	f.advance(100 * ms)
+	f.status("a", true, 1, pos(1, 12)) // 11 and 12 reach no replica
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	for range 4 {
+		f.advance(500 * ms)
+		f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+		f.status("b", false, 1, pos(1, 10))
+		f.status("c", false, 1, pos(1, 10))
+	}
+	if _, ok := f.floor(time.Second, model.Position{}); !ok {
+		t.Error("no evidence for 2 s, although all replicas of a complete group answer")
+	}
+}
