--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -156,6 +156,10 @@
 			go w.runCaller(v, database)
 		}
 	}
+	if seed%3 == 1 {
+		w.recordEvent("the store comes back from a copy in the middle of the run")
+		w.wg.Go(w.restoreStore)
+	}
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		w.injectFault()
 	}
@@ -381,6 +385,21 @@
 	}
 }
 
+// restoreStore takes the store away in the middle of the run and brings it back from a
+// copy that is a quarter of the run old. The upstreams then write their entries again.
+func (w *soakRun) restoreStore() {
+	time.Sleep(faultDuration / 4)
+	c := w.Store.Copy()
+	time.Sleep(faultDuration / 4)
+	w.Store.Down.Store(true)
+	time.Sleep(time.Second)
+	w.Store.Restore(c)
+	w.Store.Down.Store(false)
+	for id := range w.upstreams {
+		w.Register(id, "ready")
+	}
+}
+
 // endFaults ends all faults that are still in effect.
 func (w *soakRun) endFaults() {
 	w.recordEvent("healed")
