--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -4,12 +4,11 @@
 	"testing"
 	"time"
 
-	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 )
 
-// groupHarness is a listHarness with a log position and a role of its own for each upstream.
+// groupHarness is a listHarness in which each upstream has its own log position and role.
 type groupHarness struct {
 	*listHarness
 	received map[model.UpstreamID]uint64
@@ -47,16 +46,6 @@
 	}
 }
 
-func (h *groupHarness) input() *Input {
-	return &Input{
-		Views: h.view.Views(), Voters: []model.VMID{"vm"}, FencesChecked: true,
-		Evacuated:    func(model.Zone) bool { return false },
-		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
-		SyncReplicas: func(catalog.Service) int { return 1 },
-		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return h.view.NewestEvidence(s) },
-	}
-}
-
 // Guards against a switchover in a group that has lost the only replica with the last commits:
 // the target has what the other replicas have, but not what the primary has acknowledged.
 func TestNoSwitchoverInAnIncompleteGroup(t *testing.T) {
--- a/core/promotion/list_test.go
+++ b/core/promotion/list_test.go
@@ -51,21 +51,23 @@
 		for _, id := range h.view.Upstreams("db") {
 			h.answer(id)
 		}
-		in := &Input{
-			Views: h.view.Views(), Voters: []model.VMID{"vm"}, FencesChecked: true,
-			Evacuated:    func(model.Zone) bool { return false },
-			PeerContact:  func(model.UpstreamID) model.Time { return 0 },
-			SyncReplicas: func(catalog.Service) int { return 1 },
-			Evidence: func(s catalog.Service) (replicaset.Evidence, bool) {
-				return h.view.NewestEvidence(s)
-			},
-		}
+		in := h.input()
 		for _, e := range h.state.Tick(h.now, in, nil) {
 			h.execute(&e)
 		}
 	}
 }
 
+func (h *listHarness) input() *Input {
+	return &Input{
+		Views: h.view.Views(), Voters: []model.VMID{"vm"}, FencesChecked: true,
+		Evacuated:    func(model.Zone) bool { return false },
+		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
+		SyncReplicas: func(catalog.Service) int { return 1 },
+		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return h.view.NewestEvidence(s) },
+	}
+}
+
 func (h *listHarness) answer(id model.UpstreamID) {
 	if h.down[id] {
 		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventFailed, Upstream: id}, nil)
