Number the cases of the review by their gravity

The reads beside an unregistered replica take the third place, the moved route the fourth and the planned stop the fifth. A script says that it could not run if its stand-ins are not built.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Plays the case with real processes; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-exec ../bin/harness stop ../.. .
+[ -x ../bin/harness ] || exit 2
+exec ../bin/harness route ../.. .
--- a/review/harness/case_stall.go
+++ b/review/harness/case_stall.go
@@ -73,6 +73,11 @@
 	time.Sleep(2 * time.Second)
 	close(stop)
 	wg.Wait()
+	return judgeAcknowledged(e, s, acked)
+}
+
+// judgeAcknowledged checks that the log of the primary has all acknowledged writes.
+func judgeAcknowledged(e *environment, s *service, acked map[string]bool) (bool, string, error) {
 	lost := 0
 	for id := range acked {
 		if !s.has(id) {
