--- a/review/harness/case_route.go
+++ b/review/harness/case_route.go
@@ -73,13 +73,11 @@
 	if err != nil {
 		return false, "", err
 	}
-	if e.trouble {
-		publish(9, second)
-		if err := eachSession(sessions, func(i int, c *consumer) error { return untilRunBy(c, i, second) }); err != nil {
-			return false, "", err
-		}
-		publish(15, first)
+	publish(9, second)
+	if err := eachSession(sessions, func(i int, c *consumer) error { return untilRunBy(c, i, second) }); err != nil {
+		return false, "", err
 	}
+	publish(15, first)
 	stale, read := make([]bool, routeSessions), make([]bool, routeSessions)
 	err = eachSession(sessions, func(i int, c *consumer) error {
 		deadline := time.Now().Add(3 * time.Second)
