Let a primary that answers step down before another is promoted, and compare its log

What callers saw: acknowledged writes were gone after a change of primary. A primary was cut off from its replicas, a new replica started and made its commits acknowledged, and an older replica was promoted before the new one had registered.

Cause: a failover took the registered replicas for all that can acknowledge a commit. It chose among those that were fenced, without looking at the old primary's log, although that one had stepped down in answer and its log was longer.

Ruled out: that the new replica was known and not fenced (it was added after the promotion). That the command to step down comes too late is possible, since the promotion did not wait for it, but was not needed for the loss.

Change: no upstream is promoted while the old primary answers and has not stepped down. An upstream that has reached the end of its log is promoted at once; otherwise the target waits for a list that was read 1.5 s after the step-down. A replica that registers meanwhile is fenced and compared. A switchover compares its target with the old primary as well. "new primary chosen" says how far the old primary's log reached and whether it had stepped down.

--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -36,6 +36,13 @@
 	// withdrawn are the VMs that have dropped the primary during this transition, with
 	// the time at which the vouchers that they gave end.
 	withdrawn map[model.VMID]model.Time
+	// steppedDownAt is when this VM learned that the old primary acknowledges no more
+	// commits, 0 while it may; oldPrimaryLost is true if neither this VM nor a peer has
+	// reached it since.
+	steppedDownAt  model.Time
+	oldPrimaryLost bool
+	// listNeededAt is when a list of upstreams was last asked for.
+	listNeededAt model.Time
 
 	// token is the fencing token of the last promotion call.
 	token         uint64
@@ -121,23 +128,24 @@
 	if now.Sub(t.phaseStartedAt) > limit {
 		return svc.endTransition(now, "no target is safe in time", true, out)
 	}
-	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
+	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.uncertain(now) && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
+	t.observeOldPrimary(now, v, in)
 	target := t.selectTarget(now, v, in, svc)
 	out = svc.withdraw(now, in, out)
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
 	steppedDown := !svc.uncertain(now) && t.oldPrimarySteppedDown(v)
 	if target == nil || !steppedDown && !s.confirmationsEnded(now, svc, in) {
-		return svc.fenceReplicas(now, v, out)
+		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
 	t.target, t.token = target.ID, s.token()
 	t.accepted, t.refused = false, false
 	t.enterPhase(now, phasePromote)
 	out = append(out, Effect{
 		Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm,
-		Members: len(v.Members),
+		Members: len(v.Members), OldPosition: t.oldPosition(v), SteppedDown: t.steppedDownAt != 0,
 	})
 	return s.callPromote(now, svc, v, out)
 }
@@ -174,19 +182,55 @@
 	return m != nil && !m.Status.Primary && m.StatusAt >= t.startedAt && m.Status.Term != 0
 }
 
+// observeOldPrimary records whether the old primary may still acknowledge commits.
+func (t *transition) observeOldPrimary(now model.Time, v *replicaset.View, in *Input) {
+	switch m := findMember(v, t.oldPrimary); {
+	case m == nil:
+		return
+	case reachable(now, m):
+		t.oldPrimaryLost = false
+	case primaryLost(now, m, in):
+		t.oldPrimaryLost = true
+	}
+	switch steppedDown := t.oldPrimarySteppedDown(v); {
+	case !steppedDown:
+		t.steppedDownAt = 0
+	case t.steppedDownAt == 0:
+		t.steppedDownAt = now
+	}
+}
+
+// oldPosition returns the last known end of the old primary's log.
+func (t *transition) oldPosition(v *replicaset.View) model.Position {
+	if m := findMember(v, t.oldPrimary); m != nil {
+		return m.Status.Received
+	}
+	return model.Position{}
+}
+
+// requestList asks for a list of upstreams while the target may depend on a replica that
+// has not registered yet.
+func (t *transition) requestList(now model.Time, svc *serviceState, out []Effect) []Effect {
+	if t.planned || t.steppedDownAt == 0 || now.Sub(t.listNeededAt) < listRefreshInterval {
+		return out
+	}
+	t.listNeededAt = now
+	return append(out, Effect{Kind: EffectListNeeded, Service: svc.name})
+}
+
 // fenceReplicas fences the replicas that may still receive commits. In a switchover
-// the target keeps receiving, so that it gets all new commits. In a failover the
-// old primary is told to step down, in case it still runs.
+// the target keeps receiving, so that it gets all new commits, and the old primary is asked
+// how far its log reaches. In a failover the old primary is told to step down, in case it
+// still runs.
 func (svc *serviceState) fenceReplicas(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
-		case c.ID == t.oldPrimary:
-			if !t.planned {
-				out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
-			}
-		case t.planned && c.ID == t.target:
+		case c.ID == t.oldPrimary && t.steppedDownAt != 0:
+		case c.ID == t.oldPrimary && !t.planned:
+			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
+		case t.planned && (c.ID == t.target || c.ID == t.oldPrimary):
 			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
 		case c.Status.FencedTerm < t.fenceTerm:
 			out = svc.sendCommand(now, c.ID, CommandPause, t.fenceTerm, commandRetryInterval, out)
@@ -215,53 +259,102 @@
 }
 
 // switchoverTarget returns the target once all other replicas are fenced and the
-// target has received everything that they have, otherwise nil. In an incomplete group a
-// replica that has gone may be the only one that had received a commit.
+// target has received everything that they and the old primary have, otherwise nil. A
+// replica that has not registered yet may have received commits that the known ones lack;
+// only the old primary's log shows that. In an incomplete group a replica that has gone may
+// be the only one that had received a commit.
 func (t *transition) switchoverTarget(v *replicaset.View) *replicaset.Member {
 	target := findMember(v, t.target)
-	if target == nil || v.Incomplete {
+	if target == nil || v.Incomplete || target.StatusAt < t.startedAt {
 		return nil
 	}
 	for i := range v.Members {
 		c := &v.Members[i]
-		if c.ID == t.target || c.ID == t.oldPrimary {
+		switch {
+		case c.ID == t.target:
 			continue
+		case c.ID != t.oldPrimary:
+			if !t.fenced(c) {
+				return nil
+			}
+		case t.oldPrimaryLost:
+			continue
+		case c.StatusAt < t.startedAt:
+			return nil
 		}
-		if !t.fenced(c) || target.Status.Received.Compare(c.Status.Received) < 0 {
+		if target.Status.Received.Compare(c.Status.Received) < 0 {
 			return nil
 		}
 	}
-	if target.StatusAt < t.startedAt {
-		return nil
-	}
 	return target
 }
 
 // failoverTarget returns the upstream to promote once it is certain to have every
-// acknowledged commit, otherwise nil.
+// acknowledged commit, otherwise nil. While the old primary may still acknowledge commits,
+// no upstream is certain to: a replica that has not registered yet counts for
+// acknowledgements and is not fenced.
 func (t *transition) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	best := t.mostAdvancedFenced(v, in, svc)
 	oldPrimary := findMember(v, t.oldPrimary)
-	steppedDown := t.oldPrimarySteppedDown(v) && hasLog(oldPrimary, in, svc)
-	// allFenced: no upstream is missing, and each one other than the old primary is
-	// fenced or had stopped before the newest evidence.
-	allFenced := t.allPresent(v)
-	for i := range v.Members {
-		c := &v.Members[i]
-		if c.ID != t.oldPrimary && !t.fenced(c) && !t.stoppedBeforeEvidence(c, best, in, svc) {
-			allFenced = false
-		}
-	}
+	fences := t.fenceState(v, best, in, svc)
 	switch {
-	case allFenced && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
+	case t.steppedDownAt != 0 && hasLog(oldPrimary, in, svc):
+		return t.targetAfterStepDown(v, best, oldPrimary, fences)
+	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
+		return nil
+	case fences == fencesComplete && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
 		return best
-	case steppedDown && best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
+	}
+	return nil
+}
+
+// targetAfterStepDown returns the target after the old primary has stepped down. Its log has
+// every acknowledged commit. What no known replica has received of it may have been
+// acknowledged through a replica that was not in the list yet, so best is certain only once
+// such a replica would be listed. Otherwise the old primary leads again.
+func (t *transition) targetAfterStepDown(v *replicaset.View, best, oldPrimary *replicaset.Member, fences fenceState) *replicaset.Member {
+	switch {
+	case best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
 		return best
-	case steppedDown:
-		// The old primary has every acknowledged commit.
+	case fences == fencesPending:
+		return nil
+	case fences == fencesImpossible || best == nil || v.Incomplete:
 		return oldPrimary
+	case v.ListedAt < t.steppedDownAt.Add(registrationTimeout):
+		return nil
 	}
-	return nil
+	return best
+}
+
+// fenceState tells which upstreams other than the old primary are fenced.
+type fenceState uint8
+
+const (
+	// fencesPending: an upstream that is not failing is not fenced yet.
+	fencesPending fenceState = iota
+	// fencesImpossible: an upstream is missing, or does not answer and is not fenced.
+	fencesImpossible
+	// fencesComplete: no upstream is missing, and each one is fenced or had stopped before
+	// the newest evidence.
+	fencesComplete
+)
+
+func (t *transition) fenceState(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState) fenceState {
+	state := fencesComplete
+	if !t.allPresent(v) {
+		state = fencesImpossible
+	}
+	for i := range v.Members {
+		c := &v.Members[i]
+		switch {
+		case c.ID == t.oldPrimary || t.fenced(c) || t.stoppedBeforeEvidence(c, best, in, svc):
+		case c.FailedSince == 0:
+			return fencesPending
+		default:
+			state = fencesImpossible
+		}
+	}
+	return state
 }
 
 // hasLog reports whether an upstream reaches the newest evidence of the primary's log. A
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -80,6 +80,12 @@
 	unfenceTimeout = 2 * time.Second
 	// contactMaxAge is how long an upstream counts as reachable after its last answer.
 	contactMaxAge = 800 * time.Millisecond
+	// registrationTimeout is how long after its start an upstream that reaches the store
+	// may be missing from the list. It covers one interval between an upstream's writes.
+	registrationTimeout = 1500 * time.Millisecond
+	// listRefreshInterval is the interval at which the list of upstreams is read while the
+	// target depends on it.
+	listRefreshInterval = 250 * time.Millisecond
 	// orphanedFenceTimeout is how long a fence that belongs to no transition is
 	// kept before it is released.
 	orphanedFenceTimeout = 500 * time.Millisecond
@@ -163,6 +169,10 @@
 	Cause string
 	// Position is the log position that the selected target has received.
 	Position model.Position
+	// OldPosition is the last known end of the old primary's log when a target is selected,
+	// and SteppedDown whether it is final because the old primary has stepped down.
+	OldPosition model.Position
+	SteppedDown bool
 	// Members is the number of upstreams that are known when a transition starts or
 	// selects its target.
 	Members int
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -291,7 +291,8 @@
 			Uint64("fence_term", e.Term).Int("upstreams", e.Members).Msg("change of primary started")
 	case promotion.EffectTargetSelected:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
-			Uint64("received", uint64(e.Position.Pos)).Int("upstreams", e.Members).Msg("new primary chosen")
+			Uint64("received", uint64(e.Position.Pos)).Uint64("old_received", uint64(e.OldPosition.Pos)).Bool("stepped_down", e.SteppedDown).
+			Int("upstreams", e.Members).Msg("new primary chosen")
 	case promotion.EffectTransitionEnded:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
 			Dur("elapsed", e.Elapsed).Msg("change of primary ended")
