Keep a session's position on each service that it has written to

What callers saw: sessions on a read_your_writes route did not see their own acknowledged write, after the route had been sent to another service and back while a replica was behind.

Cause: a session kept one log position together with its service. An operation on another service replaced both, so the position was gone when the route came back.

Ruled out: a floor that ignores the position because of a later term (there was none), and an answer without a position.

Change: positions by service; the position of a commit belongs to the service of its operation. The PostgreSQL path is not affected: a read without a position waits for proof from after its arrival, which a new test holds.

--- a/frontend/fakes_test.go
+++ b/frontend/fakes_test.go
@@ -23,10 +23,12 @@
 
 // fakeBackend implements Directory, Admitter and executor.Executor.
 type fakeBackend struct {
-	mu            sync.Mutex
-	keys          []Key
-	lookupErr     error
-	classPolicy   ClassPolicy
+	mu          sync.Mutex
+	keys        []Key
+	lookupErr   error
+	classPolicy ClassPolicy
+	// database is the database of all jobs, "db" if empty.
+	database      model.Database
 	admitErr      error
 	batches       []*executor.Batch
 	closedStreams int
@@ -52,6 +54,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	access := Access{Open: j == "open", Database: "db", MaxAge: time.Second, Class: f.classPolicy}
+	if f.database != "" {
+		access.Database = f.database
+	}
 	if w == "w" {
 		access.Keys = f.keys
 	}
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -361,3 +361,24 @@
 		t.Fatal(types)
 	}
 }
+
+// Guards against a read that does not see the session's own write after its job has moved to
+// another database and back: a position of another database is no floor, and a read without a
+// floor sees every commit before its arrival.
+func TestMovedJobHasNoFloorOfAnotherDatabase(t *testing.T) {
+	f := newFakeBackend()
+	_, address := startServer(t, f, nil)
+	r := openRawConn(t, address)
+	for i, step := range []struct {
+		database model.Database
+		floor    bool
+	}{{"db", false}, {"db", true}, {"other", false}, {"other", true}, {"db", false}, {"db", true}} {
+		f.update(func() { f.database = step.database })
+		if _, code := r.roundTrip(&pgproto3.Query{String: "SELECT 1"}); code != "" {
+			t.Fatal(code)
+		}
+		if b := f.lastBatch(); b.HasFloor != step.floor || step.floor && int(b.Floor.Pos) != i {
+			t.Errorf("step %d on %s: floor %t %v, want %t", i, step.database, b.HasFloor, b.Floor, step.floor)
+		}
+	}
+}
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -166,7 +166,7 @@
 // guarantees that the session's reads see it, and zero otherwise.
 func (o *operation) sessionFloor() model.Position {
 	if o.route.Freshness == catalog.FreshSession {
-		return o.session.position
+		return o.session.positions[o.route.Service]
 	}
 	return model.Position{}
 }
--- a/lineproxy/session.go
+++ b/lineproxy/session.go
@@ -57,10 +57,10 @@
 	// statements by name.
 	values   map[string]string
 	prepared map[string]preparedStatement
-	// position is the highest log position of this session's commits on
-	// positionService.
-	position        model.Position
-	positionService catalog.Service
+	// positions has the highest log position of this session's commits on each service
+	// that it has written to, nil before its first commit. The session's route may be
+	// sent to another service and back.
+	positions map[catalog.Service]model.Position
 	// tx is the open or failed transaction, nil outside of one.
 	tx *transaction
 
--- a/lineproxy/statement.go
+++ b/lineproxy/statement.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 
-	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
@@ -144,8 +143,5 @@
 		r := failure(lineproto.Busy, retryText("the workspace's rate is used up", decision.RetryAfter))
 		return nil, &r
 	}
-	if s.positionService != route.Service {
-		s.positionService, s.position = route.Service, model.Position{}
-	}
 	return newOperation(s, route, workspace, c), nil
 }
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -218,7 +218,7 @@
 		return replyFromAnswer(&a)
 	}
 	if x.wrote {
-		s.recordCommit(a.Ready.Position)
+		x.recordCommit(a.Ready.Position)
 	}
 	x.log(p.ID, "transaction committed", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Str("position", lineproto.FormatPosition(a.Ready.Position))
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
@@ -47,7 +48,7 @@
 func (o *operation) handleWriteAnswer(p *statement, id model.UpstreamID, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
-		o.session.recordCommit(a.Ready.Position)
+		o.recordCommit(a.Ready.Position)
 		o.log(p.ID, "write served", func(e *Entry) {
 			e.Str("upstream", string(id)).Str("holder", string(a.Holder)).Str("position", lineproto.FormatPosition(a.Ready.Position))
 		})
@@ -62,8 +63,14 @@
 	return attempt{reply: replyFromAnswer(&a.Answer)}
 }
 
-// recordCommit records the log position of a commit of this session.
-func (s *session) recordCommit(p model.Position) { s.position = s.position.Max(p) }
+// recordCommit records the log position of a commit of this operation.
+func (o *operation) recordCommit(p model.Position) {
+	s := o.session
+	if s.positions == nil {
+		s.positions = map[catalog.Service]model.Position{}
+	}
+	s.positions[o.route.Service] = s.positions[o.route.Service].Max(p)
+}
 
 // notSent returns the attempt that results from err, the error of a statement that was
 // not sent. A statement that has waited for the confirmation of the primary in vain is
