Wait for callers' statements until nearly the end of the grace period

What callers saw: a connection ended without an answer 4.53 s after SIGTERM, while the statement ran for which the grace period of 6 s had time.

Cause: the drain of the callers returned after three quarters of the grace period; then the process ended. Only statements that ran for other VMs were waited for longer.

Ruled out: that the session was closed as idle, and that the process was killed.

Change: one limit for both, nine tenths of the grace period. The PostgreSQL path waits for all sessions already.

--- a/linenode/node.go
+++ b/linenode/node.go
@@ -212,22 +212,25 @@
 }
 
 // stopMarginDivisor divides the grace period; the quotient is left for the end of the
-// process after a stopping VM has waited for the statements that it runs for others.
+// process after a stopping VM has waited for statements, of its own callers and of other VMs.
 const stopMarginDivisor = 10
 
+// statementsEnd is how long after the start of a stop statements may still run.
+func statementsEnd(grace time.Duration) time.Duration { return grace - grace/stopMarginDivisor }
+
 // leaveTimeout bounds the removal of a stopping VM's member entry. An entry that is
 // not removed expires after memberTTL.
 const leaveTimeout = 300 * time.Millisecond
 
 // drainTimes divides the grace period of a stop among the phases of the callers'
 // drain. The platform needs about two seconds to notice that the VM is not ready; open
-// transactions may continue for half of the grace period.
+// transactions may continue for half of the grace period, and statements nearly until its end.
 func drainTimes(grace time.Duration) lineproxy.DrainSchedule {
 	return lineproxy.DrainSchedule{
 		AfterAnswer: grace * 2 / 5,
 		Idle:        grace / 2,
 		All:         grace / 2,
-		Timeout:     grace * 3 / 4,
+		Timeout:     statementsEnd(grace),
 	}
 }
 
@@ -248,7 +251,7 @@
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	n.members.leave(leaveCtx)
-	n.finishForwarded(ctx, started.Add(n.options.Grace-n.options.Grace/stopMarginDivisor))
+	n.finishForwarded(ctx, started.Add(statementsEnd(n.options.Grace)))
 	n.cancel()
 	n.grpc.Stop()
 	for _, p := range n.pages {
