--- a/test/linetest/platform.go
+++ b/test/linetest/platform.go
@@ -74,7 +74,7 @@
 		role = "primary"
 	}
 	p.put("servers/"+id, map[string]any{
-		"service-name": Service, "address": p.Address(id), "zone": p.Group.Server(id).Zone(), "slots": 4,
+		"service-name": Service, "address": p.Address(id), "zone": p.Group.Server(id).Zone(), "version": "v1", "slots": 4,
 		"phase": phase, "db-role": role, "sequence": time.Now().UnixNano(), "born": 1, "warmup-left-ms": 0,
 	})
 }
