Keep entries that cannot be decoded from other VMs

What callers would see: VMs that hear nothing from their peers, neither lists nor confirmations nor configurations, as long as an entry of another writer is large.

Cause: lists were passed on as they were read. One entry of 1 MiB made the answer to a poll as large, for which a link of 10 Mbit/s needs 0.8 s of the 0.4 s that a poll may take; 20 made 20 MiB, above the largest message of 12 MiB.

Evidence: TestOddEntriesAreNotPassedOn failed for entries of 512 KiB and 1 MiB, and for any that are written again, since the lists then counted as changed. TestOddEntryIsLoggedOnce showed that their keys were kept for ever.

Change: only usable entries are part of the lists and of their digest. Entries are decoded once for each revision.

--- a/linenode/lists.go
+++ b/linenode/lists.go
@@ -81,13 +81,21 @@
 	// neededSince is the time from which on a read of the lists is needed, 0 before the
 	// first refresh.
 	neededSince model.Time
-	// unreadable has the keys of registrations that cannot be decoded, so that each is
-	// logged once.
-	unreadable map[string]bool
+	// decoded has the decoded entries of upstreams in the current lists by key, so that an
+	// entry is decoded again only when it has changed.
+	decoded map[string]decodedEntry
+}
+
+// decodedEntry is what an entry of an upstream says as of a revision of the store. usable is
+// false if it could not be decoded.
+type decodedEntry struct {
+	revision     int64
+	registration replicaset.Registration
+	usable       bool
 }
 
 func newLists(o Options, c *cluster, m *members) *lists {
-	return &lists{options: o, cluster: c, members: m, wake: make(chan struct{}, 1), unreadable: map[string]bool{}}
+	return &lists{options: o, cluster: c, members: m, wake: make(chan struct{}, 1)}
 }
 
 // age returns the age of the lists, or the time since the boot of the VM before the
@@ -199,14 +207,15 @@
 
 // install applies lists unless newer ones are known.
 func (l *lists) install(next storeLists) {
-	next.digest = digestOf(next.upstreams, next.vms)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next.sentAt <= l.current.sentAt {
 		return
 	}
+	next.upstreams, next.registrations = l.decodeUpstreams(next.upstreams)
+	next.digest = digestOf(next.upstreams, next.vms)
 	if next.digest != l.current.digest {
-		next.registrations, next.members = l.decodeRegistrations(&next), l.members.decode(next.vms)
+		next.members = l.members.decode(next.vms)
 		l.current = next
 	}
 	l.apply(next.sentAt)
@@ -228,20 +237,32 @@
 	l.members.applyList(sentAt, maps.Clone(l.current.members))
 }
 
-// decodeRegistrations decodes the registrations of upstreams. The caller holds mu.
-func (l *lists) decodeRegistrations(from *storeLists) []replicaset.Registration {
-	var registrations []replicaset.Registration
-	for i := range from.upstreams {
-		kv := &from.upstreams[i]
-		r, err := l.options.Formats.Registration(kv.Key, kv.Value)
-		if err != nil {
-			if !l.unreadable[kv.Key] {
-				l.unreadable[kv.Key] = true
-				l.cluster.log.Warn().Err(err).Int64("revision", kv.ModRevision).Msg("undecodable registration ignored")
-			}
-			continue
+// decodeUpstreams returns the usable entries and what they say. Entries that cannot be
+// decoded are dropped: another writer may have left them, of any size, and peers need not get
+// them. The caller holds mu.
+func (l *lists) decodeUpstreams(entries []store.KeyValue) (usable []store.KeyValue, registrations []replicaset.Registration) {
+	decoded := make(map[string]decodedEntry, len(entries))
+	for i := range entries {
+		kv := &entries[i]
+		old, found := l.decoded[kv.Key]
+		d := old
+		if !found || old.revision != kv.ModRevision {
+			d = l.decode(kv, found && !old.usable)
+		}
+		decoded[kv.Key] = d
+		if d.usable {
+			usable, registrations = append(usable, *kv), append(registrations, d.registration)
 		}
-		registrations = append(registrations, r)
 	}
-	return registrations
+	l.decoded = decoded
+	return usable, registrations
+}
+
+// decode decodes an entry. logged is true if its former revision was logged as undecodable.
+func (l *lists) decode(kv *store.KeyValue, logged bool) decodedEntry {
+	r, err := l.options.Formats.Registration(kv.Key, kv.Value)
+	if err != nil && !logged {
+		l.cluster.log.Warn().Err(err).Int("bytes", len(kv.Value)).Int64("revision", kv.ModRevision).Msg("undecodable registration ignored")
+	}
+	return decodedEntry{revision: kv.ModRevision, registration: r, usable: err == nil}
 }
