Leave services that are not configured out of all decisions

What callers would see: a VM that sends them away although it reaches every service they can ask for, because entries of another writer name services that do not exist. The lease holder would have fenced and promoted upstreams there.

Cause: each service that any entry names had a view of its own in changes of primary, status queries and the check for isolation.

Evidence: TestUnconfiguredServicesAreIgnored failed: four services of which one is configured took part, and the VM counted as isolated.

Change: decisions see the services of the configuration in force; before the first one, all.

--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -178,7 +178,7 @@
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
 	now := boottime.Now()
-	for _, v := range p.cluster.replicas.Views() {
+	for _, v := range p.cluster.viewsLocked() {
 		if e, ok := p.cluster.replicas.NewestEvidence(v.Service); ok {
 			evidence := &vmlinkv1.Evidence{
 				Service: string(v.Service), Term: e.Term, PositionTerm: e.Position.Term.Counter,
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -224,7 +225,7 @@
 	}
 	now := c.Now()
 	withEvidence := 0
-	views := c.replicas.Views()
+	views := c.viewsLocked()
 	for i := range views {
 		if e, ok := c.replicas.NewestEvidence(views[i].Service); ok && now.Sub(e.At) < recentEvidenceAge {
 			withEvidence++
@@ -233,6 +234,17 @@
 	return withEvidence*2 < len(views) || len(views) == 0
 }
 
+// viewsLocked returns what is known of the upstreams of each service that is configured. An
+// entry of another writer may name any service; nobody asks this VM to keep up a primary
+// there. Before the first configuration, all services are returned. The caller holds c.mu.
+func (c *cluster) viewsLocked() []replicaset.View {
+	views, configuration := c.replicas.Views(), c.Catalog()
+	if configuration == nil {
+		return views
+	}
+	return slices.DeleteFunc(views, func(v replicaset.View) bool { return configuration.Service(v.Service) == nil })
+}
+
 // Observe applies an event, such as the answer of an upstream.
 func (c *cluster) Observe(ev *replicaset.Event) {
 	c.mu.Lock()
--- a/linenode/oddentries_test.go
+++ b/linenode/oddentries_test.go
@@ -98,3 +98,24 @@
 		t.Errorf("%d entries are kept, of which one is in the list", n)
 	}
 }
+
+// Guards against changes of primary, and an isolation, because of entries that name a service
+// which is not configured.
+func TestUnconfiguredServicesAreIgnored(t *testing.T) {
+	decoded := 0
+	p := newOddListsFixture("vm-0", &decoded)
+	l := storeLists{sentAt: boottime.Now()}
+	for _, service := range []string{"s", "other-1", "other-2", "other-3"} {
+		l.upstreams = append(l.upstreams, store.KeyValue{Key: "i-" + service, Value: []byte(service), ModRevision: 1})
+	}
+	p.lists.install(l)
+	p.cluster.catalog.Store((&catalog.Snapshot{Version: 1, Services: []catalog.ServiceConfig{{Name: "s"}}}).Index())
+	if views := p.transitions.input().Views; len(views) != 1 || views[0].Service != "s" {
+		t.Errorf("transitions see %d services, want the configured one", len(views))
+	}
+	p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventEvidence, Service: "s", Term: 1, SentAt: p.cluster.Now()})
+	p.cluster.isolated = func() bool { return true }
+	if p.cluster.Isolated() {
+		t.Error("isolated although there is evidence of the only configured service")
+	}
+}
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -200,7 +200,7 @@
 	defer t.cluster.mu.Unlock()
 	replicas := t.cluster.replicas
 	evidence := map[catalog.Service]replicaset.Evidence{}
-	views := replicas.Views()
+	views := t.cluster.viewsLocked()
 	evacuated := map[model.Zone]bool{}
 	for i := range views {
 		if e, ok := replicas.NewestEvidence(views[i].Service); ok {
@@ -236,7 +236,7 @@
 // reads, and of the other upstreams less often; see replicaStatusInterval.
 func (t *transitions) requestStatuses(ctx context.Context) {
 	t.cluster.mu.Lock()
-	views := t.cluster.replicas.Views()
+	views := t.cluster.viewsLocked()
 	t.cluster.mu.Unlock()
 	for i := range views {
 		for j := range views[i].Members {
