--- a/store/store.go
+++ b/store/store.go
@@ -20,8 +20,9 @@
 	ErrLeaseNotFound = errors.New("lease expired")
 	// ErrRejected means that the service answered that the call had no effect.
 	ErrRejected = errors.New("platform store rejected the call")
-	// ErrCompacted means that the store has discarded the changes since the start
-	// of a watch. The keys have to be read again.
+	// ErrCompacted means that the changes since the start of a watch cannot be had any
+	// more: the store has discarded them, or they are too many for one answer. The keys
+	// have to be read again.
 	ErrCompacted = errors.New("platform store has discarded its history")
 )
 
