Pass a commit on once it is known outside of the primary's zone

What callers saw: writes that a VM of a cut-off zone had acknowledged were missing after the change of primary, or were not seen by bounded reads elsewhere.

Cause: a replica counts for acknowledgements before it is registered. One that starts in a zone that is cut off cannot register, so the lease holder fences and compares the others and promotes without its commits.

Ruled out: a primary that is used after its confirmation has ended (the commits are from the first 0.6 s of the cut), and a promotion before that (called at 12.81 s).

Change: the VM that has sent the commit waits for an answer from the zone of another replica to a question sent after the acknowledgement, or for a registered replica that has received the commit; without either, the outcome is unknown. Commits share a question.

--- a/holderlink/server_test.go
+++ b/holderlink/server_test.go
@@ -28,6 +28,7 @@
 	k.t.Error("a statement was run")
 	return model.Position{}, 0, false
 }
+func (k noUpstreams) ConfirmCommit(*upstreamrun.Place, model.Position) bool { return true }
 func (k noUpstreams) ConfirmPrimary(*upstreamrun.Place, model.Time) bool {
 	k.t.Error("a primary was to be confirmed for work that is refused")
 	return false
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -68,6 +68,8 @@
 	probes *probes
 	local  upstreamrun.Local
 	rounds *statusRounds
+	// proofs is set by New.
+	proofs *commitProofs
 	// evacuated are the evacuated zones as of operatorsRevision, a revision of the
 	// store.
 	operatorsRevision int64
--- /dev/null
+++ b/linenode/commitproof.go
@@ -0,0 +1,240 @@
+package linenode
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/holderlink"
+	"github.com/chervilhatch/chervilhatch/panics"
+	"github.com/chervilhatch/chervilhatch/pause"
+	"github.com/chervilhatch/chervilhatch/upstreamrun"
+)
+
+const (
+	// reachTimeout is how long a VM of another zone may take to answer. A zone that is cut
+	// off for less than that loses no primary.
+	reachTimeout = 100 * time.Millisecond
+	// reachDistrust is how long after an unanswered question commits are proved by replicas
+	// alone: the cut may have ended before the replicas have caught up.
+	reachDistrust = 2 * time.Second
+	// commitPollInterval is the pause between status queries that look for a commit.
+	commitPollInterval = 50 * time.Millisecond
+)
+
+// commitProofs establish that a commit that a primary has acknowledged has left the zone of
+// the primary. A replica counts for acknowledgements before it is registered, and if it starts
+// in a zone that is cut off, it cannot register: another upstream is then promoted without the
+// commits that only this replica and the primary have.
+//
+// The usual proof is an answer from another zone to a question sent after the acknowledgement:
+// the zone was connected then, so the replicas elsewhere get the commit as well. The other proof
+// is a registered replica that has received the commit.
+type commitProofs struct {
+	cluster *cluster
+	members *members
+
+	mu sync.Mutex
+	// rounds has the last question to each zone.
+	rounds map[model.Zone]*reachRound
+	// unreachableAt is when no zone answered last, 0 if never.
+	unreachableAt model.Time
+}
+
+// reachRound is one question to a VM of a zone. Waiting commits share it.
+type reachRound struct {
+	sentAt model.Time
+	// done is closed when the question is answered or given up; answered is set before.
+	done     chan struct{}
+	answered bool
+}
+
+func newCommitProofs(c *cluster, m *members) *commitProofs {
+	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}}
+}
+
+// ConfirmCommit reports whether a commit up to position, which the primary p.Upstream has just
+// acknowledged, is on more than unregistered replicas in the primary's zone. It waits for the
+// proof until p.Deadline at most.
+func (c *cluster) ConfirmCommit(p *upstreamrun.Place, position model.Position) bool {
+	now := c.Now()
+	need := c.commitNeed(p, position)
+	if need.proved || len(need.elsewhere) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
+	defer cancel()
+	return need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) || c.proofs.awaitReplica(ctx, p, position)
+}
+
+// commitNeed is what is needed to prove a commit.
+type commitNeed struct {
+	// proved is true if nothing more is needed: commits need no replica, a registered one is
+	// known to have this one, or the acknowledgement has crossed zones while the primary was
+	// confirmed.
+	proved bool
+	// sameZone is true if the primary is in this VM's zone.
+	sameZone bool
+	// elsewhere are the registered replicas outside of the primary's zone.
+	elsewhere []replicaset.Member
+}
+
+func (c *cluster) commitNeed(p *upstreamrun.Place, position model.Position) commitNeed {
+	configuration := c.Catalog()
+	if configuration == nil || configuration.Service(p.Service) == nil || configuration.Service(p.Service).SyncReplicas == 0 {
+		return commitNeed{proved: true}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	primary, found := c.replicas.Member(p.Upstream)
+	need := commitNeed{sameZone: found && primary.Zone == c.zone}
+	need.proved = found && !need.sameZone && c.replicas.ConfirmedUntil(p.Upstream) >= c.Now()
+	for _, id := range c.replicas.Upstreams(p.Service) {
+		m, _ := c.replicas.Member(id)
+		if id == p.Upstream {
+			continue
+		}
+		need.proved = need.proved || holdsCommit(&m, position)
+		if !found || m.Zone != primary.Zone {
+			need.elsewhere = append(need.elsewhere, m)
+		}
+	}
+	return need
+}
+
+// holdsCommit reports whether a replica has said in the term of a commit that it has received it.
+func holdsCommit(m *replicaset.Member, position model.Position) bool {
+	s := &m.Status
+	return m.StatusAt != 0 && !s.Primary && s.Term == position.Term.Counter && s.Received.Compare(position) >= 0
+}
+
+// reachAny reports whether a VM in the zone of one of the replicas answers a question sent at
+// since or later. It does not ask shortly after no zone has answered.
+func (p *commitProofs) reachAny(ctx context.Context, replicas []replicaset.Member, since model.Time) bool {
+	p.mu.Lock()
+	distrusted := p.unreachableAt != 0 && since.Sub(p.unreachableAt) < reachDistrust
+	p.mu.Unlock()
+	targets := p.targets(replicas)
+	if distrusted || len(targets) == 0 {
+		return false
+	}
+	answers := make(chan bool, len(targets))
+	for zone, h := range targets {
+		go func() { answers <- p.reach(ctx, zone, h, since) }()
+	}
+	for range targets {
+		if <-answers {
+			return true
+		}
+	}
+	p.mu.Lock()
+	p.unreachableAt = p.cluster.Now()
+	p.mu.Unlock()
+	return false
+}
+
+// targets returns a VM that was healthy last in each zone of the replicas in which there is one.
+func (p *commitProofs) targets(replicas []replicaset.Member) map[model.Zone]holderVM {
+	targets := map[model.Zone]holderVM{}
+	for i := range replicas {
+		m := &replicas[i]
+		for _, h := range p.members.holdersIn(m.Zone, m.ID) {
+			if p.cluster.forward.usable(h) != nil {
+				targets[m.Zone] = h
+				break
+			}
+		}
+	}
+	return targets
+}
+
+// reach reports whether a VM of a zone answers a question sent at since or later.
+func (p *commitProofs) reach(ctx context.Context, zone model.Zone, h holderVM, since model.Time) bool {
+	for {
+		round := p.current(zone, h, since)
+		select {
+		case <-round.done:
+		case <-ctx.Done():
+			return false
+		}
+		if round.sentAt >= since || !round.answered {
+			return round.answered
+		}
+	}
+}
+
+// current returns the question to a zone that is under way, or else one sent at since or later.
+func (p *commitProofs) current(zone model.Zone, h holderVM, since model.Time) *reachRound {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := p.rounds[zone]; last != nil {
+		select {
+		case <-last.done:
+			if last.sentAt >= since {
+				return last
+			}
+		default:
+			return last
+		}
+	}
+	round := &reachRound{sentAt: p.cluster.Now(), done: make(chan struct{})}
+	p.rounds[zone] = round
+	go p.ask(h, round)
+	return round
+}
+
+// ask sends the question of a round.
+func (p *commitProofs) ask(h holderVM, round *reachRound) {
+	defer close(round.done)
+	p.cluster.forward.count("commit_proofs.asked")
+	link := p.cluster.forward.usable(h)
+	if link == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.cluster.probes.ctx, reachTimeout)
+	defer cancel()
+	_, err := holderlink.NewClient(h.vm, link).Check(ctx)
+	round.answered = err == nil
+}
+
+// awaitReplica queries the statuses of the replicas until one has received the commit. It
+// returns false when ctx ends first.
+func (p *commitProofs) awaitReplica(ctx context.Context, place *upstreamrun.Place, position model.Position) bool {
+	p.cluster.forward.count("commit_proofs.status")
+	for {
+		if p.queryReplicas(ctx, place, position) {
+			return true
+		}
+		if !pause.For(ctx, commitPollInterval) {
+			p.cluster.forward.count("commit_proofs.failed")
+			return false
+		}
+	}
+}
+
+// queryReplicas queries the status of all replicas and returns true as soon as one has received
+// the commit.
+func (p *commitProofs) queryReplicas(ctx context.Context, place *upstreamrun.Place, position model.Position) bool {
+	p.cluster.mu.Lock()
+	ids := p.cluster.replicas.Upstreams(place.Service)
+	p.cluster.mu.Unlock()
+	ids = slices.DeleteFunc(ids, func(id model.UpstreamID) bool { return id == place.Upstream })
+	answered := make(chan struct{}, len(ids))
+	for _, id := range ids {
+		go func() {
+			defer func() { answered <- struct{}{} }()
+			// The log has the error.
+			_ = panics.Call(p.cluster.log, "status query", func() { p.cluster.probes.status(ctx, id) })
+		}()
+	}
+	for range ids {
+		<-answered
+		if p.cluster.commitNeed(place, position).proved {
+			return true
+		}
+	}
+	return false
+}
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -282,6 +282,16 @@
 	return holdersOf(m.topo.holders, zone, id)
 }
 
+// holdersIn is holdersOf without VMs of other zones.
+func (m *members) holdersIn(zone model.Zone, id model.UpstreamID) []holderVM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.topo.holders[zone]) == 0 {
+		return nil
+	}
+	return holdersOf(m.topo.holders, zone, id)
+}
+
 // holders returns all VMs that may hold connections.
 func (m *members) holders() []holderVM {
 	m.mu.Lock()
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -84,6 +84,7 @@
 		g.OnGeneration(n.handleGeneration)
 	}
 	n.cluster.forward = n.forward
+	n.cluster.proofs = newCommitProofs(n.cluster, n.members)
 	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
 	n.cluster.followsHub = n.members.followsHub
--- a/lineproxy/floor_test.go
+++ b/lineproxy/floor_test.go
@@ -35,13 +35,14 @@
 func (c *advancingCluster) Admit(model.Workspace) quota.Decision {
 	return quota.Decision{Admitted: true}
 }
-func (c *advancingCluster) Refund(model.Workspace)                             {}
-func (c *advancingCluster) Observe(*replicaset.Event)                          {}
-func (c *advancingCluster) ConfirmPrimary(*upstreamrun.Place, model.Time) bool { return true }
-func (c *advancingCluster) Suspect(model.UpstreamID)                           {}
-func (c *advancingCluster) Isolated() bool                                     { return false }
-func (c *advancingCluster) local() *upstreamrun.Local                          { return &upstreamrun.Local{Cluster: c} }
-func (c *advancingCluster) Pool(model.UpstreamID) *upstreampool.Pool           { return c.pool }
+func (c *advancingCluster) Refund(model.Workspace)                                {}
+func (c *advancingCluster) Observe(*replicaset.Event)                             {}
+func (c *advancingCluster) ConfirmPrimary(*upstreamrun.Place, model.Time) bool    { return true }
+func (c *advancingCluster) ConfirmCommit(*upstreamrun.Place, model.Position) bool { return true }
+func (c *advancingCluster) Suspect(model.UpstreamID)                              {}
+func (c *advancingCluster) Isolated() bool                                        { return false }
+func (c *advancingCluster) local() *upstreamrun.Local                             { return &upstreamrun.Local{Cluster: c} }
+func (c *advancingCluster) Pool(model.UpstreamID) *upstreampool.Pool              { return c.pool }
 
 func (c *advancingCluster) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) {
 	return c.local().Run(r)
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -59,7 +59,18 @@
 	}
 	observeLoad(pool, &o.Answer, time.Since(start))
 	ReportAnswer(l.Cluster, &SentStatement{Upstream: r.Upstream, SentAt: sentAt, Floor: o.Floor, Committed: r.Write}, &o.Answer)
-	return o, nil
+	if r.Write {
+		err = l.confirmCommit(&r.Place, &o.Answer)
+	}
+	return o, err
+}
+
+// confirmCommit returns an error if a commit that the answer acknowledges may be lost.
+func (l *Local) confirmCommit(p *Place, a *upstreampool.Answer) error {
+	if a.Code != "" || l.Cluster.ConfirmCommit(p, a.Ready.Position) {
+		return nil
+	}
+	return &upstreampool.BrokenError{Upstream: p.Upstream, Sent: true, Err: errCommitUnconfirmed}
 }
 
 // prepare returns the text to send. It sets the floor of a read last, since the
--- a/upstreamrun/report.go
+++ b/upstreamrun/report.go
@@ -52,13 +52,15 @@
 
 // ReportAnswer reports what the answer to a statement sent after sentAt shows.
 // A replica that refuses a write of a read-only transaction has not lost the
-// role of primary, so this is not reported.
-func (x *TxProgress) ReportAnswer(c Cluster, sentAt model.Time, r *TxRequest, a *upstreampool.Answer) {
+// role of primary, so this is not reported. committed is true if the answer
+// acknowledges a commit of the transaction's writes.
+func (x *TxProgress) ReportAnswer(c Cluster, sentAt model.Time, r *TxRequest, a *upstreampool.Answer) (committed bool) {
+	committed = x.wrote && a.Ready.State == lineproto.Idle
 	if a.Code != lineproto.ReadOnly || !x.ReadOnly {
-		committed := x.wrote && a.Ready.State == lineproto.Idle
 		ReportAnswer(c, &SentStatement{Upstream: x.Upstream, SentAt: sentAt, Committed: committed}, a)
 	}
 	x.wrote = x.wrote || r.Write && a.Code == ""
+	return committed && a.Code == ""
 }
 
 // ReportFailure reports an upstream that could not be reached. The failure of
--- a/upstreamrun/report_test.go
+++ b/upstreamrun/report_test.go
@@ -22,11 +22,12 @@
 	confirmed bool
 }
 
-func (r *recorder) Now() model.Time                          { return 1 }
-func (r *recorder) Observe(ev *replicaset.Event)             { r.events = append(r.events, *ev) }
-func (r *recorder) ConfirmPrimary(*Place, model.Time) bool   { return r.confirmed }
-func (r *recorder) Suspect(model.UpstreamID)                 { r.suspects++ }
-func (r *recorder) Pool(model.UpstreamID) *upstreampool.Pool { return nil }
+func (r *recorder) Now() model.Time                           { return 1 }
+func (r *recorder) Observe(ev *replicaset.Event)              { r.events = append(r.events, *ev) }
+func (r *recorder) ConfirmPrimary(*Place, model.Time) bool    { return r.confirmed }
+func (r *recorder) ConfirmCommit(*Place, model.Position) bool { return true }
+func (r *recorder) Suspect(model.UpstreamID)                  { r.suspects++ }
+func (r *recorder) Pool(model.UpstreamID) *upstreampool.Pool  { return nil }
 func (r *recorder) Floor(catalog.Service, time.Duration, model.Position) (model.Position, time.Duration, bool) {
 	return model.Position{}, 0, false
 }
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -60,7 +60,7 @@
 		pool.Release(conn, o.Ready.State == lineproto.Idle)
 		return nil, o, nil
 	}
-	tx := &localTx{local: l, conn: conn, pool: pool}
+	tx := &localTx{local: l, conn: conn, pool: pool, place: r.Place}
 	tx.Upstream, tx.ReadOnly = r.Upstream, r.ReadOnly
 	return tx, o, nil
 }
@@ -72,6 +72,8 @@
 	// conn is nil once the transaction is over.
 	conn *upstreampool.Conn
 	pool *upstreampool.Pool
+	// place is where the transaction was opened.
+	place Place
 }
 
 // Send runs a statement. For at most r.Wait, it sends the statement again while
@@ -90,8 +92,12 @@
 	if a.Ready.State == lineproto.Idle {
 		x.release(true)
 	}
-	x.ReportAnswer(x.local.Cluster, sentAt, r, &a)
-	return a, nil
+	if x.ReportAnswer(x.local.Cluster, sentAt, r, &a) {
+		place := x.place
+		place.Deadline = r.Deadline
+		err = x.local.confirmCommit(&place, &a)
+	}
+	return a, err
 }
 
 func (x *localTx) send(r *TxRequest) (upstreampool.Answer, error) {
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -22,6 +22,10 @@
 // write, or a read that has to see every commit, cannot be sent. Nothing was sent.
 var ErrUnconfirmed = errors.New("primary not confirmed")
 
+// errCommitUnconfirmed means that a commit was acknowledged and may be lost all the same, so
+// that its outcome counts as unknown.
+var errCommitUnconfirmed = errors.New("commit not known outside of the primary's zone")
+
 // Mode is how a statement is run.
 type Mode uint8
 
@@ -129,6 +133,10 @@
 	// service when the statement arrived, at since. It may wait for the proof, for at
 	// most Place.Wait.
 	ConfirmPrimary(p *Place, since model.Time) bool
+	// ConfirmCommit reports whether a commit up to position that p.Upstream has just
+	// acknowledged outlasts a change of primary in which the zone of p.Upstream is cut off.
+	// It may wait for the proof, until p.Deadline.
+	ConfirmCommit(p *Place, position model.Position) bool
 	// Suspect requests status queries to an upstream that does not answer.
 	Suspect(id model.UpstreamID)
 	// Pool returns the connection pool of an upstream, or nil.
