Let failovers wait for late registrations, and for evidence from after a loss

What callers would see: acknowledged commits that are missing after a failover of a primary that does not answer.

Cause: the list of upstreams had to be newer than the start of the failover only, although a replica counts for acknowledgements before it is registered. In a group that had lost a replica, evidence from before the loss counted as proof of the commits after it.

Evidence from before a loss does not count.

--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -42,6 +42,8 @@
 	backoffUntil model.Time
 	// noPrimarySince is the time since which no primary is known, 0 if one is.
 	noPrimarySince model.Time
+	// primaryAliveAt is when a primary last answered this VM or a peer, 0 if none has.
+	primaryAliveAt model.Time
 	// stalledSince is the time since which the replicas have been stuck at
 	// stalledPosition behind the primary. While they are not stuck, each tick
 	// sets it to the current time.
@@ -212,7 +214,7 @@
 // tickService advances the transition of a service, or starts one if there is a
 // cause.
 func (s *State) tickService(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
-	svc.observe(now, v)
+	svc.observe(now, v, in)
 	if svc.transition != nil {
 		return s.advance(now, svc, v, in, out)
 	}
@@ -225,7 +227,7 @@
 	if cause == "" {
 		return svc.releaseOrphanedFences(now, v, out)
 	}
-	t := &transition{withdrawn: map[model.VMID]model.Time{}, planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1}
+	t := &transition{withdrawn: map[model.VMID]model.Time{}, planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1, aliveAt: svc.primaryAliveAt}
 	for i := range v.Members {
 		t.initialMembers = append(t.initialMembers, v.Members[i].ID)
 	}
@@ -240,9 +242,10 @@
 
 // observe tracks the conditions that must last for a while to start a failover:
 // a missing primary and stalled replication.
-func (svc *serviceState) observe(now model.Time, v *replicaset.View) {
-	if v.Primary != "" {
+func (svc *serviceState) observe(now model.Time, v *replicaset.View, in *Input) {
+	if m := findMember(v, v.Primary); m != nil {
 		svc.noPrimarySince = 0
+		svc.primaryAliveAt = max(svc.primaryAliveAt, m.ContactAt, in.PeerContact(m.ID))
 	} else if svc.noPrimarySince == 0 {
 		svc.noPrimarySince = now
 	}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -41,6 +41,9 @@
 	// reached it since.
 	steppedDownAt  model.Time
 	oldPrimaryLost bool
+	// aliveAt is when the old primary, or the last known one if there was none at the start,
+	// last answered this VM or a peer, 0 if never.
+	aliveAt model.Time
 	// listNeededAt is when a list of upstreams was last asked for.
 	listNeededAt model.Time
 
@@ -184,9 +187,12 @@
 
 // observeOldPrimary records whether the old primary may still acknowledge commits.
 func (t *transition) observeOldPrimary(now model.Time, v *replicaset.View, in *Input) {
-	switch m := findMember(v, t.oldPrimary); {
-	case m == nil:
+	m := findMember(v, t.oldPrimary)
+	if m == nil {
 		return
+	}
+	t.aliveAt = max(t.aliveAt, m.ContactAt, in.PeerContact(m.ID))
+	switch {
 	case reachable(now, m):
 		t.oldPrimaryLost = false
 	case primaryLost(now, m, in):
@@ -211,7 +217,7 @@
 // requestList asks for a list of upstreams while the target may depend on a replica that
 // has not registered yet.
 func (t *transition) requestList(now model.Time, svc *serviceState, out []Effect) []Effect {
-	if t.planned || t.steppedDownAt == 0 || now.Sub(t.listNeededAt) < listRefreshInterval {
+	if t.planned || now.Sub(t.listNeededAt) < listRefreshInterval {
 		return out
 	}
 	t.listNeededAt = now
@@ -302,6 +308,9 @@
 		return t.targetAfterStepDown(v, best, oldPrimary, fences)
 	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
 		return nil
+	case v.ListedAt < t.aliveAt.Add(registrationTimeout):
+		// A replica that had started before the old primary was lost may be missing.
+		return nil
 	case fences == fencesComplete && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
 		return best
 	}
@@ -378,7 +387,8 @@
 // hasAllCommits reports whether best, the most advanced fenced replica, has every
 // acknowledged commit. If another replica has disappeared, commits may have been
 // acknowledged by that one only. best must then reach the position of the newest
-// evidence of the primary's log. This is not required if the old primary is gone as
+// evidence of the primary's log, and that has to be from after the disappearance. This is
+// not required if the old primary is gone as
 // well, because no remaining upstream has a longer log than best. If this VM saw no
 // replica go, it waits for at most unknownDepartureTimeout, and not at all without evidence.
 func (t *transition) hasAllCommits(now model.Time, best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
@@ -389,7 +399,7 @@
 	if !v.MemberLost && (!ok || now.Sub(svc.knownSince) > unknownDepartureTimeout) {
 		return true
 	}
-	if !ok {
+	if !ok || v.MemberLost && e.At < v.IncompleteSince {
 		return false
 	}
 	return best.Status.Received.Compare(e.Position) >= 0
