Take no list as complete right after an outage of the store

What callers would see: commits that are missing, or reads that lack them, after a replica has started during an outage of the store.

Cause: a list counted as complete for good 2.5 s after the start of the VM. A replica that starts during an outage is not known from before and registers up to two seconds after the return.

Change: the 2.5 s begin anew after an outage in which the list has become that old. Changes of primary wait for them.

--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -104,7 +104,9 @@
 		return s.applyRegistrations(now, ev, out)
 	case EventStoreUnavailable:
 		s.storeUnavailable, s.storeUnavailableAt = true, now
-		if !s.listComplete() && now.Sub(s.listedAt) > maxListAge {
+		// An upstream that has started during a longer outage is not known from before, and
+		// takes up to MissingGracePeriod to register once the store is back.
+		if age := now.Sub(s.listedAt); age > MissingGracePeriod || !s.listComplete() && age > maxListAge {
 			s.firstListedAt = 0
 		}
 		return out
