Confirm a leaving primary until the target of its switchover has caught up

Cause: VMs were told to drop the primary at the start of a switchover, before it was known whether a target would be safe.

Evidence: TestLeavingPrimaryIsConfirmedUntilItsTargetHasCaughtUp failed before.

Change: VMs are told once the target has caught up and the other replicas are fenced. The time limit of the catch-up does not cover the time that VMs take to drop the primary. A failover of a lost primary ends when it is back also while calls of an earlier lease holder are uncertain, as before; only an unfinished promotion does not.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -102,7 +102,7 @@
 	if primary == nil || v.PrimaryTerm == 0 || svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
 		return
 	}
-	if svc.transition != nil && svc.transition.phase != phaseUnfence {
+	if t := svc.transition; t != nil && t.phase != phaseUnfence && (t.phase != phaseFence || t.withdrawingSince != 0) {
 		return
 	}
 	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -250,6 +250,27 @@
 	h.wantPromoteCall("b")
 }
 
+// Guards against callers that are refused while the target of a switchover catches up, and against
+// a primary that stays confirmed once its successor is being promoted.
+func TestLeavingPrimaryIsConfirmedUntilItsTargetHasCaughtUp(t *testing.T) {
+	h := newHarness(t)
+	h.member("a").Status.Received = pos(110)
+	h.member("a").Leaving = true
+	for range 15 {
+		h.advance(100 * ms)
+		if confirmed := h.state.Confirm(h.now, "vm"); len(confirmed) != 1 || confirmed[0].Upstream != "a" {
+			t.Fatalf("confirmed %+v while the target is behind, want a", confirmed)
+		}
+	}
+	h.wantNoPromoteCall()
+	h.member("b").Status.Received, h.member("c").Status.Received = pos(110), pos(110)
+	for h.advance(20 * ms); len(h.promoteCalls) == 0; h.advance(20 * ms) {
+		if confirmed := h.state.Confirm(h.now, "vm"); len(confirmed) > 0 {
+			t.Fatalf("confirmed %+v while VMs are told to drop the primary", confirmed)
+		}
+	}
+}
+
 // Guards against fences that remain after an abandoned switchover.
 func TestOrphanedFencesAreReleased(t *testing.T) {
 	h := newHarness(t)
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -36,6 +36,9 @@
 	// withdrawn are the VMs that have dropped the primary during this transition, with
 	// the time at which the vouchers that they gave end.
 	withdrawn map[model.VMID]model.Time
+	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
+	// it is not confirmed any more.
+	withdrawingSince model.Time
 	// steppedDownAt is when this VM learned that the old primary acknowledges no more
 	// commits, 0 while it may; oldPrimaryLost is true if neither this VM nor a peer has
 	// reached it since.
@@ -128,15 +131,21 @@
 	if t.planned {
 		limit = catchUpTimeout
 	}
-	if now.Sub(t.phaseStartedAt) > limit {
+	if now.Sub(max(t.phaseStartedAt, t.withdrawingSince)) > limit {
 		return svc.endTransition(now, "no target is safe in time", true, out)
 	}
-	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && !svc.uncertain(now) && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
+	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && t.cause != causeUnfinished && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
 	t.observeOldPrimary(now, v, in)
 	target := t.selectTarget(now, v, in, svc)
-	out = svc.withdraw(now, in, out)
+	// A primary that is to be switched over serves until the target has caught up.
+	if t.withdrawingSince == 0 && (!t.planned || target != nil) {
+		t.withdrawingSince = now
+	}
+	if t.withdrawingSince != 0 {
+		out = svc.withdraw(now, in, out)
+	}
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
 	steppedDown := !svc.uncertain(now) && t.oldPrimarySteppedDown(v)
