--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -134,7 +134,7 @@
 	if now.Sub(max(t.phaseStartedAt, t.withdrawingSince)) > limit {
 		return svc.endTransition(now, "no target is safe in time", true, out)
 	}
-	if oldPrimary := findMember(v, t.oldPrimary); !t.planned && oldPrimary != nil && t.cause != causeStalled && t.cause != causeUnfinished && !svc.callPending && v.Primary == t.oldPrimary && reachable(now, oldPrimary) && oldPrimary.ContactAt > t.startedAt {
+	if svc.primaryIsBack(now, v) {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
 	t.observeOldPrimary(now, v, in)
@@ -162,6 +162,17 @@
 	return s.callPromote(now, svc, v, out)
 }
 
+// primaryIsBack reports whether the primary whose loss is the cause of the transition answers
+// again, so that no other one is needed.
+func (svc *serviceState) primaryIsBack(now model.Time, v *replicaset.View) bool {
+	t := svc.transition
+	if t.planned || t.cause == causeStalled || t.cause == causeUnfinished || svc.callPending {
+		return false
+	}
+	m := findMember(v, t.oldPrimary)
+	return m != nil && v.Primary == t.oldPrimary && reachable(now, m) && m.ContactAt > t.startedAt
+}
+
 // callPromote calls the platform to promote the target of the transition.
 func (s *State) callPromote(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
@@ -264,8 +275,9 @@
 }
 
 // selectTarget returns the upstream to promote, or nil while none is safe. The list of
-// upstreams has to be newer than the fencing phase: a replica that was added shortly before
-// may have received commits, and is fenced as well once it is known.
+// upstreams has to be newer than the fencing phase, and for a failover newer still (see
+// failoverTarget): a replica that was added shortly before may have received commits, and is
+// fenced as well once it is known.
 func (t *transition) selectTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	switch {
 	case v.ListedAt < t.phaseStartedAt:
@@ -314,7 +326,7 @@
 func (t *transition) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
 	best := t.mostAdvancedFenced(v, in, svc)
 	oldPrimary := findMember(v, t.oldPrimary)
-	fences := t.fenceState(v, best, in, svc)
+	fences := t.fencing(v, best, in, svc)
 	switch {
 	case t.steppedDownAt != 0 && hasLog(oldPrimary, in, svc):
 		return t.targetAfterStepDown(v, best, oldPrimary, fences)
@@ -360,7 +372,8 @@
 	fencesComplete
 )
 
-func (t *transition) fenceState(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState) fenceState {
+// fencing returns how far the fencing of the replicas is. best is the most advanced fenced one.
+func (t *transition) fencing(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState) fenceState {
 	state := fencesComplete
 	if !t.allPresent(v) {
 		state = fencesImpossible
@@ -400,9 +413,9 @@
 // acknowledged commit. If another replica has disappeared, commits may have been
 // acknowledged by that one only. best must then reach the position of the newest
 // evidence of the primary's log, and that has to be from after the disappearance. This is
-// not required if the old primary is gone as
-// well, because no remaining upstream has a longer log than best. If this VM saw no
-// replica go, it waits for at most unknownDepartureTimeout, and not at all without evidence.
+// not required if the old primary is gone as well, because no remaining upstream has a
+// longer log than best. If this VM saw no replica go, it waits for at most
+// unknownDepartureTimeout, and not at all without evidence.
 func (t *transition) hasAllCommits(now model.Time, best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
 	if !v.Incomplete || oldPrimary == nil {
 		return true
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -62,7 +62,7 @@
 // proof until p.Deadline at most.
 func (c *cluster) ConfirmCommit(p *upstreamrun.Place, position model.Position) bool {
 	now := c.Now()
-	need := c.commitNeed(p, position)
+	need := c.proofNeeded(p, position)
 	if need.proved || len(need.elsewhere) == 0 {
 		return true
 	}
@@ -71,8 +71,8 @@
 	return need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) || c.proofs.awaitReplica(ctx, p, position)
 }
 
-// commitNeed is what is needed to prove a commit.
-type commitNeed struct {
+// proofNeed is what is known of a commit when its proof is looked for.
+type proofNeed struct {
 	// proved is true if nothing more is needed: commits need no replica, a registered one is
 	// known to have this one, or the acknowledgement has crossed zones while the primary was
 	// confirmed.
@@ -83,15 +83,16 @@
 	elsewhere []replicaset.Member
 }
 
-func (c *cluster) commitNeed(p *upstreamrun.Place, position model.Position) commitNeed {
+// proofNeeded returns what is known of a commit of the primary p.Upstream up to position.
+func (c *cluster) proofNeeded(p *upstreamrun.Place, position model.Position) proofNeed {
 	configuration := c.Catalog()
 	if configuration == nil || configuration.Service(p.Service) == nil || configuration.Service(p.Service).SyncReplicas == 0 {
-		return commitNeed{proved: true}
+		return proofNeed{proved: true}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	primary, found := c.replicas.Member(p.Upstream)
-	need := commitNeed{sameZone: found && primary.Zone == c.zone}
+	need := proofNeed{sameZone: found && primary.Zone == c.zone}
 	need.proved = found && !need.sameZone && c.replicas.ConfirmedUntil(p.Upstream) >= c.Now()
 	for _, id := range c.replicas.Upstreams(p.Service) {
 		m, _ := c.replicas.Member(id)
@@ -239,7 +240,7 @@
 	}
 	for range ids {
 		<-answered
-		if p.cluster.commitNeed(place, position).proved {
+		if p.cluster.proofNeeded(place, position).proved {
 			return true
 		}
 	}
