Let new terms need a majority of the former list of upstreams as well

What callers would see, on the PostgreSQL path: an acknowledged write that is missing after an upstream was replaced in the configuration and the primary was lost shortly after.

Cause: watchers used the new list at once. A majority of it need not share an upstream with the majority of the former list that had acknowledged the write.

Change: until a majority of the new list has received a position that the primary had 5 s after the change, fences, answers and exclusions need a majority of each list. Two tests hold that this ends, and that added upstreams do not prevent a failover.

--- a/core/failover/group.go
+++ b/core/failover/group.go
@@ -12,6 +12,7 @@
 type group struct {
 	database   model.Database
 	members    []member
+	former     formerLists
 	peers      []peer
 	detect     time.Duration
 	backoffMin time.Duration
@@ -80,6 +81,7 @@
 	g.backoffMin = orDefault(ev.BackoffMin, DefaultBackoffMin)
 	g.backoffMax = orDefault(ev.BackoffMax, DefaultBackoffMax)
 	old := g.members
+	g.former.add(t.now, old, ev.Upstreams)
 	g.members = make([]member, len(ev.Upstreams))
 	for i, u := range ev.Upstreams {
 		if j := memberIndex(old, u.ID); j >= 0 {
--- a/core/failover/grouplist_test.go
+++ b/core/failover/grouplist_test.go
@@ -40,7 +40,16 @@
 	f.status["d"] = &dbgroup.Status{Promised: term1, LastTerm: term1, Received: 10}
 	f.status["c"] = nil
 	f.apply(f.config)
+	if u := f.losePrimary(); u != "" {
+		t.Fatalf("%s is promoted at 10 by the majority of b and d; 11 was acknowledged by a and c", u)
+	}
+}
+
+// losePrimary lets upstream a stop answering all watchers, and returns the upstream that is
+// promoted within 4 s, or an empty ID.
+func (f *fixture) losePrimary() model.UpstreamID {
 	f.status["a"] = nil
+	f.effects = nil
 	for i := 0; i < 200; i++ {
 		f.now = f.now.Add(tickInterval)
 		for _, p := range []model.VMID{"vm2", "vm3"} {
@@ -50,7 +59,37 @@
 	}
 	for _, e := range f.effects {
 		if e.Kind == SendPromote {
-			t.Fatalf("%s is promoted at 10 by the majority of b and d; 11 was acknowledged by a and c", e.Upstream)
+			return e.Upstream
 		}
 	}
+	return ""
+}
+
+// Guards against a database that has no primary for good after a change of its list of
+// upstreams: the former list is needed only until the new one has what it acknowledged.
+func TestReplacedUpstreamIsForgotten(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, noEffect)
+	f.config.Upstreams = []Upstream{{ID: "a", Zone: "z1", Holder: "vm1"}, {ID: "b", Zone: "z2"}, {ID: "d", Zone: "z1"}}
+	f.status["d"] = &dbgroup.Status{Promised: term1, LastTerm: term1, Received: 4}
+	f.status["c"] = nil
+	f.apply(f.config)
+	f.run(formerListTime+time.Second, noEffect)
+	f.status["d"].Received = 10
+	f.run(2*time.Second, noEffect)
+	if f.losePrimary() == "" {
+		t.Error("nothing was promoted after the loss of the primary")
+	}
+}
+
+// Guards against a database that has no primary after an upstream was added to its list.
+func TestAddedUpstreamDoesNotPreventAFailover(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second, noEffect)
+	f.config.Upstreams = append(f.config.Upstreams, Upstream{ID: "d", Zone: "z1"}, Upstream{ID: "e", Zone: "z2"})
+	f.status["d"] = &dbgroup.Status{Promised: term1, LastTerm: term1, Received: 10}
+	f.apply(f.config)
+	if f.losePrimary() == "" {
+		t.Error("nothing was promoted after the loss of the primary, though majorities of both lists answer")
+	}
 }
--- a/core/failover/health.go
+++ b/core/failover/health.go
@@ -62,20 +62,15 @@
 // for half the detection time, although a majority without the primary answers
 // and could continue without it.
 func (g *group) isStalled(now model.Time) bool {
-	return g.stall.duration(now) >= g.detect/2 && g.countAnswering(now, g.primary) >= g.majority()
+	return g.stall.duration(now) >= g.detect/2 &&
+		g.hasMajority(func(i int) bool { return g.members[i].ID != g.primary && g.answering(now, i) })
 }
 
-// countAnswering counts the members other than except that have answered a
-// status poll sent within the last detection time.
-func (g *group) countAnswering(now model.Time, except model.UpstreamID) int {
-	n := 0
-	for i := range g.members {
-		m := &g.members[i]
-		if m.known && m.ID != except && now.Sub(m.sentAt) <= g.detect {
-			n++
-		}
-	}
-	return n
+// answering reports whether member i has answered a status poll sent within the last
+// detection time.
+func (g *group) answering(now model.Time, i int) bool {
+	m := &g.members[i]
+	return m.known && now.Sub(m.sentAt) <= g.detect
 }
 
 // detectionTime returns how long the primary must be unresponsive before it
--- a/core/failover/proposal.go
+++ b/core/failover/proposal.go
@@ -133,20 +133,17 @@
 	}
 }
 
-// fenceComplete reports whether a majority has accepted the fence, and either
+// fenceComplete reports whether a majority (see hasMajority) has accepted the fence, and either
 // no response is outstanding or fenceGrace has passed.
 func (g *group) fenceComplete(now model.Time) bool {
 	p := &g.proposal
-	count, open := 0, 0
+	open := 0
 	for _, r := range p.replies {
-		switch r {
-		case accepted:
-			count++
-		case noReply:
+		if r == noReply {
 			open++
 		}
 	}
-	if count < g.majority() {
+	if !g.hasMajority(func(i int) bool { return p.replies[i] == accepted }) {
 		return false
 	}
 	if p.majorityAt == 0 {
@@ -183,13 +180,7 @@
 	if !p.isolated || g.members[i].ID != p.avoid {
 		return true
 	}
-	others := 0
-	for j, r := range p.replies {
-		if j != i && r == accepted {
-			others++
-		}
-	}
-	return others < g.majority()
+	return !g.hasMajority(func(j int) bool { return j != i && p.replies[j] == accepted })
 }
 
 func (g *group) sendPromote(t *transition) {
--- a/core/failover/tick.go
+++ b/core/failover/tick.go
@@ -92,6 +92,7 @@
 // advance moves a proposal or switchover forward after an event.
 func (g *group) advance(t *transition) {
 	g.updateStall(t.now)
+	g.updateFormerLists()
 	if g.proposal.phase != idle {
 		g.advanceProposal(t)
 		return
@@ -106,7 +107,7 @@
 // majority of members that answer, no proposal is made: it could only fence a
 // minority, which would then no longer follow the primary.
 func (g *group) considerProposal(t *transition) {
-	if !g.isLost(t.now) || g.countAnswering(t.now, "") < g.majority() {
+	if !g.isLost(t.now) || !g.hasMajority(func(i int) bool { return g.answering(t.now, i) }) {
 		g.proposeAt = 0
 		return
 	}
