Keep the shares of VMs that are missing from a list after an outage

What callers would see: rates of workspaces and connection limits that are exceeded for seconds after an outage of the store.

Cause: a VM that is missing from the list of VMs counted as gone at once, although after an outage its entry may only have expired.

TestVMsThatAreGoneGiveTheirSharesUp holds that this ends, and that a VM that leaves without an outage counts no more at once.

--- a/linenode/members.go
+++ b/linenode/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/store"
 )
@@ -53,6 +54,12 @@
 	learned map[model.VMID]datedEntry
 	// missing are VMs that have disappeared from the list within missingVMRetention.
 	missing map[model.VMID]datedEntry
+	// listSentAt is when the read of the list was sent. If it was the first after an outage of
+	// the store, the VMs that were missing from then on keep their parts of rates and
+	// connections until keepMissingUntil; keptMissing is their number.
+	listSentAt       model.Time
+	keepMissingUntil model.Time
+	keptMissing      int
 	// topo is the topology as of the last change of the list of VMs.
 	topo topology
 	// peerIsolated is true for the neighbors whose last answer said that they are
@@ -157,12 +164,20 @@
 	// those of the other VMs, so the list is complete.
 	returned := found && own.Incarnation != m.incarnation
 	listed[m.options.VM] = m.self()
+	now := boottime.Now()
 	m.mu.Lock()
+	if m.listSentAt != 0 && sentAt.Sub(m.listSentAt) > replicaset.MissingGracePeriod {
+		m.keepMissingUntil = now.Add(replicaset.MissingGracePeriod)
+	}
+	m.listSentAt = sentAt
 	changed := len(listed) != len(m.listed)
 	for vm, e := range listed {
 		changed = changed || m.listed[vm] != e
 	}
 	changed = m.updateMissing(listed) || changed
+	if kept := len(m.keptVMs(now)); kept != m.keptMissing {
+		m.keptMissing, changed = kept, true
+	}
 	m.listed, m.listRead = listed, true
 	if !m.listSettled && (returned || m.writtenAt != 0 && sentAt.Sub(m.writtenAt) >= listSettleTime) {
 		m.listSettled, changed = true, true
@@ -179,6 +194,18 @@
 	}
 }
 
+// keptVMs returns the VMs that have disappeared from the list with an outage of the store, in
+// which entries expire, as long as they may only have to write theirs again. The caller holds mu.
+func (m *members) keptVMs(now model.Time) []model.VMID {
+	var kept []model.VMID
+	for vm, l := range m.missing {
+		if now < m.keepMissingUntil && l.at >= m.keepMissingUntil.Add(-replicaset.MissingGracePeriod) {
+			kept = append(kept, vm)
+		}
+	}
+	return kept
+}
+
 // updateMissing adds to missing the VMs that are listed and not in next, and removes
 // those that are back or that have been missing for missingVMRetention. It reports
 // whether one was removed for the latter reason. The caller holds mu.
@@ -225,6 +252,7 @@
 	all := m.all()
 	m.mu.Lock()
 	listSettled := m.listSettled
+	kept := m.keptVMs(boottime.Now())
 	missing := make(map[model.VMID]memberEntry, len(m.missing))
 	for vm, l := range m.missing {
 		missing[vm] = l.entry
@@ -237,6 +265,11 @@
 	for vm := range all {
 		vms = append(vms, vm)
 	}
+	for _, vm := range kept {
+		if _, known := all[vm]; !known {
+			vms = append(vms, vm)
+		}
+	}
 	slices.Sort(vms)
 	topo := newTopology(m.options.VM, all, missing)
 	m.mu.Lock()
