--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// reachTimeout is how long another zone may take to answer. A zone that is cut
-	// off for less than that loses no primary.
+	// reachTimeout is how long another zone may take to answer. A primary that is cut off
+	// for less than that is not replaced.
 	reachTimeout = 100 * time.Millisecond
 	// reachDistrust is how long after an unanswered question commits are proved by replicas
 	// alone: the cut may have ended before the replicas have caught up.
@@ -31,9 +31,8 @@
 // commits that only this replica and the primary have.
 //
 // The usual proof is an answer from another zone, by a VM or else by a replica, to a question
-// sent after the acknowledgement:
-// the zone was connected then, so the replicas elsewhere get the commit as well. The other proof
-// is a registered replica that has received the commit.
+// sent after the acknowledgement: the zone was connected then, so the replicas elsewhere get the
+// commit as well. The other proof is a registered replica that has received the commit.
 type commitProofs struct {
 	cluster *cluster
 	members *members
