Let a former primary without its log delay no failover, and reword what a reader would ask about

What callers would see: after a crash of a primary that comes back without its log, the service has no primary for some 7 s.

Cause: the failover went on waiting for registrations as long as the former primary answered, although it was no primary any more; and its lost log counted as that of a replica, so that no evidence was new enough.

Evidence: TestFormerPrimaryWithoutItsLogIsReplacedInTime failed before, with 7.65 s; the limit is 2.5 s, of which 1.5 s are the wait for registrations.

Change: only answers as the primary prolong the wait, and only the loss of another upstream makes older evidence void.

Besides: comments and names that had to be read twice, one set-up of the fixture for groups, and TestReplacedUpstreamLosesNoCommit looks at all promotions again, not only at those after the loss of the primary.

--- a/core/failover/formerlists.go
+++ b/core/failover/formerlists.go
@@ -39,12 +39,12 @@
 	f.changedAt, f.term = now, model.Term{}
 }
 
-// hasMajority reports whether the members for which is returns true are a majority of the
+// hasMajority reports whether the members i for which counts(i) is true are a majority of the
 // group, and of each former list that is still needed.
-func (g *group) hasMajority(is func(i int) bool) bool {
+func (g *group) hasMajority(counts func(i int) bool) bool {
 	count := 0
 	for i := range g.members {
-		if is(i) {
+		if counts(i) {
 			count++
 		}
 	}
@@ -54,7 +54,7 @@
 	for _, list := range g.former.lists {
 		count := 0
 		for _, id := range list {
-			if i := memberIndex(g.members, id); i >= 0 && is(i) {
+			if i := memberIndex(g.members, id); i >= 0 && counts(i) {
 				count++
 			}
 		}
--- a/core/failover/group.go
+++ b/core/failover/group.go
@@ -10,8 +10,9 @@
 
 // group is the state of a watcher for one database group.
 type group struct {
-	database   model.Database
-	members    []member
+	database model.Database
+	members  []member
+	// former are the lists of upstreams that members have replaced and that still count.
 	former     formerLists
 	peers      []peer
 	detect     time.Duration
--- a/core/failover/grouplist_test.go
+++ b/core/failover/grouplist_test.go
@@ -45,11 +45,10 @@
 	}
 }
 
-// losePrimary lets upstream a stop answering all watchers, and returns the upstream that is
-// promoted within 4 s, or an empty ID.
+// losePrimary lets upstream a stop answering all watchers for 4 s, and returns the first upstream
+// that was promoted according to f.effects, or an empty ID.
 func (f *fixture) losePrimary() model.UpstreamID {
 	f.status["a"] = nil
-	f.effects = nil
 	for i := 0; i < 200; i++ {
 		f.now = f.now.Add(tickInterval)
 		for _, p := range []model.VMID{"vm2", "vm3"} {
@@ -77,6 +76,7 @@
 	f.run(formerListTime+time.Second, noEffect)
 	f.status["d"].Received = 10
 	f.run(2*time.Second, noEffect)
+	f.effects = nil
 	if f.losePrimary() == "" {
 		t.Error("nothing was promoted after the loss of the primary")
 	}
@@ -89,6 +89,7 @@
 	f.config.Upstreams = append(f.config.Upstreams, Upstream{ID: "d", Zone: "z1"}, Upstream{ID: "e", Zone: "z2"})
 	f.status["d"] = &dbgroup.Status{Promised: term1, LastTerm: term1, Received: 10}
 	f.apply(f.config)
+	f.effects = nil
 	if f.losePrimary() == "" {
 		t.Error("nothing was promoted after the loss of the primary, though majorities of both lists answer")
 	}
--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -95,7 +95,8 @@
 }
 
 // updateConfirmable decides whether the primary of a service can be confirmed: it is
-// neither suspected nor being changed, and no promotion call can still change it.
+// neither suspected nor being changed, and no promotion call can still change it. In a
+// switchover it is confirmed until VMs are told to drop it.
 func (s *State) updateConfirmable(now model.Time, svc *serviceState, v *replicaset.View, in *Input) {
 	svc.confirmable = Confirmation{}
 	primary := findMember(v, v.Primary)
--- a/core/promotion/group_test.go
+++ b/core/promotion/group_test.go
@@ -19,6 +19,16 @@
 	return &groupHarness{listHarness: newListHarness(), received: map[model.UpstreamID]uint64{}, replica: map[model.UpstreamID]bool{}}
 }
 
+// completeGroup lists a, b and c until the lease holder knows them as the whole group.
+func (h *groupHarness) completeGroup() {
+	h.list("a", "b", "c")
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
+	for range 4 {
+		h.step(time.Second)
+		h.list("a", "b", "c")
+	}
+}
+
 func (h *groupHarness) status(id model.UpstreamID) {
 	p := model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(h.received[id])}
 	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventStatus, Upstream: id, SentAt: h.now, Status: replicaset.Status{
@@ -51,12 +61,7 @@
 func TestNoSwitchoverInAnIncompleteGroup(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10, "d": 10}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	// Commits 11 to 15 reach c only and are acknowledged; the VM has evidence of them.
 	h.received["a"], h.received["c"] = 15, 15
 	h.step(300 * time.Millisecond)
@@ -92,12 +97,7 @@
 func TestFormerPrimaryWithoutItsLogProvesNothing(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 10, "c": 20}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	// c, which alone has received 11 to 20, and a do not answer; a comes back empty.
 	h.down["a"], h.down["c"] = true, true
 	h.step(1500 * time.Millisecond)
@@ -117,12 +117,7 @@
 func TestFormerPrimaryWithoutItsLogIsNotPromoted(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 20, "c": 20}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	h.down["a"], h.down["b"], h.down["c"] = true, true, true
 	h.step(1500 * time.Millisecond)
 	h.list("a", "b", "c")
@@ -163,12 +158,7 @@
 func TestNoFailoverOnEvidenceOlderThanTheLossOfAReplica(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	h.step(200 * time.Millisecond)
 	if v := h.view.Views()[0]; v.Incomplete || !v.ListComplete {
 		t.Fatalf("fixture: incomplete %t, list complete %t", v.Incomplete, v.ListComplete)
@@ -192,12 +182,7 @@
 func TestNoFailoverAfterAReplicaLeftDuringIt(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 15}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	// 11 to 15 were acknowledged through c after the last status of the primary; c does not
 	// answer and leaves.
 	h.down["a"], h.down["c"] = true, true
@@ -217,12 +202,7 @@
 func TestFailoverAwaitsReplicasThatRegisterLate(t *testing.T) {
 	h := newGroupHarness()
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10, "d": 15}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	h.down["a"] = true
 	for range 40 {
 		h.step(50 * time.Millisecond)
@@ -239,3 +219,22 @@
 		t.Errorf("%q was promoted within 300 ms of the list, without d, which had received 11 to 15", early)
 	}
 }
+
+// Guards against a failover that waits for its limit because the former primary has come back
+// without its log: it answers, and acknowledges nothing.
+func TestFormerPrimaryWithoutItsLogIsReplacedInTime(t *testing.T) {
+	h := newGroupHarness()
+	h.received = map[model.UpstreamID]uint64{"a": 20, "b": 20, "c": 20}
+	h.completeGroup()
+	h.down["a"] = true
+	lostAt := h.now
+	h.step(900 * time.Millisecond)
+	h.down["a"], h.replica["a"], h.received["a"] = false, true, 0
+	for h.promoted == "" && h.now.Sub(lostAt) < 10*time.Second {
+		h.list("a", "b", "c")
+		h.step(250 * time.Millisecond)
+	}
+	if limit, elapsed := registrationTimeout+time.Second, h.now.Sub(lostAt); elapsed > limit || h.promoted != "b" && h.promoted != "c" {
+		t.Errorf("%q is promoted after %v, want b or c within %v", h.promoted, elapsed, limit)
+	}
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -39,13 +39,13 @@
 	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
 	// it is not confirmed any more.
 	withdrawingSince model.Time
-	// steppedDownAt is when this VM learned that the old primary acknowledges no more
-	// commits, 0 while it may; oldPrimaryLost is true if neither this VM nor a peer has
-	// reached it since.
+	// steppedDownAt is when this VM learned that the old primary is no longer one, so that it
+	// acknowledges no more commits, 0 before. It may have restarted without its log.
+	// oldPrimaryLost is true while neither this VM nor a peer reaches it.
 	steppedDownAt  model.Time
 	oldPrimaryLost bool
 	// aliveAt is when the old primary, or the last known one if there was none at the start,
-	// last answered this VM or a peer, 0 if never.
+	// last answered this VM or a peer as the primary, 0 if never.
 	aliveAt model.Time
 	// listNeededAt is when a list of upstreams was last asked for.
 	listNeededAt model.Time
@@ -211,16 +211,16 @@
 	if m == nil {
 		return
 	}
-	t.aliveAt = max(t.aliveAt, m.ContactAt, in.PeerContact(m.ID))
 	switch {
 	case reachable(now, m):
 		t.oldPrimaryLost = false
 	case primaryLost(now, m, in):
 		t.oldPrimaryLost = true
 	}
-	switch steppedDown := t.oldPrimarySteppedDown(v); {
-	case !steppedDown:
+	switch isReplica := !m.Status.Primary && m.StatusAt >= t.startedAt; {
+	case !isReplica:
 		t.steppedDownAt = 0
+		t.aliveAt = max(t.aliveAt, m.ContactAt, in.PeerContact(m.ID))
 	case t.steppedDownAt == 0:
 		t.steppedDownAt = now
 	}
@@ -257,7 +257,7 @@
 		case c.ID == t.oldPrimary && !t.planned:
 			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
 		case t.planned && c.ID == t.target && c.Status.FencedTerm != 0:
-			// By an earlier transition.
+			// An earlier transition has fenced the target.
 			out = svc.sendCommand(now, c.ID, CommandResume, c.Status.FencedTerm, commandRetryInterval, out)
 		case t.planned && (c.ID == t.target || c.ID == t.oldPrimary):
 			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
@@ -328,7 +328,7 @@
 	oldPrimary := findMember(v, t.oldPrimary)
 	fences := t.fencing(v, best, in, svc)
 	switch {
-	case t.steppedDownAt != 0 && hasLog(oldPrimary, in, svc):
+	case t.steppedDownAt != 0 && t.oldPrimarySteppedDown(v) && hasLog(oldPrimary, in, svc):
 		return t.targetAfterStepDown(v, best, oldPrimary, fences)
 	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
 		return nil
@@ -424,7 +424,7 @@
 	if !v.MemberLost && (!ok || now.Sub(svc.knownSince) > unknownDepartureTimeout) {
 		return true
 	}
-	if !ok || v.MemberLost && e.At < v.IncompleteSince {
+	if !ok || e.At < v.ReplicaLostAt {
 		return false
 	}
 	return best.Status.Received.Compare(e.Position) >= 0
--- a/core/promotion/unregistered_test.go
+++ b/core/promotion/unregistered_test.go
@@ -26,12 +26,7 @@
 func newUnregisteredHarness() *unregisteredHarness {
 	h := &unregisteredHarness{groupHarness: newGroupHarness(), cut: map[model.UpstreamID]bool{}}
 	h.received = map[model.UpstreamID]uint64{"a": 10, "b": 10, "c": 10}
-	h.list("a", "b", "c")
-	h.state.Acquire(h.now, Acquisition{Revision: 1})
-	for range 4 {
-		h.step(time.Second)
-		h.list("a", "b", "c")
-	}
+	h.completeGroup()
 	return h
 }
 
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -141,11 +141,11 @@
 	PrimaryTerm uint64
 	// Incomplete is true after the removal or restart of an upstream that may have
 	// received commits that the remaining replicas have not. MemberLost is true if this VM
-	// saw that, false if it may have been before the VM started. IncompleteSince is when this
-	// VM learned of the last one.
-	Incomplete      bool
-	MemberLost      bool
-	IncompleteSince model.Time
+	// saw that, false if it may have been before the VM started. ReplicaLostAt is when it last
+	// saw that of another upstream than the last known primary, 0 if it has not.
+	Incomplete    bool
+	MemberLost    bool
+	ReplicaLostAt model.Time
 	// ListedAt is the time when the list of upstreams was read. ListComplete is false while
 	// it may lack upstreams that run, as after the start of this VM.
 	ListedAt     model.Time
@@ -162,7 +162,7 @@
 		}
 		v := View{
 			Service: g.name, Primary: g.primary, PrimaryTerm: g.primaryTerm,
-			Incomplete: g.incompleteSince != 0, MemberLost: g.memberLost, IncompleteSince: g.incompleteSince, ListedAt: s.listedAt, ListComplete: s.listComplete(),
+			Incomplete: g.incompleteSince != 0, MemberLost: g.memberLost, ReplicaLostAt: g.replicaLostAt, ListedAt: s.listedAt, ListComplete: s.listComplete(),
 		}
 		for _, id := range g.ids() {
 			v.Members = append(v.Members, *g.members[id])
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -17,7 +17,8 @@
 	storeUnavailableAt model.Time
 	storeUnavailable   bool
 	// listedAt is the time when the read that returned the current registrations
-	// was sent, firstListedAt that of the first answer since the start of the VM, 0 before.
+	// was sent, firstListedAt that of the first answer since the start of the VM or a long
+	// outage of the store, 0 before.
 	listedAt      model.Time
 	firstListedAt model.Time
 	// replaced has the incarnations of upstreams that were replaced while the store
@@ -57,7 +58,9 @@
 	// replica has received the log that the primary had after that.
 	incompleteSince model.Time
 	// memberLost is true if this VM saw an upstream removed or restarted since then.
-	memberLost bool
+	// replicaLostAt is when that was last another one than the last known primary, 0 if never.
+	memberLost    bool
+	replicaLostAt model.Time
 	// peakMembers is the largest number of members since the group was last known
 	// to be complete.
 	peakMembers int
@@ -259,7 +262,7 @@
 	m.Registration = *r
 	if restarted {
 		*m = Member{Registration: *r}
-		g.incompleteSince, g.memberLost = now, true
+		g.recordLoss(now, m.ID)
 	}
 	if r.Leaving && m.LeavingAt == 0 {
 		m.LeavingAt = now
@@ -346,7 +349,8 @@
 	if m.Leaving {
 		g.fullMembers--
 	}
-	g.incompleteSince, g.memberLost, g.removedAt = now, true, now
+	g.recordLoss(now, id)
+	g.removedAt = now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
 	if g.primary == id {
@@ -355,6 +359,15 @@
 	return g.primaryEffect(now, before, out)
 }
 
+// recordLoss records that an upstream was removed, or has restarted without its log. What the
+// last primary had acknowledged is on a replica as well.
+func (g *group) recordLoss(now model.Time, id model.UpstreamID) {
+	g.incompleteSince, g.memberLost = now, true
+	if id != g.lastPrimary {
+		g.replicaLostAt = now
+	}
+}
+
 func (s *State) applyEvacuations(ev *Event, out []Effect) []Effect {
 	zones := make(map[model.Zone]bool, len(ev.Zones))
 	for _, z := range ev.Zones {
@@ -390,7 +403,8 @@
 	m.recordContact(now)
 	if m.lostLog(ev) {
 		// The registration will show the restart later.
-		g.incompleteSince, g.memberLost, m.Applied = now, true, model.Position{}
+		g.recordLoss(now, m.ID)
+		m.Applied = model.Position{}
 	}
 	m.Status, m.StatusAt = ev.Status, ev.SentAt
 	m.recordApplied(now, ev.Status.Applied)
@@ -427,7 +441,7 @@
 	for i := range g.evidence {
 		e := &g.evidence[i]
 		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.RoleTerm != e.term && m.Status.Received.Compare(e.position) >= 0 {
-			g.incompleteSince, g.memberLost = 0, false
+			g.incompleteSince, g.memberLost, g.replicaLostAt = 0, false, 0
 			g.peakMembers = len(g.members)
 		}
 	}
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -40,7 +40,7 @@
 	mu sync.Mutex
 	// rounds has the last question to each zone.
 	rounds map[model.Zone]*reachRound
-	// unreachableAt is when no zone answered last, 0 if never.
+	// unreachableAt is when last no zone had answered a question, 0 if never.
 	unreachableAt model.Time
 }
 
--- a/test/line/cutzone_test.go
+++ b/test/line/cutzone_test.go
@@ -63,7 +63,7 @@
 	for vm := range f.nodes {
 		f.dial(vm, "own").MustSucceed("WRITE item before")
 	}
-	// Replicas that answer late do not delay commits.
+	// A silent replica delays no commit by as long as a status query of it takes.
 	f.cutZoneA()
 	f.Group.Server("b").SetReceiveStopped(false)
 	for vm := range f.nodes {
