Let the first holder of an upstream use more than half of its connections

On 30 VMs the second holder of an upstream had 4 connections of 70.

Cause: the first holder had half of the limit at all times, for the case that it loses power and returns while the upstream still counts its old connections. Of the other half, each VM that is not a holder was promised one connection.

Change: core/connlimit divides the limit; connections.division selects how. "fixed" is the division as before, and the default. "adaptive" gives the first holder three quarters once it has been that for 4 s, kept open while idle, and three eighths to the second. A raised share now serves waiting requests (SetShare woke none; TestRaisedShareServesWaiters).

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/tracing"
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/linenode"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/settings"
@@ -99,22 +100,28 @@
 	}
 }
 
+// divisions maps the setting connections.division.
+var divisions = map[string]connlimit.Division{
+	settings.DivisionFixed: connlimit.Fixed, settings.DivisionAdaptive: connlimit.Adaptive,
+}
+
 func nodeOptions(s *settings.Line, log zerolog.Logger, registry metrics.Registry) linenode.Options {
 	return linenode.Options{
-		VM:            s.VM.ID,
-		Zone:          s.VM.Zone,
-		Capacity:      s.VM.Capacity,
-		PeerAddress:   s.Peer.Address(),
-		Seeds:         s.Peer.Seeds,
-		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
-		Promoter:      platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
-		Formats:       platform.Formats(),
-		TokensChecked: s.Promoter.ChecksTokens,
-		MaxSessions:   max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
-		Grace:         s.Grace.Std(),
-		Log:           log,
-		Registry:      registry,
-		Tracer:        telemetry.Tracer(),
+		VM:                 s.VM.ID,
+		Zone:               s.VM.Zone,
+		Capacity:           s.VM.Capacity,
+		PeerAddress:        s.Peer.Address(),
+		Seeds:              s.Peer.Seeds,
+		Store:              platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
+		Promoter:           platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
+		Formats:            platform.Formats(),
+		TokensChecked:      s.Promoter.ChecksTokens,
+		MaxSessions:        max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
+		Grace:              s.Grace.Std(),
+		Log:                log,
+		Registry:           registry,
+		ConnectionDivision: divisions[s.Connections.Division],
+		Tracer:             telemetry.Tracer(),
 	}
 }
 
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -12,6 +12,7 @@
 
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/quota"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
@@ -62,6 +63,10 @@
 	effects []replicaset.Effect
 	// pools are this VM's own connections to each upstream.
 	pools map[model.UpstreamID]*upstreampool.Pool
+	// division is how the connection limits of upstreams are divided, seats what that
+	// depends on at each upstream.
+	division connlimit.Division
+	seats    map[model.UpstreamID]*connlimit.Seat
 	// vms is the number of VMs, 0 while it is unknown.
 	vms int
 	// probes sends status queries and commands; local runs statements over pools.
@@ -100,6 +105,8 @@
 		self: o.VM, startedAt: boottime.Now(), store: o.Store, formats: o.Formats, zone: o.Zone, log: o.Log, registry: o.Registry,
 		replicas: replicaset.New(), quota: quota.New(o.VM),
 		pools:           map[model.UpstreamID]*upstreampool.Pool{},
+		division:        o.ConnectionDivision,
+		seats:           map[model.UpstreamID]*connlimit.Seat{},
 		isolated:        func() bool { return false },
 		followsHub:      func() bool { return false },
 		awaitsHub:       func() bool { return false },
--- a/linenode/connections.go
+++ b/linenode/connections.go
@@ -6,17 +6,13 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
 
 const (
-	// minReserved is the minimum number of connections of an upstream's limit that are
-	// reserved for status queries, and for VMs that start and stop. The reserve of a
-	// large limit is limit/reservedDivisor.
-	minReserved     = 2
-	reservedDivisor = 10
 	// firstHolderWarmupFraction is the fraction of the warm-up rate that the first
 	// holder of an upstream may use. The other VMs need some of it for when they
 	// cannot reach the first holder.
@@ -60,14 +56,14 @@
 // warmupFraction returns the fraction of a warm-up rate that a VM of the given holder
 // rank may use. Most of it goes to the first holder, through which nearly all
 // statements pass. The fractions of all VMs add up to at most 1.
-func warmupFraction(vms, rank int) float64 {
+func warmupFraction(vms int, rank connlimit.Rank) float64 {
 	switch rank {
-	case rankFirst:
+	case connlimit.First:
 		return firstHolderWarmupFraction
-	case rankSecond:
+	case connlimit.Second:
 		return (1 - firstHolderWarmupFraction) / 2
 	}
-	return (1 - firstHolderWarmupFraction) / 2 / float64(max(vms-holdersPerUpstream, 1))
+	return (1 - firstHolderWarmupFraction) / 2 / float64(max(vms-connlimit.Holders, 1))
 }
 
 // dropPool closes the pool of an upstream.
@@ -76,41 +72,38 @@
 		pool.Close()
 		delete(c.pools, id)
 		delete(c.lastForwardedAt, id)
+		delete(c.seats, id)
 	}
 }
 
 // computeShare returns how many connections to an upstream this VM may open: one while
 // the number of VMs or the limit is unknown.
-func (c *cluster) computeShare(m *replicaset.Member) upstreampool.Share {
+func (c *cluster) computeShare(m *replicaset.Member) connlimit.Share {
 	s := c.Catalog()
 	if s == nil || s.Service(m.Service) == nil || c.vms == 0 {
-		return upstreampool.Share{Base: 1, Max: 1}
+		return connlimit.Share{Base: 1, Max: 1, Keep: 1}
 	}
-	limit := s.Service(m.Service).ConnectionLimit
-	limit -= max(minReserved, limit/reservedDivisor)
-	return holderShare(limit, c.vms, c.holderRank(m))
+	seat := c.seats[m.ID]
+	if seat == nil {
+		seat = connlimit.NewSeat(c.division)
+		c.seats[m.ID] = seat
+	}
+	return seat.Share(c.Now(), s.Service(m.Service).ConnectionLimit, c.vms, c.holderRank(m))
 }
 
-// Holder ranks: the rank of a VM among the holders of an upstream's connections.
-const (
-	rankFirst = iota
-	rankSecond
-	rankNone
-)
-
 // holderRank returns this VM's holder rank for an upstream. A VM that is not a holder
 // but recently got forwarded work, because another VM takes it for one, has the rank
 // of the second holder.
-func (c *cluster) holderRank(m *replicaset.Member) int {
+func (c *cluster) holderRank(m *replicaset.Member) connlimit.Rank {
 	rank := slices.IndexFunc(c.holdersOf(m.Zone, m.ID), func(h holderVM) bool { return h.vm == c.self })
 	at := c.lastForwardedAt[m.ID]
 	switch {
 	case rank >= 0:
-		return rank
+		return connlimit.Rank(rank)
 	case at != 0 && c.Now().Sub(at) < actingHolderPeriod:
-		return rankSecond
+		return connlimit.Second
 	}
-	return rankNone
+	return connlimit.Other
 }
 
 // admitForwarded admits new work that another VM forwards to this one, and records
@@ -131,31 +124,6 @@
 	return nil
 }
 
-// holderShare returns the share of a VM in the connections of an upstream, by holder
-// rank. The first holder gets half of the limit, because an upstream counts
-// connections for some seconds after the VM has lost power: the old connections of the
-// first holder and its new ones after a restart then fit into the limit together. The
-// rest is divided between the second holder and the other VMs. Each of these may open
-// at least one connection, even if that exceeds the limit, since they open it only
-// while they reach no holder.
-func holderShare(limit, vms, rank int) upstreampool.Share {
-	first := limit / 2
-	// further is the number of VMs that are not holders, direct the number of
-	// connections that they may open together.
-	further := max(vms-holdersPerUpstream, 1)
-	direct := limit / 4
-	if further < limit-first {
-		direct = max(direct, further)
-	}
-	switch rank {
-	case rankFirst:
-		return upstreampool.Share{Base: first, Max: max(first, 1)}
-	case rankSecond:
-		return upstreampool.Share{Base: 0, Max: max(limit-first-direct, 1)}
-	}
-	return upstreampool.Share{Base: 0, Max: max(direct/further, 1)}
-}
-
 // updateShares recomputes the share of this VM in the connections of each upstream.
 func (c *cluster) updateShares() {
 	for id, pool := range c.pools {
--- a/linenode/holders.go
+++ b/linenode/holders.go
@@ -5,21 +5,18 @@
 	"hash/fnv"
 	"slices"
 
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 )
 
-// holdersPerUpstream is the number of VMs that hold connections to an upstream for all
-// others. Statements go to the first holder, and to the second while the first is
-// unusable.
-const holdersPerUpstream = 2
-
 // holderVM is a VM that may hold connections for others, and its peer address.
 type holderVM struct {
 	vm      model.VMID
 	address string
 }
 
-// holdersOf returns the holders of an upstream, the first holder first. They are VMs
+// holdersOf returns the holders of an upstream, the VMs that hold connections to it for all
+// others, the first holder first. Statements go to the second while the first is unusable. They are VMs
 // of the upstream's zone, which fail together with it, or of any zone if that one has
 // no candidates. The order is a rendezvous hash, so that all VMs with the same
 // candidates compute the same holders and upstreams spread over the candidates.
@@ -33,7 +30,7 @@
 	slices.SortFunc(list, func(a, b holderVM) int {
 		return cmp.Or(cmp.Compare(weight(b.vm, id), weight(a.vm, id)), cmp.Compare(a.vm, b.vm))
 	})
-	return list[:min(len(list), holdersPerUpstream)]
+	return list[:min(len(list), connlimit.Holders)]
 }
 
 // weight returns the rendezvous hash of a VM and an upstream.
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -26,6 +26,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/store"
@@ -84,6 +85,9 @@
 	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
 	TokensChecked bool
 
+	// ConnectionDivision is how the connection limits of upstreams are divided among VMs.
+	ConnectionDivision connlimit.Division
+
 	// MaxSessions is the maximum number of connections of callers.
 	MaxSessions int
 	// Grace is the time between the request to stop and the end of the process by
--- a/linenode/probe.go
+++ b/linenode/probe.go
@@ -10,6 +10,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
@@ -171,7 +172,7 @@
 	if l != nil {
 		l.pool.Close()
 	}
-	l = &probeLink{pool: upstreampool.New(poolUpstream(&m), upstreampool.Share{Base: 0, Max: 1})}
+	l = &probeLink{pool: upstreampool.New(poolUpstream(&m), connlimit.Share{Max: 1})}
 	p.links[id] = l
 	return l, nil
 }
--- a/settings/line.go
+++ b/settings/line.go
@@ -27,6 +27,8 @@
 	Peer     LinePeer     `json:"peer"`
 	Store    LineStore    `json:"store"`
 	Promoter LinePromoter `json:"promoter"`
+	// Connections configures the connections to upstreams.
+	Connections LineConnections `json:"connections"`
 	// Grace is the termination grace period: the time from the request to stop
 	// until the process is killed.
 	Grace jsondoc.Duration `json:"grace"`
@@ -40,6 +42,7 @@
 func (s *Line) SetDefaults() {
 	s.Grace = jsondoc.Duration(DefaultGrace)
 	s.Store.SetDefaults()
+	s.Connections.SetDefaults()
 	s.Log.SetDefaults()
 	s.Trace.SetDefaults()
 }
@@ -90,6 +93,22 @@
 	ChecksTokens bool `json:"checks_tokens"`
 }
 
+// Divisions of an upstream's connection limit among VMs; see package connlimit.
+const (
+	DivisionFixed    = "fixed"
+	DivisionAdaptive = "adaptive"
+)
+
+// LineConnections configures the connections to upstreams.
+type LineConnections struct {
+	// Division is how VMs divide the connection limit of an upstream. It has to be the
+	// same on all VMs.
+	Division string `json:"division"`
+}
+
+// SetDefaults sets the defaults of optional fields.
+func (s *LineConnections) SetDefaults() { s.Division = DivisionFixed }
+
 // LoadLine reads and checks a settings file. The error is a findings.List if the
 // content is invalid.
 func LoadLine(path string) (*Line, error) {
@@ -129,6 +148,7 @@
 	}
 	c.address("store.address", s.Store.Address)
 	c.address("promoter.address", s.Promoter.Address)
+	c.oneOf("connections.division", s.Connections.Division, DivisionFixed, DivisionAdaptive)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.form", s.Log.Format, "json", "text")
 	c.checkTrace(&s.Trace)
--- a/upstreampool/dial.go
+++ b/upstreampool/dial.go
@@ -49,12 +49,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.decInUse(workspace)
+	p.open--
 	var refused *RefusedError
 	if errors.As(d.err, &refused) && refused.Code == lineproto.TooMany {
-		p.connLimitedUntil = time.Now().Add(connLimitBackoff)
+		p.connLimitedUntil, p.openAtLimit = time.Now().Add(connLimitBackoff), p.open
 	}
-	p.decInUse(workspace)
-	p.open--
 	p.grantNext()
 	return nil, d.err
 }
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 )
@@ -21,13 +22,13 @@
 	// upstream was full: about as long as its slots take to free room in the
 	// queue.
 	busyBackoff = 15 * time.Millisecond
-	// maxSurplusIdle is how long an idle connection above this VM's base share is
-	// kept; other VMs may need it under the upstream's connection limit.
+	// maxSurplusIdle is how long an idle connection is kept above what this VM's share
+	// keeps; other VMs may need it under the upstream's connection limit.
 	maxSurplusIdle = 500 * time.Millisecond
 	// maxIdle is below the time after which upstreams close idle connections.
 	maxIdle = 40 * time.Second
-	// connLimitBackoff is how long the pool keeps to its base share after the
-	// upstream refused a connection because its connection limit was reached.
+	// connLimitBackoff is how long the pool opens no connections above its base share
+	// after the upstream refused one because its connection limit was reached.
 	connLimitBackoff = 400 * time.Millisecond
 	// checkAfterIdle is how long a connection may be idle and still be reused
 	// without a check of its socket.
@@ -57,14 +58,6 @@
 	ErrClosed = errors.New("the upstream is gone")
 )
 
-// Share limits the connections that this VM opens to an upstream.
-type Share struct {
-	// Base is this VM's part of the upstream's connection limit. Max is what it
-	// may open as long as the upstream accepts more connections.
-	Base int
-	Max  int
-}
-
 // Upstream is the server that a pool connects to.
 type Upstream struct {
 	ID      model.UpstreamID
@@ -83,10 +76,12 @@
 
 	// mu guards the fields below.
 	mu    sync.Mutex
-	share Share
+	share connlimit.Share
 	// connLimitedUntil is the end of the back-off after the upstream's connection
 	// limit was reached; see connLimitBackoff.
 	connLimitedUntil time.Time
+	// openAtLimit is the number of connections that were open then.
+	openAtLimit int
 	// idle has the connections that are not in use, the last released one last.
 	idle []*Conn
 	// open is the number of connections, including those that are being opened.
@@ -123,7 +118,7 @@
 }
 
 // New returns an empty pool.
-func New(u Upstream, share Share) *Pool {
+func New(u Upstream, share connlimit.Share) *Pool {
 	u.Slots = max(u.Slots, 1)
 	return &Pool{upstream: u, share: share, inUse: map[string]int{}, latency: initialLatency}
 }
@@ -134,10 +129,13 @@
 }
 
 // SetShare changes how many connections may be open.
-func (p *Pool) SetShare(s Share) {
+func (p *Pool) SetShare(s connlimit.Share) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.share = s
-	p.mu.Unlock()
+	for p.open < p.limit() && len(p.waiters) > 0 && !p.closed {
+		p.grantNext()
+	}
 }
 
 // Request describes the connection that is needed.
@@ -238,10 +236,13 @@
 
 // limit returns how many connections may be open now.
 func (p *Pool) limit() int {
-	if time.Now().Before(p.connLimitedUntil) {
-		return max(p.share.Base, 1)
+	switch {
+	case !time.Now().Before(p.connLimitedUntil):
+		return max(p.share.Max, 1)
+	case p.share.Overlapping:
+		return max(p.share.Base, min(p.openAtLimit, p.share.Max), 1)
 	}
-	return max(p.share.Max, 1)
+	return max(p.share.Base, 1)
 }
 
 func (p *Pool) await(ctx context.Context, r Request, w *waiter) (*Conn, error) {
@@ -381,7 +382,7 @@
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		idle := now.Sub(c.idleSince)
-		if idle > maxIdle || idle > maxSurplusIdle && p.open > p.share.Base || !c.alive() {
+		if idle > maxIdle || idle > maxSurplusIdle && p.open > p.share.Keep || !c.alive() {
 			c.terminate()
 			p.open--
 			continue
