Report arrivals and service time of an upstream with each answer of its holder

A VM learns the load of an upstream from the holder's answers: so far the number of statements in flight at that moment. An even choice by old figures also needs the rate at which all VMs together send, and the speed without the wait in a queue.

Change: RunResponse has a count of the statements that the holder has received for the upstream, and the service time as the pool measures it. Nothing uses them yet. Pool.Figures replaces Pool.InFlight.

--- a/holderlink/client.go
+++ b/holderlink/client.go
@@ -47,6 +47,12 @@
 	// InFlight is how many statements run on or wait for the upstream at the
 	// holder.
 	InFlight int
+	// Arrivals is how many statements the holder has received for the upstream, from
+	// all VMs, since it first used it.
+	Arrivals uint64
+	// ServiceTime is how long a statement takes on the upstream without waiting, 0 if
+	// unknown.
+	ServiceTime time.Duration
 }
 
 // Client calls one holder.
--- a/holderlink/convert.go
+++ b/holderlink/convert.go
@@ -88,7 +88,10 @@
 }
 
 func reportOf(r *vmlinkv1.RunResponse) Report {
-	return Report{Spent: microseconds(r.GetSpentUs()), Stopping: r.GetStopping(), InFlight: int(r.GetUnderWay())}
+	return Report{
+		Spent: microseconds(r.GetSpentUs()), Stopping: r.GetStopping(), InFlight: int(r.GetUnderWay()),
+		Arrivals: r.GetArrivals(), ServiceTime: microseconds(r.GetServiceUs()),
+	}
 }
 
 // errorsByReason has the errors that are transmitted as a reason alone.
--- a/holderlink/server.go
+++ b/holderlink/server.go
@@ -82,7 +82,8 @@
 	r.SpentUs = time.Since(start).Microseconds()
 	r.Stopping = s.Stopping()
 	if pool := s.Local.Cluster.Pool(id); pool != nil {
-		r.UnderWay = int32(pool.InFlight())
+		f := pool.Figures()
+		r.UnderWay, r.Arrivals, r.ServiceUs = int32(f.InFlight), f.Arrivals, f.ServiceTime.Microseconds()
 	}
 	return r
 }
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -98,8 +98,13 @@
 	waiters []*waiter
 	// latency is the moving average of the time in which statements are answered.
 	latency time.Duration
-	closed  bool
-	warmup  warmup
+	// service is the moving average of latency without the wait for a slot, 0 before
+	// the first answer.
+	service time.Duration
+	// arrivals counts the calls of Acquire.
+	arrivals uint64
+	closed   bool
+	warmup   warmup
 	// busyUntil is the end of the back-off after a full queue.
 	busyUntil time.Time
 }
@@ -161,6 +166,7 @@
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	p.arrivals++
 	now := time.Now()
 	if now.Before(p.busyUntil) {
 		p.mu.Unlock()
@@ -341,6 +347,7 @@
 func (p *Pool) ObserveLatency(latency time.Duration) {
 	p.mu.Lock()
 	p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
+	p.observeService(latency)
 	p.mu.Unlock()
 }
 
@@ -364,14 +371,6 @@
 	return load + 2*latency*float64(1+len(p.waiters))
 }
 
-// InFlight returns the number of connections in use plus that of waiting
-// requests.
-func (p *Pool) InFlight() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open - len(p.idle) + len(p.waiters)
-}
-
 // Trim closes idle connections that are above the base share, idle for too long
 // or dead.
 func (p *Pool) Trim() {
