Balance reads evenly by core/balance with the setting balance.mode

With "balance": {"mode": "even"}, the candidates of a read or read-only transaction are ordered within their ranks by core/balance, with figures from all answers of holders, also from refusals.

Operators: "read served" and "transaction opened" say why the upstream was chosen, with the estimate and the age of the figures; metrics count choices by cause and dropped figures. cluster.explainRead returns what a read would do now, without sending anything.

--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -43,8 +43,31 @@
 	// rank is one of the ranks below; candidates with the lowest are tried first.
 	rank int
 	load float64
+	// Choice says why the candidate is where it is, zero unless reads are balanced
+	// evenly.
+	Choice Choice
 }
 
+// Choice is the reason for the place of a candidate, for the log.
+type Choice struct {
+	// Cause names the reason.
+	Cause string
+	// Estimate is how long the read was expected to take there.
+	Estimate time.Duration
+	// FigureAge is the age of the figures behind Estimate, negative if there were none.
+	FigureAge time.Duration
+}
+
+// Rank returns the rank of the candidate; those with the lowest are tried first.
+func (c *Candidate) Rank() int { return c.rank }
+
+// ServesAsPrimary reports whether the candidate is the primary and no upstream to be
+// avoided.
+func (c *Candidate) ServesAsPrimary() bool { return c.rank == rankPrimary }
+
+// LastResort reports whether the candidate is failing or about to stop.
+func (c *Candidate) LastResort() bool { return c.rank >= rankLeaving }
+
 // Ranks of candidates, in the order in which they are tried.
 const (
 	rankReplica = iota
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/boottime"
+	"github.com/chervilhatch/chervilhatch/core/balance"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/quota"
@@ -156,8 +157,13 @@
 	return c.replicas.PrimaryGap(c.Now(), service)
 }
 
-// ReadCandidates returns the upstreams to try for a read, best first.
-func (c *cluster) ReadCandidates(service catalog.Service, floor model.Position, w model.Workspace) []replicaset.Candidate {
+// ReadCandidates returns the upstreams to try for a read of a route, best first.
+func (c *cluster) ReadCandidates(route *catalog.Route, floor model.Position, w model.Workspace) []replicaset.Candidate {
+	if b := c.forward.balancer; b != nil {
+		list, pools := c.unorderedCandidates(route.Service, floor)
+		read := readOf(route, w)
+		return b.order(c.Now(), &read, list, pools, c.zone)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	load := func(m *replicaset.Member) float64 {
@@ -174,7 +180,36 @@
 		}
 		return l
 	}
-	return c.replicas.ReadCandidates(c.Now(), service, floor, load)
+	return c.replicas.ReadCandidates(c.Now(), route.Service, floor, load)
+}
+
+// unorderedCandidates returns the upstreams that may serve a read, ordered by rank and
+// ID, and this VM's own connections to each of them; nil for those that the VM uses
+// through a holder.
+func (c *cluster) unorderedCandidates(service catalog.Service, floor model.Position) ([]replicaset.Candidate, []*upstreampool.Pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.replicas.ReadCandidates(c.Now(), service, floor, func(*replicaset.Member) float64 { return 0 })
+	pools := make([]*upstreampool.Pool, len(list))
+	for i := range list {
+		if !c.forward.usesHolder(&list[i].Member) {
+			pools[i] = c.pools[list[i].ID]
+		}
+	}
+	return list, pools
+}
+
+// explainRead returns the candidates for a read of a route and workspace, with the
+// figures and the probability of each to be tried first. It sends nothing and changes
+// nothing. The list is empty if reads are not balanced evenly.
+func (c *cluster) explainRead(route *catalog.Route, floor model.Position, w model.Workspace) []balance.Candidate {
+	b := c.forward.balancer
+	if b == nil {
+		return nil
+	}
+	list, pools := c.unorderedCandidates(route.Service, floor)
+	read := readOf(route, w)
+	return b.explain(c.Now(), &read, list, pools, c.zone)
 }
 
 // Pool returns this VM's own connections to an upstream, or nil.
@@ -277,6 +312,7 @@
 		c.log.Info().Str("upstream", string(e.Upstream)).Str("service", string(e.Service)).Msg("upstream removed")
 		c.dropPool(e.Upstream)
 		c.forward.forget(e.Upstream)
+		c.forward.balancer.forget(e.Upstream)
 	case replicaset.EffectPrimary:
 		c.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Uint64("term", e.Term).Msg("primary changed")
 		if e.Upstream != "" && e.Term > 0 {
--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -31,6 +31,8 @@
 	// measured through its holder. mu guards both.
 	holders map[model.VMID]*holderState
 	loads   map[model.UpstreamID]*forwardedLoad
+	// balancer is nil unless reads are balanced evenly.
+	balancer *balancer
 }
 
 func newForwarder(ctx context.Context, c *cluster, m *members, l *links) *forwarder {
@@ -41,12 +43,15 @@
 func (f *forwarder) Run(r *upstreamrun.Request) (upstreamrun.Outcome, error) {
 	h, client := f.selectHolder(r.Upstream)
 	if client == nil {
-		return f.cluster.local.Run(r)
+		o, err := f.cluster.local.Run(r)
+		f.balancer.outcome(r.Upstream, failedOn(o.Code, err))
+		return o, err
 	}
 	call, forwarded := f.begin(h, r.Upstream, r.TraceParent), *r
 	forwarded.TraceParent = call.span.TraceParent
 	o, report, err := client.Run(&forwarded)
 	call.end(&report, err)
+	f.balancer.answered(call, &report, failedOn(o.Code, err))
 	if err != nil {
 		return o, err
 	}
@@ -67,6 +72,7 @@
 	opening.TraceParent = call.span.TraceParent
 	tx, o, report, err := client.Open(&opening)
 	call.end(&report, err)
+	f.balancer.answered(call, &report, failedOn(o.Code, err))
 	if err != nil {
 		return nil, o, err
 	}
@@ -97,6 +103,7 @@
 
 // begin records the start of a call; the caller must call end after it.
 func (f *forwarder) begin(h holderVM, id model.UpstreamID, parent string) *holderCall {
+	f.balancer.sent(id)
 	return &holderCall{
 		forwarder: f, holder: h, upstream: id, sentAt: f.cluster.Now(), start: time.Now(),
 		span: f.startHop(parent, h), stopWatch: f.checkUnlessAnswered(h),
--- a/linenode/forwardload.go
+++ b/linenode/forwardload.go
@@ -48,15 +48,24 @@
 // holderLoad estimates how many milliseconds a statement on an upstream takes through
 // its holder; ok is false if this VM uses its own connections.
 func (f *forwarder) holderLoad(m *replicaset.Member) (load float64, ok bool) {
+	if !f.usesHolder(m) {
+		return 0, false
+	}
+	return f.estimateLoad(m), true
+}
+
+// usesHolder reports whether this VM sends statements for an upstream to its holder,
+// not over its own connections.
+func (f *forwarder) usesHolder(m *replicaset.Member) bool {
 	for _, h := range f.members.holdersOf(m.Zone, m.ID) {
 		if h.vm == f.cluster.self {
-			return 0, false
+			return false
 		}
 		if f.usable(h) != nil {
-			return f.estimateLoad(m), true
+			return true
 		}
 	}
-	return 0, false
+	return false
 }
 
 // estimateLoad returns the latency of an upstream in milliseconds, increased in
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -79,6 +79,9 @@
 	links := newLinks()
 	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.transitions, links)
 	n.forward = newForwarder(ctx, n.cluster, n.members, links)
+	if o.Balance == BalanceEven {
+		n.forward.balancer = newBalancer(o.VM, n.cluster.startedAt, o.Registry)
+	}
 	n.holder = &holderlink.Server{Local: &n.cluster.local, Admit: n.cluster.admitForwarded, Stopping: n.stopping.Load}
 	if g, ok := o.Store.(store.Generational); ok {
 		g.OnGeneration(n.handleGeneration)
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -84,6 +84,9 @@
 	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
 	TokensChecked bool
 
+	// Balance is how the upstream of a read is chosen; empty means BalanceLeast.
+	Balance BalanceMode
+
 	// MaxSessions is the maximum number of connections of callers.
 	MaxSessions int
 	// Grace is the time between the request to stop and the end of the process by
--- a/lineproxy/cluster.go
+++ b/lineproxy/cluster.go
@@ -38,9 +38,9 @@
 	Primary(service catalog.Service) (replicaset.Member, bool)
 	// PrimaryGap returns how long a service has had no known primary.
 	PrimaryGap(service catalog.Service) time.Duration
-	// ReadCandidates returns the upstreams that may serve a read at floor, in the
-	// order in which they are to be tried.
-	ReadCandidates(service catalog.Service, floor model.Position, w model.Workspace) []replicaset.Candidate
+	// ReadCandidates returns the upstreams that may serve a read of a route at floor, in
+	// the order in which they are to be tried.
+	ReadCandidates(route *catalog.Route, floor model.Position, w model.Workspace) []replicaset.Candidate
 	// Run runs a statement on an upstream, Open starts a transaction on one. Both
 	// report what the answer or failure tells about the upstream.
 	Run(r *upstreamrun.Request) (upstreamrun.Outcome, error)
--- a/lineproxy/floor_test.go
+++ b/lineproxy/floor_test.go
@@ -64,7 +64,7 @@
 	return model.Position{Term: model.Term{Counter: 1}, Pos: model.LogPos(time.Since(c.start).Milliseconds())}, 0, true
 }
 
-func (c *advancingCluster) ReadCandidates(catalog.Service, model.Position, model.Workspace) []replicaset.Candidate {
+func (c *advancingCluster) ReadCandidates(*catalog.Route, model.Position, model.Workspace) []replicaset.Candidate {
 	return []replicaset.Candidate{{Member: replicaset.Member{Registration: replicaset.Registration{ID: "i-1"}}}}
 }
 
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -74,7 +75,7 @@
 	if !ok {
 		return unavailable("no primary")
 	}
-	return o.readOn(o.request(m.ID, upstreamrun.ModePrimary, p, t))
+	return o.readOn(o.request(m.ID, upstreamrun.ModePrimary, p, t), nil)
 }
 
 // A read without an answer is hedged, that is, also sent to another upstream, after
@@ -100,7 +101,7 @@
 	if !ok {
 		return unavailable("freshness cannot be proved")
 	}
-	candidates := o.cluster.ReadCandidates(o.route.Service, floor, o.workspace)
+	candidates := o.cluster.ReadCandidates(o.route, floor, o.workspace)
 	results := make(chan attempt, len(candidates))
 	timer := time.NewTimer(o.hedgeDelay())
 	defer timer.Stop()
@@ -111,7 +112,7 @@
 			if next == len(candidates) || next > 0 && t.remainingWait() <= 0 {
 				return last
 			}
-			o.startRead(candidates[next].ID, p, t, results)
+			o.startRead(&candidates[next], p, t, results)
 			running, next = running+1, next+1
 		}
 		select {
@@ -124,7 +125,7 @@
 			o.cluster.Suspect(candidates[next-1].ID)
 			if next < len(candidates) {
 				o.session.server.count("hedged")
-				o.startRead(candidates[next].ID, p, t, results)
+				o.startRead(&candidates[next], p, t, results)
 				running, next = running+1, next+1
 				timer.Reset(o.hedgeDelay())
 			}
@@ -132,15 +133,26 @@
 	}
 }
 
+// logChoice adds why a read went to its upstream to a log entry.
+func logChoice(e *Entry, c *replicaset.Choice) {
+	if c == nil || c.Cause == "" {
+		return
+	}
+	e.Str("choice", c.Cause).Dur("estimate", c.Estimate)
+	if c.FigureAge >= 0 {
+		e.Dur("figure_age", c.FigureAge)
+	}
+}
+
 // startRead runs a read on one upstream in a goroutine. The session may continue
 // with its next request before that returns, so everything that the goroutine needs
 // from the session is copied into the request first.
-func (o *operation) startRead(id model.UpstreamID, p *statement, t *timeLimits, results chan<- attempt) {
-	r := o.request(id, upstreamrun.ModeFresh, p, t)
+func (o *operation) startRead(c *replicaset.Candidate, p *statement, t *timeLimits, results chan<- attempt) {
+	r := o.request(c.ID, upstreamrun.ModeFresh, p, t)
 	go func() {
 		a := attempt{reply: failure(lineproto.Failed, "internal error")}
 		// The log has the error.
-		_ = panics.Call(o.session.server.log, "read", func() { a = o.readOn(r) })
+		_ = panics.Call(o.session.server.log, "read", func() { a = o.readOn(r, &c.Choice) })
 		results <- a
 	}()
 }
@@ -176,12 +188,13 @@
 	return &upstreamrun.Request{Place: o.place(id, t), Statement: p.Statement, Mode: mode, Session: o.sessionState()}
 }
 
-// readOn runs a read on one upstream.
-func (o *operation) readOn(r *upstreamrun.Request) attempt {
+// readOn runs a read on one upstream. choice says why it goes there, nil if no other
+// may serve it.
+func (o *operation) readOn(r *upstreamrun.Request, choice *replicaset.Choice) attempt {
 	out, err := o.cluster.Run(r)
 	switch {
 	case err == nil:
-		return o.handleReadAnswer(r, &out)
+		return o.handleReadAnswer(r, choice, &out)
 	case upstreamrun.Sent(err):
 		return o.readConnLost(r, err)
 	}
@@ -198,11 +211,12 @@
 }
 
 // handleReadAnswer returns the attempt that results from an upstream's answer.
-func (o *operation) handleReadAnswer(r *upstreamrun.Request, a *upstreamrun.Outcome) attempt {
+func (o *operation) handleReadAnswer(r *upstreamrun.Request, choice *replicaset.Choice, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
 		o.log(r.ID, "read served", func(e *Entry) {
 			e.Str("upstream", string(r.Upstream)).Str("holder", string(a.Holder)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.EvidenceAge)
+			logChoice(e, choice)
 		})
 		return attempt{reply: replyFromAnswer(&a.Answer)}
 	case a.Code == lineproto.Lagging:
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -5,6 +5,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -112,8 +113,8 @@
 		return &r
 	}
 	r := unavailable("no upstream")
-	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
-		failed := x.openOn(c.ID, id, t)
+	for _, c := range x.cluster.ReadCandidates(x.route, floor, x.workspace) {
+		failed := x.openOn(c.ID, &c.Choice, id, t)
 		if failed == nil {
 			return nil
 		}
@@ -133,7 +134,7 @@
 		r := unavailable("no primary")
 		return &r
 	}
-	return x.openOn(m.ID, id, t)
+	return x.openOn(m.ID, nil, id, t)
 }
 
 // requiresPrimary reports whether the transaction must run on the primary.
@@ -142,8 +143,8 @@
 }
 
 // openOn makes one attempt to start the transaction on one upstream. It returns nil on
-// success.
-func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits) *attempt {
+// success. choice is as for readOn.
+func (x *transaction) openOn(id model.UpstreamID, choice *replicaset.Choice, request string, t *timeLimits) *attempt {
 	r := upstreamrun.OpenRequest{
 		Place: x.place(id, t), ReadOnly: !x.requiresPrimary(), Session: x.sessionState(), IdleLimit: x.txIdleTimeout,
 	}
@@ -159,6 +160,7 @@
 	x.tx, x.upstream = tx, id
 	x.log(request, "transaction opened", func(e *Entry) {
 		e.Str("upstream", string(id)).Str("holder", string(out.Holder)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.EvidenceAge)
+		logChoice(e, choice)
 	})
 	return nil
 }
--- a/settings/line.go
+++ b/settings/line.go
@@ -31,19 +31,36 @@
 	// until the process is killed.
 	Grace jsondoc.Duration `json:"grace"`
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
-	MemoryMB int   `json:"memory_mb"`
-	Log      Log   `json:"log"`
-	Trace    Trace `json:"trace"`
+	MemoryMB int `json:"memory_mb"`
+	// Balance configures the choice of the upstream of a read.
+	Balance LineBalance `json:"balance"`
+	Log     Log         `json:"log"`
+	Trace   Trace       `json:"trace"`
 }
 
 // SetDefaults sets the defaults of optional fields.
 func (s *Line) SetDefaults() {
 	s.Grace = jsondoc.Duration(DefaultGrace)
 	s.Store.SetDefaults()
+	s.Balance.Mode = BalanceLeast
 	s.Log.SetDefaults()
 	s.Trace.SetDefaults()
 }
 
+// Balance modes.
+const (
+	// BalanceLeast takes the upstream with the lowest estimate.
+	BalanceLeast = "least"
+	// BalanceEven spreads reads so that load stays even with old figures.
+	BalanceEven = "even"
+)
+
+// LineBalance configures how reads are shared out among upstreams.
+type LineBalance struct {
+	// Mode is BalanceLeast or BalanceEven.
+	Mode string `json:"mode"`
+}
+
 // LineCallers configures the listener for callers.
 type LineCallers struct {
 	Listen string `json:"listen"`
@@ -129,6 +146,7 @@
 	}
 	c.address("store.address", s.Store.Address)
 	c.address("promoter.address", s.Promoter.Address)
+	c.oneOf("balance.mode", s.Balance.Mode, BalanceLeast, BalanceEven)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.form", s.Log.Format, "json", "text")
 	c.checkTrace(&s.Trace)
