Find the candidates of a choice without a search by name

A group has the same candidates for many choices in a row, so State keeps them in the order in which they were passed. The decisions are the same.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -119,24 +119,39 @@
 	// sent counts the unanswered statements of this VM, sentSince those that were sent
 	// after the last figures.
 	sent, sentSince int
+	// forgotten is set by Forget.
+	forgotten bool
 	// seenAt is the time of the last choice in which the upstream took part, rampAt
 	// that at which its share began to grow, 0 if it does not grow.
 	seenAt, rampAt model.Time
 }
 
+// group is what is kept of the choices of one group.
+type group struct {
+	// chosenAt is the time of the last choice, 0 before the first.
+	chosenAt model.Time
+	// recent are the candidates of the last choice in the order in which they were
+	// passed. They are mostly the same ones the next time.
+	recent []recentCandidate
+}
+
+type recentCandidate struct {
+	id       model.UpstreamID
+	upstream *upstream
+}
+
 // State is what one VM knows of the load of upstreams. Use New to create one. It is not
 // safe for concurrent use.
 type State struct {
 	upstreams map[model.UpstreamID]*upstream
-	// chosenAt is the time of the last choice for each group.
-	chosenAt map[string]model.Time
+	groups    map[string]*group
 	// items is the buffer of Choose.
 	items []item
 }
 
 // New returns a State without figures.
 func New() *State {
-	return &State{upstreams: map[model.UpstreamID]*upstream{}, chosenAt: map[string]model.Time{}}
+	return &State{upstreams: map[model.UpstreamID]*upstream{}, groups: map[string]*group{}}
 }
 
 func (s *State) upstream(id model.UpstreamID) *upstream {
@@ -277,4 +292,9 @@
 }
 
 // Forget removes what is known of an upstream that no longer exists.
-func (s *State) Forget(id model.UpstreamID) { delete(s.upstreams, id) }
+func (s *State) Forget(id model.UpstreamID) {
+	if u := s.upstreams[id]; u != nil {
+		u.forgotten = true
+		delete(s.upstreams, id)
+	}
+}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -279,10 +279,12 @@
 func BenchmarkChoose(b *testing.B) {
 	s, list := benchmarkState()
 	r, seed := Read{Group: "g", Workspace: "w"}, uint64(0)
+	buffer := make([]Candidate, len(list))
 	b.ReportAllocs()
 	for b.Loop() {
 		seed++
-		s.Choose(500*ms, &r, seed, list)
+		copy(buffer, list)
+		s.Choose(500*ms, &r, seed, buffer)
 	}
 }
 
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -126,18 +126,20 @@
 		return Only
 	}
 	s.items = s.items[:0]
-	for i := range list {
-		u := s.upstreams[list[i].Upstream]
-		if u == nil {
-			u = newUpstream(list[i].Upstream)
-			if record {
-				s.upstreams[list[i].Upstream] = u
+	if record {
+		g := s.group(r.Group)
+		for i := range list {
+			s.items = append(s.items, item{upstream: s.member(g, i, list[i].Upstream)})
+		}
+		s.markSeen(now, g, list)
+	} else {
+		for i := range list {
+			u := s.upstreams[list[i].Upstream]
+			if u == nil {
+				u = newUpstream(list[i].Upstream)
 			}
+			s.items = append(s.items, item{upstream: u})
 		}
-		s.items = append(s.items, item{upstream: u})
-	}
-	if record {
-		s.markSeen(now, r.Group, list)
 	}
 	service := s.meanServiceTime()
 	for i := range list {
@@ -165,10 +167,31 @@
 	return cause
 }
 
+func (s *State) group(name string) *group {
+	g := s.groups[name]
+	if g == nil {
+		g = &group{}
+		s.groups[name] = g
+	}
+	return g
+}
+
+// member returns the candidate at index i of a choice, mostly without a search by name.
+func (s *State) member(g *group, i int, id model.UpstreamID) *upstream {
+	if i == len(g.recent) {
+		g.recent = append(g.recent, recentCandidate{})
+	}
+	c := &g.recent[i]
+	if c.upstream == nil || c.upstream.forgotten || c.id != id {
+		*c = recentCandidate{id: id, upstream: s.upstream(id)}
+	}
+	return c.upstream
+}
+
 // markSeen starts the slow start of candidates that did not take part in the previous
 // choice of the group.
-func (s *State) markSeen(now model.Time, group string, list []Candidate) {
-	last := s.chosenAt[group]
+func (s *State) markSeen(now model.Time, g *group, list []Candidate) {
+	last := g.chosenAt
 	for i := range list {
 		if list[i].Away {
 			continue
@@ -179,7 +202,7 @@
 		}
 		u.seenAt, u.slots = now, float64(max(list[i].Slots, 1))
 	}
-	s.chosenAt[group] = now
+	g.chosenAt = now
 }
 
 // meanServiceTime returns the service time at the mean speed of the candidates whose
