--- a/core/balance/load_test.go
+++ b/core/balance/load_test.go
@@ -59,7 +59,6 @@
 	queue      []job
 	running    []job
 	idle       []int
-	open       int
 	arrivals   uint64
 	windowWork float64
 	service    float64
@@ -69,23 +68,12 @@
 	r.arrivals++
 	if i := slices.Index(r.idle, j.workspace); i >= 0 {
 		r.idle, j.connected = slices.Delete(r.idle, i, i+1), true
-	} else if r.open < loadConns {
-		r.open++
-	} else if len(r.idle) > 0 {
+	} else if len(r.idle) > 0 && len(r.idle)+r.inFlight() >= loadConns {
 		r.idle = r.idle[1:]
 	}
 	r.queue = append(r.queue, j)
 }
 
-// giveUp takes back the connection of a job that is refused.
-func (r *replica) giveUp(j *job) {
-	if j.connected {
-		r.idle = append(r.idle, j.workspace)
-	} else if r.open > loadConns/2 {
-		r.open--
-	}
-}
-
 // costMs returns how long a job takes a slot.
 func (r *replica) costMs(j *job) int {
 	if j.connected {
@@ -172,7 +160,9 @@
 					r.queue = r.queue[1:]
 					if now-j.arrived >= loadMaxWaitMs {
 						refused++
-						r.giveUp(&j)
+						if j.connected {
+							r.idle = append(r.idle, j.workspace)
+						}
 						c.answered(now, g, i, r, &j, false)
 						continue
 					}
