--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -110,6 +110,7 @@
 		Promoter:      platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
 		Formats:       platform.Formats(),
 		TokensChecked: s.Promoter.ChecksTokens,
+		ByDeadline:    s.Admission.Mode == settings.AdmissionDeadline,
 		MaxSessions:   max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
 		Grace:         s.Grace.Std(),
 		Log:           log,
--- a/holderlink/convert.go
+++ b/holderlink/convert.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/admission"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
@@ -21,23 +22,33 @@
 
 // toPlace converts a Place. The deadline is sent as the remaining time.
 func toPlace(p *upstreamrun.Place) *vmlinkv1.Place {
-	return &vmlinkv1.Place{
+	place := &vmlinkv1.Place{
 		Upstream: string(p.Upstream), Service: string(p.Service), Workspace: p.Workspace, Priority: int32(p.Priority),
 		WaitUs: p.Wait.Microseconds(), TimeoutUs: time.Until(p.Deadline).Microseconds(), BoundUs: p.Bound.Microseconds(),
 		PositionTerm: p.Position.Term.Counter, Position: uint64(p.Position.Pos), Traceparent: p.TraceParent,
+		Elsewhere: p.Elsewhere,
 	}
+	if !p.Objective.IsZero() {
+		left := time.Until(p.Objective).Microseconds()
+		place.ObjectiveUs = &left
+	}
+	return place
 }
 
 // fromPlace converts a Place that has just been received: the remaining time
 // counts from now.
 func fromPlace(p *vmlinkv1.Place) upstreamrun.Place {
-	return upstreamrun.Place{
+	place := upstreamrun.Place{
 		Upstream: model.UpstreamID(p.GetUpstream()), Service: catalog.Service(p.GetService()),
 		Workspace: p.GetWorkspace(), Priority: int(p.GetPriority()),
 		Wait: microseconds(p.GetWaitUs()), Deadline: time.Now().Add(microseconds(p.GetTimeoutUs())),
 		Bound: microseconds(p.GetBoundUs()), Position: position(p.GetPositionTerm(), p.GetPosition()),
-		TraceParent: p.GetTraceparent(),
+		TraceParent: p.GetTraceparent(), Elsewhere: p.GetElsewhere(),
+	}
+	if p != nil && p.ObjectiveUs != nil {
+		place.Objective = time.Now().Add(microseconds(p.GetObjectiveUs()))
 	}
+	return place
 }
 
 func toStatement(s *upstreamrun.Statement) *vmlinkv1.Statement {
@@ -102,6 +113,11 @@
 }
 
 func toFailure(err error) *vmlinkv1.Failure {
+	var overloaded *upstreampool.OverloadedError
+	if errors.As(err, &overloaded) {
+		// VMs that do not know the overload take it for a wait that was too long.
+		return &vmlinkv1.Failure{Reason: vmlinkv1.Reason_REASON_WAITED, Overload: toOverload(&overloaded.Refusal)}
+	}
 	for reason, known := range errorsByReason {
 		if errors.Is(err, known) {
 			return &vmlinkv1.Failure{Reason: reason}
@@ -124,6 +140,9 @@
 // reason that this version does not know counts as sent: the statement may have
 // run.
 func fromFailure(id model.UpstreamID, f *vmlinkv1.Failure) error {
+	if o := f.GetOverload(); o != nil && f.GetReason() == vmlinkv1.Reason_REASON_WAITED {
+		return &upstreampool.OverloadedError{Upstream: id, Refusal: fromOverload(o)}
+	}
 	if known := errorsByReason[f.GetReason()]; known != nil {
 		return known
 	}
@@ -134,6 +153,31 @@
 	return &upstreampool.BrokenError{Upstream: id, Sent: sent, Dialing: f.GetDialing(), Err: &remoteError{failure: f}}
 }
 
+// maxOverloadDelay bounds the times that a holder reports with a refusal: no statement
+// waits for longer.
+const maxOverloadDelay = time.Minute
+
+func toOverload(r *admission.Refusal) *vmlinkv1.Overload {
+	return &vmlinkv1.Overload{
+		Cause: vmlinkv1.Overload_Cause(r.Cause), RetryAfterUs: r.RetryAfter.Microseconds(),
+		EstimateUs: r.Estimate.Microseconds(), ServiceUs: r.Service.Microseconds(), Waiting: int32(r.Waiting),
+	}
+}
+
+func fromOverload(o *vmlinkv1.Overload) admission.Refusal {
+	bounded := func(us int64) time.Duration {
+		return microseconds(min(max(us, 0), maxOverloadDelay.Microseconds()))
+	}
+	cause := admission.Cause(0)
+	if c := o.GetCause(); c > 0 && c <= vmlinkv1.Overload_CAUSE_CROWDED {
+		cause = admission.Cause(c)
+	}
+	return admission.Refusal{
+		Cause: cause, RetryAfter: bounded(o.GetRetryAfterUs()), Estimate: bounded(o.GetEstimateUs()),
+		Service: bounded(o.GetServiceUs()), Waiting: int(o.GetWaiting()),
+	}
+}
+
 // remoteError is an error that occurred at the holder.
 type remoteError struct{ failure *vmlinkv1.Failure }
 
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -62,6 +62,8 @@
 	effects []replicaset.Effect
 	// pools are this VM's own connections to each upstream.
 	pools map[model.UpstreamID]*upstreampool.Pool
+	// gateMetrics are the metrics of the pools' gates, nil if they have none.
+	gateMetrics *upstreampool.GateMetrics
 	// vms is the number of VMs, 0 while it is unknown.
 	vms int
 	// probes sends status queries and commands; local runs statements over pools.
@@ -108,6 +110,9 @@
 		keptZones:       map[string]model.Time{},
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
 	}
+	if o.ByDeadline {
+		c.gateMetrics = upstreampool.NewGateMetrics(o.Registry)
+	}
 	c.probes = newProbes(c)
 	c.rounds = newStatusRounds(c)
 	c.local = upstreamrun.Local{Cluster: c, Tracer: o.Tracer}
--- a/linenode/connections.go
+++ b/linenode/connections.go
@@ -36,6 +36,9 @@
 	}
 	c.dropPool(m.ID)
 	c.pools[m.ID] = upstreampool.New(poolUpstream(m), c.computeShare(m))
+	if c.gateMetrics != nil {
+		c.pools[m.ID].UseGate(c.gateMetrics)
+	}
 }
 
 // poolUpstream returns what a pool needs to know of an upstream.
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -93,7 +93,7 @@
 	n.transitions.withdraw = n.peers.withdraw
 	n.transitions.refreshLists = n.lists.refresh
 	n.callers = lineproxy.NewServer(lineproxy.Options{
-		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions, Tracer: o.Tracer,
+		Cluster: n.cluster, Log: o.Log, Metrics: o.Registry, MaxSessions: o.MaxSessions, ByDeadline: o.ByDeadline, Tracer: o.Tracer,
 	})
 	return n
 }
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -84,6 +84,9 @@
 	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
 	TokensChecked bool
 
+	// ByDeadline makes statements wait for the slots of upstreams by their objectives
+	// and deadlines; see upstreampool.Pool.UseGate.
+	ByDeadline bool
 	// MaxSessions is the maximum number of connections of callers.
 	MaxSessions int
 	// Grace is the time between the request to stop and the end of the process by
--- a/lineproxy/operation.go
+++ b/lineproxy/operation.go
@@ -74,6 +74,9 @@
 	// stops waiting for a connection or a primary and stops retrying.
 	deadline   time.Time
 	retryUntil time.Time
+	// objective is when the caller should have its answer, zero unless statements are
+	// queued by their deadlines.
+	objective time.Time
 }
 
 func (o *operation) timeLimits() timeLimits {
@@ -86,7 +89,14 @@
 	if wait <= 0 || wait > limit {
 		wait = limit / maxWaitDivisor
 	}
-	return timeLimits{deadline: now.Add(limit), retryUntil: now.Add(wait)}
+	t := timeLimits{deadline: now.Add(limit), retryUntil: now.Add(wait)}
+	if o.session.server.byDeadline {
+		t.objective = t.deadline
+		if o.route.TargetLatency > 0 {
+			t.objective = now.Add(min(o.route.TargetLatency, limit))
+		}
+	}
+	return t
 }
 
 func (t *timeLimits) remainingWait() time.Duration { return time.Until(t.retryUntil) }
@@ -96,11 +106,15 @@
 }
 
 // refuse refunds the token of an operation that has not run and returns the refusal.
-func (o *operation) refuse(id string, cause string, after time.Duration) reply {
+func (o *operation) refuse(id string, a *attempt) reply {
+	after := retryAfter(a)
 	o.cluster.Refund(o.workspace)
-	o.session.server.count("refused." + cause)
-	o.log(id, "request refused", func(e *Entry) { e.Str("code", string(lineproto.Busy)).Str("cause", cause) })
-	return failure(lineproto.Busy, retryText(cause, after))
+	o.session.server.count("refused." + a.text)
+	o.log(id, "request refused", func(e *Entry) {
+		e.Str("code", string(lineproto.Busy)).Str("cause", a.text)
+		a.overload.log(e)
+	})
+	return failure(lineproto.Busy, retryText(a.text, after))
 }
 
 // log logs a decision about this operation.
@@ -118,7 +132,7 @@
 	o.attempts.Add(1)
 	return upstreamrun.Place{
 		Upstream: id, Service: o.route.Service, Workspace: o.upstreamWorkspace(), Priority: o.route.Priority,
-		Wait: max(t.remainingWait(), 0), Deadline: t.deadline, Bound: o.route.MaxStaleness, Position: o.sessionFloor(),
+		Wait: max(t.remainingWait(), 0), Deadline: t.deadline, Objective: t.objective, Bound: o.route.MaxStaleness, Position: o.sessionFloor(),
 		TraceParent: o.session.traceParent,
 	}
 }
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -30,10 +30,10 @@
 		if !a.canRetry {
 			return a.reply
 		}
-		if a.unavailable || t.remainingWait() <= 0 {
-			return o.refuse(p.ID, a.text, retryAfter(&a))
+		if a.unavailable || t.retryTime(&a) <= 0 {
+			return o.refuse(p.ID, &a)
 		}
-		time.Sleep(min(busyRetryDelay, max(t.remainingWait(), 0)))
+		time.Sleep(min(busyRetryDelay, max(t.retryTime(&a), 0)))
 	}
 }
 
@@ -45,6 +45,8 @@
 	reply
 	canRetry    bool
 	unavailable bool
+	// overload is set if the upstream could not run the statement in time.
+	overload *overload
 }
 
 // upstreamBusy is the cause of refusals if the upstream has no free slot.
@@ -62,7 +64,10 @@
 
 // retryAfter returns the retry delay that the caller is told after a failed attempt.
 func retryAfter(a *attempt) time.Duration {
-	if a.unavailable {
+	switch {
+	case a.overload != nil:
+		return a.overload.Refusal.RetryAfter
+	case a.unavailable:
 		return retryAfterNoPrimary
 	}
 	return retryAfterBusy
@@ -101,6 +106,9 @@
 		return unavailable("freshness cannot be proved")
 	}
 	candidates := o.cluster.ReadCandidates(o.route.Service, floor, o.workspace)
+	if o.session.server.byDeadline {
+		return o.readQueued(candidates, p, t)
+	}
 	results := make(chan attempt, len(candidates))
 	timer := time.NewTimer(o.hedgeDelay())
 	defer timer.Stop()
@@ -136,7 +144,11 @@
 // with its next request before that returns, so everything that the goroutine needs
 // from the session is copied into the request first.
 func (o *operation) startRead(id model.UpstreamID, p *statement, t *timeLimits, results chan<- attempt) {
-	r := o.request(id, upstreamrun.ModeFresh, p, t)
+	o.startRequest(o.request(id, upstreamrun.ModeFresh, p, t), results)
+}
+
+// startRequest is startRead for a request.
+func (o *operation) startRequest(r *upstreamrun.Request, results chan<- attempt) {
 	go func() {
 		a := attempt{reply: failure(lineproto.Failed, "internal error")}
 		// The log has the error.
--- a/lineproxy/server.go
+++ b/lineproxy/server.go
@@ -51,6 +51,9 @@
 	Metrics metrics.Registry
 	// MaxSessions limits the number of callers' connections; 0 is no limit.
 	MaxSessions int
+	// ByDeadline makes statements wait for upstreams by their latency objectives and
+	// deadlines instead of a fixed part of the objective.
+	ByDeadline bool
 	// Tracer records a span for each request; nil records none.
 	Tracer trace.Tracer
 }
@@ -65,6 +68,8 @@
 	// limit is Options.MaxSessions.
 	limit  int
 	tracer trace.Tracer
+	// byDeadline is Options.ByDeadline.
+	byDeadline bool
 
 	// mu guards sessions, which has the open sessions by ID, and lastSessionID.
 	mu            sync.Mutex
@@ -88,8 +93,8 @@
 		metrics:   o.Metrics,
 		latency:   metrics.GetOrRegisterHistogram("requests.latency_us", o.Metrics, metrics.NewUniformSample(latencyReservoirSize)),
 		limit:     o.MaxSessions,
-		tracer:    o.Tracer,
-		sessions:  map[uint64]*session{},
+		tracer:    o.Tracer, byDeadline: o.ByDeadline,
+		sessions: map[uint64]*session{},
 	}
 }
 
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -93,7 +93,7 @@
 			return nil
 		}
 		if r.unavailable || t.remainingWait() <= 0 {
-			refusal := x.refuse(id, r.text, retryAfter(r))
+			refusal := x.refuse(id, r)
 			return &refusal
 		}
 		time.Sleep(min(busyRetryDelay, max(t.remainingWait(), 0)))
@@ -112,8 +112,12 @@
 		return &r
 	}
 	r := unavailable("no upstream")
-	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
-		failed := x.openOn(c.ID, id, t)
+	candidates := x.cluster.ReadCandidates(x.route.Service, floor, x.workspace)
+	if x.session.server.byDeadline {
+		return x.openQueued(candidates, id, t)
+	}
+	for _, c := range candidates {
+		failed := x.openOn(c.ID, id, t, false)
 		if failed == nil {
 			return nil
 		}
@@ -133,7 +137,7 @@
 		r := unavailable("no primary")
 		return &r
 	}
-	return x.openOn(m.ID, id, t)
+	return x.openOn(m.ID, id, t, false)
 }
 
 // requiresPrimary reports whether the transaction must run on the primary.
@@ -141,12 +145,13 @@
 	return !x.readOnly || x.route.Freshness == catalog.FreshPrimary
 }
 
-// openOn makes one attempt to start the transaction on one upstream. It returns nil on
-// success.
-func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits) *attempt {
+// openOn makes one attempt to start the transaction on one upstream; elsewhere is as in
+// upstreamrun.Place. It returns nil on success.
+func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits, elsewhere bool) *attempt {
 	r := upstreamrun.OpenRequest{
 		Place: x.place(id, t), ReadOnly: !x.requiresPrimary(), Session: x.sessionState(), IdleLimit: x.txIdleTimeout,
 	}
+	r.Elsewhere = elsewhere
 	tx, out, err := x.cluster.Open(&r)
 	if err != nil {
 		failed := notSent(err)
@@ -201,6 +206,9 @@
 	x.log(p.ID, "transaction lost its connection", func(e *Entry) { e.Str("upstream", string(x.upstream)).Err(err) })
 	x.discard()
 	x.failed = true
+	if v := overloadOf(err); v != nil {
+		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
+	}
 	return failure(lineproto.Aborted, "the connection to the upstream was lost; the transaction is rolled back")
 }
 
--- a/lineproxy/write.go
+++ b/lineproxy/write.go
@@ -79,6 +79,9 @@
 	if errors.Is(err, upstreamrun.ErrUnconfirmed) {
 		return unavailable("primary not confirmed")
 	}
+	if v := overloadOf(err); v != nil {
+		return refusedBy(v)
+	}
 	return retryable(connFailureCause(err))
 }
 
--- a/settings/line.go
+++ b/settings/line.go
@@ -27,6 +27,8 @@
 	Peer     LinePeer     `json:"peer"`
 	Store    LineStore    `json:"store"`
 	Promoter LinePromoter `json:"promoter"`
+	// Admission is how statements wait for an upstream without a free slot.
+	Admission LineAdmission `json:"admission"`
 	// Grace is the termination grace period: the time from the request to stop
 	// until the process is killed.
 	Grace jsondoc.Duration `json:"grace"`
@@ -40,6 +42,7 @@
 func (s *Line) SetDefaults() {
 	s.Grace = jsondoc.Duration(DefaultGrace)
 	s.Store.SetDefaults()
+	s.Admission.SetDefaults()
 	s.Log.SetDefaults()
 	s.Trace.SetDefaults()
 }
@@ -90,6 +93,26 @@
 	ChecksTokens bool `json:"checks_tokens"`
 }
 
+// Modes of LineAdmission.
+const (
+	// AdmissionWait sends statements as long as there are connections, and lets others
+	// wait for a connection for a part of their latency objective.
+	AdmissionWait = "wait"
+	// AdmissionDeadline sends as many statements as the upstream has slots. The others
+	// wait in the order of their priorities, objectives and deadlines, and those that
+	// cannot be run in time are refused at once.
+	AdmissionDeadline = "deadline"
+)
+
+// LineAdmission configures how statements wait for upstreams.
+type LineAdmission struct {
+	// Mode is AdmissionWait or AdmissionDeadline.
+	Mode string `json:"mode"`
+}
+
+// SetDefaults sets the defaults of optional fields.
+func (a *LineAdmission) SetDefaults() { a.Mode = AdmissionWait }
+
 // LoadLine reads and checks a settings file. The error is a findings.List if the
 // content is invalid.
 func LoadLine(path string) (*Line, error) {
@@ -129,6 +152,7 @@
 	}
 	c.address("store.address", s.Store.Address)
 	c.address("promoter.address", s.Promoter.Address)
+	c.oneOf("admission.mode", s.Admission.Mode, AdmissionWait, AdmissionDeadline)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.form", s.Log.Format, "json", "text")
 	c.checkTrace(&s.Trace)
--- a/upstreampool/conn.go
+++ b/upstreampool/conn.go
@@ -67,6 +67,8 @@
 	session uint64
 	// idleSince is the time of the last release.
 	idleSince time.Time
+	// slot is the slot that the connection holds, nil if none.
+	slot *slot
 }
 
 // dialTarget describes a connection to open.
--- a/upstreampool/dial.go
+++ b/upstreampool/dial.go
@@ -29,12 +29,12 @@
 	defer timer.Stop()
 	select {
 	case d := <-result:
-		return p.finishDial(r.Workspace, d)
+		return p.finishDial(&r, d)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	go func() {
-		if c, err := p.finishDial(r.Workspace, <-result); err == nil {
+		if c, err := p.finishDial(&r, <-result); err == nil {
 			p.Release(c, true)
 		}
 	}()
@@ -43,18 +43,23 @@
 
 // finishDial returns the connection of a successful attempt. After a failed one
 // it frees the reserved capacity for the next waiter.
-func (p *Pool) finishDial(workspace string, d dialResult) (*Conn, error) {
+func (p *Pool) finishDial(r *Request, d dialResult) (*Conn, error) {
 	if d.err == nil {
+		d.conn.slot = r.slot
 		return d.conn, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var refused *RefusedError
-	if errors.As(d.err, &refused) && refused.Code == lineproto.TooMany {
-		p.connLimitedUntil = time.Now().Add(connLimitBackoff)
+	if errors.As(d.err, &refused) {
+		if refused.Code == lineproto.TooMany {
+			p.connLimitedUntil = time.Now().Add(connLimitBackoff)
+		}
+		p.narrowIfFull(refused)
 	}
-	p.decInUse(workspace)
+	p.decInUse(r.Workspace)
 	p.open--
+	p.leave(r.slot)
 	p.grantNext()
 	return nil, d.err
 }
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -102,6 +102,9 @@
 	warmup  warmup
 	// busyUntil is the end of the back-off after a full queue.
 	busyUntil time.Time
+	// gate replaces waiters and busyUntil, nil if waiting requests are not ordered by
+	// their deadlines; see UseGate.
+	gate *gate
 }
 
 // waiter is a request that waits for a connection, or for permission to open
@@ -149,13 +152,25 @@
 	// Priority orders waiting requests; 0 goes first.
 	Priority int
 	// Wait bounds the wait for a connection, except that a connection that is
-	// being opened is awaited for at least minDialWait.
+	// being opened is awaited for at least minDialWait. With a gate it has a meaning
+	// only if Objective is zero.
 	Wait time.Duration
+	// Objective is when the caller should have its answer, zero if this is unknown.
+	// Deadline is when an answer is of no more use. Elsewhere is set if the statement
+	// may run on another upstream instead of waiting beyond Objective. Only a gate
+	// uses them.
+	Objective, Deadline time.Time
+	Elsewhere           bool
+	// slot is the slot that the connection is opened with, nil without a gate.
+	slot *slot
 }
 
 // Acquire returns a connection of the workspace. The caller returns it with
 // Release.
 func (p *Pool) Acquire(ctx context.Context, r Request) (*Conn, error) {
+	if p.gate != nil {
+		return p.acquireAdmitted(ctx, r)
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -297,6 +312,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leave(c.slot)
+	c.slot = nil
 	p.decInUse(c.workspace)
 	if c.broken || p.closed || p.open > p.limit() {
 		if !c.broken {
@@ -310,6 +327,7 @@
 	if w == nil {
 		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
+		p.dispatch()
 		return
 	}
 	p.inUse[w.workspace]++
@@ -333,6 +351,7 @@
 func (p *Pool) MarkBusy() {
 	p.mu.Lock()
 	p.busyUntil = time.Now().Add(busyBackoff)
+	p.narrow()
 	p.mu.Unlock()
 }
 
@@ -351,7 +370,7 @@
 	defer p.mu.Unlock()
 	busy := p.open - len(p.idle)
 	latency := float64(p.latency.Microseconds()) / 1000
-	load := latency * (1 + float64(busy+len(p.waiters))/float64(p.upstream.Slots))
+	load := latency * (1 + float64(busy+p.waitingCount())/float64(p.upstream.Slots))
 	for _, c := range p.idle {
 		if c.workspace == workspace {
 			return load
@@ -361,7 +380,7 @@
 		// A new connection takes about as long as a statement.
 		return load + latency
 	}
-	return load + 2*latency*float64(1+len(p.waiters))
+	return load + 2*latency*float64(1+p.waitingCount())
 }
 
 // InFlight returns the number of connections in use plus that of waiting
@@ -369,7 +388,7 @@
 func (p *Pool) InFlight() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open - len(p.idle) + len(p.waiters)
+	return p.open - len(p.idle) + p.waitingCount()
 }
 
 // Trim closes idle connections that are above the base share, idle for too long
@@ -403,7 +422,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Waiting: len(p.waiters), Latency: p.latency}
+	return Stats{Open: p.open, Idle: len(p.idle), Waiting: p.waitingCount(), Latency: p.latency}
 }
 
 // Close ends the idle connections and refuses new and waiting requests.
@@ -421,4 +440,5 @@
 		w.ready <- grant{err: ErrClosed}
 	}
 	p.waiters = nil
+	p.closeGate()
 }
--- a/upstreampool/waiters.go
+++ b/upstreampool/waiters.go
@@ -4,6 +4,10 @@
 
 // grantNext lets the next waiter open a connection if the limit allows one.
 func (p *Pool) grantNext() {
+	if p.gate != nil {
+		p.dispatch()
+		return
+	}
 	if p.open >= p.limit() || p.closed {
 		return
 	}
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -34,30 +34,32 @@
 
 // Run runs a statement outside of a transaction.
 func (l *Local) Run(r *Request) (Outcome, error) {
-	if (r.Mode == ModePrimary || r.Write) && !l.Cluster.ConfirmPrimary(&r.Place, l.Cluster.Now()) {
-		return Outcome{}, ErrUnconfirmed
+	connect := l.connect
+	if r.Mode == ModePrimary || r.Write {
+		connect = l.connectToPrimary
 	}
-	conn, pool, err := l.connect(&r.Place, &r.Session)
+	c, err := connect(&r.Place, &r.Session)
 	if err != nil {
 		return Outcome{}, err
 	}
+	defer c.discard()
 	var o Outcome
-	text, err := l.prepare(conn, r, &o)
+	text, err := l.prepare(c.conn, r, &o)
 	if err != nil {
-		pool.Release(conn, errors.Is(err, ErrNoEvidence))
+		c.release(errors.Is(err, ErrNoEvidence))
 		l.reportFailure(r.Upstream, err)
 		return Outcome{}, err
 	}
 	sentAt, start := l.Cluster.Now(), time.Now()
 	hop := l.startHop(r.TraceParent, r.Upstream)
-	o.Answer, err = l.send(conn, r, text)
+	o.Answer, err = l.send(c.conn, r, text)
 	hop.End(err)
-	pool.Release(conn, err == nil && o.Ready.State == lineproto.Idle)
+	c.release(err == nil && o.Ready.State == lineproto.Idle)
 	if err != nil {
 		l.reportFailure(r.Upstream, err)
 		return Outcome{}, err
 	}
-	observeLoad(pool, &o.Answer, time.Since(start))
+	observeLoad(c.pool, &o.Answer, time.Since(start))
 	ReportAnswer(l.Cluster, &SentStatement{Upstream: r.Upstream, SentAt: sentAt, Floor: o.Floor, Committed: r.Write}, &o.Answer)
 	if r.Write {
 		err = l.confirmCommit(&r.Place, &o.Answer)
@@ -134,26 +136,76 @@
 	return a, nil
 }
 
+// pooledConn is a connection acquired from a pool.
+type pooledConn struct {
+	// conn is nil once the connection has been returned.
+	conn *upstreampool.Conn
+	pool *upstreampool.Pool
+}
+
+// release returns the connection to its pool, unless that has happened already.
+func (c *pooledConn) release(reusable bool) {
+	if c.conn == nil {
+		return
+	}
+	c.pool.Release(c.conn, reusable)
+	c.conn = nil
+}
+
+// discard closes the connection unless it has been returned, for instance because of a
+// panic.
+func (c *pooledConn) discard() { c.release(false) }
+
+// maxConfirmationAge is how long a statement may have waited for its slot since the
+// primary was confirmed. It is shorter than a promotion takes.
+const maxConfirmationAge = 100 * time.Millisecond
+
+// connectToPrimary is connect for statements that need the primary. It confirms the
+// primary before, and once more after a long wait in the queue of a gate.
+func (l *Local) connectToPrimary(p *Place, s *upstreampool.SessionState) (*pooledConn, error) {
+	confirmedAt := l.Cluster.Now()
+	if !l.Cluster.ConfirmPrimary(p, confirmedAt) {
+		return nil, ErrUnconfirmed
+	}
+	c, err := l.connect(p, s)
+	if err != nil || !c.pool.Gated() {
+		return c, err
+	}
+	if now := l.Cluster.Now(); now.Sub(confirmedAt) > maxConfirmationAge && !l.Cluster.ConfirmPrimary(p, now) {
+		c.release(true)
+		return nil, ErrUnconfirmed
+	}
+	return c, nil
+}
+
 // connect acquires a connection of the workspace and applies the session's
 // values to it.
-func (l *Local) connect(p *Place, s *upstreampool.SessionState) (*upstreampool.Conn, *upstreampool.Pool, error) {
+func (l *Local) connect(p *Place, s *upstreampool.SessionState) (*pooledConn, error) {
 	pool := l.Cluster.Pool(p.Upstream)
 	if pool == nil {
-		return nil, nil, upstreampool.ErrClosed
+		return nil, upstreampool.ErrClosed
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
 	defer cancel()
 	conn, err := pool.Acquire(ctx, upstreampool.Request{
 		Workspace: p.Workspace, Session: s.ID, Priority: p.Priority, Wait: max(p.Wait, 0),
+		Objective: p.Objective, Deadline: p.Deadline, Elsewhere: p.Elsewhere,
 	})
 	if err == nil {
+		c := &pooledConn{conn: conn, pool: pool}
+		applied := false
+		defer func() {
+			if !applied {
+				c.discard()
+			}
+		}()
 		if err = conn.ApplySession(p.Deadline, s); err == nil {
-			return conn, pool, nil
+			applied = true
+			return c, nil
 		}
-		pool.Release(conn, false)
 	}
 	l.reportFailure(p.Upstream, err)
-	return nil, nil, err
+	return nil, err
 }
 
 // suspectIfSlow requests status queries to an upstream unless stop is called
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -1,6 +1,7 @@
 package upstreamrun
 
 import (
+	"context"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
@@ -28,18 +29,26 @@
 
 // Open begins a transaction. Tx is nil if the upstream refused it.
 func (l *Local) Open(r *OpenRequest) (Tx, Outcome, error) {
-	if !r.ReadOnly && !l.Cluster.ConfirmPrimary(&r.Place, l.Cluster.Now()) {
-		return nil, Outcome{}, ErrUnconfirmed
+	connect := l.connectToPrimary
+	if r.ReadOnly {
+		connect = l.connect
 	}
-	conn, pool, err := l.connect(&r.Place, &r.Session)
+	c, err := connect(&r.Place, &r.Session)
 	if err != nil {
 		return nil, Outcome{}, err
 	}
+	tx := &localTx{pooledConn: *c, local: l, place: r.Place}
+	opened := false
+	defer func() {
+		if !opened {
+			tx.Discard()
+		}
+	}()
 	var o Outcome
 	begin := "BEGIN"
 	if r.ReadOnly {
 		if err := l.setFloor(&r.Place, &o); err != nil {
-			pool.Release(conn, true)
+			tx.release(true)
 			return nil, Outcome{}, err
 		}
 		begin = withFloor(o.Floor, "BEGIN READ")
@@ -47,20 +56,21 @@
 	sentAt := l.Cluster.Now()
 	hop := l.startHop(r.TraceParent, r.Upstream)
 	stop := l.suspectIfSlow(r.Upstream)
-	o.Answer, err = conn.Query(r.Deadline, lineproto.NilValue, begin)
+	o.Answer, err = tx.conn.Query(r.Deadline, lineproto.NilValue, begin)
 	stop()
 	hop.End(err)
 	if err != nil {
-		pool.Release(conn, false)
+		tx.Discard()
 		l.reportFailure(r.Upstream, err)
 		return nil, Outcome{}, err
 	}
 	ReportAnswer(l.Cluster, &SentStatement{Upstream: r.Upstream, SentAt: sentAt, Floor: o.Floor}, &o.Answer)
 	if o.Code != "" || o.Ready.State != lineproto.InTx {
-		pool.Release(conn, o.Ready.State == lineproto.Idle)
+		tx.release(o.Ready.State == lineproto.Idle)
 		return nil, o, nil
 	}
-	tx := &localTx{local: l, conn: conn, pool: pool, place: r.Place}
+	tx.pool.Leave(tx.conn)
+	opened = true
 	tx.Upstream, tx.ReadOnly = r.Upstream, r.ReadOnly
 	return tx, o, nil
 }
@@ -68,10 +78,9 @@
 // localTx is a transaction on a connection of this VM.
 type localTx struct {
 	TxProgress
+	// pooledConn has no connection once the transaction is over.
+	pooledConn
 	local *Local
-	// conn is nil once the transaction is over.
-	conn *upstreampool.Conn
-	pool *upstreampool.Pool
 	// place is where the transaction was opened.
 	place Place
 }
@@ -109,10 +118,14 @@
 		return upstreampool.Answer{}, err
 	}
 	for retryUntil := time.Now().Add(r.Wait); ; {
+		if err := x.enter(r); err != nil {
+			return upstreampool.Answer{}, err
+		}
 		start := time.Now()
 		stop := x.local.suspectIfSlow(x.Upstream)
 		a, err := x.conn.Query(r.Deadline, r.ID, text)
 		stop()
+		x.pool.Leave(x.conn)
 		if err != nil {
 			return a, err
 		}
@@ -122,21 +135,22 @@
 			}
 			return a, nil
 		}
+		x.pool.NarrowGate()
 		time.Sleep(busyRetryDelay)
 	}
 }
 
-// release returns the connection to its pool.
-func (x *localTx) release(reusable bool) {
-	if x.conn == nil {
-		return
-	}
-	x.pool.Release(x.conn, reusable)
-	x.conn = nil
+// enter waits until the upstream has a slot for a statement of the transaction.
+func (x *localTx) enter(r *TxRequest) error {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	defer cancel()
+	return x.pool.Enter(ctx, x.conn, upstreampool.Request{
+		Workspace: x.place.Workspace, Priority: x.place.Priority, Objective: r.Deadline, Deadline: r.Deadline,
+	})
 }
 
 // Discard closes the connection, which rolls the transaction back.
-func (x *localTx) Discard() { x.release(false) }
+func (x *localTx) Discard() { x.discard() }
 
 // Rollback ends the transaction on the upstream and keeps the connection.
 func (x *localTx) Rollback() {
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -67,6 +67,13 @@
 	Wait time.Duration
 	// Deadline ends the statement.
 	Deadline time.Time
+	// Objective is when the caller should have the answer by the route's latency
+	// objective, zero if the VM that sent the request did not say. Elsewhere is set if
+	// the statement is to be refused rather than wait beyond Objective, because
+	// another upstream may run it. Only upstreams with a gate use them; see
+	// upstreampool.Pool.UseGate.
+	Objective time.Time
+	Elsewhere bool
 	// Bound is the freshness bound of reads. Position is a position that they
 	// have to see in any case: that of the session's last commit if the route
 	// promises that sessions read their own writes, and zero otherwise.
