--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -71,8 +71,8 @@
 	// service is the moving average of the service time of each priority, which is
 	// the time between the grant of a slot and its release.
 	service [Priorities]time.Duration
-	// demand is the decaying sum of the service time of each priority's admitted
-	// statements, as of demandAt.
+	// demand is the decaying sum of the service time of the statements of each priority
+	// that were admitted as in time, as of demandAt.
 	demand   [Priorities]float64
 	demandAt model.Time
 	// agedCredit is the service time that the oldest entries may still take.
@@ -125,6 +125,7 @@
 // queue is full, it may evict a less urgent entry instead. random is uniform in [0, 1).
 func (q *Queue) Offer(now model.Time, e *Entry, c Capacity, random float64) (refusal Refusal, evicted *Entry, ok bool) {
 	q.demote(now)
+	q.decay(now)
 	e.cost = q.Service(e.Priority)
 	b := bandOf(e, now)
 	e.estimate = q.estimate(b, e, c)
@@ -140,8 +141,9 @@
 			refusal = q.refusal(Full, evicted, e.estimate, random)
 		}
 	}
-	q.decay(now)
-	q.demand[min(max(e.Priority, 0), Priorities-1)] += float64(e.cost)
+	if e.Open || e.estimate <= e.StartBy.Sub(now) {
+		q.demand[min(max(e.Priority, 0), Priorities-1)] += float64(e.cost)
+	}
 	q.add(now, e)
 	return refusal, evicted, true
 }
@@ -192,8 +194,9 @@
 	}
 	slots := float64(max(c.Slots, 1))
 	rest := max(1-q.urgentLoad(b, slots), 1.0/agedDivisor)
-	// A slot becomes free after a part of the service time in any case.
-	return time.Duration(float64(ahead)/(slots*rest) + float64(e.cost)/slots)
+	wait := time.Duration(float64(ahead) / (slots * rest))
+	// The slots are busy now, for up to a service time.
+	return wait + wait/estimateMarginDivisor + e.cost
 }
 
 // urgentLoad returns the load of the slots, 1 for all of them, by statements that are
@@ -202,7 +205,8 @@
 	load := 0.0
 	for p := range Priorities {
 		if b >= 2*Priorities || p < b/2 {
-			load += q.demand[p]
+			// What waits is counted as work ahead.
+			load += max(q.demand[p]-float64(q.bands[2*p].work+q.bands[2*p+1].work), 0)
 		}
 	}
 	return load / (float64(demandPeriod) * slots)
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -34,6 +34,9 @@
 	affinityWindow = 60 * time.Millisecond
 	// affinityScan bounds the workspaces that are looked at for an idle connection.
 	affinityScan = 16
+	// estimateMarginDivisor is the inverse of the margin that is added to estimated waits,
+	// since workspaces that have less waiting go ahead with what they send later.
+	estimateMarginDivisor = 8
 	// minRetryAfter and maxRetryAfter bound the delay that refused callers are told: a
 	// round trip, and the time for which an estimate says anything.
 	minRetryAfter = 10 * time.Millisecond
