--- a/settings/line_test.go
+++ b/settings/line_test.go
@@ -24,6 +24,9 @@
 	if s.Grace.Std() != DefaultGrace || s.Store.Timeout.Std() != DefaultStoreTimeout || s.Store.WatchWait.Std() != DefaultWatchWait {
 		t.Errorf("defaults = %+v", s)
 	}
+	if s.Admission.Mode != AdmissionWait {
+		t.Errorf("default admission = %+v", s.Admission)
+	}
 	if s.Log.Level != "info" || s.Callers.MaxDescriptors != 4000 || len(s.Peer.Seeds) != 1 {
 		t.Errorf("settings = %+v", s)
 	}
@@ -42,9 +45,9 @@
 // Guards against invalid files that are accepted, and against reporting only the
 // first finding.
 func TestLineFindings(t *testing.T) {
-	_, list := ParseLine("file", []byte(`{"vm": {"id": ""}, "peer": {"insecure": false, "advertise": "y"}, "store": {"address": "x"}, "grace": "-1s", "more": 1}`))
+	_, list := ParseLine("file", []byte(`{"vm": {"id": ""}, "peer": {"insecure": false, "advertise": "y"}, "store": {"address": "x"}, "grace": "-1s", "admission": {"mode": "later"}, "more": 1}`))
 	text := list.Error()
-	for _, path := range []string{"vm.id", "vm.zone", "callers.listen", "peer.insecure", "peer.advertise", "store.address", "promoter.address", "grace", "more"} {
+	for _, path := range []string{"vm.id", "vm.zone", "callers.listen", "peer.insecure", "peer.advertise", "store.address", "promoter.address", "admission.mode", "grace", "more"} {
 		if !strings.Contains(text, path+":") {
 			t.Errorf("no finding for %s in:\n%s", path, text)
 		}
