--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -158,12 +158,14 @@
 	case e.estimate <= e.StartBy.Sub(now):
 		return Refusal{}
 	}
+	// If the caller comes back, its statement has the time of a new one.
+	after := e.estimate - max(e.StartBy.Sub(now), 0)
 	late := 2*Priorities + min(max(e.Priority, 0), Priorities-1)
 	if b < late {
 		e.estimate = max(e.estimate, q.estimate(late, e, c))
 	}
-	if left := e.Deadline.Sub(now); e.estimate > left {
-		return q.refusal(TooLate, e, e.estimate-left, random)
+	if e.estimate > e.Deadline.Sub(now) {
+		return q.refusal(TooLate, e, after, random)
 	}
 	return Refusal{}
 }
@@ -398,12 +400,17 @@
 	return nil
 }
 
-// withConnection returns the flow that is next in a band. As long as the entry that is
-// next has waited for less than affinityWindow, a workspace with an idle connection is
-// preferred.
+// withConnection returns the flow that is next in a band. A workspace with an idle
+// connection is preferred as long as the entry that is next has waited for less than
+// affinityWindow, has more than that left until it has to start, or is late anyway.
 func (q *Queue) withConnection(now model.Time, b *band) *flow {
 	first := b.active.items[0]
-	if q.config.Idle == nil || q.config.Idle(first.workspace) || now.Sub(first.entries.items[0].Arrival) >= affinityWindow {
+	if q.config.Idle == nil || q.config.Idle(first.workspace) {
+		return first
+	}
+	e := first.entries.items[0]
+	left := e.StartBy.Sub(now)
+	if now.Sub(e.Arrival) >= affinityWindow && left >= 0 && left <= affinityWindow {
 		return first
 	}
 	var best *flow
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -28,9 +28,9 @@
 	// entries that have waited for longest, whatever their urgency. A higher share
 	// would show in the waits of urgent statements.
 	agedDivisor = 20
-	// affinityWindow is how long an entry may be passed over in favor of one whose
-	// workspace has an idle connection: a new one takes a slot for as long as a
-	// statement.
+	// affinityWindow is how long an entry may be passed over in any case in favor of one
+	// whose workspace has an idle connection, and the time before its objective in which
+	// it may not. A new connection takes a slot for as long as a statement.
 	affinityWindow = 60 * time.Millisecond
 	// affinityScan bounds the workspaces that are looked at for an idle connection.
 	affinityScan = 16
