--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -308,6 +308,38 @@
 	}
 }
 
+// Guards against a new connection for each statement of a long queue, and against
+// statements that miss their objective since workspaces with idle connections go ahead.
+// The load: entries of two workspaces, of which one has an idle connection.
+func TestIdleConnectionsGoFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name              string
+		waited, left      time.Duration
+		want              string
+		firstHasPriority0 bool
+	}{
+		{"just arrived", 0, affinityWindow / 2, "idle", false},
+		{"long wait, enough time", 2 * affinityWindow, 2 * affinityWindow, "idle", false},
+		{"long wait, little time", 2 * affinityWindow, affinityWindow / 2, "first", false},
+		{"late", 2 * affinityWindow, -ms, "idle", false},
+		{"more urgent", 0, affinityWindow, "first", true},
+	} {
+		q := New(Config{Idle: func(w string) bool { return w == "idle" }})
+		now := model.Time(time.Second)
+		c := Capacity{Slots: 4, Connections: true}
+		for _, w := range []string{"first", "idle"} {
+			e := &Entry{Workspace: w, Priority: 1, Arrival: now.Add(-tt.waited), StartBy: now.Add(tt.left), Deadline: now.Add(time.Hour)}
+			if tt.firstHasPriority0 && w == "first" {
+				e.Priority = 0
+			}
+			q.Offer(e.Arrival, e, c, 0)
+		}
+		if e := q.Next(now, c); e.Workspace != tt.want {
+			t.Errorf("%s: %s is next, want %s", tt.name, e.Workspace, tt.want)
+		}
+	}
+}
+
 // Guards against entries that are lost, granted or refused twice, and against a bound of
 // the wait that does not hold: of any entries that are offered, removed, granted and
 // expire, each has exactly one end.
