--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -151,6 +151,8 @@
 // judge refuses an entry that is not expected to start in time.
 func (q *Queue) judge(now model.Time, e *Entry, b int, c Capacity, random float64) Refusal {
 	switch {
+	case e.Elsewhere && !c.Connections:
+		return q.refusal(Busy, e, e.cost, random)
 	case e.estimate == 0 && c.Free > 0:
 		return Refusal{}
 	case e.Elsewhere && e.estimate > e.StartBy.Sub(now):
@@ -191,7 +193,7 @@
 		own = f.work
 	}
 	ahead += min(q.bands[b].work, (own+e.cost)*time.Duration(len(q.bands[b].active.items)))
-	if ahead == 0 && c.Free > 0 {
+	if ahead == 0 && c.Free > 0 && (e.Open || c.Connections) {
 		return 0
 	}
 	slots := float64(max(c.Slots, 1))
@@ -313,6 +315,16 @@
 	return true
 }
 
+// Withdraw removes an entry whose deadline has passed. It returns false if the entry is
+// not in the queue.
+func (q *Queue) Withdraw(e *Entry, c Capacity, random float64) (Refusal, bool) {
+	if !e.queued {
+		return Refusal{}, false
+	}
+	refusal := q.refusal(Expired, e, q.drained(e, c), random)
+	return refusal, q.Remove(e)
+}
+
 // demote moves the entries that can no longer meet their objective behind those that
 // can.
 func (q *Queue) demote(now model.Time) {
@@ -346,8 +358,8 @@
 	e := q.deadlines.items[0]
 	left := e.Deadline.Sub(now)
 	if left < 0 {
-		q.Remove(e)
-		return e, q.refusal(Expired, e, q.drained(e, c), random)
+		refusal, _ := q.Withdraw(e, c, random)
+		return e, refusal
 	}
 	if e.Open || c.Free > 0 {
 		return nil, Refusal{}
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -75,7 +75,7 @@
 	// Open is set for a statement of an open transaction, which has its connection.
 	Open bool
 	// Elsewhere is set if the statement may run on another upstream: it is refused
-	// unless it is expected to start by StartBy.
+	// unless it is expected to start by StartBy, and if no connection is free.
 	Elsewhere bool
 	// Arrival is when the statement arrived. StartBy is the last time to start it
 	// that meets the route's latency objective, Deadline the last that is of any use.
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -242,6 +242,9 @@
 	x.log(p.ID, "commit lost its connection", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Bool("sent", sent).Bool("wrote", x.wrote).Err(err)
 	})
+	if v := overloadOf(err); v != nil {
+		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
+	}
 	if !sent || !x.wrote {
 		return failure(lineproto.Aborted, "the connection to the upstream was lost; nothing is kept")
 	}
--- a/upstreampool/gate.go
+++ b/upstreampool/gate.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/admission"
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -42,9 +44,11 @@
 // gate bounds the statements that are under way at an upstream from this VM, and
 // orders those that wait. Pool.mu guards it.
 type gate struct {
-	queue    *admission.Queue
-	metrics  *GateMetrics
-	underWay int
+	queue   *admission.Queue
+	metrics *GateMetrics
+	// widthGauge has the width.
+	widthGauge metrics.Gauge
+	underWay   int
 	// narrowed is by how much the gate was narrower than usual at narrowedAt.
 	narrowed   int
 	narrowedAt model.Time
@@ -63,7 +67,7 @@
 // UseGate makes the pool order and refuse statements by their deadlines. It is to be
 // called before the first Acquire.
 func (p *Pool) UseGate(m *GateMetrics) {
-	p.gate = &gate{metrics: m}
+	p.gate = &gate{metrics: m, widthGauge: m.widthGauge(p.upstream.ID)}
 	p.gate.queue = admission.New(admission.Config{Idle: p.hasIdle})
 }
 
@@ -171,18 +175,18 @@
 func (p *Pool) offer(now model.Time, s *slot) error {
 	refusal, evicted, ok := p.gate.queue.Offer(now, &s.entry, p.capacity(now), rand.Float64())
 	if !ok {
-		return p.refuseSlot(&s.entry, &refusal)
+		return p.refuseSlot(&refusal)
 	}
 	p.gate.metrics.waiting.Inc(1)
 	if evicted != nil {
 		p.gate.metrics.waiting.Dec(1)
-		evicted.Owner.(*slot).ready <- grant{err: p.refuseSlot(evicted, &refusal)}
+		evicted.Owner.(*slot).ready <- grant{err: p.refuseSlot(&refusal)}
 	}
 	p.dispatch()
 	return nil
 }
 
-func (p *Pool) refuseSlot(e *admission.Entry, r *admission.Refusal) error {
+func (p *Pool) refuseSlot(r *admission.Refusal) error {
 	p.gate.metrics.refuse(r.Cause)
 	return &OverloadedError{Upstream: p.upstream.ID, Refusal: *r}
 }
@@ -200,7 +204,7 @@
 			break
 		}
 		p.gate.metrics.waiting.Dec(1)
-		e.Owner.(*slot).ready <- grant{err: p.refuseSlot(e, &refusal)}
+		e.Owner.(*slot).ready <- grant{err: p.refuseSlot(&refusal)}
 	}
 	for p.gate.underWay < p.width(now) {
 		e := q.Next(now, p.capacity(now))
@@ -212,7 +216,7 @@
 			break
 		}
 	}
-	p.gate.metrics.width(p.upstream.ID, p.width(now))
+	p.gate.widthGauge.Update(int64(p.width(now)))
 }
 
 // grantSlot grants a slot with what the statement needs: a connection, or capacity for
@@ -273,15 +277,12 @@
 func (p *Pool) withdrawSlot(s *slot) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	waiting := p.gate.queue.Len()
-	if !p.gate.queue.Remove(&s.entry) {
+	refusal, ok := p.gate.queue.Withdraw(&s.entry, p.capacity(boottime.Now()), rand.Float64())
+	if !ok {
 		return nil
 	}
 	p.gate.metrics.waiting.Dec(1)
-	return p.refuseSlot(&s.entry, &admission.Refusal{
-		Cause: admission.Expired, RetryAfter: p.gate.queue.Service(s.entry.Priority),
-		Estimate: s.entry.Estimate(), Service: s.entry.Cost(), Waiting: waiting,
-	})
+	return p.refuseSlot(&refusal)
 }
 
 // giveBack returns a granted slot that is not used, with what came with it.
--- a/upstreampool/gate_test.go
+++ b/upstreampool/gate_test.go
@@ -232,6 +232,7 @@
 	}{
 		"another upstream": {elsewhere, admission.Busy},
 		"deadline":         {gated("a", time.Millisecond, 10*time.Millisecond), admission.TooLate},
+		"older VM":         {Request{Workspace: "a", Wait: 10 * time.Millisecond}, admission.TooLate},
 	} {
 		_, err := p.Acquire(context.Background(), tt.request)
 		var refused *OverloadedError
--- a/upstreampool/gatemetrics.go
+++ b/upstreampool/gatemetrics.go
@@ -26,6 +26,8 @@
 	// late and early have by how many milliseconds granted statements waited longer,
 	// or shorter, than was expected at their arrival.
 	late, early metrics.Histogram
+	// refused counts the refusals of each cause.
+	refused [admission.Crowded + 1]metrics.Counter
 }
 
 // NewGateMetrics returns the metrics of a registry.
@@ -43,6 +45,9 @@
 	for p := range m.waits {
 		m.waits[p] = histogram("admission.wait_ms.priority_" + strconv.Itoa(p))
 	}
+	for c := range m.refused {
+		m.refused[c] = metrics.GetOrRegisterCounter("admission.refused."+admission.Cause(c).String(), r)
+	}
 	return m
 }
 
@@ -58,13 +63,13 @@
 }
 
 func (m *GateMetrics) refuse(c admission.Cause) {
-	metrics.GetOrRegisterCounter("admission.refused."+c.String(), m.registry).Inc(1)
+	m.refused[c].Inc(1)
 }
 
 func widthName(id model.UpstreamID) string { return "admission.width." + string(id) }
 
-func (m *GateMetrics) width(id model.UpstreamID, width int) {
-	metrics.GetOrRegisterGauge(widthName(id), m.registry).Update(int64(width))
+func (m *GateMetrics) widthGauge(id model.UpstreamID) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(widthName(id), m.registry)
 }
 
 func (m *GateMetrics) forget(id model.UpstreamID) { m.registry.Unregister(widthName(id)) }
