Keep nobody waiting for an upstream that does not answer

Cause: statements waited for slots that did not become free, and hedges only ran where a slot was free.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -113,6 +113,9 @@
 // Len returns the number of entries.
 func (q *Queue) Len() int { return q.size }
 
+// Newest returns the entry that arrived last, or nil.
+func (q *Queue) Newest() *Entry { return q.newest }
+
 // Oldest returns the entry that has waited for longest, or nil.
 func (q *Queue) Oldest() *Entry { return q.oldest }
 
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -103,6 +103,9 @@
 // Estimate returns the wait that was expected when the entry arrived.
 func (e *Entry) Estimate() time.Duration { return e.estimate }
 
+// Older returns the waiting entry that arrived just before, or nil.
+func (e *Entry) Older() *Entry { return e.older }
+
 // Cost returns the service time that was expected when the entry arrived.
 func (e *Entry) Cost() time.Duration { return e.cost }
 
@@ -122,6 +125,9 @@
 	// Crowded means that more urgent statements have come in between, so that the
 	// entry is no longer expected to start by its deadline.
 	Crowded
+	// Stalled means that the statements under way at the upstream do not end. The queue
+	// itself does not use it.
+	Stalled
 )
 
 // String returns the cause as text.
@@ -137,6 +143,8 @@
 		return "deadline passed"
 	case Crowded:
 		return "more urgent work"
+	case Stalled:
+		return "upstream does not answer"
 	}
 	return "none"
 }
--- a/holderlink/convert.go
+++ b/holderlink/convert.go
@@ -169,7 +169,7 @@
 		return microseconds(min(max(us, 0), maxOverloadDelay.Microseconds()))
 	}
 	cause := admission.Cause(0)
-	if c := o.GetCause(); c > 0 && c <= vmlinkv1.Overload_CAUSE_CROWDED {
+	if c := o.GetCause(); c > 0 && c <= vmlinkv1.Overload_CAUSE_STALLED {
 		cause = admission.Cause(c)
 	}
 	return admission.Refusal{
--- a/lineproxy/overload.go
+++ b/lineproxy/overload.go
@@ -91,7 +91,8 @@
 }
 
 // readQueued is readFresh if statements are queued by their deadlines. A hedge runs only
-// on an upstream that has a free slot, since most reads without an answer wait for one.
+// on an upstream that has a free slot, since most reads without an answer wait for one;
+// if none has, the last hedge waits at that with the shortest queue.
 func (o *operation) readQueued(candidates []replicaset.Candidate, p *statement, t *timeLimits) attempt {
 	choice := readChoice{candidates: candidates}
 	results := make(chan attempt, len(candidates)+1)
@@ -117,13 +118,15 @@
 			}
 			choice.observe(last.overload)
 		case <-timer.C:
-			if choice.tried == len(candidates) {
+			id, elsewhere, ok := choice.next()
+			if !ok {
 				continue
 			}
 			o.session.server.count("hedged")
-			id, _, _ := choice.next()
 			r := o.request(id, upstreamrun.ModeFresh, p, t)
-			r.Elsewhere, r.Objective = true, time.Now()
+			if r.Elsewhere = elsewhere; elsewhere {
+				r.Objective = time.Now()
+			}
 			o.startRequest(r, results)
 			running++
 			timer.Reset(o.hedgeDelay())
--- a/upstreampool/dial.go
+++ b/upstreampool/dial.go
@@ -59,7 +59,7 @@
 	}
 	p.decInUse(r.Workspace)
 	p.open--
-	p.leave(r.slot)
+	p.leave(r.slot, refused != nil)
 	p.grantNext()
 	return nil, d.err
 }
--- a/upstreampool/gate.go
+++ b/upstreampool/gate.go
@@ -25,6 +25,12 @@
 	// upstream's queue was full takes one more statement: some service times, so that
 	// the effect of the last step shows first.
 	widenInterval = 50 * time.Millisecond
+	// stallTime is how long no statement may have ended, while all that may be under way
+	// are, before the upstream counts as stalled: several times what a slow one takes.
+	stallTime = 250 * time.Millisecond
+	// stallRetryAfter is the delay that callers are told at a stalled upstream: the usual
+	// duration of a promotion.
+	stallRetryAfter = 400 * time.Millisecond
 )
 
 // OverloadedError reports a statement that was refused because it could not get a slot
@@ -52,6 +58,8 @@
 	// narrowed is by how much the gate was narrower than usual at narrowedAt.
 	narrowed   int
 	narrowedAt model.Time
+	// progressAt is when the last statement ended or got its slot.
+	progressAt model.Time
 }
 
 // slot is the right to have one statement, or one connection that is being opened,
@@ -117,6 +125,21 @@
 	p.narrow()
 }
 
+// stalled reports whether the statements that are under way do not end, so that nothing
+// is known of when those that wait may start.
+func (p *Pool) stalled(now model.Time) bool {
+	g := p.gate
+	return g.underWay >= p.width(now) && now.Sub(g.progressAt) > stallTime
+}
+
+// refuseStalled refuses a new statement for a stalled upstream, or one that waits for it.
+func (p *Pool) refuseStalled(now model.Time, e *admission.Entry) error {
+	return p.refuseSlot(&admission.Refusal{
+		Cause: admission.Stalled, RetryAfter: stallRetryAfter + time.Duration(rand.Float64()*float64(stallRetryAfter)/2),
+		Estimate: now.Sub(p.gate.progressAt), Service: p.gate.queue.Service(e.Priority), Waiting: p.gate.queue.Len(),
+	})
+}
+
 func (p *Pool) capacity(now model.Time) admission.Capacity {
 	width := p.width(now)
 	return admission.Capacity{
@@ -173,6 +196,10 @@
 
 // offer adds a slot to the queue and grants what can be granted.
 func (p *Pool) offer(now model.Time, s *slot) error {
+	if p.stalled(now) && !s.entry.Open {
+		p.dispatch()
+		return p.refuseStalled(now, &s.entry)
+	}
 	refusal, evicted, ok := p.gate.queue.Offer(now, &s.entry, p.capacity(now), rand.Float64())
 	if !ok {
 		return p.refuseSlot(&refusal)
@@ -198,6 +225,15 @@
 		return
 	}
 	q, now := p.gate.queue, boottime.Now()
+	for e := q.Newest(); p.stalled(now) && e != nil; {
+		next := e.Older()
+		if !e.Open {
+			q.Remove(e)
+			p.gate.metrics.waiting.Dec(1)
+			e.Owner.(*slot).ready <- grant{err: p.refuseStalled(now, e)}
+		}
+		e = next
+	}
 	for {
 		e, refusal := q.Expire(now, p.capacity(now), rand.Float64())
 		if e == nil {
@@ -233,6 +269,7 @@
 	}
 	s.since = now
 	p.gate.underWay++
+	p.gate.progressAt = now
 	p.gate.metrics.grant(&s.entry, now)
 	s.ready <- g
 	return true
@@ -297,17 +334,22 @@
 		p.decInUse(s.request.Workspace)
 		p.open--
 	}
-	p.leave(s)
+	p.leave(s, true)
 	p.dispatch()
 }
 
-// leave frees a slot. It does nothing for nil. The caller holds mu and calls dispatch.
-func (p *Pool) leave(s *slot) {
+// leave frees a slot. It does nothing for nil. ended is false if the upstream has not
+// answered. The caller holds mu and calls dispatch.
+func (p *Pool) leave(s *slot, ended bool) {
 	if s == nil {
 		return
 	}
+	now := boottime.Now()
 	p.gate.underWay--
-	p.gate.queue.Finish(&s.entry, boottime.Now().Sub(s.since))
+	p.gate.queue.Finish(&s.entry, now.Sub(s.since))
+	if ended {
+		p.gate.progressAt = now
+	}
 }
 
 // Enter waits for a slot for the next statement of the open transaction on c. Without
@@ -345,7 +387,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leave(c.slot)
+	p.leave(c.slot, !c.broken)
 	c.slot = nil
 	p.dispatch()
 }
--- a/upstreampool/gate_test.go
+++ b/upstreampool/gate_test.go
@@ -242,6 +242,48 @@
 	}
 }
 
+// Guards against statements that wait until their deadline for an upstream that does not
+// answer, although other upstreams may serve them.
+func TestStalledUpstreamKeepsNobodyWaiting(t *testing.T) {
+	s := startSlowServer(t, 0)
+	defer s.listener.Close()
+	p := newGatedPool(s, Share{Base: 9, Max: 9})
+	defer p.Close()
+	var held []*Conn
+	for range 3 {
+		c, err := p.Acquire(context.Background(), gated("a", time.Second, time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := p.Acquire(context.Background(), gated("a", time.Second, time.Minute))
+		waiting <- err
+	}()
+	for p.Stats().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.mu.Lock()
+	p.gate.progressAt = p.gate.progressAt.Add(-2 * stallTime)
+	p.mu.Unlock()
+	_, err := p.Acquire(context.Background(), gated("a", time.Second, time.Minute))
+	for _, err := range []error{err, <-waiting} {
+		var refused *OverloadedError
+		if !errors.As(err, &refused) || refused.Refusal.Cause != admission.Stalled {
+			t.Errorf("at a stalled upstream: %v", err)
+		}
+	}
+	held[0].Close()
+	p.Release(held[0], false)
+	if c, err := p.Acquire(context.Background(), gated("a", time.Second, time.Minute)); err != nil {
+		t.Errorf("with a free slot: %v", err)
+	} else {
+		p.Release(c, true)
+	}
+}
+
 // Guards against a queue that sends what is past its deadline after a suspension of the
 // VM, for which the boot-time clock went on and the monotonic one did not.
 func TestResumedQueueSendsNothingLate(t *testing.T) {
--- a/upstreampool/gatemetrics.go
+++ b/upstreampool/gatemetrics.go
@@ -27,7 +27,7 @@
 	// or shorter, than was expected at their arrival.
 	late, early metrics.Histogram
 	// refused counts the refusals of each cause.
-	refused [admission.Crowded + 1]metrics.Counter
+	refused [admission.Stalled + 1]metrics.Counter
 }
 
 // NewGateMetrics returns the metrics of a registry.
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -312,7 +312,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leave(c.slot)
+	p.leave(c.slot, !c.broken)
 	c.slot = nil
 	p.decInUse(c.workspace)
 	if c.broken || p.closed || p.open > p.limit() {
