Pass commits on only while registered replicas receive the log

What callers saw: acknowledged writes were missing after a failover. A primary is cut off from its replicas alone, its zone stays connected, and a replica has started beside it that cannot register. That replica makes commits acknowledged, and an answer from another zone was enough to pass them on. The failover of the stalled primary then promotes a replica without them.

Cause: an answer between VMs of two zones shows that the zone is connected, not that the primary's log reaches a registered replica.

Change: besides that answer, a registered replica has to have received a commit of this VM that was sent at most 0.5 s before. Answers of replicas that reads get anyway show it; otherwise the status of the nearest replica is queried, in the background while the known one is at most 0.5 s old. Without it, a commit waits for a registered replica that has received it, in any zone.

TestNoCommitIsLostWithAPrimaryThatIsCutOffAlone failed before with "713 of 990 acknowledged writes are lost" where the replica cannot register. Where it registers 1.2 s after its start and the primary falls silent, nothing was lost before either: failovers wait for it.

What remains: commits of the first 0.5 s of such a cut, if the replica never registers.

--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -84,6 +84,10 @@
 	// observedLog is the newest observation of the primary's log. It becomes evidence
 	// as far as the primary is confirmed.
 	observedLog evidence
+	// sentCommits are commits of this VM that no replica is known to have received, in the
+	// order of the log. receipt is the newest one that a replica has received.
+	sentCommits []sentCommit
+	receipt     sentCommit
 	// evidenceFromReplicas is true after evidence was derived from the replicas, until
 	// the primary's log is observed again.
 	evidenceFromReplicas bool
@@ -145,6 +149,7 @@
 		g.applyCommitted(now, m, ev)
 	case EventServed:
 		m.recordServed(now, ev.Position)
+		g.recordReceipt(m, ev.Position)
 	case EventNotPrimary:
 		g.recordNotPrimary(now, m)
 	case EventLagging:
@@ -411,6 +416,7 @@
 	switch {
 	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
+		g.recordReceipt(m, ev.Status.Received)
 		g.clearIncomplete(m)
 		return
 	case g.lostLogEntries(m):
@@ -460,6 +466,7 @@
 func (g *group) applyCommitted(now model.Time, m *Member, ev *Event) {
 	m.recordServed(now, ev.Position)
 	g.recordPrimary(now, m, ev.Position.Term.Counter)
+	g.recordSentCommit(m.ID, ev.Position, ev.SentAt)
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Position, term: ev.Position.Term.Counter})
 }
 
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -234,6 +234,10 @@
 	// maxReplicaStatusAge is the maximum age of the replicas' statuses that are
 	// combined into evidence, and so the maximum time between them.
 	maxReplicaStatusAge = 600 * time.Millisecond
+	// CommitProofWindow is how old a commit may be that shows that a registered replica
+	// receives the log of a primary. Commits that no registered replica is known to have
+	// are passed on only then.
+	CommitProofWindow = 500 * time.Millisecond
 	// departureTimeout is how long an upstream that has lost its registration without an
 	// announcement may still run and count for acknowledgements.
 	departureTimeout = time.Minute
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/holderlink"
@@ -21,18 +22,26 @@
 	// reachDistrust is how long after an unanswered question commits are proved by replicas
 	// alone: the cut may have ended before the replicas have caught up.
 	reachDistrust = 2 * time.Second
+	// receiptRefreshAge is the age of the newest commit that a replica is known to have
+	// received from which on its status is queried, so that commits need not wait for that.
+	receiptRefreshAge = replicaset.CommitProofWindow / 2
+	// nextReplicaDelay is how long the nearest replica may take to answer before the others
+	// are asked as well; an answer takes a few milliseconds.
+	nextReplicaDelay = 25 * time.Millisecond
 	// commitPollInterval is the pause between status queries that look for a commit.
 	commitPollInterval = 50 * time.Millisecond
 )
 
-// commitProofs establish that a commit that a primary has acknowledged has left the zone of
-// the primary. A replica counts for acknowledgements before it is registered, and if it starts
-// in a zone that is cut off, it cannot register: another upstream is then promoted without the
-// commits that only this replica and the primary have.
+// commitProofs establish that a commit that a primary has acknowledged is on registered replicas
+// or is going to be. A replica counts for acknowledgements before it is registered, and if it
+// cannot register, another upstream is promoted without the commits that only this replica and
+// the primary have.
 //
-// The usual proof is an answer from another zone, by a VM or else by a replica, to a question
-// sent after the acknowledgement: the zone was connected then, so the replicas elsewhere get the
-// commit as well. The other proof is a registered replica that has received the commit.
+// The proof is a registered replica that has received the commit. It is enough that one has
+// received a commit of this VM which is at most replicaset.CommitProofWindow old, together with an
+// answer from another zone, by a VM or else by a replica, to a question sent after the
+// acknowledgement: the primary's replicas received its log and its zone was connected, so the
+// replicas elsewhere get the commit as well.
 type commitProofs struct {
 	cluster *cluster
 	members *members
@@ -40,6 +49,8 @@
 	mu sync.Mutex
 	// rounds has the last question to each zone.
 	rounds map[model.Zone]*reachRound
+	// refreshing has the services whose replicas are being queried in the background.
+	refreshing map[catalog.Service]bool
 	// unreachableAt is when last no zone had answered a question, 0 if never.
 	unreachableAt model.Time
 }
@@ -53,7 +64,7 @@
 }
 
 func newCommitProofs(c *cluster, m *members) *commitProofs {
-	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}}
+	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}, refreshing: map[catalog.Service]bool{}}
 }
 
 // ConfirmCommit reports whether a commit up to position, which the primary p.Upstream has just
@@ -62,20 +73,36 @@
 func (c *cluster) ConfirmCommit(p *upstreamrun.Place, position model.Position) bool {
 	now := c.Now()
 	need := c.proofNeeded(p, position)
-	if need.proved || len(need.elsewhere) == 0 {
+	if need.proved || !need.replicas {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
 	defer cancel()
-	return need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) || c.proofs.awaitReplica(ctx, p, position)
+	if need.receiving {
+		if now.Sub(need.receivedSince) > receiptRefreshAge {
+			c.proofs.refreshReceipt(p, position)
+		}
+		if need.crossed || need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) {
+			return true
+		}
+	}
+	return c.proofs.awaitReplica(ctx, p, position)
 }
 
 // proofNeed is what is known of a commit when its proof is looked for.
 type proofNeed struct {
-	// proved is true if nothing more is needed: commits need no replica, a registered one is
-	// known to have this one, or the acknowledgement has crossed zones while the primary was
-	// confirmed.
+	// proved is true if nothing more is needed: commits need no replica, or a registered one is
+	// known to have this one.
 	proved bool
+	// receivedSince is the time since which a registered replica has received a commit of
+	// this term, and receiving is true if that is within replicaset.CommitProofWindow.
+	receivedSince model.Time
+	receiving     bool
+	// crossed is true if the acknowledgement has crossed zones while the primary was
+	// confirmed, or if no replica is outside of the primary's zone.
+	crossed bool
+	// replicas is true if a replica is registered.
+	replicas bool
 	// sameZone is true if the primary is in this VM's zone.
 	sameZone bool
 	// elsewhere are the registered replicas outside of the primary's zone.
@@ -90,28 +117,60 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.Now()
 	primary, found := c.replicas.Member(p.Upstream)
-	need := proofNeed{sameZone: found && primary.Zone == c.zone}
-	need.proved = found && !need.sameZone && c.replicas.ConfirmedUntil(p.Upstream) >= c.Now()
+	need := proofNeed{
+		sameZone:      found && primary.Zone == c.zone,
+		receivedSince: c.replicas.ReceivedSince(p.Service, position.Term),
+	}
+	need.receiving = need.receivedSince != 0 && now.Sub(need.receivedSince) <= replicaset.CommitProofWindow
+	need.crossed = found && !need.sameZone && c.replicas.ConfirmedUntil(p.Upstream) >= now
 	for _, id := range c.replicas.Upstreams(p.Service) {
 		m, _ := c.replicas.Member(id)
 		if id == p.Upstream {
 			continue
 		}
+		need.replicas = true
 		need.proved = need.proved || holdsCommit(&m, position)
 		if !found || m.Zone != primary.Zone {
 			need.elsewhere = append(need.elsewhere, m)
 		}
 	}
+	need.crossed = need.crossed || len(need.elsewhere) == 0
 	return need
 }
 
-// holdsCommit reports whether a replica has said in the term of a commit that it has received it.
+// holdsCommit reports whether a replica has said that it has received a commit, in the term of
+// it, or that its reads see it.
 func holdsCommit(m *replicaset.Member, position model.Position) bool {
 	s := &m.Status
+	if !m.IsPrimary && m.Applied.Term == position.Term && m.Applied.Compare(position) >= 0 {
+		return true
+	}
 	return m.StatusAt != 0 && !s.Primary && s.Term == position.Term.Counter && s.Received.Compare(position) >= 0
 }
 
+// refreshReceipt queries a replica in the background, so that later commits need not wait for
+// its answer.
+func (p *commitProofs) refreshReceipt(place *upstreamrun.Place, position model.Position) {
+	p.mu.Lock()
+	running := p.refreshing[place.Service]
+	p.refreshing[place.Service] = true
+	p.mu.Unlock()
+	if running {
+		return
+	}
+	p.cluster.forward.count("commit_proofs.refreshed")
+	panics.Go(p.cluster.log, "status query", func() {
+		defer func() {
+			p.mu.Lock()
+			delete(p.refreshing, place.Service)
+			p.mu.Unlock()
+		}()
+		p.queryReplicas(p.cluster.probes.ctx, place, position)
+	})
+}
+
 // question asks something in another zone and reports whether that was answered.
 type question func(ctx context.Context) (answered bool)
 
@@ -222,26 +281,60 @@
 	}
 }
 
-// queryReplicas queries the status of all replicas and returns true as soon as one has received
-// the commit.
+// queryReplicas queries the statuses of the replicas, first of the nearest one, and returns true
+// as soon as one has received the commit.
 func (p *commitProofs) queryReplicas(ctx context.Context, place *upstreamrun.Place, position model.Position) bool {
-	p.cluster.mu.Lock()
-	ids := p.cluster.replicas.Upstreams(place.Service)
-	p.cluster.mu.Unlock()
-	ids = slices.DeleteFunc(ids, func(id model.UpstreamID) bool { return id == place.Upstream })
+	ids := p.nearestFirst(place)
 	answered := make(chan struct{}, len(ids))
-	for _, id := range ids {
-		go func() {
-			defer func() { answered <- struct{}{} }()
-			// The log has the error.
-			_ = panics.Call(p.cluster.log, "status query", func() { p.cluster.probes.status(ctx, id) })
-		}()
-	}
-	for range ids {
-		<-answered
-		if p.cluster.proofNeeded(place, position).proved {
-			return true
+	timer := time.NewTimer(nextReplicaDelay)
+	defer timer.Stop()
+	for sent, open := 0, 0; sent < len(ids) || open > 0; {
+		if sent == 0 || open == 0 {
+			p.query(ctx, ids[sent], answered)
+			sent, open = sent+1, open+1
+		}
+		select {
+		case <-answered:
+			open--
+			if p.cluster.proofNeeded(place, position).proved {
+				return true
+			}
+		case <-timer.C:
+			for ; sent < len(ids); sent++ {
+				p.query(ctx, ids[sent], answered)
+				open++
+			}
 		}
 	}
 	return false
 }
+
+// query queries the status of a replica and reports the end of the query to answered.
+func (p *commitProofs) query(ctx context.Context, id model.UpstreamID, answered chan<- struct{}) {
+	go func() {
+		defer func() { answered <- struct{}{} }()
+		// The log has the error.
+		_ = panics.Call(p.cluster.log, "status query", func() { p.cluster.probes.status(ctx, id) })
+	}()
+}
+
+// nearestFirst returns the replicas of a service: those that answer before those that do not,
+// and of these the ones in the zone of this VM first.
+func (p *commitProofs) nearestFirst(place *upstreamrun.Place) []model.UpstreamID {
+	c := p.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := slices.DeleteFunc(c.replicas.Upstreams(place.Service), func(id model.UpstreamID) bool { return id == place.Upstream })
+	distance := func(id model.UpstreamID) int {
+		m, _ := c.replicas.Member(id)
+		switch {
+		case m.Failing():
+			return 2
+		case m.Zone != c.zone:
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(ids, func(a, b model.UpstreamID) int { return distance(a) - distance(b) })
+	return ids
+}
