Date evidence from replicas before the list that may lack one

What callers saw: a read within its staleness bound could run on a replica that lacked an older acknowledged commit. A replica counts for acknowledgements from its start and is listed up to one interval between its writes later. Evidence derived from the listed replicas was dated by the list, so commits that only the other one had were taken for covered.

Change: such evidence is dated as of the list only once the logs of the known replicas have not grown for 2 s before it. VMs pass on commits that no registered replica has for at most 0.5 s after that, and a replica that had started by then is listed 1.5 s later.

Price: while the primary does not answer, evidence is at most as new as the last growth of the replicas' logs until the list is 2 s newer.

--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -82,7 +82,7 @@
 	contactMaxAge = 800 * time.Millisecond
 	// registrationTimeout is how long after its start an upstream that reaches the store
 	// may be missing from the list. It covers one interval between an upstream's writes.
-	registrationTimeout = 1500 * time.Millisecond
+	registrationTimeout = replicaset.RegistrationTimeout
 	// listRefreshInterval is the interval at which the list of upstreams is read while the
 	// target depends on it.
 	listRefreshInterval = 250 * time.Millisecond
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -63,7 +63,7 @@
 // that all replicas are known: the list of upstreams has to be complete and recent, the
 // group must not be smaller than it was, except for upstreams that have left as announced,
 // and one of the replicas must have caught up since the last one has left. A replacement
-// may not be listed yet, so the evidence is no newer than the list.
+// may not be listed yet, so the evidence is dated before the list; see listCovers.
 func (s *State) addReplicaEvidence(now model.Time, g *group, out []Effect) []Effect {
 	if g.syncReplicas == 0 || g.lastPrimary == "" || !s.listComplete() || now.Sub(s.listedAt) > maxListAge {
 		return out
@@ -74,7 +74,7 @@
 	if g.primary != "" && !g.members[g.lastPrimary].Failing() {
 		return out
 	}
-	combined := evidence{at: min(now, s.listedAt), term: g.primaryTerm}
+	combined := evidence{at: now, term: g.primaryTerm}
 	replicas := 0
 	for id, m := range g.members {
 		if m.Status.Term > g.primaryTerm {
@@ -90,7 +90,11 @@
 		combined.at = min(combined.at, m.StatusAt)
 		combined.position = combined.position.Max(m.Status.Received)
 	}
-	if replicas == 0 || g.belowEvidence(combined) || !g.addEvidence(now, combined) || g.evidenceFromReplicas {
+	if replicas == 0 || g.belowEvidence(combined) {
+		return out
+	}
+	combined.at = min(combined.at, s.listCovers(g))
+	if !g.addEvidence(now, combined) || g.evidenceFromReplicas {
 		return out
 	}
 	g.evidenceFromReplicas = true
@@ -100,6 +104,18 @@
 	})
 }
 
+// listCovers returns the time up to which the list has every replica through which commits
+// were passed on that the known ones lack. VMs pass on such commits no longer than
+// CommitProofWindow after the last one that a registered replica has received. Once the list
+// has the upstreams that had started by then, it covers all times up to its own. While the
+// replicas receive commits, listingDelay is enough.
+func (s *State) listCovers(g *group) model.Time {
+	if s.listedAt >= g.replicaLog.at.Add(CommitProofWindow+RegistrationTimeout) {
+		return s.listedAt
+	}
+	return max(s.listedAt.Add(-RegistrationTimeout), min(s.listedAt.Add(-listingDelay), g.replicaLog.at))
+}
+
 // mayLackMember reports whether an upstream that is no member may still run.
 func (g *group) mayLackMember(now model.Time) bool {
 	return len(g.members) < g.fullMembers && now.Sub(g.removedAt) < departureTimeout
--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -167,6 +167,52 @@
 	}
 }
 
+// Guards against evidence that lacks the commits of a replica which starts beside a primary that is
+// cut off from the others and registers late. VMs pass such commits on for CommitProofWindow.
+func TestReplicaEvidenceCoversReplicasThatRegisterLate(t *testing.T) {
+	for _, delay := range []time.Duration{50 * ms, 630 * ms, 1100 * ms, RegistrationTimeout} {
+		for begin := 50 * ms; begin <= CommitProofWindow; begin += 50 * ms {
+			playLateRegistration(t, begin, delay)
+		}
+	}
+}
+
+// playLateRegistration plays a primary a that is cut off from b and c at time 0, and a replica d
+// that starts at begin and is listed after delay.
+func playLateRegistration(t *testing.T, begin, delay time.Duration) {
+	t.Helper()
+	f := newSyncFixture()
+	f.status("a", true, 1, pos(1, 10))
+	f.status("b", false, 1, pos(1, 10))
+	f.status("c", false, 1, pos(1, 10))
+	f.apply(Event{Kind: EventFailed, Upstream: "a"})
+	d, passedOnAt := uint64(10), model.Time(0)
+	for at := 50 * ms; at < 5*time.Second; at += 50 * ms {
+		f.advance(50 * ms)
+		if at >= begin && at <= CommitProofWindow {
+			d, passedOnAt = d+1, f.now
+		}
+		entries := []Registration{registration("a", true), registration("b", false), registration("c", false)}
+		if at >= begin+delay {
+			entries = append(entries, registration("d", false))
+		}
+		f.setRegistrations(entries...)
+		f.status("b", false, 1, pos(1, 10))
+		f.status("c", false, 1, pos(1, 10))
+		if len(entries) == 4 {
+			f.status("d", false, 1, pos(1, d))
+		}
+		e, _ := f.NewestEvidence("db")
+		if e.At > passedOnAt && e.Position.Compare(pos(1, d)) < 0 {
+			t.Fatalf("d started at %v, listed %v later: at %v evidence %v of %v ago, commit %d was passed on %v ago",
+				begin, delay, at, e.Position, f.now.Sub(e.At), d, f.now.Sub(passedOnAt))
+		}
+	}
+	if e, _ := f.NewestEvidence("db"); e.At != f.now {
+		t.Errorf("evidence of %v ago once all replicas are listed", f.now.Sub(e.At))
+	}
+}
+
 // Guards against a list that counts as complete right after an outage of the store on a VM that
 // runs on: a replica that started during the outage is not known from before, and writes its
 // first entry up to two seconds after the return.
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -84,6 +84,8 @@
 	// observedLog is the newest observation of the primary's log. It becomes evidence
 	// as far as the primary is confirmed.
 	observedLog evidence
+	// replicaLog is the longest log that a replica has reported, and when it first did.
+	replicaLog logReport
 	// sentCommits are commits of this VM that no replica is known to have received, in the
 	// order of the log. receipt is the newest one that a replica has received.
 	sentCommits []sentCommit
@@ -93,6 +95,12 @@
 	evidenceFromReplicas bool
 }
 
+// logReport is a log position and the time when this VM first learned of it.
+type logReport struct {
+	position model.Position
+	at       model.Time
+}
+
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -417,6 +425,9 @@
 	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
 		g.recordReceipt(m, ev.Status.Received)
+		if p := ev.Status.Received; g.replicaLog.at == 0 || p.Compare(g.replicaLog.position) > 0 {
+			g.replicaLog = logReport{position: p, at: now}
+		}
 		g.clearIncomplete(m)
 		return
 	case g.lostLogEntries(m):
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -234,6 +234,12 @@
 	// maxReplicaStatusAge is the maximum age of the replicas' statuses that are
 	// combined into evidence, and so the maximum time between them.
 	maxReplicaStatusAge = 600 * time.Millisecond
+	// RegistrationTimeout is how long after its start an upstream that reaches the store
+	// may be missing from the list. It covers one interval between an upstream's writes.
+	RegistrationTimeout = 1500 * time.Millisecond
+	// listingDelay is the age of a replica from which on lists have it as a rule: new ones
+	// have been seen in a list within 630 ms of their start.
+	listingDelay = 700 * time.Millisecond
 	// CommitProofWindow is how old a commit may be that shows that a registered replica
 	// receives the log of a primary. Commits that no registered replica is known to have
 	// are passed on only then.
