Prove freshness by replicas that never received the primary's last commits

What callers saw: while a primary was lost, reads with a staleness bound were refused until the next one led, only since the last answer of the lost one had shown commits that no replica had received.

Cause: evidence from replicas below a known position was refused without end, since a replica may have lost its log or may not be known.

Change: it is accepted once all replicas have answered without those commits after this VM had learned of them, and the list is newer than these answers by the time in which an upstream that has started or restarted is listed, and shows neither. Evidence that a peer reports meanwhile begins that wait again.

TestNoReplicaEvidenceBelowACommitThatAReplicaMayHaveHad passed before; without the wait for the list it fails.

--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -90,7 +90,7 @@
 		combined.at = min(combined.at, m.StatusAt)
 		combined.position = combined.position.Max(m.Status.Received)
 	}
-	if replicas == 0 || g.belowEvidence(combined) {
+	if replicas == 0 || g.belowEvidence(combined) && !s.neverReceived(now, g, combined.at) {
 		return out
 	}
 	combined.at = min(combined.at, s.listCovers(g))
@@ -122,12 +122,28 @@
 }
 
 // belowEvidence reports whether newer evidence has a lower position than is known already
-// for its term: an upstream has then lost its log, or is not known.
+// for its term: an upstream has then lost its log, or is not known, or the primary's last
+// commits were not received by any replica.
 func (g *group) belowEvidence(e evidence) bool {
 	n := len(g.evidence)
 	return n > 0 && g.evidence[n-1].term == e.term && e.position.Compare(g.evidence[n-1].position) < 0
 }
 
+// neverReceived reports whether no replica has received the commits of the newest evidence
+// that the replicas, which all answered at answeredAt or later, lack. Since this VM learned
+// of them, none had them in an earlier answer, none that had started by then is missing from
+// the list, and none had restarted.
+func (s *State) neverReceived(now model.Time, g *group, answeredAt model.Time) bool {
+	newest := &g.evidence[len(g.evidence)-1]
+	if answeredAt <= newest.learnedAt {
+		return false
+	}
+	if g.shortfall.at == 0 || g.shortfall.position != newest.position {
+		g.shortfall = logReport{position: newest.position, at: now}
+	}
+	return s.listedAt >= g.shortfall.at.Add(RegistrationTimeout) && s.listCovers(g) == s.listedAt
+}
+
 // Floor returns the minimum log position of a read with the staleness bound: a log
 // that reaches it has every commit acknowledged up to bound before now, and every
 // commit up to the session's own position. age is the age of the evidence used. ok
--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -249,3 +249,40 @@
 		t.Error("no evidence for 2 s, although all replicas of a complete group answer")
 	}
 }
+
+// Guards against evidence from replicas below a commit that one of them had: it may have restarted
+// and received an older part of the log again, which the list shows later, or the commit is newer
+// than what they were asked about.
+func TestNoReplicaEvidenceBelowACommitThatAReplicaMayHaveHad(t *testing.T) {
+	for name, play := range map[string]func(f *fixture, round int){
+		"a replica had started again": func(f *fixture, round int) {
+			if round == 3 {
+				again := registration("c", false)
+				again.Incarnation = 2
+				f.setRegistrations(registration("a", true), registration("b", false), again)
+			}
+		},
+		"a peer learns of later commits": func(f *fixture, round int) {
+			f.apply(Event{Kind: EventEvidence, Service: "db", Position: pos(1, uint64(12+round)), Term: 1, SentAt: f.now.Add(-50 * ms)})
+			f.advance(10 * ms)
+		},
+	} {
+		f := newSyncFixture()
+		f.status("a", true, 1, pos(1, 10))
+		f.status("b", false, 1, pos(1, 10))
+		f.status("c", false, 1, pos(1, 10))
+		f.advance(100 * ms)
+		f.status("a", true, 1, pos(1, 12))
+		f.apply(Event{Kind: EventFailed, Upstream: "a"})
+		for round := range 8 {
+			f.advance(500 * ms)
+			if round < 3 || name != "a replica had started again" {
+				f.setRegistrations(registration("a", true), registration("b", false), registration("c", false))
+			}
+			play(f, round)
+			f.status("b", false, 1, pos(1, 10))
+			f.status("c", false, 1, pos(1, 10))
+			f.expectEvidence(t, name, pos(1, 12))
+		}
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -86,6 +86,9 @@
 	observedLog evidence
 	// replicaLog is the longest log that a replica has reported, and when it first did.
 	replicaLog logReport
+	// shortfall is the newest evidence that no replica had reached when all had answered
+	// after this VM had learned of it, and when that was.
+	shortfall logReport
 	// sentCommits are commits of this VM that no replica is known to have received, in the
 	// order of the log. receipt is the newest one that a replica has received.
 	sentCommits []sentCommit
@@ -376,6 +379,7 @@
 // last primary had acknowledged is on a replica as well.
 func (g *group) recordLoss(now model.Time, id model.UpstreamID) {
 	g.incompleteSince, g.memberLost = now, true
+	g.shortfall = logReport{}
 	if id != g.lastPrimary {
 		g.replicaLostAt = now
 	}
