Send no call for a second target while an earlier one may be executed

What callers could see, on a platform that does not check fencing tokens: a promotion call that was not answered may be executed seconds later. Meanwhile another upstream was promoted, and the late call replaced it again, which rolls replicas back and keeps them busy.

Change: on such a platform no other target is called while an unanswered call may be executed.

The model has calls that are executed 3 to 8 s late, replicas that crash meanwhile, and writes that need a confirmed primary; it and the simulation check the targets and the order of tokens of all VMs.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -189,6 +189,16 @@
 	return late
 }
 
+// otherCallPossible reports whether a promotion call for another target than id may still be
+// executed, on a platform that does not check fencing tokens.
+func (svc *serviceState) otherCallPossible(now model.Time, id model.UpstreamID, in *Input) bool {
+	if in.FencesChecked {
+		return false
+	}
+	pending := svc.callPending && svc.unknownCalls > 0 && svc.record.Upstream != id && now.Sub(svc.calledAt) < lateCallTimeout
+	return pending || len(svc.lateTargets(now, id)) > 0
+}
+
 // settle ends the uncertainty about a promotion call of an earlier transition once its
 // target is the primary of a later term, or once the call can no longer be executed.
 func (svc *serviceState) settle(now model.Time, v *replicaset.View, out []Effect) []Effect {
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"testing"
@@ -24,6 +25,8 @@
 	delaySteps = 13
 	// promoteSteps is how long a promotion by the platform takes.
 	promoteSteps = 5
+	// lateCallSteps is the length of a run in which calls are executed late.
+	lateCallSteps = 180
 	// leaseExpirySteps is the time from the crash of the lease holder until the
 	// next holder acquires the lease.
 	leaseExpirySteps = 22
@@ -64,6 +67,15 @@
 	vmCutSteps int
 	// fencesUnchecked is true if the platform accepts every fencing token.
 	fencesUnchecked bool
+	// lateSteps replaces delaySteps if it is not 0, and steps stepsPerRun.
+	lateSteps int
+	steps     int
+	// downFrom and downUntil are the steps at which replica c crashes and restarts.
+	downFrom  int
+	downUntil int
+	// confirmedWrites is true if the primary commits only what the VM that it is confirmed to
+	// writes, false if callers reach it in any case.
+	confirmedWrites bool
 	// ignoresFence injects a bug: replica c receives commits while it is fenced.
 	ignoresFence bool
 	// ignoresConfirmations injects a bug: the VM uses the primary that it was last told
@@ -93,6 +105,8 @@
 	term         uint64
 	acknowledged int
 	highestToken uint64
+	// highestSent is the highest token of all calls that were sent.
+	highestSent uint64
 	// promoting is the upstream that the platform is promoting; it becomes the
 	// primary at promotedAtStep.
 	promoting      model.UpstreamID
@@ -140,7 +154,7 @@
 // of promotions.
 func (s scenario) run() (violation string, promotions int) {
 	c := newModelCluster(s)
-	for c.step = 0; c.step < stepsPerRun && c.violation == ""; c.step++ {
+	for c.step = 0; c.step < cmp.Or(s.steps, stepsPerRun) && c.violation == ""; c.step++ {
 		c.injectFaults()
 		c.commit()
 		c.refreshMembers()
@@ -166,6 +180,9 @@
 	if c.step == c.scenario.restartStep && !c.scenario.planned {
 		c.upstreams["a"].alive, c.upstreams["a"].servesOn = true, false
 	}
+	if s := &c.scenario; s.downUntil > 0 && (c.step == s.downFrom || c.step == s.downUntil) {
+		c.upstreams["c"].alive = c.step == s.downUntil
+	}
 	if c.step == c.scenario.holderCrashStep {
 		c.holder = New()
 	}
@@ -187,7 +204,7 @@
 // received it.
 func (c *modelCluster) commit() {
 	primary := c.upstreams[c.primary]
-	if primary == nil || !primary.alive {
+	if primary == nil || !primary.alive || c.scenario.confirmedWrites && (!c.vmConfirmed() || c.vm.Upstream != c.primary) {
 		return
 	}
 	primary.received++
@@ -248,12 +265,16 @@
 			c.vm, c.vmAskedAt = confirmed, c.now()
 		}
 	}
-	confirmed := c.now().Sub(c.vmAskedAt) < ConfirmationTTL || c.scenario.ignoresConfirmations
-	if c.vm.Upstream != "" && confirmed && c.term > c.vm.Term && c.upstreams[c.vm.Upstream].servesOn {
+	if c.vmConfirmed() && c.term > c.vm.Term && c.upstreams[c.vm.Upstream].servesOn {
 		c.violation = fmt.Sprintf("step %d: %s is used, but %q is the primary", c.step, c.vm.Upstream, c.primary)
 	}
 }
 
+// vmConfirmed reports whether the VM may use the primary that it was last told of.
+func (c *modelCluster) vmConfirmed() bool {
+	return c.vm.Upstream != "" && (c.now().Sub(c.vmAskedAt) < ConfirmationTTL || c.scenario.ignoresConfirmations)
+}
+
 // modelVM is the VM that uses the primary.
 const modelVM model.VMID = "vm"
 
@@ -329,6 +350,9 @@
 	case EffectPromote, EffectRecord:
 		c.records[e.Service] = e.Record
 	}
+	if e.Kind == EffectPromote {
+		c.checkCall(&e)
+	}
 	if e.Kind != EffectCommand && e.Kind != EffectPromote {
 		return
 	}
@@ -337,7 +361,7 @@
 	switch mode {
 	case dropped:
 	case delayed:
-		c.delayed = append(c.delayed, delayedEffect{at: c.step + delaySteps, effect: e})
+		c.delayed = append(c.delayed, delayedEffect{at: c.step + cmp.Or(c.scenario.lateSteps, delaySteps), effect: e})
 	default:
 		accepted := c.execute(&e)
 		if mode == replyLost {
@@ -351,6 +375,20 @@
 	}
 }
 
+// checkCall verifies that a promotion call has no lower token than an earlier one, and on a
+// platform that does not check tokens no other target than a call that may still be executed.
+func (c *modelCluster) checkCall(e *Effect) {
+	if e.Token < c.highestSent {
+		c.violation = fmt.Sprintf("step %d: %s is to be promoted by token %d after %d", c.step, e.Upstream, e.Token, c.highestSent)
+	}
+	c.highestSent = max(c.highestSent, e.Token)
+	for _, d := range c.delayed {
+		if c.scenario.fencesUnchecked && d.at > c.step && d.effect.Kind == EffectPromote && d.effect.Upstream != e.Upstream {
+			c.violation = fmt.Sprintf("step %d: %s is to be promoted while a call for %s may still be executed", c.step, e.Upstream, d.effect.Upstream)
+		}
+	}
+}
+
 func (c *modelCluster) reply(e *Effect, accepted bool) {
 	if e.Kind == EffectCommand {
 		if c.upstreams[e.Upstream].alive {
@@ -441,6 +479,36 @@
 	}
 }
 
+// eachLateCallScenario calls fn with scenarios in which one or two messages, promotion calls
+// among them, are executed seconds late, after the transitions that sent them were given up.
+func eachLateCallScenario(fn func(scenario)) {
+	for _, planned := range []bool{false, true} {
+		for _, restartStep := range []int{never, 14, 30} {
+			for _, holderCrash := range []int{never, 16, 40} {
+				for _, lateSteps := range []int{30, 80} {
+					if planned && restartStep != never {
+						continue
+					}
+					base := scenario{
+						planned: planned, restartStep: restartStep, holderCrashStep: holderCrash, vmCutStep: never, fencesUnchecked: true,
+						confirmedWrites: true, lateSteps: lateSteps, steps: lateCallSteps,
+					}
+					for _, down := range [][2]int{{}, {16, 60}, {20, 110}, {30, 75}} {
+						late := base
+						late.downFrom, late.downUntil = down[0], down[1]
+						for i := range faultableMessages {
+							for j := i; j < min(i+4, faultableMessages); j++ {
+								late.deliveries = map[int]delivery{i: delayed, j: delayed}
+								fn(late)
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 // eachSingleDelivery calls fn with base and with every placement of one delivery fault
 // in it.
 func eachSingleDelivery(base scenario, fn func(scenario)) {
@@ -547,3 +615,24 @@
 		t.Error("no scenario detects a VM that ignores the end of its confirmation")
 	}
 }
+
+// Guards against promotion calls that are executed seconds after they were given up, on a platform
+// that does not check fencing tokens: no acknowledged commit is lost, no former primary is used, no
+// call has a lower token than an earlier one, and there is no second target meanwhile.
+func TestLateCallsOnAPlatformWithoutFences(t *testing.T) {
+	runs, again, violations := 0, 0, 0
+	eachLateCallScenario(func(s scenario) {
+		violation, promotions := s.run()
+		runs++
+		if promotions > 1 {
+			again++
+		}
+		if violation != "" {
+			violations++
+			if violations < 4 {
+				t.Errorf("%s in scenario %+v", violation, s)
+			}
+		}
+	})
+	t.Logf("%d scenarios, %d with more than one promotion, %d violations", runs, again, violations)
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -149,7 +149,7 @@
 	// Only if no call is pending, the old primary is certain to be the one that was
 	// confirmed.
 	steppedDown := !svc.uncertain(now) && t.oldPrimarySteppedDown(v)
-	if target == nil || !steppedDown && !s.confirmationsEnded(now, svc, in) {
+	if target == nil || svc.otherCallPossible(now, target.ID, in) || !steppedDown && !s.confirmationsEnded(now, svc, in) {
 		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
 	t.target, t.token = target.ID, s.token()
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -74,6 +74,10 @@
 	records       map[catalog.Service]promotion.Record
 	fencesChecked bool
 	highestToken  uint64
+	// highestSent is the highest token of all calls, and openCalls has the number of calls
+	// that are not executed yet by their target.
+	highestSent uint64
+	openCalls   map[model.UpstreamID]int
 	// promotions has the promotions that took effect, in order of their terms.
 	promotions []confirmPromotion
 	confirmed  int
@@ -110,7 +114,7 @@
 func newConfirmWorld(seed int64, vms int, fencesChecked bool) *confirmWorld {
 	w := &confirmWorld{
 		rng: rand.New(rand.NewSource(seed)), cut: map[[2]string]bool{}, records: map[catalog.Service]promotion.Record{},
-		fencesChecked: fencesChecked,
+		openCalls: map[model.UpstreamID]int{}, fencesChecked: fencesChecked,
 	}
 	for _, id := range []model.UpstreamID{"a", "b", "c"} {
 		w.upstreams = append(w.upstreams, &confirmUpstream{id: id, term: 1, received: 10, primary: id == "a"})
@@ -505,7 +509,10 @@
 	if !answered {
 		delay = time.Duration(w.rng.Intn(6000)) * time.Millisecond
 	}
+	w.checkCall(&e)
+	w.openCalls[e.Upstream]++
 	w.after(delay, func() {
+		w.openCalls[e.Upstream]--
 		outcome := promotion.OutcomeAccepted
 		if e.Token < w.highestToken && w.fencesChecked {
 			outcome = promotion.OutcomeRefused
@@ -522,6 +529,21 @@
 	}
 }
 
+// checkCall verifies that a promotion call has no lower token than an earlier one of any VM,
+// and on a platform that does not check tokens no other target than a call that may still be
+// executed.
+func (w *confirmWorld) checkCall(e *promotion.Effect) {
+	if e.Token < w.highestSent {
+		w.violation = fmt.Sprintf("at %v %s is to be promoted by token %d after %d", w.now, e.Upstream, e.Token, w.highestSent)
+	}
+	w.highestSent = max(w.highestSent, e.Token)
+	for id, calls := range w.openCalls {
+		if !w.fencesChecked && calls > 0 && id != e.Upstream {
+			w.violation = fmt.Sprintf("at %v %s is to be promoted while a call for %s may still be executed", w.now, e.Upstream, id)
+		}
+	}
+}
+
 // promote makes an upstream the primary of the next term, unless it already is.
 func (w *confirmWorld) promote(u *confirmUpstream) {
 	term := uint64(0)
