Let promotion calls be executed late in the stand-in and the soak

The store stand-in can give a promotion call no answer and execute it 5 s later, after newer calls. TestLatePromotionCalls plays a switchover with two such calls on a platform that does not check fencing tokens, with a former primary that serves on, once with replicas that are silent while the calls are given up.

--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -52,6 +52,9 @@
 
 	// Promote executes the promotion call and reports whether it succeeded.
 	Promote func(service, id string, token uint64) bool
+	// LatePromotions is how many of the next promotion calls get no response and are executed
+	// LatePromotionDelay later.
+	LatePromotions atomic.Int32
 
 	listener net.Listener
 	server   *http.Server
@@ -62,6 +65,10 @@
 	expiresAt time.Time
 }
 
+// LatePromotionDelay is longer than VMs wait before they give a promotion call up, so that
+// newer calls are executed first.
+const LatePromotionDelay = 5 * time.Second
+
 // pageSize is the maximum number of items in one response.
 const pageSize = 500
 
@@ -406,6 +413,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.LatePromotions.Load() > 0 && s.LatePromotions.Add(-1) >= 0 {
+		time.AfterFunc(LatePromotionDelay, func() { s.Promote(body.Service, body.ID, token) })
+		<-r.Context().Done()
+		return
+	}
 	if s.Promote == nil || !s.Promote(body.Service, body.ID, token) {
 		w.WriteHeader(http.StatusConflict)
 		return
--- a/test/line/former_test.go
+++ b/test/line/former_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+	"github.com/chervilhatch/chervilhatch/standin/metastore"
 	"github.com/chervilhatch/chervilhatch/test/linetest"
 )
 
@@ -102,3 +103,42 @@
 		}
 	}
 }
+
+// Guards against promotion calls that are carried out seconds after they were given up, on a
+// platform that does not check fencing tokens: the primary is changed by a call that nobody waits
+// for, while the former one serves on. No strict read may run on a former primary, and no
+// acknowledged write may be lost or doubled.
+func TestLatePromotionCalls(t *testing.T) {
+	for name, target := range map[string]func(f *fixture){
+		"the target answers": func(*fixture) {},
+		"the target is down when the call is given up": func(f *fixture) {
+			time.Sleep(500 * time.Millisecond)
+			for _, id := range []string{"b", "c"} {
+				f.Group.Server(id).SetSilent(true)
+			}
+			time.Sleep(3 * time.Second)
+			for _, id := range []string{"b", "c"} {
+				f.Group.Server(id).SetSilent(false)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := formerPrimaryGroup()
+			o.IgnoreTokens = true
+			f := newFixture(t, 3, o)
+			w := f.startWriters(3)
+			r := f.startStrictReaders()
+			f.WaitFor("writes", func() bool { return w.Count("") > 50 })
+			f.Store.LatePromotions.Store(2)
+			f.Register("a", "draining")
+			target(f)
+			f.WaitFor("another primary", func() bool { return f.Group.Primary() != "a" })
+			time.Sleep(metastore.LatePromotionDelay)
+			served := w.Count("")
+			f.WaitFor("writes at the new primary", func() bool { return w.Count("") > served+50 })
+			r.stop()
+			w.stop()
+			w.Check(f.Platform)
+		})
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -368,7 +368,7 @@
 }
 
 func (w *soakRun) injectStoreFault() {
-	switch w.rng.IntN(4) {
+	switch w.rng.IntN(5) {
 	case 0:
 		w.recordEvent("store down for 1 s")
 		w.Store.Down.Store(true)
@@ -382,6 +382,9 @@
 	case 3:
 		w.recordEvent("watch history of the store lost")
 		w.Store.CompactHistory()
+	case 4:
+		w.recordEvent("next 2 promotion calls are executed late")
+		w.Store.LatePromotions.Store(2)
 	}
 }
 
@@ -414,6 +417,7 @@
 	w.store.setMode(pass)
 	w.Store.Down.Store(false)
 	w.Store.LoseAnswers.Store(0)
+	w.Store.LatePromotions.Store(0)
 }
 
 // checkRecovery checks that all VMs become ready, that writes succeed, and that every
