Recognize WITH HOLD and INTO TEMP whatever words follow

What callers could do: "DECLARE c CURSOR WITH HOLD FOR SELECT hold FROM a" and "SELECT 1 INTO TEMP a FROM temp" were passed on, and the cursor or table remained on a connection that other sessions use. "DECLARE c CURSOR FOR WITH hold AS ..." was refused although it outlives nothing.

Cause: each later occurrence of the word HOLD or TEMP overwrote what the first one had shown.

Change: the first one decides, and HOLD counts only before FOR, where the options of a cursor are.

--- a/frontend/classify.go
+++ b/frontend/classify.go
@@ -46,7 +46,7 @@
 // keywordSet has the keywords and pairs of keywords that matter at any place in
 // a statement.
 type keywordSet struct {
-	only, write, hold, stdin, to, onCommitDrop, analyze, intoTemp bool
+	only, write, hold, forSeen, stdin, to, onCommitDrop, analyze, intoTemp bool
 }
 
 // analyze classifies the SQL of a Query or Parse message.
@@ -92,7 +92,7 @@
 var scannedKeywords = map[string]string{
 	"ONLY": "ONLY", "WRITE": "WRITE", "WITH": "WITH", "HOLD": "HOLD", "STDIN": "STDIN",
 	"TO": "TO", "COMMIT": "COMMIT", "DROP": "DROP", "ANALYZE": "ANALYZE",
-	"INTO": "INTO", "TEMP": "TEMP", "TEMPORARY": "TEMPORARY",
+	"INTO": "INTO", "TEMP": "TEMP", "TEMPORARY": "TEMPORARY", "FOR": "FOR",
 }
 
 func upperASCII(c byte) byte {
@@ -120,8 +120,11 @@
 		c.keywords.only = true
 	case "WRITE":
 		c.keywords.write = true
+	case "FOR":
+		c.keywords.forSeen = true
 	case "HOLD":
-		c.keywords.hold = previousKeyword == "WITH"
+		// The options of a cursor precede FOR, its query follows it.
+		c.keywords.hold = c.keywords.hold || previousKeyword == "WITH" && !c.keywords.forSeen
 	case "STDIN":
 		c.keywords.stdin = true
 	case "TO":
@@ -131,7 +134,7 @@
 	case "ANALYZE":
 		c.keywords.analyze = true
 	case "TEMP", "TEMPORARY":
-		c.keywords.intoTemp = previousKeyword == "INTO"
+		c.keywords.intoTemp = c.keywords.intoTemp || previousKeyword == "INTO"
 	}
 }
 
