--- a/core/connshare/state.go
+++ b/core/connshare/state.go
@@ -68,8 +68,6 @@
 		u.openBudget = ev.Limit
 	case EventDemand:
 		u.demand.add(s.now, ev.Count)
-	case EventWarmUp:
-		u.warmUntil = s.now.Add(warmUpPeriod)
 	}
 }
 
--- a/core/connshare/types.go
+++ b/core/connshare/types.go
@@ -46,9 +46,6 @@
 	EventOpenConnections
 	// EventDemand reports that Count requests run on or wait for Upstream.
 	EventDemand
-	// EventWarmUp starts a warm-up of Upstream's connections, because its zone
-	// returns to service.
-	EventWarmUp
 )
 
 // Event is one input of State.Apply.
