Take back the confirmation before a commit, which aborts transactions in switchovers

The fault that it mended is open again: a transaction that began on a confirmed primary commits on it after another one has been promoted, if it serves on and a replica still receives from it. A commit has to be held back until the promotion is over, not refused.

--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -78,17 +78,8 @@
 
 // Send runs a statement. For at most r.Wait, it sends the statement again while
 // the upstream answers that it had no free slot and has kept the transaction
-// open. The primary may have been replaced since the transaction began, so it is confirmed
-// again before a commit.
+// open.
 func (x *localTx) Send(r *TxRequest) (upstreampool.Answer, error) {
-	if x.wrote && lineproto.ParseStatement(r.Text).Verb == lineproto.VerbCommit {
-		place := x.place
-		place.Wait, place.Deadline = r.Wait, r.Deadline
-		if !x.local.Cluster.ConfirmPrimary(&place, x.local.Cluster.Now()) {
-			x.Discard()
-			return upstreampool.Answer{}, ErrUnconfirmed
-		}
-	}
 	sentAt := x.local.Cluster.Now()
 	hop := x.local.startHop(r.TraceParent, x.Upstream)
 	a, err := x.send(r)
