Report the usage of workspaces to the platform

The platform of a deployment wants, for each window of true time, the requests of each workspace that began to run at upstreams. It was not told any, and each missing window has a price.

The VM that sends a request counts it: a statement outside of a transaction, or a transaction with its first statement that ran. Counts travel with the polls that VMs send each other anyway. The holder of the promotion lease reports a window once its counts are fixed in the store, and only what is fixed there, so that holders that follow each other never report two different counts. A VM that another one has succeeded as the holder does not acquire the lease again within the period that is set, so that two VMs do not take turns.

Without the setting usage nothing changes: no counts, no fields in polls.

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/tracing"
+	"github.com/chervilhatch/chervilhatch/core/usage"
 	"github.com/chervilhatch/chervilhatch/linenode"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/settings"
@@ -100,6 +101,7 @@
 }
 
 func nodeOptions(s *settings.Line, log zerolog.Logger, registry metrics.Registry) linenode.Options {
+	promoter := platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry)
 	return linenode.Options{
 		VM:            s.VM.ID,
 		Zone:          s.VM.Zone,
@@ -107,7 +109,8 @@
 		PeerAddress:   s.Peer.Address(),
 		Seeds:         s.Peer.Seeds,
 		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
-		Promoter:      platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
+		Promoter:      promoter,
+		Usage:         usageOptions(s.Usage, promoter),
 		Formats:       platform.Formats(),
 		TokensChecked: s.Promoter.ChecksTokens,
 		MaxSessions:   max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
@@ -118,6 +121,19 @@
 	}
 }
 
+// usageOptions returns nil if the settings do not configure reports of usage.
+func usageOptions(s *settings.LineUsage, reporter linenode.UsageReporter) *linenode.UsageOptions {
+	if s == nil {
+		return nil
+	}
+	return &linenode.UsageOptions{
+		Settings:    usage.Settings{Window: s.Window.Std(), Due: s.Due.Std()},
+		LeasePeriod: s.Lease.Std(),
+		Reporter:    reporter,
+		Refused:     platform.ErrUsageFenced,
+	}
+}
+
 // openListeners opens the listeners that have an address.
 func openListeners(s *settings.Line, o *linenode.Options) error {
 	listeners := []struct {
--- a/core/promotion/claim.go
+++ b/core/promotion/claim.go
@@ -15,6 +15,8 @@
 	// Settled is true once the records in the store are complete: no promotion call whose
 	// record was lost with an earlier generation can still be executed.
 	Settled bool `json:"settled"`
+	// Holder is the VM that acquired the lease last, empty if that is not recorded.
+	Holder model.VMID `json:"holder,omitempty"`
 }
 
 // Claim is what a VM knows when it tries to acquire the promotion lease.
@@ -31,6 +33,19 @@
 	Own    bool
 	// Mark is the mark in the store, nil if there is none.
 	Mark *Mark
+	// VM is this VM. Its last hold ended at HoldEndedAt, 0 if it has not held the lease.
+	VM          model.VMID
+	HoldEndedAt model.Time
+	// Period is the time within which no two VMs may take turns as the holder, 0 if they
+	// may.
+	Period time.Duration
+}
+
+// succeeded reports whether another VM has acquired the lease after this one's last hold,
+// which ended less than Period ago. This VM then does not acquire it: its acts before and
+// after those of the other would be within Period.
+func (c *Claim) succeeded(now model.Time) bool {
+	return c.HoldEndedAt != 0 && now < c.HoldEndedAt.Add(c.Period) && c.Mark != nil && c.Mark.Holder != c.VM
 }
 
 // Verdict is what a VM may do about a Claim.
@@ -53,6 +68,8 @@
 // acquiring it, so all but its holder wait until that one has certainly stopped.
 func (c *Claim) Decide(now model.Time, ttl time.Duration) Verdict {
 	switch {
+	case c.succeeded(now):
+		return Verdict{Cause: "another VM has held it since this one", NotBefore: c.HoldEndedAt.Add(c.Period)}
 	case c.Mark != nil && c.Mark.Generation == c.Generation:
 		if c.Exists && !c.Own {
 			return Verdict{Cause: "held by another VM"}
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -28,6 +28,8 @@
 type Record struct {
 	Window Window                     `json:"window"`
 	Counts map[model.Workspace]uint64 `json:"counts"`
+	// Generation is that of the store when the record was written.
+	Generation int64 `json:"generation"`
 }
 
 // Acquisition is what the VM that has acquired the duty knows.
@@ -38,10 +40,11 @@
 	Now WallTime
 	// Stored are the records in the store, read after the acquisition.
 	Stored []Record
-	// Complete is true if the newest of them was written in the present generation of
-	// the store. Otherwise the store may have lost newer ones, and windows that have
-	// ended may have been reported.
-	Complete bool
+	// Unreadable are windows whose record in the store cannot be decoded.
+	Unreadable []Window
+	// Generation is that of the store. Unless the newest record was written in it, the
+	// store may have lost newer ones, and windows that have ended may have been reported.
+	Generation int64
 }
 
 // EffectKind is what an effect asks for.
@@ -91,6 +94,21 @@
 	RecordNotHolder
 )
 
+// String returns a word for logs.
+func (o RecordOutcome) String() string {
+	switch o {
+	case RecordWritten:
+		return "written"
+	case RecordRejected:
+		return "rejected"
+	case RecordExists:
+		return "exists"
+	case RecordNotHolder:
+		return "not the holder"
+	}
+	return "unknown"
+}
+
 // SendOutcome is the outcome of EffectSend.
 type SendOutcome uint8
 
@@ -104,6 +122,17 @@
 	SendFailed
 )
 
+// String returns a word for logs.
+func (o SendOutcome) String() string {
+	switch o {
+	case SendAccepted:
+		return "accepted"
+	case SendRefused:
+		return "refused"
+	}
+	return "failed"
+}
+
 type phase uint8
 
 const (
@@ -137,8 +166,9 @@
 	holding  bool
 	// refused is true once the platform has refused the token, until the next
 	// acquisition.
-	refused bool
-	token   uint64
+	refused    bool
+	token      uint64
+	generation int64
 	// next is the window that is recorded next.
 	next Window
 	// reports are the windows that this VM has fixed counts for or read records of.
@@ -160,7 +190,7 @@
 
 // Acquire begins the role of the holder. It returns the windows that have to be given up.
 func (r *Reporter) Acquire(a Acquisition) []Effect {
-	r.holding, r.refused, r.token = true, false, a.Token
+	r.holding, r.refused, r.token, r.generation = true, false, a.Token, a.Generation
 	oldest := r.settings.Oldest(a.Now)
 	r.stored = map[Window]bool{}
 	for w, known := range r.reports {
@@ -171,11 +201,13 @@
 		}
 	}
 	var effects []Effect
-	newest := Window(-1)
+	newest, complete := Window(-1), false
 	for i := range a.Stored {
 		record := a.Stored[i]
 		r.stored[record.Window] = true
-		newest = max(newest, record.Window)
+		if record.Window > newest {
+			newest, complete = record.Window, record.Generation == a.Generation
+		}
 		known := r.reports[record.Window]
 		switch {
 		case record.Window < oldest:
@@ -186,11 +218,21 @@
 			effects = append(effects, giveUp(record.Window, record.Window, "the store has another record of the window"))
 		}
 	}
+	for _, w := range a.Unreadable {
+		r.stored[w] = true
+		if w > newest {
+			newest, complete = w, false
+		}
+		if r.reports[w] == nil && w >= oldest {
+			r.reports[w] = &report{record: Record{Window: w}, phase: phaseGivenUp}
+			effects = append(effects, giveUp(w, w, causeUnreadable))
+		}
+	}
 	for w := range r.reports {
 		newest = max(newest, w)
 	}
 	next := newest + 1
-	if !a.Complete {
+	if !complete {
 		next = max(next, r.next, r.settings.At(a.Now))
 		if newest >= 0 && next > newest+1 {
 			effects = append(effects, giveUp(newest+1, next-1, "its record may be lost"))
@@ -200,6 +242,8 @@
 	return effects
 }
 
+const causeUnreadable = "its record cannot be read"
+
 func giveUp(from, through Window, cause string) Effect {
 	return Effect{Kind: EffectGiveUp, Window: from, Through: through, Cause: cause}
 }
@@ -225,7 +269,7 @@
 		}
 	}
 	if r.recordable(now, sums) {
-		record := Record{Window: r.next, Counts: sums.Total(r.next)}
+		record := Record{Window: r.next, Counts: sums.Total(r.next), Generation: r.generation}
 		r.reports[r.next] = &report{record: record}
 		r.next++
 		e, _ := r.advance(now, r.reports[record.Window])
@@ -345,28 +389,36 @@
 	}
 }
 
-// ReportRead reports the outcome of EffectRead: the record in the store, nil if there is
-// none. failed is true if the store did not answer.
-func (r *Reporter) ReportRead(now WallTime, e *Effect, stored *Record, failed bool) {
+// Reading is the outcome of EffectRead.
+type Reading struct {
+	// Failed is true if the store did not answer.
+	Failed bool
+	// Exists is true if there is a record, and Unreadable if it cannot be decoded.
+	Exists, Unreadable bool
+	Record             Record
+}
+
+// ReportRead reports the outcome of EffectRead. It returns the window if it has to be
+// given up.
+func (r *Reporter) ReportRead(now WallTime, e *Effect, read *Reading) []Effect {
 	p := r.answered(e.Token, e.Window)
 	if p == nil {
-		return
+		return nil
 	}
 	p.retryAt = now + WallTime(retryDelay)
 	switch {
-	case failed:
-	case stored == nil:
+	case read.Failed || p.phase != phaseUnknown:
+	case !read.Exists:
 		// The write may still be carried out; the next one has the same counts.
-		r.setPhase(p, phaseRecording)
-	case !maps.Equal(stored.Counts, p.record.Counts):
-		// Nothing of this window was sent by this VM, so the record of the other counts.
-		p.record = *stored
-		fallthrough
+		p.phase = phaseRecording
+	case read.Unreadable:
+		r.stored[e.Window], p.phase = true, phaseGivenUp
+		return []Effect{giveUp(e.Window, e.Window, causeUnreadable)}
 	default:
-		r.stored[e.Window] = true
-		p.retryAt = now
-		r.setPhase(p, phaseRecorded)
+		// Nothing of this window was sent by this VM, so the record counts in any case.
+		r.stored[e.Window], p.record, p.phase, p.retryAt = true, read.Record, phaseRecorded, now
 	}
+	return nil
 }
 
 // ReportSent reports the outcome of EffectSend.
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -42,7 +42,7 @@
 
 // Oldest returns the oldest window that is not late at a time.
 func (s *Settings) Oldest(now WallTime) Window {
-	return s.At(now - WallTime(s.Due) - WallTime(s.Window))
+	return s.At(now - WallTime(s.Due))
 }
 
 // Tally is the number of requests of each workspace in one window.
--- a/linenode/acquire.go
+++ b/linenode/acquire.go
@@ -79,6 +79,7 @@
 		Generation: generation, SeenAt: t.generationSeenAt, SawEarlier: t.sawEarlier,
 		HeldUntilSeen: t.heldUntilGeneration != 0 && t.heldUntilGeneration == generation,
 		Exists:        keys.lease.ModRevision != 0, Own: string(keys.lease.Value) == string(t.options.VM),
+		VM: t.options.VM, HoldEndedAt: t.holdEndedAt, Period: t.options.leasePeriod(),
 	}
 	if keys.mark.ModRevision == 0 {
 		return c
@@ -131,7 +132,7 @@
 	if !verdict.Acquire {
 		return
 	}
-	mark := promotion.Mark{Generation: claim.Generation, Settled: !verdict.CallsUnknown && len(kept) <= maxRecordsPerTxn}
+	mark := promotion.Mark{Generation: claim.Generation, Settled: !verdict.CallsUnknown && len(kept) <= maxRecordsPerTxn, Holder: t.options.markHolder()}
 	sent := boottime.Now()
 	lease, err := t.options.Store.LeaseGrant(ctx, promotionLeaseTTL)
 	if err != nil {
@@ -233,7 +234,7 @@
 	if !due {
 		return
 	}
-	value, err := json.Marshal(promotion.Mark{Generation: store.Generation(revision), Settled: true})
+	value, err := json.Marshal(promotion.Mark{Generation: store.Generation(revision), Settled: true, Holder: t.options.markHolder()})
 	if err != nil {
 		t.log.Error().Err(err).Msg("mark of the promotion duty not encoded")
 		return
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -46,6 +46,7 @@
 	}
 	p.addUpstreamState(a)
 	p.addConfirmations(model.VMID(r.GetVm()), a)
+	p.usage.answer(r, a)
 	return a, nil
 }
 
--- a/linenode/lists_test.go
+++ b/linenode/lists_test.go
@@ -35,7 +35,7 @@
 	m := newMembers(o, c)
 	c.forward = newForwarder(c.probes.ctx, c, m, newLinks())
 	l := newLists(o, c, m)
-	return newPeers(o, c, m, l, newTransitions(o, c, m), newLinks())
+	return newPeers(o, c, m, l, newTransitions(o, c, m), nil, newLinks())
 }
 
 // poll makes p poll from, and returns the size of the answer in bytes.
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -46,6 +46,8 @@
 	// exchanges information with other VMs.
 	transitions *transitions
 	peers       *peers
+	// usage reports the requests of workspaces; nil if that is not configured.
+	usage *usageReports
 	// forward sends statements to the holders of connections; holder serves those that
 	// other VMs send to this one.
 	forward *forwarder
@@ -77,7 +79,11 @@
 	n.lists = newLists(o, n.cluster, n.members)
 	n.transitions = newTransitions(o, n.cluster, n.members)
 	links := newLinks()
-	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.transitions, links)
+	n.usage = newUsageReports(o, n.members, n.transitions)
+	if n.usage != nil {
+		n.cluster.local.Usage = n.usage
+	}
+	n.peers = newPeers(o, n.cluster, n.members, n.lists, n.transitions, n.usage, links)
 	n.forward = newForwarder(ctx, n.cluster, n.members, links)
 	n.holder = &holderlink.Server{Local: &n.cluster.local, Admit: n.cluster.admitForwarded, Stopping: n.stopping.Load}
 	if g, ok := o.Store.(store.Generational); ok {
@@ -133,6 +139,9 @@
 	n.spawn(func() { n.peers.run(n.ctx) })
 	n.spawn(func() { n.transitions.run(n.ctx) })
 	n.spawn(func() { n.forward.run(n.ctx) })
+	if n.usage != nil {
+		n.spawn(func() { n.usage.run(n.ctx) })
+	}
 	n.spawn(n.trimLoop)
 	n.log.Info().Str("vm", string(n.options.VM)).Str("zone", string(n.options.Zone)).
 		Str("callers", n.options.Callers.Addr().String()).Msg("started")
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -84,6 +84,9 @@
 	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
 	TokensChecked bool
 
+	// Usage is nil if the usage of workspaces is not reported.
+	Usage *UsageOptions
+
 	// MaxSessions is the maximum number of connections of callers.
 	MaxSessions int
 	// Grace is the time between the request to stop and the end of the process by
@@ -96,6 +99,22 @@
 	Tracer trace.Tracer
 }
 
+// leasePeriod is UsageOptions.LeasePeriod, 0 without reports of usage.
+func (o *Options) leasePeriod() time.Duration {
+	if o.Usage == nil {
+		return 0
+	}
+	return o.Usage.LeasePeriod
+}
+
+// markHolder returns the VM to record in the mark of the lease, if leasePeriod needs it.
+func (o *Options) markHolder() model.VMID {
+	if o.leasePeriod() == 0 {
+		return ""
+	}
+	return o.VM
+}
+
 const (
 	// storeRetryDelay is the pause after the first failed call to the store. It
 	// doubles with each further failure, up to an average of maxStoreRetryDelay, which
@@ -164,6 +183,8 @@
 	// promotionsPrefix is followed by the name of a service; the value is the
 	// promotion.Record of its last promotion.
 	promotionsPrefix = ownPrefix + "promotions/"
+	// usagePrefix is followed by the number of a window; the value is its usage.Record.
+	usagePrefix = ownPrefix + "usage/"
 )
 
 // serveHTTP serves h on l in the background until the returned server is closed.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -34,6 +34,7 @@
 	members     *members
 	lists       *lists
 	transitions *transitions
+	usage       *usageReports
 	log         zerolog.Logger
 
 	// links has the connections to other VMs, shared with forwarder.
@@ -56,9 +57,9 @@
 	followedHubAt model.Time
 }
 
-func newPeers(o Options, c *cluster, m *members, l *lists, t *transitions, links *links) *peers {
+func newPeers(o Options, c *cluster, m *members, l *lists, t *transitions, u *usageReports, links *links) *peers {
 	return &peers{
-		options: o, cluster: c, members: m, lists: l, transitions: t, log: o.Log, summary: quota.NewSummary(m.incarnation),
+		options: o, cluster: c, members: m, lists: l, transitions: t, usage: u, log: o.Log, summary: quota.NewSummary(m.incarnation),
 		links: links, requestInFlight: map[string]bool{},
 	}
 }
@@ -68,8 +69,8 @@
 	for round := 0; ctx.Err() == nil; round++ {
 		p.publishDemands()
 		targets := p.targets()
-		for _, address := range targets {
-			panics.Go(p.log, "poll of a peer", func() { p.observe(ctx, address) })
+		for vm, address := range targets {
+			panics.Go(p.log, "poll of a peer", func() { p.observe(ctx, vm, address) })
 		}
 		p.closeUnused(targets)
 		pause.For(ctx, p.interval(round))
@@ -149,7 +150,7 @@
 }
 
 // observe polls one peer and applies its answer.
-func (p *peers) observe(ctx context.Context, address string) {
+func (p *peers) observe(ctx context.Context, vm model.VMID, address string) {
 	conn, err := p.conn(address)
 	if err != nil {
 		p.log.Error().Err(err).Str("address", address).Msg("cannot create gRPC client for peer")
@@ -176,6 +177,7 @@
 		p.mu.Unlock()
 	}
 	request.ListsDigest, request.AcceptsGzip = p.lists.digest(), true
+	p.usage.addRequest(vm, request)
 	requestSentAt := boottime.Now()
 	answer, err := vmlinkv1.NewVMLinkClient(conn).Observe(ctx, request)
 	if err != nil {
@@ -184,6 +186,7 @@
 		return
 	}
 	p.handleAnswer(requestSentAt, request.ListsDigest, answer)
+	p.usage.applyAnswer(requestSentAt, request, answer)
 }
 
 // handleAnswer applies what a peer knows. listsDigest is the digest in the request. The ages in an answer are counted back from
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -84,6 +84,8 @@
 	// heldRecords what it knew of promotions then. 0 if it has not held one that long.
 	heldUntilGeneration int64
 	heldRecords         map[catalog.Service]promotion.Record
+	// holdEndedAt is when this VM last stopped to be the holder, 0 if it never was.
+	holdEndedAt model.Time
 	// markPending is true while this VM holds the lease and the mark in the store is not
 	// settled.
 	markPending bool
@@ -121,6 +123,13 @@
 	return ""
 }
 
+// held returns the revision of the lease's key while this VM may act as the holder.
+func (t *transitions) held() (revision int64, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaseRevision, t.state.Holding() && boottime.Now() < t.leaseUntil
+}
+
 // holdsLease reports whether this VM holds the lease. It may be called with cluster.mu
 // locked.
 func (t *transitions) holdsLease() bool { return t.leaseHeld.Load() }
@@ -188,6 +197,7 @@
 // dropLeaseLocked ends the role of the lease holder. The caller holds mu.
 func (t *transitions) dropLeaseLocked(cause string) {
 	t.state.Lose()
+	t.holdEndedAt = boottime.Now()
 	t.leaseHeld.Store(false)
 	t.lease, t.markPending = 0, false
 	t.log.Warn().Str("cause", cause).Msg("promotion duty lost")
--- a/settings/line.go
+++ b/settings/line.go
@@ -27,6 +27,8 @@
 	Peer     LinePeer     `json:"peer"`
 	Store    LineStore    `json:"store"`
 	Promoter LinePromoter `json:"promoter"`
+	// Usage configures the reports of usage; without it there are none.
+	Usage *LineUsage `json:"usage"`
 	// Grace is the termination grace period: the time from the request to stop
 	// until the process is killed.
 	Grace jsondoc.Duration `json:"grace"`
@@ -90,6 +92,38 @@
 	ChecksTokens bool `json:"checks_tokens"`
 }
 
+// LineUsage configures the reports of the requests of each workspace, which the service
+// that promotes upstreams takes as well.
+type LineUsage struct {
+	// Window is the length of the windows of true time in which requests are counted.
+	Window jsondoc.Duration `json:"window"`
+	// Due is how long after the end of a window its report is due.
+	Due jsondoc.Duration `json:"due"`
+	// Lease is the time within which no two VMs may take turns in reporting.
+	Lease jsondoc.Duration `json:"lease"`
+}
+
+// Limits of LineUsage: the counts of a window need some polls between VMs until they are
+// complete, and windows are kept until they are due.
+const (
+	MinUsageWindow     = time.Second
+	MinUsageDue        = 3 * time.Second
+	MaxUsageDueWindows = 60
+)
+
+// check adds findings about the fields.
+func (u *LineUsage) check(source *jsondoc.Source) {
+	if u.Window.Std() < MinUsageWindow {
+		source.Add("usage.window", "must be at least %s", MinUsageWindow)
+	}
+	if u.Due.Std() < MinUsageDue || u.Window > 0 && u.Due.Std()/MaxUsageDueWindows > u.Window.Std() {
+		source.Add("usage.due", "must be at least %s and at most %d windows", MinUsageDue, MaxUsageDueWindows)
+	}
+	if u.Lease < 0 {
+		source.Add("usage.lease", "must not be negative")
+	}
+}
+
 // LoadLine reads and checks a settings file. The error is a findings.List if the
 // content is invalid.
 func LoadLine(path string) (*Line, error) {
@@ -135,6 +169,9 @@
 	if !s.Peer.Insecure {
 		source.Add("peer.insecure", "must be true: mutual TLS is not available with the line protocol")
 	}
+	if s.Usage != nil {
+		s.Usage.check(source)
+	}
 	if s.Grace <= 0 {
 		source.Add("grace", "must be above 0")
 	}
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -23,6 +23,8 @@
 	Cluster Cluster
 	// Tracer records a span for each statement. It may be nil.
 	Tracer trace.Tracer
+	// Usage counts statements. It may be nil.
+	Usage UsageCounter
 }
 
 // upstreamSpan is the name of the span of a statement sent to an upstream.
@@ -52,6 +54,7 @@
 	hop := l.startHop(r.TraceParent, r.Upstream)
 	o.Answer, err = l.send(conn, r, text)
 	hop.End(err)
+	l.countUsage(r.Workspace, sentAt, &o.Answer, err)
 	pool.Release(conn, err == nil && o.Ready.State == lineproto.Idle)
 	if err != nil {
 		l.reportFailure(r.Upstream, err)
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -74,6 +74,8 @@
 	pool *upstreampool.Pool
 	// place is where the transaction was opened.
 	place Place
+	// counted is true once the transaction was counted as usage.
+	counted bool
 }
 
 // Send runs a statement. For at most r.Wait, it sends the statement again while
@@ -84,6 +86,9 @@
 	hop := x.local.startHop(r.TraceParent, x.Upstream)
 	a, err := x.send(r)
 	hop.End(err)
+	if !x.counted {
+		x.counted = x.local.countUsage(x.place.Workspace, sentAt, &a, err)
+	}
 	if err != nil {
 		x.Discard()
 		x.local.reportFailure(x.Upstream, err)
