--- a/settings/line_test.go
+++ b/settings/line_test.go
@@ -50,3 +50,39 @@
 		}
 	}
 }
+
+// Guards against reports of usage without the setting, and against settings under which
+// no report could be complete in time.
+func TestUsageSettings(t *testing.T) {
+	s, list := ParseLine("file", []byte(lineFile))
+	if len(list) > 0 || s.Usage != nil {
+		t.Fatalf("usage = %+v without the setting, findings %v", s.Usage, list)
+	}
+	withUsage := func(text string) (*Line, string) {
+		s, list := ParseLine("file", []byte(strings.Replace(lineFile, `"promoter"`, `"usage": `+text+`, "promoter"`, 1)))
+		if len(list) == 0 {
+			return s, ""
+		}
+		return s, list.Error()
+	}
+	s, text := withUsage(`{"window": "5s", "due": "10s", "lease": "3000ms"}`)
+	if text != "" || s.Usage.Window.Std() != 5*time.Second || s.Usage.Due.Std() != 10*time.Second || s.Usage.Lease.Std() != 3*time.Second {
+		t.Fatalf("usage = %+v, findings %s", s, text)
+	}
+	for bad, paths := range map[string][]string{
+		`{}`:                               {"usage.window", "usage.due"},
+		`{"window": "10ms", "due": "10s"}`: {"usage.window"},
+		`{"window": "5s", "due": "2s"}`:    {"usage.due"},
+		`{"window": "1s", "due": "1h"}`:    {"usage.due"},
+		`{"window": "5s", "due": "10s", "lease": "-1s"}`:      {"usage.lease"},
+		`{"window": "5s", "due": "10s", "more": 1}`:           {"usage.more"},
+		`{"window": "five", "due": "10s", "lease": "3000ms"}`: {"usage.window"},
+	} {
+		_, text := withUsage(bad)
+		for _, path := range paths {
+			if !strings.Contains(text, path+":") {
+				t.Errorf("%s: no finding for %s in: %s", bad, path, text)
+			}
+		}
+	}
+}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -52,6 +52,8 @@
 
 	// Promote executes the promotion call and reports whether it succeeded.
 	Promote func(service, id string, token uint64) bool
+	// Usage takes the reports of usage.
+	Usage Usage
 
 	listener net.Listener
 	server   *http.Server
@@ -85,6 +87,7 @@
 	mux.HandleFunc("POST /chervilhatch/kv-keep/{id}", s.keepAlive)
 	mux.HandleFunc("DELETE /chervilhatch/kv-lease-end/{id}", s.revoke)
 	mux.HandleFunc("POST /failover", s.failover)
+	mux.HandleFunc("POST /usage", s.Usage.serve)
 	s.server = &http.Server{Handler: s.injectFaults(mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
--- a/test/line/cluster_test.go
+++ b/test/line/cluster_test.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/usage"
 	"github.com/chervilhatch/chervilhatch/linenode"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
@@ -33,6 +34,8 @@
 	// spreadZones distributes the VMs round-robin over the zones of the upstreams;
 	// otherwise all are in zone-a.
 	spreadZones bool
+	// usage configures reports of usage; nil disables them.
+	usage *usage.Settings
 	// tracer creates the spans of the VMs; nil disables tracing.
 	tracer trace.Tracer
 }
@@ -107,14 +110,19 @@
 	registry := metrics.NewRegistry()
 	vm := model.VMID(fmt.Sprintf("vm-%d", i))
 	callers, peers := listen(f.t), listen(f.t)
-	n := linenode.New(linenode.Options{
+	promoter := platform.NewPromoter(f.Store.Address(), time.Second, vm, registry)
+	o := linenode.Options{
 		VM: vm, Zone: f.zone(i), PeerAddress: peers.Addr().String(),
 		Callers: callers, Peers: peers, Ready: listen(f.t),
 		Store:    platform.NewStore(f.Store.Address(), time.Second, time.Second, registry),
-		Promoter: platform.NewPromoter(f.Store.Address(), time.Second, vm, registry),
+		Promoter: promoter,
 		Formats:  platform.Formats(),
 		Grace:    f.grace, Log: zerolog.New(io.Discard), Registry: registry, Tracer: f.tracer,
-	})
+	}
+	if f.usage != nil {
+		o.Usage = &linenode.UsageOptions{Settings: *f.usage, LeasePeriod: 3 * time.Second, Reporter: promoter, Refused: platform.ErrUsageFenced}
+	}
+	n := linenode.New(o)
 	n.Start()
 	f.nodes = append(f.nodes, n)
 	f.callers = append(f.callers, callers.Addr().String())
