--- a/core/promotion/claim_test.go
+++ b/core/promotion/claim_test.go
@@ -21,6 +21,10 @@
 		after time.Duration
 		want  Verdict
 	}{
+		"succeeded by another VM":             {Claim{Mark: &Mark{Generation: 5, Settled: true, Holder: "b"}, VM: "a", HoldEndedAt: seen, Period: time.Second}, time.Second - 1, Verdict{Cause: "another VM has held it since this one", NotBefore: seen.Add(time.Second)}},
+		"succeeded a while ago":               {Claim{Mark: &Mark{Generation: 5, Settled: true, Holder: "b"}, VM: "a", HoldEndedAt: seen, Period: time.Second}, time.Second, Verdict{Acquire: true}},
+		"not succeeded":                       {Claim{Mark: &Mark{Generation: 5, Settled: true, Holder: "a"}, VM: "a", HoldEndedAt: seen, Period: time.Second}, 0, Verdict{Acquire: true}},
+		"never held":                          {Claim{Mark: &Mark{Generation: 5, Settled: true, Holder: "b"}, VM: "a", Period: time.Second}, 0, Verdict{Acquire: true}},
 		"free in a settled generation":        {Claim{Mark: settled}, 0, Verdict{Acquire: true}},
 		"free in an unsettled generation":     {Claim{Mark: unsettled}, 0, Verdict{Acquire: true, CallsUnknown: true}},
 		"held in this generation":             {Claim{Mark: settled, Exists: true, HeldUntilSeen: true}, time.Hour, Verdict{Cause: "held by another VM"}},
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -250,6 +250,8 @@
 
 // Sums is what the holder knows of the counts of all VMs.
 type Sums interface {
+	// Connected reports whether enough other VMs answer that the true time is known.
+	Connected() bool
 	// Total returns the requests in a window.
 	Total(Window) map[model.Workspace]uint64
 	// Settled reports whether all parts of the deployment have reported their counts of
@@ -293,7 +295,7 @@
 // one write of a record at a time.
 func (r *Reporter) recordable(now WallTime, sums Sums) bool {
 	end := r.settings.End(r.next)
-	if now < end+WallTime(settleTime) {
+	if now < end+WallTime(settleTime) || !sums.Connected() {
 		return false
 	}
 	for _, p := range r.reports {
--- a/core/usage/reporter_test.go
+++ b/core/usage/reporter_test.go
@@ -62,6 +62,9 @@
 	return map[model.Workspace]uint64{"w": w.sums}
 }
 
+// Connected is true.
+func (w *world) Connected() bool { return true }
+
 // Settled is drawn.
 func (w *world) Settled(Window) bool { return rapid.Bool().Draw(w.t, "settled") }
 
--- a/linenode/usage.go
+++ b/linenode/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,9 +71,17 @@
 	peers map[model.VMID]*usagePeer
 	// revision is that of the lease's key which reporter acts under, 0 for none.
 	revision int64
+	// windows is what the log tells of the windows that this VM reports.
+	windows map[usage.Window]*usageWindow
+}
+
+// usageWindow is what the log tells of a window.
+type usageWindow struct {
 	// ages are the ages of the newest counts of each zone, or of each VM of a mesh, when
-	// a window was recorded.
-	ages map[usage.Window]map[string]time.Duration
+	// this VM recorded the window.
+	ages map[string]time.Duration
+	// failed is true once a call to the platform has failed.
+	failed bool
 }
 
 // dutyLease is the lease of the duties of which one VM at a time acts.
@@ -89,7 +98,7 @@
 	return &usageReports{
 		options: o, settings: o.Usage.Settings, members: m, lease: lease, log: o.Log, wall: time.Now,
 		clock: usage.NewClock(o.VM), counts: usage.NewCounts(o.Zone), reporter: usage.NewReporter(o.Usage.Settings),
-		peers: map[model.VMID]*usagePeer{}, ages: map[usage.Window]map[string]time.Duration{},
+		peers: map[model.VMID]*usagePeer{}, windows: map[usage.Window]*usageWindow{},
 	}
 }
 
@@ -143,6 +152,7 @@
 		u.reporter.Lose()
 	}
 	u.dropPeers()
+	maps.DeleteFunc(u.windows, func(w usage.Window, _ *usageWindow) bool { return w < u.settings.Oldest(now)-1 })
 	acquired := held && revision != u.revision
 	u.mu.Unlock()
 	if acquired {
@@ -151,8 +161,9 @@
 	u.mu.Lock()
 	effects := u.reporter.Tick(u.now(), usageSums{u})
 	for i := range effects {
-		if effects[i].Kind == usage.EffectRecord {
-			u.ages[effects[i].Window] = u.sourceAges()
+		if w := effects[i].Window; effects[i].Kind == usage.EffectRecord && u.windows[w] == nil {
+			u.windows[w] = &usageWindow{ages: u.sourceAges()}
+			u.count("windows.due", 1)
 		}
 	}
 	u.mu.Unlock()
@@ -225,7 +236,6 @@
 
 // record writes the record of a window.
 func (u *usageReports) record(ctx context.Context, e *usage.Effect) {
-	u.count("windows.due", 1)
 	outcome, err := u.writeRecord(ctx, e)
 	if outcome != usage.RecordWritten {
 		u.log.Info().Err(err).Int64("window", int64(e.Window)).Str("outcome", outcome.String()).Msg("record of a usage report not confirmed")
@@ -302,22 +312,33 @@
 		u.count("windows.refused", 1)
 	}
 	u.mu.Lock()
-	ages := u.ages[e.Window]
 	u.reporter.ReportSent(u.now(), e, outcome)
 	now := u.now()
-	if outcome == usage.SendAccepted {
-		delete(u.ages, e.Window)
+	window := u.windows[e.Window]
+	if window == nil {
+		window = &usageWindow{}
+		u.windows[e.Window] = window
 	}
+	again := outcome == usage.SendFailed && window.failed
+	window.failed = window.failed || outcome == usage.SendFailed
 	u.mu.Unlock()
-	line := u.log.Info().Err(err).Int64("window", int64(e.Window)).Uint64("requests", requests).Int("workspaces", len(e.Record.Counts)).
-		Uint64("token", e.Token).Str("outcome", outcome.String()).Dur("after_end", time.Duration(now-u.settings.End(e.Window)))
-	for source, age := range ages {
-		line = line.Dur("age_"+source, age)
-	}
-	line.Msg("usage reported")
 	if outcome == usage.SendAccepted && now > u.settings.DueAt(e.Window) {
 		u.count("windows.late", 1)
 	}
+	if again {
+		return
+	}
+	level := zerolog.InfoLevel
+	if outcome != usage.SendAccepted {
+		level = zerolog.WarnLevel
+	}
+	line := u.log.WithLevel(level).Err(err).Int64("window", int64(e.Window)).Uint64("requests", requests).
+		Int("workspaces", len(e.Record.Counts)).Uint64("token", e.Token).Str("outcome", outcome.String()).
+		Dur("after_end", time.Duration(now-u.settings.End(e.Window)))
+	for source, age := range window.ages {
+		line = line.Dur("age_"+source, age)
+	}
+	line.Msg("usage report sent")
 }
 
 // call calls the platform, if this VM still holds the lease then.
--- a/linenode/usageexchange.go
+++ b/linenode/usageexchange.go
@@ -188,6 +188,10 @@
 // usageSums implements usage.Sums. The caller holds mu.
 type usageSums struct{ *usageReports }
 
+// Connected reports whether enough other VMs answer. On a VM that is cut off from them, a
+// clock that has jumped is not noticed.
+func (u usageSums) Connected() bool { return !u.members.isolated() }
+
 // Total returns the requests in a window over all VMs.
 func (u usageSums) Total(w usage.Window) map[model.Workspace]uint64 { return u.counts.Total(w) }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -165,6 +165,7 @@
 	}
 	w.endFaults()
 	w.checkRecovery()
+	w.checkUsage()
 	w.stopping.Store(true)
 	w.wg.Wait()
 	w.outcomes.Check(w.Platform)
@@ -435,6 +436,16 @@
 	}
 }
 
+// checkUsage checks that windows are reported again, and that no two reports were different
+// for one window or had the same token.
+func (w *soakRun) checkUsage() {
+	reported := len(w.Store.Usage.Reports())
+	w.WaitFor("reports of usage after the faults", func() bool { return len(w.Store.Usage.Reports()) > reported+2 })
+	for _, fault := range w.Store.Usage.Faults() {
+		w.t.Error("usage: " + fault)
+	}
+}
+
 // logEvents logs the events, and copies the daemons' logs to the directory SOAK_KEEP
 // if it is set.
 func (w *soakRun) logEvents() {
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -61,6 +61,7 @@
 		"peer":     map[string]any{"listen": peers, "advertise": v.peers.address(), "insecure": true},
 		"store":    map[string]any{"address": store, "watch_wait": "1s"},
 		"promoter": map[string]any{"address": store, "checks_tokens": checksTokens},
+		"usage":    map[string]any{"window": "1s", "due": "4s", "lease": "3s"},
 		"grace":    gracePeriod.String(),
 	})
 	if err != nil {
