--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -14,15 +14,28 @@
 	// maxWallTime bounds the readings that are taken from another VM, to the year 2200,
 	// so that no sum overflows.
 	maxWallTime = WallTime(230 * 365 * 24 * time.Hour)
+	// clockStart is how long after its first use a clock follows the other VMs at once:
+	// they have then answered some polls.
+	clockStart = 3 * time.Second
+	// maxSlew divides the time that passes; the quotient is by how much the estimate moves
+	// towards the median at most. A clock that jumps does so for seconds, and 1% of that is
+	// small against the tolerance of a window; oscillators differ by far less than 1%.
+	maxSlew = 100
 )
 
-// Clock estimates the true time as the median of the wall clocks of several VMs. With
-// a majority of them right, a wrong one does not change the estimate by more than the
-// right ones differ. All readings are kept as offsets to the boot-time clock of this
-// VM, which is steady.
+// Clock estimates the true time. It starts with the estimates of other VMs, or with the
+// median of their wall clocks if there are none, and then follows the median of the wall
+// clocks slowly. With a majority of them right, a wrong one does not change the estimate
+// by more than the right ones differ, and a majority that jumps for a while hardly does.
+// All readings are kept as offsets to the boot-time clock of this VM, which is steady.
 type Clock struct {
 	self     model.VMID
 	readings map[model.VMID]reading
+	// estimates are those of other VMs.
+	estimates map[model.VMID]reading
+	// startedAt is when Now was first called, offset the estimate as of slewedAt.
+	startedAt, slewedAt model.Time
+	offset              time.Duration
 }
 
 type reading struct {
@@ -32,16 +45,25 @@
 
 // NewClock returns a clock without readings.
 func NewClock(self model.VMID) *Clock {
-	return &Clock{self: self, readings: map[model.VMID]reading{}}
+	return &Clock{self: self, readings: map[model.VMID]reading{}, estimates: map[model.VMID]reading{}}
 }
 
 // Observe records that the wall clock of a VM showed wall when the boot-time clock of
 // this VM showed at. It returns false if the reading is out of range and ignored.
 func (c *Clock) Observe(vm model.VMID, at model.Time, wall WallTime) bool {
-	if wall <= 0 || wall > maxWallTime {
+	return observe(c.readings, vm, at, wall)
+}
+
+// ObserveEstimate is Observe for another VM's estimate of the true time.
+func (c *Clock) ObserveEstimate(vm model.VMID, at model.Time, estimate WallTime) bool {
+	return observe(c.estimates, vm, at, estimate)
+}
+
+func observe(readings map[model.VMID]reading, vm model.VMID, at model.Time, t WallTime) bool {
+	if t <= 0 || t > maxWallTime {
 		return false
 	}
-	c.readings[vm] = reading{offset: time.Duration(wall) - time.Duration(at), at: at}
+	readings[vm] = reading{offset: time.Duration(t) - time.Duration(at), at: at}
 	return true
 }
 
@@ -51,13 +73,32 @@
 	if _, ok := c.readings[c.self]; !ok {
 		return 0, false
 	}
-	offsets := make([]time.Duration, 0, len(c.readings))
-	for vm, r := range c.readings {
-		if now.Sub(r.at) > readingTTL {
-			if vm != c.self {
-				delete(c.readings, vm)
-				continue
-			}
+	if c.startedAt == 0 {
+		c.startedAt, c.slewedAt = now, now
+	}
+	target := median(c.readings, now, c.self)
+	if now.Sub(c.startedAt) < clockStart {
+		if len(c.estimates) > 0 {
+			target = median(c.estimates, now, "")
+		}
+		c.offset, c.slewedAt = target, max(c.slewedAt, now)
+		return WallTime(time.Duration(now) + c.offset), true
+	}
+	if step := now.Sub(c.slewedAt) / maxSlew; step > 0 {
+		c.offset += min(max(target-c.offset, -step), step)
+		c.slewedAt = now
+	}
+	return WallTime(time.Duration(now) + c.offset), true
+}
+
+// median returns the median of the offsets, and deletes old readings of VMs other than
+// keep if a newer one remains.
+func median(readings map[model.VMID]reading, now model.Time, keep model.VMID) time.Duration {
+	offsets := make([]time.Duration, 0, len(readings))
+	for vm, r := range readings {
+		if now.Sub(r.at) > readingTTL && vm != keep && len(readings) > 1 {
+			delete(readings, vm)
+			continue
 		}
 		offsets = append(offsets, r.offset)
 	}
@@ -67,5 +108,5 @@
 	if len(offsets)%2 == 0 {
 		offset = offsets[middle-1] + (offset-offsets[middle-1])/2
 	}
-	return WallTime(time.Duration(now) + offset), true
+	return offset
 }
--- a/core/usage/counts_test.go
+++ b/core/usage/counts_test.go
@@ -178,6 +178,20 @@
 		if off := time.Duration(got - trueTime - WallTime(time.Second)).Abs(); !ok || off > 20*time.Millisecond {
 			t.Fatalf("estimate is off by %s", off)
 		}
+		// A majority that jumps for some seconds.
+		for at := now.Add(time.Second); at < now.Add(12*time.Second); at = at.Add(time.Second / 10) {
+			for i := range vms {
+				jump := WallTime(0)
+				if at > now.Add(5*time.Second) && i > 0 {
+					jump = WallTime(5 * time.Second)
+				}
+				c.Observe(model.VMID(fmt.Sprintf("vm-%d", i)), at, trueTime+WallTime(at-now)+jump)
+			}
+			got, _ := c.Now(at)
+			if off := time.Duration(got - trueTime - WallTime(at-now)).Abs(); off > 100*time.Millisecond {
+				t.Fatalf("estimate is off by %s after a jump", off)
+			}
+		}
 		if _, ok := c.Now(now.Add(time.Hour)); !ok || len(c.readings) != 1 {
 			t.Fatalf("%d readings after an hour, want the own one", len(c.readings))
 		}
--- a/linenode/usageexchange.go
+++ b/linenode/usageexchange.go
@@ -147,6 +147,7 @@
 			reading = a.GetTrueUs()
 		}
 		u.observeClock(vm, sentAt.Add(rtt/2), reading)
+		u.clock.ObserveEstimate(vm, sentAt.Add(rtt/2), usage.WallTime(time.Duration(min(a.GetTrueUs(), maxWallMicroseconds))*time.Microsecond))
 	}
 	p := u.peer(vm)
 	if former := p.incarnation; former != a.GetIncarnation() {
