--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -21,6 +21,9 @@
 	// towards the median at most. A clock that jumps does so for seconds, and 1% of that is
 	// small against the tolerance of a window; oscillators differ by far less than 1%.
 	maxSlew = 100
+	// slewInterval is how often the median is computed after the start; Now is called for
+	// each request.
+	slewInterval = 10 * time.Millisecond
 )
 
 // Clock estimates the true time. It starts with the estimates of other VMs, or with the
@@ -76,16 +79,14 @@
 	if c.startedAt == 0 {
 		c.startedAt, c.slewedAt = now, now
 	}
-	target := median(c.readings, now, c.self)
-	if now.Sub(c.startedAt) < clockStart {
-		if len(c.estimates) > 0 {
-			target = median(c.estimates, now, "")
-		}
-		c.offset, c.slewedAt = target, max(c.slewedAt, now)
-		return WallTime(time.Duration(now) + c.offset), true
-	}
-	if step := now.Sub(c.slewedAt) / maxSlew; step > 0 {
-		c.offset += min(max(target-c.offset, -step), step)
+	switch passed := now.Sub(c.slewedAt); {
+	case now.Sub(c.startedAt) < clockStart && len(c.estimates) > 0:
+		c.offset, c.slewedAt = median(c.estimates, now, ""), max(c.slewedAt, now)
+	case now.Sub(c.startedAt) < clockStart:
+		c.offset, c.slewedAt = median(c.readings, now, c.self), max(c.slewedAt, now)
+	case passed >= slewInterval:
+		step := passed / maxSlew
+		c.offset += min(max(median(c.readings, now, c.self)-c.offset, -step), step)
 		c.slewedAt = now
 	}
 	return WallTime(time.Duration(now) + c.offset), true
--- a/linenode/usage.go
+++ b/linenode/usage.go
@@ -60,6 +60,8 @@
 	lease    dutyLease
 	log      zerolog.Logger
 	wall     func() time.Time
+	// counted counts the requests of Began.
+	counted metrics.Counter
 
 	// mu guards the fields below. It is locked before members.mu, and after no other
 	// lock.
@@ -97,7 +99,8 @@
 	}
 	return &usageReports{
 		options: o, settings: o.Usage.Settings, members: m, lease: lease, log: o.Log, wall: time.Now,
-		clock: usage.NewClock(o.VM), counts: usage.NewCounts(o.Zone), reporter: usage.NewReporter(o.Usage.Settings),
+		counted: metrics.GetOrRegisterCounter("usage.requests.counted", o.Registry),
+		clock:   usage.NewClock(o.VM), counts: usage.NewCounts(o.Zone), reporter: usage.NewReporter(o.Usage.Settings),
 		peers: map[model.VMID]*usagePeer{}, windows: map[usage.Window]*usageWindow{},
 	}
 }
@@ -118,7 +121,7 @@
 		return
 	}
 	u.counts.Count(u.settings.At(now), model.Workspace(workspace))
-	u.count("requests.counted", 1)
+	u.counted.Inc(1)
 }
 
 // run decides about windows until ctx ends.
