Merge the parts for hard load: connections, even load, admission, evidence, usage

Where they meet:

- the figures that holders report for even load count what is under way in the gate of admission, if there is one, since a connection of an idle transaction loads nothing;
- a connection that an upstream refuses frees its slot, and keeps what the pool has open where shares overlap;
- a raised share of connections serves what waits, with and without a gate;
- a read that the queue of one upstream refuses goes to the next candidate in the order of the balance, with its reasons in the log;
- the time in the queue and the count of usage are taken where a statement is sent.

--- a/cmd/chervilhatchd/internal/line/line.go
+++ b/cmd/chervilhatchd/internal/line/line.go
@@ -16,6 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/cmd/chervilhatchd/internal/tracing"
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
+	"github.com/chervilhatch/chervilhatch/core/usage"
 	"github.com/chervilhatch/chervilhatch/linenode"
 	"github.com/chervilhatch/chervilhatch/platform"
 	"github.com/chervilhatch/chervilhatch/settings"
@@ -99,22 +101,45 @@
 	}
 }
 
+// divisions maps the setting connections.division.
+var divisions = map[string]connlimit.Division{
+	settings.DivisionFixed: connlimit.Fixed, settings.DivisionAdaptive: connlimit.Adaptive,
+}
+
 func nodeOptions(s *settings.Line, log zerolog.Logger, registry metrics.Registry) linenode.Options {
+	promoter := platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry)
 	return linenode.Options{
-		VM:            s.VM.ID,
-		Zone:          s.VM.Zone,
-		Capacity:      s.VM.Capacity,
-		PeerAddress:   s.Peer.Address(),
-		Seeds:         s.Peer.Seeds,
-		Store:         platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
-		Promoter:      platform.NewPromoter(s.Promoter.Address, promoterTimeout, s.VM.ID, registry),
-		Formats:       platform.Formats(),
-		TokensChecked: s.Promoter.ChecksTokens,
-		MaxSessions:   max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
-		Grace:         s.Grace.Std(),
-		Log:           log,
-		Registry:      registry,
-		Tracer:        telemetry.Tracer(),
+		VM:                 s.VM.ID,
+		Zone:               s.VM.Zone,
+		Capacity:           s.VM.Capacity,
+		PeerAddress:        s.Peer.Address(),
+		Seeds:              s.Peer.Seeds,
+		Store:              platform.NewStore(s.Store.Address, s.Store.Timeout.Std(), s.Store.WatchWait.Std(), registry),
+		Promoter:           promoter,
+		Usage:              usageOptions(s.Usage, promoter),
+		Formats:            platform.Formats(),
+		TokensChecked:      s.Promoter.ChecksTokens,
+		ByDeadline:         s.Admission.Mode == settings.AdmissionDeadline,
+		Balance:            linenode.BalanceMode(s.Balance.Mode),
+		MaxSessions:        max(s.Callers.MaxDescriptors-reservedDescriptors, 0),
+		Grace:              s.Grace.Std(),
+		Log:                log,
+		Registry:           registry,
+		ConnectionDivision: divisions[s.Connections.Division],
+		Tracer:             telemetry.Tracer(),
+	}
+}
+
+// usageOptions returns nil if the settings do not configure reports of usage.
+func usageOptions(s *settings.LineUsage, reporter linenode.UsageReporter) *linenode.UsageOptions {
+	if s == nil {
+		return nil
+	}
+	return &linenode.UsageOptions{
+		Settings:    usage.Settings{Window: s.Window.Std(), Due: s.Due.Std()},
+		LeasePeriod: s.Lease.Std(),
+		Reporter:    reporter,
+		Refused:     platform.ErrUsageFenced,
 	}
 }
 
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -84,11 +84,26 @@
 	// observedLog is the newest observation of the primary's log. It becomes evidence
 	// as far as the primary is confirmed.
 	observedLog evidence
+	// replicaLog is the longest log that a replica has reported, and when it first did.
+	replicaLog logReport
+	// shortfall is the newest evidence that no replica had reached when all had answered
+	// after this VM had learned of it, and when that was.
+	shortfall logReport
+	// sentCommits are commits of this VM that no replica is known to have received, in the
+	// order of the log. receipt is the newest one that a replica has received.
+	sentCommits []sentCommit
+	receipt     sentCommit
 	// evidenceFromReplicas is true after evidence was derived from the replicas, until
 	// the primary's log is observed again.
 	evidenceFromReplicas bool
 }
 
+// logReport is a log position and the time when this VM first learned of it.
+type logReport struct {
+	position model.Position
+	at       model.Time
+}
+
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -145,6 +160,7 @@
 		g.applyCommitted(now, m, ev)
 	case EventServed:
 		m.recordServed(now, ev.Position)
+		g.recordReceipt(m, ev.Position)
 	case EventNotPrimary:
 		g.recordNotPrimary(now, m)
 	case EventLagging:
@@ -363,6 +379,7 @@
 // last primary had acknowledged is on a replica as well.
 func (g *group) recordLoss(now model.Time, id model.UpstreamID) {
 	g.incompleteSince, g.memberLost = now, true
+	g.shortfall = logReport{}
 	if id != g.lastPrimary {
 		g.replicaLostAt = now
 	}
@@ -411,6 +428,10 @@
 	switch {
 	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
+		g.recordReceipt(m, ev.Status.Received)
+		if p := ev.Status.Received; g.replicaLog.at == 0 || p.Compare(g.replicaLog.position) > 0 {
+			g.replicaLog = logReport{position: p, at: now}
+		}
 		g.clearIncomplete(m)
 		return
 	case g.lostLogEntries(m):
@@ -460,6 +481,7 @@
 func (g *group) applyCommitted(now model.Time, m *Member, ev *Event) {
 	m.recordServed(now, ev.Position)
 	g.recordPrimary(now, m, ev.Position.Term.Counter)
+	g.recordSentCommit(m.ID, ev.Position, ev.SentAt)
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Position, term: ev.Position.Term.Counter})
 }
 
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -30,10 +31,10 @@
 		if !a.canRetry {
 			return a.reply
 		}
-		if a.unavailable || t.remainingWait() <= 0 {
-			return o.refuse(p.ID, a.text, retryAfter(&a))
+		if a.unavailable || t.retryTime(&a) <= 0 {
+			return o.refuse(p.ID, &a)
 		}
-		time.Sleep(min(busyRetryDelay, max(t.remainingWait(), 0)))
+		time.Sleep(min(busyRetryDelay, max(t.retryTime(&a), 0)))
 	}
 }
 
@@ -45,6 +46,8 @@
 	reply
 	canRetry    bool
 	unavailable bool
+	// overload is set if the upstream could not run the statement in time.
+	overload *overload
 }
 
 // upstreamBusy is the cause of refusals if the upstream has no free slot.
@@ -62,7 +65,10 @@
 
 // retryAfter returns the retry delay that the caller is told after a failed attempt.
 func retryAfter(a *attempt) time.Duration {
-	if a.unavailable {
+	switch {
+	case a.overload != nil:
+		return a.overload.Refusal.RetryAfter
+	case a.unavailable:
 		return retryAfterNoPrimary
 	}
 	return retryAfterBusy
@@ -74,7 +80,7 @@
 	if !ok {
 		return unavailable("no primary")
 	}
-	return o.readOn(o.request(m.ID, upstreamrun.ModePrimary, p, t))
+	return o.readOn(o.request(m.ID, upstreamrun.ModePrimary, p, t), nil)
 }
 
 // A read without an answer is hedged, that is, also sent to another upstream, after
@@ -100,7 +106,10 @@
 	if !ok {
 		return unavailable("freshness cannot be proved")
 	}
-	candidates := o.cluster.ReadCandidates(o.route.Service, floor, o.workspace)
+	candidates := o.cluster.ReadCandidates(o.route, floor, o.workspace)
+	if o.session.server.byDeadline {
+		return o.readQueued(candidates, p, t)
+	}
 	results := make(chan attempt, len(candidates))
 	timer := time.NewTimer(o.hedgeDelay())
 	defer timer.Stop()
@@ -111,7 +120,7 @@
 			if next == len(candidates) || next > 0 && t.remainingWait() <= 0 {
 				return last
 			}
-			o.startRead(candidates[next].ID, p, t, results)
+			o.startRead(&candidates[next], p, t, results)
 			running, next = running+1, next+1
 		}
 		select {
@@ -124,7 +133,7 @@
 			o.cluster.Suspect(candidates[next-1].ID)
 			if next < len(candidates) {
 				o.session.server.count("hedged")
-				o.startRead(candidates[next].ID, p, t, results)
+				o.startRead(&candidates[next], p, t, results)
 				running, next = running+1, next+1
 				timer.Reset(o.hedgeDelay())
 			}
@@ -132,15 +141,30 @@
 	}
 }
 
+// logChoice adds why a read went to its upstream to a log entry.
+func logChoice(e *Entry, c *replicaset.Choice) {
+	if c == nil || c.Cause == "" {
+		return
+	}
+	e.Str("choice", c.Cause).Dur("estimate", c.Estimate)
+	if c.FigureAge >= 0 {
+		e.Dur("figure_age", c.FigureAge)
+	}
+}
+
 // startRead runs a read on one upstream in a goroutine. The session may continue
 // with its next request before that returns, so everything that the goroutine needs
 // from the session is copied into the request first.
-func (o *operation) startRead(id model.UpstreamID, p *statement, t *timeLimits, results chan<- attempt) {
-	r := o.request(id, upstreamrun.ModeFresh, p, t)
+func (o *operation) startRead(c *replicaset.Candidate, p *statement, t *timeLimits, results chan<- attempt) {
+	o.startRequest(c, o.request(c.ID, upstreamrun.ModeFresh, p, t), results)
+}
+
+// startRequest is startRead for a request to the upstream c.
+func (o *operation) startRequest(c *replicaset.Candidate, r *upstreamrun.Request, results chan<- attempt) {
 	go func() {
 		a := attempt{reply: failure(lineproto.Failed, "internal error")}
 		// The log has the error.
-		_ = panics.Call(o.session.server.log, "read", func() { a = o.readOn(r) })
+		_ = panics.Call(o.session.server.log, "read", func() { a = o.readOn(r, &c.Choice) })
 		results <- a
 	}()
 }
@@ -176,12 +200,13 @@
 	return &upstreamrun.Request{Place: o.place(id, t), Statement: p.Statement, Mode: mode, Session: o.sessionState()}
 }
 
-// readOn runs a read on one upstream.
-func (o *operation) readOn(r *upstreamrun.Request) attempt {
+// readOn runs a read on one upstream. choice says why it goes there, nil if no other
+// may serve it.
+func (o *operation) readOn(r *upstreamrun.Request, choice *replicaset.Choice) attempt {
 	out, err := o.cluster.Run(r)
 	switch {
 	case err == nil:
-		return o.handleReadAnswer(r, &out)
+		return o.handleReadAnswer(r, choice, &out)
 	case upstreamrun.Sent(err):
 		return o.readConnLost(r, err)
 	}
@@ -198,11 +223,12 @@
 }
 
 // handleReadAnswer returns the attempt that results from an upstream's answer.
-func (o *operation) handleReadAnswer(r *upstreamrun.Request, a *upstreamrun.Outcome) attempt {
+func (o *operation) handleReadAnswer(r *upstreamrun.Request, choice *replicaset.Choice, a *upstreamrun.Outcome) attempt {
 	switch {
 	case a.Code == "":
 		o.log(r.ID, "read served", func(e *Entry) {
 			e.Str("upstream", string(r.Upstream)).Str("holder", string(a.Holder)).Str("floor", lineproto.FormatPosition(a.Floor)).Dur("proof_age", a.EvidenceAge)
+			logChoice(e, choice)
 		})
 		return attempt{reply: replyFromAnswer(&a.Answer)}
 	case a.Code == lineproto.Lagging:
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -5,6 +5,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -93,7 +94,7 @@
 			return nil
 		}
 		if r.unavailable || t.remainingWait() <= 0 {
-			refusal := x.refuse(id, r.text, retryAfter(r))
+			refusal := x.refuse(id, r)
 			return &refusal
 		}
 		time.Sleep(min(busyRetryDelay, max(t.remainingWait(), 0)))
@@ -112,8 +113,12 @@
 		return &r
 	}
 	r := unavailable("no upstream")
-	for _, c := range x.cluster.ReadCandidates(x.route.Service, floor, x.workspace) {
-		failed := x.openOn(c.ID, id, t)
+	candidates := x.cluster.ReadCandidates(x.route, floor, x.workspace)
+	if x.session.server.byDeadline {
+		return x.openQueued(candidates, id, t)
+	}
+	for _, c := range candidates {
+		failed := x.openOn(c.ID, &c.Choice, id, t, false)
 		if failed == nil {
 			return nil
 		}
@@ -133,7 +138,7 @@
 		r := unavailable("no primary")
 		return &r
 	}
-	return x.openOn(m.ID, id, t)
+	return x.openOn(m.ID, nil, id, t, false)
 }
 
 // requiresPrimary reports whether the transaction must run on the primary.
@@ -142,11 +147,12 @@
 }
 
 // openOn makes one attempt to start the transaction on one upstream. It returns nil on
-// success.
-func (x *transaction) openOn(id model.UpstreamID, request string, t *timeLimits) *attempt {
+// success. choice is as for readOn, elsewhere as in upstreamrun.Place.
+func (x *transaction) openOn(id model.UpstreamID, choice *replicaset.Choice, request string, t *timeLimits, elsewhere bool) *attempt {
 	r := upstreamrun.OpenRequest{
 		Place: x.place(id, t), ReadOnly: !x.requiresPrimary(), Session: x.sessionState(), IdleLimit: x.txIdleTimeout,
 	}
+	r.Elsewhere = elsewhere
 	tx, out, err := x.cluster.Open(&r)
 	if err != nil {
 		failed := notSent(err)
@@ -159,6 +165,7 @@
 	x.tx, x.upstream = tx, id
 	x.log(request, "transaction opened", func(e *Entry) {
 		e.Str("upstream", string(id)).Str("holder", string(out.Holder)).Str("floor", lineproto.FormatPosition(out.Floor)).Dur("proof_age", out.EvidenceAge)
+		logChoice(e, choice)
 	})
 	return nil
 }
@@ -201,6 +208,9 @@
 	x.log(p.ID, "transaction lost its connection", func(e *Entry) { e.Str("upstream", string(x.upstream)).Err(err) })
 	x.discard()
 	x.failed = true
+	if v := overloadOf(err); v != nil {
+		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
+	}
 	return failure(lineproto.Aborted, "the connection to the upstream was lost; the transaction is rolled back")
 }
 
@@ -234,6 +244,9 @@
 	x.log(p.ID, "commit lost its connection", func(e *Entry) {
 		e.Str("upstream", string(x.upstream)).Bool("sent", sent).Bool("wrote", x.wrote).Err(err)
 	})
+	if v := overloadOf(err); v != nil {
+		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
+	}
 	if !sent || !x.wrote {
 		return failure(lineproto.Aborted, "the connection to the upstream was lost; nothing is kept")
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -165,6 +165,7 @@
 	}
 	w.endFaults()
 	w.checkRecovery()
+	w.checkUsage()
 	w.stopping.Store(true)
 	w.wg.Wait()
 	w.outcomes.Check(w.Platform)
@@ -368,7 +369,7 @@
 }
 
 func (w *soakRun) injectStoreFault() {
-	switch w.rng.IntN(4) {
+	switch w.rng.IntN(5) {
 	case 0:
 		w.recordEvent("store down for 1 s")
 		w.Store.Down.Store(true)
@@ -382,6 +383,9 @@
 	case 3:
 		w.recordEvent("watch history of the store lost")
 		w.Store.CompactHistory()
+	case 4:
+		w.recordEvent("next 2 promotion calls are executed late")
+		w.Store.LatePromotions.Store(2)
 	}
 }
 
@@ -414,6 +418,7 @@
 	w.store.setMode(pass)
 	w.Store.Down.Store(false)
 	w.Store.LoseAnswers.Store(0)
+	w.Store.LatePromotions.Store(0)
 }
 
 // checkRecovery checks that all VMs become ready, that writes succeed, and that every
@@ -435,6 +440,16 @@
 	}
 }
 
+// checkUsage checks that windows are reported again, and that no two reports were different
+// for one window or had the same token.
+func (w *soakRun) checkUsage() {
+	reported := len(w.Store.Usage.Reports())
+	w.WaitFor("reports of usage after the faults", func() bool { return len(w.Store.Usage.Reports()) > reported+2 })
+	for _, fault := range w.Store.Usage.Faults() {
+		w.t.Error("usage: " + fault)
+	}
+}
+
 // logEvents logs the events, and copies the daemons' logs to the directory SOAK_KEEP
 // if it is set.
 func (w *soakRun) logEvents() {
--- a/upstreampool/pool.go
+++ b/upstreampool/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 )
@@ -21,13 +22,13 @@
 	// upstream was full: about as long as its slots take to free room in the
 	// queue.
 	busyBackoff = 15 * time.Millisecond
-	// maxSurplusIdle is how long an idle connection above this VM's base share is
-	// kept; other VMs may need it under the upstream's connection limit.
+	// maxSurplusIdle is how long an idle connection is kept above what this VM's share
+	// keeps; other VMs may need it under the upstream's connection limit.
 	maxSurplusIdle = 500 * time.Millisecond
 	// maxIdle is below the time after which upstreams close idle connections.
 	maxIdle = 40 * time.Second
-	// connLimitBackoff is how long the pool keeps to its base share after the
-	// upstream refused a connection because its connection limit was reached.
+	// connLimitBackoff is how long the pool opens no connections above its base share
+	// after the upstream refused one because its connection limit was reached.
 	connLimitBackoff = 400 * time.Millisecond
 	// checkAfterIdle is how long a connection may be idle and still be reused
 	// without a check of its socket.
@@ -57,14 +58,6 @@
 	ErrClosed = errors.New("the upstream is gone")
 )
 
-// Share limits the connections that this VM opens to an upstream.
-type Share struct {
-	// Base is this VM's part of the upstream's connection limit. Max is what it
-	// may open as long as the upstream accepts more connections.
-	Base int
-	Max  int
-}
-
 // Upstream is the server that a pool connects to.
 type Upstream struct {
 	ID      model.UpstreamID
@@ -83,10 +76,12 @@
 
 	// mu guards the fields below.
 	mu    sync.Mutex
-	share Share
+	share connlimit.Share
 	// connLimitedUntil is the end of the back-off after the upstream's connection
 	// limit was reached; see connLimitBackoff.
 	connLimitedUntil time.Time
+	// openAtLimit is the number of connections that were open then.
+	openAtLimit int
 	// idle has the connections that are not in use, the last released one last.
 	idle []*Conn
 	// open is the number of connections, including those that are being opened.
@@ -98,10 +93,18 @@
 	waiters []*waiter
 	// latency is the moving average of the time in which statements are answered.
 	latency time.Duration
-	closed  bool
-	warmup  warmup
+	// service is the moving average of latency without the wait for a slot, 0 before
+	// the first answer.
+	service time.Duration
+	// arrivals counts the calls of Acquire.
+	arrivals uint64
+	closed   bool
+	warmup   warmup
 	// busyUntil is the end of the back-off after a full queue.
 	busyUntil time.Time
+	// gate replaces waiters and busyUntil, nil if waiting requests are not ordered by
+	// their deadlines; see UseGate.
+	gate *gate
 }
 
 // waiter is a request that waits for a connection, or for permission to open
@@ -123,7 +126,7 @@
 }
 
 // New returns an empty pool.
-func New(u Upstream, share Share) *Pool {
+func New(u Upstream, share connlimit.Share) *Pool {
 	u.Slots = max(u.Slots, 1)
 	return &Pool{upstream: u, share: share, inUse: map[string]int{}, latency: initialLatency}
 }
@@ -134,10 +137,14 @@
 }
 
 // SetShare changes how many connections may be open.
-func (p *Pool) SetShare(s Share) {
+func (p *Pool) SetShare(s connlimit.Share) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.share = s
-	p.mu.Unlock()
+	p.dispatch()
+	for p.open < p.limit() && len(p.waiters) > 0 && !p.closed {
+		p.grantNext()
+	}
 }
 
 // Request describes the connection that is needed.
@@ -149,18 +156,31 @@
 	// Priority orders waiting requests; 0 goes first.
 	Priority int
 	// Wait bounds the wait for a connection, except that a connection that is
-	// being opened is awaited for at least minDialWait.
+	// being opened is awaited for at least minDialWait. With a gate it has a meaning
+	// only if Objective is zero.
 	Wait time.Duration
+	// Objective is when the caller should have its answer, zero if this is unknown.
+	// Deadline is when an answer is of no more use. Elsewhere is set if the statement
+	// may run on another upstream instead of waiting beyond Objective. Only a gate
+	// uses them.
+	Objective, Deadline time.Time
+	Elsewhere           bool
+	// slot is the slot that the connection is opened with, nil without a gate.
+	slot *slot
 }
 
 // Acquire returns a connection of the workspace. The caller returns it with
 // Release.
 func (p *Pool) Acquire(ctx context.Context, r Request) (*Conn, error) {
+	if p.gate != nil {
+		return p.acquireAdmitted(ctx, r)
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	p.arrivals++
 	now := time.Now()
 	if now.Before(p.busyUntil) {
 		p.mu.Unlock()
@@ -238,10 +258,13 @@
 
 // limit returns how many connections may be open now.
 func (p *Pool) limit() int {
-	if time.Now().Before(p.connLimitedUntil) {
-		return max(p.share.Base, 1)
+	switch {
+	case !time.Now().Before(p.connLimitedUntil):
+		return max(p.share.Max, 1)
+	case p.share.Overlapping:
+		return max(p.share.Base, min(p.openAtLimit, p.share.Max), 1)
 	}
-	return max(p.share.Max, 1)
+	return max(p.share.Base, 1)
 }
 
 func (p *Pool) await(ctx context.Context, r Request, w *waiter) (*Conn, error) {
@@ -297,6 +320,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leave(c.slot, !c.broken)
+	c.slot = nil
 	p.decInUse(c.workspace)
 	if c.broken || p.closed || p.open > p.limit() {
 		if !c.broken {
@@ -310,6 +335,7 @@
 	if w == nil {
 		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
+		p.dispatch()
 		return
 	}
 	p.inUse[w.workspace]++
@@ -333,6 +359,7 @@
 func (p *Pool) MarkBusy() {
 	p.mu.Lock()
 	p.busyUntil = time.Now().Add(busyBackoff)
+	p.narrow()
 	p.mu.Unlock()
 }
 
@@ -341,6 +368,7 @@
 func (p *Pool) ObserveLatency(latency time.Duration) {
 	p.mu.Lock()
 	p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
+	p.observeService(latency)
 	p.mu.Unlock()
 }
 
@@ -351,7 +379,7 @@
 	defer p.mu.Unlock()
 	busy := p.open - len(p.idle)
 	latency := float64(p.latency.Microseconds()) / 1000
-	load := latency * (1 + float64(busy+len(p.waiters))/float64(p.upstream.Slots))
+	load := latency * (1 + float64(busy+p.waitingCount())/float64(p.upstream.Slots))
 	for _, c := range p.idle {
 		if c.workspace == workspace {
 			return load
@@ -361,15 +389,7 @@
 		// A new connection takes about as long as a statement.
 		return load + latency
 	}
-	return load + 2*latency*float64(1+len(p.waiters))
-}
-
-// InFlight returns the number of connections in use plus that of waiting
-// requests.
-func (p *Pool) InFlight() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open - len(p.idle) + len(p.waiters)
+	return load + 2*latency*float64(1+p.waitingCount())
 }
 
 // Trim closes idle connections that are above the base share, idle for too long
@@ -381,7 +401,7 @@
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		idle := now.Sub(c.idleSince)
-		if idle > maxIdle || idle > maxSurplusIdle && p.open > p.share.Base || !c.alive() {
+		if idle > maxIdle || idle > maxSurplusIdle && p.open > p.share.Keep || !c.alive() {
 			c.terminate()
 			p.open--
 			continue
@@ -403,7 +423,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Waiting: len(p.waiters), Latency: p.latency}
+	return Stats{Open: p.open, Idle: len(p.idle), Waiting: p.waitingCount(), Latency: p.latency}
 }
 
 // Close ends the idle connections and refuses new and waiting requests.
@@ -421,4 +441,5 @@
 		w.ready <- grant{err: ErrClosed}
 	}
 	p.waiters = nil
+	p.closeGate()
 }
