Explain where a request would go now, without sending it

What operators lacked: a way to ask a VM of the line protocol where it would send a request of a database and a workspace, and why. Log lines tell it only for requests that were sent.

Change: the metrics listener serves /explain; chervilhatchctl explain prints it: the primary, its holder and for how long it is confirmed, the log position that reads need with the age of its evidence, and each candidate with rank, holder, probability, estimate, statements in flight and the age of these figures, or why the request would be refused. It takes no token of the workspace's rate and changes no state. The operator listener is not needed, since such VMs have none.

--- a/cmd/chervilhatchctl/internal/cli/cli.go
+++ b/cmd/chervilhatchctl/internal/cli/cli.go
@@ -93,6 +93,7 @@
 	a.keyCommands()
 	a.zoneCommands()
 	a.statusCommands()
+	a.explainCommand()
 	return a
 }
 
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -61,6 +61,11 @@
 // Rank returns the rank of the candidate; those with the lowest are tried first.
 func (c *Candidate) Rank() int { return c.rank }
 
+// RankName returns the name of the candidate's rank, for operators.
+func (c *Candidate) RankName() string {
+	return [...]string{"replica", "primary", "lagging", "leaving", "failing"}[c.rank]
+}
+
 // ServesAsPrimary reports whether the candidate is the primary and no upstream to be
 // avoided.
 func (c *Candidate) ServesAsPrimary() bool { return c.rank == rankPrimary }
--- a/linenode/balancer_test.go
+++ b/linenode/balancer_test.go
@@ -91,7 +91,7 @@
 	}
 	for w := range 40 {
 		workspace := model.Workspace(fmt.Sprint("w", w))
-		explained := f.cluster.explainRead(route, model.Position{}, workspace)
+		explained := f.cluster.explainCandidates(route, model.Position{}, workspace)
 		got := f.cluster.ReadCandidates(route, model.Position{}, workspace)
 		if len(got) != 5 || len(explained) != 5 || got[0].ID == "i-0" || got[0].ID == "i-4" || got[3].ID != "i-0" || got[4].ID != "i-4" {
 			t.Fatalf("%s: %+v", workspace, got)
@@ -99,14 +99,25 @@
 		sum := 0.0
 		for _, c := range explained {
 			sum += c.Probability
-			if known := c.FigureAge >= 0; known != (c.Upstream != "i-4") {
-				t.Errorf("%s: age of the figures of %s is %v", workspace, c.Upstream, c.FigureAge)
+			if known := c.FigureAgeMS >= 0; known != (c.Upstream != "i-4") {
+				t.Errorf("%s: age of the figures of %s is %d ms", workspace, c.Upstream, c.FigureAgeMS)
 			}
 		}
 		if math.Abs(sum-1) > 1e-9 || explained[0].Upstream != got[0].ID || got[0].Choice.Cause == "" || got[0].Choice.Estimate <= 0 {
 			t.Errorf("%s: explained %+v, chosen %+v", workspace, explained, got[0])
 		}
 	}
+	for _, tt := range []struct{ database, workspace, refused string }{
+		{"d", "w", "freshness cannot be proved"}, {"none", "w", "no route has this database"}, {"d", "other", "the workspace is not known"},
+	} {
+		f.cluster.catalog.Store((&catalog.Snapshot{
+			Routes:     []catalog.Route{{Database: "d", Service: "s", Freshness: catalog.FreshBounded, MaxStaleness: time.Second}},
+			Workspaces: []catalog.Workspace{{Name: "w"}},
+		}).Index())
+		if x := f.cluster.explain(tt.database, model.Workspace(tt.workspace)); x.Refused != tt.refused {
+			t.Errorf("%+v: %+v", tt, x)
+		}
+	}
 	if n := f.cluster.registry.Get("holder.forwarded"); n != nil {
 		t.Error("an explanation or a choice has sent something")
 	}
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilhatch/chervilhatch/boottime"
-	"github.com/chervilhatch/chervilhatch/core/balance"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -211,19 +210,6 @@
 	return list, pools
 }
 
-// explainRead returns the candidates for a read of a route and workspace, with the
-// figures and the probability of each to be tried first. It sends nothing and changes
-// nothing. The list is empty if reads are not balanced evenly.
-func (c *cluster) explainRead(route *catalog.Route, floor model.Position, w model.Workspace) []balance.Candidate {
-	b := c.forward.balancer
-	if b == nil {
-		return nil
-	}
-	list, pools := c.unorderedCandidates(route.Service, floor)
-	read := readOf(route, w)
-	return b.explain(c.Now(), &read, list, pools, c.zone)
-}
-
 // Pool returns this VM's own connections to an upstream, or nil.
 func (c *cluster) Pool(id model.UpstreamID) *upstreampool.Pool {
 	c.mu.Lock()
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -172,6 +172,7 @@
 	}
 	pages := http.NewServeMux()
 	pages.Handle("GET /metrics", telemetry.MetricsText(n.options.Registry))
+	pages.HandleFunc("GET "+ExplainPath, n.serveExplain)
 	n.pages = append(n.pages, serveHTTP(n.options.Metrics, pages, n.log))
 }
 
