Order statements by their deadlines only where a route has the highest priority

Change: admission.mode "deadline" takes effect for services with a route of priority 0, the highest: their operators have said which callers go first. Others are served as before. A configuration that changes this for a service replaces the connections to its upstreams.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -27,6 +27,9 @@
 // Service is the name of a replica set of upstreams.
 type Service = model.Database
 
+// TopPriority is the priority of the most important routes.
+const TopPriority = 0
+
 // Route is the configuration of one database name that callers connect to.
 type Route struct {
 	Name      string
@@ -39,7 +42,8 @@
 	StatementTimeout time.Duration
 	// TargetLatency is the latency objective of a whole operation.
 	TargetLatency time.Duration
-	// Priority is 0 for the most important routes; higher values are less important.
+	// Priority is TopPriority for the most important routes; higher values are less
+	// important.
 	Priority int
 	// Anonymous routes also accept callers without a known API key.
 	Anonymous bool
@@ -96,13 +100,18 @@
 	services   map[Service]*ServiceConfig
 	workspaces map[model.Workspace]*Workspace
 	keys       map[Digest]*Workspace
+	// urgent has the services with a route of TopPriority.
+	urgent map[Service]bool
 }
 
 // Index builds the lookup maps. It must be called once, before the snapshot is shared.
 func (s *Snapshot) Index() *Snapshot {
 	s.routes = make(map[string]*Route, len(s.Routes))
+	s.urgent = map[Service]bool{}
 	for i := range s.Routes {
-		s.routes[s.Routes[i].Database] = &s.Routes[i]
+		r := &s.Routes[i]
+		s.routes[r.Database] = r
+		s.urgent[r.Service] = s.urgent[r.Service] || r.Priority == TopPriority
 	}
 	s.services = make(map[Service]*ServiceConfig, len(s.Services))
 	for i := range s.Services {
@@ -123,6 +132,9 @@
 // Route returns the route of a database name, or nil if there is none.
 func (s *Snapshot) Route(database string) *Route { return s.routes[database] }
 
+// Urgent reports whether a service has a route of TopPriority.
+func (s *Snapshot) Urgent(name Service) bool { return s.urgent[name] }
+
 // Service returns the configuration of a service, or nil if there is none.
 func (s *Snapshot) Service(name Service) *ServiceConfig { return s.services[name] }
 
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -67,7 +67,7 @@
 	// depends on at each upstream.
 	division connlimit.Division
 	seats    map[model.UpstreamID]*connlimit.Seat
-	// gateMetrics are the metrics of the pools' gates, nil if they have none.
+	// gateMetrics are the metrics of the pools' gates, nil if no pool has one.
 	gateMetrics *upstreampool.GateMetrics
 	// vms is the number of VMs, 0 while it is unknown.
 	vms int
@@ -361,6 +361,7 @@
 		rules := &s.Services[i]
 		c.applyLocked(&replicaset.Event{Kind: replicaset.EventSyncReplicas, Service: rules.Name, SyncReplicas: rules.SyncReplicas})
 	}
+	c.replacePools()
 	c.updateShares()
 	c.mu.Unlock()
 	c.log.Info().Uint64("config_version", s.Version).Str("source", source).Int("routes", len(s.Routes)).Msg("configuration in force")
--- a/linenode/connections.go
+++ b/linenode/connections.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
@@ -23,20 +24,38 @@
 )
 
 // setPool creates the pool of a new upstream, and replaces that of an upstream that
-// has restarted or moved. The pool of one with any other change is kept. The caller
+// has restarted or moved, or whose statements begin or cease to wait for slots. The pool of one with any other change is kept. The caller
 // holds mu, as for all methods of cluster in this file except admitForwarded and trim.
 func (c *cluster) setPool(m *replicaset.Member) {
 	pool := c.pools[m.ID]
-	if pool != nil && pool.ConnectsTo(m.Address, m.Incarnation) {
+	gated := c.usesGate(m.Service)
+	if pool != nil && pool.ConnectsTo(m.Address, m.Incarnation) && pool.Gated() == gated {
 		return
 	}
 	c.dropPool(m.ID)
 	c.pools[m.ID] = upstreampool.New(poolUpstream(m), c.computeShare(m))
-	if c.gateMetrics != nil {
+	if gated {
 		c.pools[m.ID].UseGate(c.gateMetrics)
 	}
 }
 
+// usesGate reports whether the statements of a service wait for slots; see
+// Options.ByDeadline.
+func (c *cluster) usesGate(service catalog.Service) bool {
+	s := c.Catalog()
+	return c.gateMetrics != nil && s != nil && s.Urgent(service)
+}
+
+// replacePools replaces the pools of services whose statements begin or cease to wait for
+// slots with the configuration.
+func (c *cluster) replacePools() {
+	for id := range c.pools {
+		if m, ok := c.replicas.Member(id); ok {
+			c.setPool(&m)
+		}
+	}
+}
+
 // poolUpstream returns what a pool needs to know of an upstream.
 func poolUpstream(m *replicaset.Member) upstreampool.Upstream {
 	return upstreampool.Upstream{
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -88,8 +88,9 @@
 	// ConnectionDivision is how the connection limits of upstreams are divided among VMs.
 	ConnectionDivision connlimit.Division
 
-	// ByDeadline makes statements wait for the slots of upstreams by their objectives
-	// and deadlines; see upstreampool.Pool.UseGate.
+	// ByDeadline makes statements of services with a route of catalog.TopPriority wait for
+	// the slots of upstreams by their objectives and deadlines; see
+	// upstreampool.Pool.UseGate.
 	ByDeadline bool
 	// Balance is how the upstream of a read is chosen; empty means BalanceLeast.
 	Balance BalanceMode
--- a/lineproxy/operation.go
+++ b/lineproxy/operation.go
@@ -46,6 +46,9 @@
 	// txIdleTimeout is the idle timeout of transactions, 0 if there is none.
 	txIdleTimeout time.Duration
 	started       time.Time
+	// byDeadline is true if the statements wait for upstreams by their objectives and
+	// deadlines.
+	byDeadline bool
 	// values are the session's values when the operation started. The map is
 	// never modified.
 	values map[string]string
@@ -57,6 +60,7 @@
 	return &operation{
 		session: s, cluster: s.server.cluster, route: route, workspace: w,
 		version: c.Version, txIdleTimeout: c.Limits.TxIdleTimeout, started: time.Now(), values: s.values,
+		byDeadline: s.server.byDeadline && c.Urgent(route.Service),
 	}
 }
 
@@ -90,7 +94,7 @@
 		wait = limit / maxWaitDivisor
 	}
 	t := timeLimits{deadline: now.Add(limit), retryUntil: now.Add(wait)}
-	if o.session.server.byDeadline {
+	if o.byDeadline {
 		t.objective = t.deadline
 		if o.route.TargetLatency > 0 {
 			t.objective = now.Add(min(o.route.TargetLatency, limit))
--- a/lineproxy/overload_test.go
+++ b/lineproxy/overload_test.go
@@ -122,13 +122,20 @@
 }
 
 // Guards against objectives that reach the queues of other VMs from a VM where statements
-// do not wait by their deadlines.
+// do not wait by their deadlines, or of a service without a route of the highest priority.
 func TestObjectivesAreSentByDeadlineOnly(t *testing.T) {
-	for _, byDeadline := range []bool{false, true} {
+	for _, tt := range []struct {
+		setting  bool
+		priority int
+		want     bool
+	}{{false, catalog.TopPriority, false}, {true, catalog.TopPriority, true}, {true, 1, false}} {
 		c := &overloadedCluster{}
-		c.session(byDeadline).run("id", "READ item")
-		if p := c.places[0]; p.Objective.IsZero() == byDeadline || p.Elsewhere != byDeadline {
-			t.Errorf("by deadline %t: %+v", byDeadline, p)
+		s := c.session(tt.setting)
+		c.catalog.Routes[0].Priority = tt.priority
+		c.catalog.Index()
+		s.run("id", "READ item")
+		if p := c.places[0]; p.Objective.IsZero() == tt.want || p.Elsewhere != tt.want {
+			t.Errorf("%+v: %+v", tt, p)
 		}
 	}
 }
--- a/lineproxy/read.go
+++ b/lineproxy/read.go
@@ -107,7 +107,7 @@
 		return unavailable("freshness cannot be proved")
 	}
 	candidates := o.cluster.ReadCandidates(o.route, floor, o.workspace)
-	if o.session.server.byDeadline {
+	if o.byDeadline {
 		return o.readQueued(candidates, p, t)
 	}
 	results := make(chan attempt, len(candidates))
--- a/lineproxy/server.go
+++ b/lineproxy/server.go
@@ -51,8 +51,9 @@
 	Metrics metrics.Registry
 	// MaxSessions limits the number of callers' connections; 0 is no limit.
 	MaxSessions int
-	// ByDeadline makes statements wait for upstreams by their latency objectives and
-	// deadlines instead of a fixed part of the objective.
+	// ByDeadline makes statements of services with a route of catalog.TopPriority wait for
+	// upstreams by their latency objectives and deadlines instead of a fixed part of the
+	// objective.
 	ByDeadline bool
 	// Tracer records a span for each request; nil records none.
 	Tracer trace.Tracer
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -114,7 +114,7 @@
 	}
 	r := unavailable("no upstream")
 	candidates := x.cluster.ReadCandidates(x.route, floor, x.workspace)
-	if x.session.server.byDeadline {
+	if x.byDeadline {
 		return x.openQueued(candidates, id, t)
 	}
 	for _, c := range candidates {
--- a/settings/line.go
+++ b/settings/line.go
@@ -136,9 +136,10 @@
 	// AdmissionWait sends statements as long as there are connections, and lets others
 	// wait for a connection for a part of their latency objective.
 	AdmissionWait = "wait"
-	// AdmissionDeadline sends as many statements as the upstream has slots. The others
-	// wait in the order of their priorities, objectives and deadlines, and those that
-	// cannot be run in time are refused at once.
+	// AdmissionDeadline sends as many statements as the upstream has slots, of services
+	// with a route of the highest priority. The others wait in the order of their
+	// priorities, objectives and deadlines, and those that cannot be run in time are
+	// refused at once. Other services are served as with AdmissionWait.
 	AdmissionDeadline = "deadline"
 )
 
