Use the adaptive division of connections only where statements wait for slots

Change: a service whose statements do not wait by deadlines keeps the fixed division, as before this series.

--- a/linenode/connections.go
+++ b/linenode/connections.go
@@ -46,6 +46,16 @@
 	return c.gateMetrics != nil && s != nil && s.Urgent(service)
 }
 
+// divisionFor returns how the connections to the upstreams of a service are divided. More of
+// them without an order of what waits for slots only move the wait into the upstream's queue,
+// so connlimit.Adaptive needs a gate.
+func (c *cluster) divisionFor(service catalog.Service) connlimit.Division {
+	if !c.usesGate(service) {
+		return connlimit.Fixed
+	}
+	return c.division
+}
+
 // replacePools replaces the pools of services whose statements begin or cease to wait for
 // slots with the configuration.
 func (c *cluster) replacePools() {
@@ -107,7 +117,7 @@
 	}
 	seat := c.seats[m.ID]
 	if seat == nil {
-		seat = connlimit.NewSeat(c.division)
+		seat = connlimit.NewSeat(c.divisionFor(m.Service))
 		c.seats[m.ID] = seat
 	}
 	return seat.Share(c.Now(), s.Service(m.Service).ConnectionLimit, c.vms, c.holderRank(m))
--- a/linenode/gate_test.go
+++ b/linenode/gate_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
+	"github.com/chervilhatch/chervilhatch/core/connlimit"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
 
@@ -37,6 +38,14 @@
 			t.Errorf("priority %d: gated %t", priority, got)
 		}
 	}
+	c.division = connlimit.Adaptive
+	for priority, want := range map[int]connlimit.Division{catalog.TopPriority: connlimit.Adaptive, 1: connlimit.Fixed} {
+		gated(priority)
+		if got := c.divisionFor("s"); got != want {
+			t.Errorf("priority %d: division %v, want %v", priority, got, want)
+		}
+	}
+	gated(catalog.TopPriority)
 	kept := c.pools["i-0"]
 	if gated(catalog.TopPriority); c.pools["i-0"] != kept {
 		t.Error("a configuration that changes nothing here has replaced the connections")
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -85,7 +85,9 @@
 	// TokensChecked is true if Promoter refuses lower fencing tokens than it has seen.
 	TokensChecked bool
 
-	// ConnectionDivision is how the connection limits of upstreams are divided among VMs.
+	// ConnectionDivision is how the connection limits of upstreams are divided among VMs, for
+	// services whose statements wait by deadlines; see ByDeadline. Others have
+	// connlimit.Fixed.
 	ConnectionDivision connlimit.Division
 
 	// ByDeadline makes statements of services with a route of catalog.TopPriority wait for
--- a/settings/line.go
+++ b/settings/line.go
@@ -123,7 +123,8 @@
 
 // LineConnections configures the connections to upstreams.
 type LineConnections struct {
-	// Division is how VMs divide the connection limit of an upstream. It has to be the
+	// Division is how VMs divide the connection limit of an upstream, for services whose
+	// statements wait by AdmissionDeadline; others have DivisionFixed. It has to be the
 	// same on all VMs.
 	Division string `json:"division"`
 }
