Demand again that what cannot be run in time is refused at once

TestMoreDemandThanSlots allowed 1% of the statements to be refused after a wait. The bound was set after 2 of 3,553 had been; what the queue promises is none.

--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -226,8 +226,7 @@
 	if ran < len(load)*45/100 {
 		t.Errorf("%d of %d ran; the slots serve half", ran, len(load))
 	}
-	// A workspace that had less waiting may go ahead of a statement that was just in time.
-	if waited := len(load) - ran - atOnce; waited > len(load)/100 {
+	if waited := len(load) - ran - atOnce; waited > 0 {
 		t.Errorf("%d of %d were refused after a wait", waited, len(load))
 	}
 }
