Move the proof of commits into core/replicaset

No change of behaviour: which commits may be passed on to callers was decided in linenode, between status queries, so that a model of promotions could not run it. It is a pure function now; linenode asks the questions.

--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -72,90 +72,58 @@
 // proof until p.Deadline at most.
 func (c *cluster) ConfirmCommit(p *upstreamrun.Place, position model.Position) bool {
 	now := c.Now()
-	need := c.proofNeeded(p, position)
-	if need.proved || !need.replicas {
+	if !c.commitsNeedReplicas(p.Service) {
+		return true
+	}
+	commit := replicaset.AcknowledgedCommit{Service: p.Service, Primary: p.Upstream, AcknowledgedAt: now, Position: position}
+	proof := c.commitProof(&commit)
+	if proof.Sufficient(false) {
+		c.refreshStaleReceipt(&proof, &commit)
 		return true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
 	defer cancel()
-	if need.receiving {
-		if now.Sub(need.receivedSince) > receiptRefreshAge {
-			c.proofs.refreshReceipt(p, position)
-		}
-		if need.crossed || need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) {
+	if proof.Sufficient(true) {
+		c.refreshStaleReceipt(&proof, &commit)
+		if c.proofs.reachAny(ctx, proof.Elsewhere, now) {
 			return true
 		}
 	}
-	return c.proofs.awaitReplica(ctx, p, position)
-}
-
-// proofNeed is what is known of a commit when its proof is looked for.
-type proofNeed struct {
-	// proved is true if nothing more is needed: commits need no replica, or a registered one is
-	// known to have this one.
-	proved bool
-	// receivedSince is the time since which a registered replica has received a commit of
-	// this term, and receiving is true if that is within replicaset.CommitProofWindow.
-	receivedSince model.Time
-	receiving     bool
-	// crossed is true if the acknowledgement has crossed zones while the primary was
-	// confirmed, or if no replica is outside of the primary's zone.
-	crossed bool
-	// replicas is true if a replica is registered.
-	replicas bool
-	// sameZone is true if the primary is in this VM's zone.
-	sameZone bool
-	// elsewhere are the registered replicas outside of the primary's zone.
-	elsewhere []replicaset.Member
+	return c.proofs.awaitReplica(ctx, &commit)
 }
 
-// proofNeeded returns what is known of a commit of the primary p.Upstream up to position.
-func (c *cluster) proofNeeded(p *upstreamrun.Place, position model.Position) proofNeed {
+// commitsNeedReplicas reports whether a service acknowledges commits only once replicas have
+// received them.
+func (c *cluster) commitsNeedReplicas(name catalog.Service) bool {
 	configuration := c.Catalog()
-	if configuration == nil || configuration.Service(p.Service) == nil || configuration.Service(p.Service).SyncReplicas == 0 {
-		return proofNeed{proved: true}
+	if configuration == nil {
+		return false
 	}
+	service := configuration.Service(name)
+	return service != nil && service.SyncReplicas > 0
+}
+
+// commitProof returns what this VM knows of a commit.
+func (c *cluster) commitProof(commit *replicaset.AcknowledgedCommit) replicaset.CommitProof {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.Now()
-	primary, found := c.replicas.Member(p.Upstream)
-	need := proofNeed{
-		sameZone:      found && primary.Zone == c.zone,
-		receivedSince: c.replicas.ReceivedSince(p.Service, position.Term),
-	}
-	need.receiving = need.receivedSince != 0 && now.Sub(need.receivedSince) <= replicaset.CommitProofWindow
-	need.crossed = found && !need.sameZone && c.replicas.ConfirmedUntil(p.Upstream) >= now
-	for _, id := range c.replicas.Upstreams(p.Service) {
-		m, _ := c.replicas.Member(id)
-		if id == p.Upstream {
-			continue
-		}
-		need.replicas = true
-		need.proved = need.proved || holdsCommit(&m, position)
-		if !found || m.Zone != primary.Zone {
-			need.elsewhere = append(need.elsewhere, m)
-		}
-	}
-	need.crossed = need.crossed || len(need.elsewhere) == 0
-	return need
+	return c.replicas.CommitProof(c.Now(), c.zone, commit)
 }
 
-// holdsCommit reports whether a replica has said that it has received a commit, in the term of
-// it, or that its reads see it.
-func holdsCommit(m *replicaset.Member, position model.Position) bool {
-	s := &m.Status
-	if !m.IsPrimary && m.Applied.Term == position.Term && m.Applied.Compare(position) >= 0 {
-		return true
+// refreshStaleReceipt queries a replica in the background if the receipt on which the proofs of
+// commits rely is about to become too old.
+func (c *cluster) refreshStaleReceipt(proof *replicaset.CommitProof, commit *replicaset.AcknowledgedCommit) {
+	if !proof.Held && proof.Receiving && c.Now().Sub(proof.ReceivedSince) > receiptRefreshAge {
+		c.proofs.refreshReceipt(commit)
 	}
-	return m.StatusAt != 0 && !s.Primary && s.Term == position.Term.Counter && s.Received.Compare(position) >= 0
 }
 
 // refreshReceipt queries a replica in the background, so that later commits need not wait for
 // its answer.
-func (p *commitProofs) refreshReceipt(place *upstreamrun.Place, position model.Position) {
+func (p *commitProofs) refreshReceipt(commit *replicaset.AcknowledgedCommit) {
 	p.mu.Lock()
-	running := p.refreshing[place.Service]
-	p.refreshing[place.Service] = true
+	running := p.refreshing[commit.Service]
+	p.refreshing[commit.Service] = true
 	p.mu.Unlock()
 	if running {
 		return
@@ -164,10 +132,10 @@
 	panics.Go(p.cluster.log, "status query", func() {
 		defer func() {
 			p.mu.Lock()
-			delete(p.refreshing, place.Service)
+			delete(p.refreshing, commit.Service)
 			p.mu.Unlock()
 		}()
-		p.queryReplicas(p.cluster.probes.ctx, place, position)
+		p.queryReplicas(p.cluster.probes.ctx, commit)
 	})
 }
 
@@ -268,10 +236,10 @@
 
 // awaitReplica queries the statuses of the replicas until one has received the commit. It
 // returns false when ctx ends first.
-func (p *commitProofs) awaitReplica(ctx context.Context, place *upstreamrun.Place, position model.Position) bool {
+func (p *commitProofs) awaitReplica(ctx context.Context, commit *replicaset.AcknowledgedCommit) bool {
 	p.cluster.forward.count("commit_proofs.status")
 	for {
-		if p.queryReplicas(ctx, place, position) {
+		if p.queryReplicas(ctx, commit) {
 			return true
 		}
 		if !pause.For(ctx, commitPollInterval) {
@@ -283,8 +251,8 @@
 
 // queryReplicas queries the statuses of the replicas, first of the nearest one, and returns true
 // as soon as one has received the commit.
-func (p *commitProofs) queryReplicas(ctx context.Context, place *upstreamrun.Place, position model.Position) bool {
-	ids := p.nearestFirst(place)
+func (p *commitProofs) queryReplicas(ctx context.Context, commit *replicaset.AcknowledgedCommit) bool {
+	ids := p.nearestFirst(commit)
 	answered := make(chan struct{}, len(ids))
 	timer := time.NewTimer(nextReplicaDelay)
 	defer timer.Stop()
@@ -296,7 +264,7 @@
 		select {
 		case <-answered:
 			open--
-			if p.cluster.proofNeeded(place, position).proved {
+			if proof := p.cluster.commitProof(commit); proof.Held {
 				return true
 			}
 		case <-timer.C:
@@ -320,11 +288,11 @@
 
 // nearestFirst returns the replicas of a service: those that answer before those that do not,
 // and of these the ones in the zone of this VM first.
-func (p *commitProofs) nearestFirst(place *upstreamrun.Place) []model.UpstreamID {
+func (p *commitProofs) nearestFirst(commit *replicaset.AcknowledgedCommit) []model.UpstreamID {
 	c := p.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := slices.DeleteFunc(c.replicas.Upstreams(place.Service), func(id model.UpstreamID) bool { return id == place.Upstream })
+	ids := slices.DeleteFunc(c.replicas.Upstreams(commit.Service), func(id model.UpstreamID) bool { return id == commit.Primary })
 	distance := func(id model.UpstreamID) int {
 		m, _ := c.replicas.Member(id)
 		switch {
