Log what a promotion target is compared with, and what proves a commit

After a change of primary that lost acknowledged commits, the logs could not tell against which upstreams and positions the target was compared, who proved a lost commit, and whether its primary was confirmed by the lease holder, by vouchers or only by a round of status queries.

The lines of the choice, of the lead and of a fence phase that gives up have the known members, the age of the list, the newest evidence, and the time since the last confirmation ended. A bounded sample of commits is logged with its proof and the source of the confirmation, and counters have all of them. No decision changes.

go test ./core/promotion ./linenode ./core/replicaset passes.

--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -79,7 +79,7 @@
 	case phaseFence:
 		return s.fence(now, svc, v, in, out)
 	case phasePromote:
-		return s.promote(now, svc, v, out)
+		return s.promote(now, svc, v, in, out)
 	}
 	return svc.unfence(now, v, out)
 }
@@ -132,7 +132,10 @@
 		limit = catchUpTimeout
 	}
 	if now.Sub(max(t.phaseStartedAt, t.withdrawingSince)) > limit {
-		return svc.endTransition(now, "no target is safe in time", true, out)
+		group := s.report(now, svc, v, in)
+		out = svc.endTransition(now, "no target is safe in time", true, out)
+		out[len(out)-1].Group = group
+		return out
 	}
 	if svc.primaryIsBack(now, v) {
 		return svc.endTransition(now, "the primary is back", true, out)
@@ -157,7 +160,7 @@
 	t.enterPhase(now, phasePromote)
 	out = append(out, Effect{
 		Kind: EffectTargetSelected, Service: svc.name, Upstream: t.target, Cause: t.cause, Position: target.Status.Received, Term: t.fenceTerm,
-		Members: len(v.Members), OldPosition: t.oldPosition(v), SteppedDown: t.steppedDownAt != 0,
+		Members: len(v.Members), OldPosition: t.oldPosition(v), SteppedDown: t.steppedDownAt != 0, Group: s.report(now, svc, v, in),
 	})
 	return s.callPromote(now, svc, v, out)
 }
@@ -475,10 +478,14 @@
 
 // promote waits until the target is the primary, and retries the promotion call
 // while it is unanswered.
-func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, out []Effect) []Effect {
+func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
 	t := svc.transition
 	target := findMember(v, t.target)
 	if v.Primary == t.target && target.Status.Primary && target.StatusAt >= t.phaseStartedAt {
+		out = append(out, Effect{
+			Kind: EffectTargetLeads, Service: svc.name, Upstream: t.target, Term: v.PrimaryTerm, Cause: t.cause,
+			Position: target.Status.Received, Elapsed: now.Sub(t.phaseStartedAt), Group: s.report(now, svc, v, in),
+		})
 		t.enterPhase(now, phaseUnfence)
 		return svc.unfence(now, v, svc.recordPrimary(now, v, out))
 	}
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -149,6 +149,8 @@
 	EffectTransitionStarted
 	EffectTargetSelected
 	EffectTransitionEnded
+	// EffectTargetLeads reports that the promotion of Upstream has taken effect.
+	EffectTargetLeads
 )
 
 // Effect is one output of State.Tick.
@@ -156,7 +158,7 @@
 	Kind    EffectKind
 	Service catalog.Service
 	// Upstream is the old primary in EffectTransitionStarted, and the target in
-	// EffectTargetSelected and EffectTransitionEnded, empty if there is none.
+	// EffectTargetSelected, EffectTargetLeads and EffectTransitionEnded, empty if there is none.
 	Upstream model.UpstreamID
 	Command  CommandKind
 	Term     uint64
@@ -176,8 +178,12 @@
 	// Members is the number of upstreams that are known when a transition starts or
 	// selects its target.
 	Members int
-	// Elapsed is the duration of an ended transition.
+	// Elapsed is the duration of an ended transition, or the time since the target was
+	// selected.
 	Elapsed time.Duration
+	// Group is what is known of the upstreams when a target is selected or leads, and when no
+	// target is found in time; nil otherwise.
+	Group *GroupReport
 }
 
 // Input is the state of the deployment that a tick decides on.
--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -9,6 +9,27 @@
 	upstream model.UpstreamID
 	term     uint64
 	until    model.Time
+	source   ConfirmationSource
+}
+
+// ConfirmationSource is what a primary is confirmed by.
+type ConfirmationSource uint8
+
+// Sources of confirmations.
+const (
+	// SourceNone: the upstream is not confirmed.
+	SourceNone ConfirmationSource = iota
+	// SourceHolder: the holder of the promotion lease has confirmed it.
+	SourceHolder
+	// SourceVouchers: more than half of the voters vouch for it.
+	SourceVouchers
+	// SourceStatuses: the other upstreams have answered that they know of no later term.
+	SourceStatuses
+)
+
+// String returns the name that log lines and metrics use.
+func (c ConfirmationSource) String() string {
+	return [...]string{"none", "holder", "vouchers", "statuses"}[c]
 }
 
 // ConfirmedUntil returns the time before which no other upstream than the given one
@@ -16,11 +37,17 @@
 // future. A statement that arrived before it sees every commit that was acknowledged
 // before its arrival, even if it runs later.
 func (s *State) ConfirmedUntil(id model.UpstreamID) model.Time {
+	until, _ := s.Confirmation(id)
+	return until
+}
+
+// Confirmation returns ConfirmedUntil, and what the upstream is or was last confirmed by.
+func (s *State) Confirmation(id model.UpstreamID) (until model.Time, source ConfirmationSource) {
 	m, g := s.member(id)
 	if m == nil || g.confirmed.upstream != id || g.confirmed.term != g.primaryTerm {
-		return 0
+		return 0, SourceNone
 	}
-	return g.confirmed.until
+	return g.confirmed.until, g.confirmed.source
 }
 
 // applyConfirmed applies a confirmation by the holder of the promotion lease. One
@@ -32,7 +59,7 @@
 	if ev.Term > m.steppedDownTerm {
 		g.recordPrimary(now, m, ev.Term)
 	}
-	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until}
+	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until, source: SourceHolder}
 	if ev.SentAt > g.heardAt {
 		g.heard, g.heardAt = c, ev.SentAt
 	}
@@ -52,8 +79,8 @@
 	if c.term < g.primaryTerm || c.term < g.confirmed.term {
 		return
 	}
-	if c.upstream == g.confirmed.upstream && c.term == g.confirmed.term {
-		c.until = max(c.until, g.confirmed.until)
+	if old := g.confirmed; c.upstream == old.upstream && c.term == old.term && c.until < old.until {
+		c.until, c.source = old.until, old.source
 	}
 	g.confirmed = c
 	g.confirmEvidence(now)
@@ -81,7 +108,7 @@
 		}
 		oldest = min(oldest, m.StatusAt)
 	}
-	g.confirm(now, confirmation{upstream: g.primary, term: g.primaryTerm, until: oldest})
+	g.confirm(now, confirmation{upstream: g.primary, term: g.primaryTerm, until: oldest, source: SourceStatuses})
 }
 
 // hasAnsweredWithTerm reports whether the upstream has answered a status query and still
--- a/core/replicaset/confirmation_test.go
+++ b/core/replicaset/confirmation_test.go
@@ -124,3 +124,31 @@
 		t.Error("a is confirmed by a replica of term 0 with an empty log")
 	}
 }
+
+// Guards against a record of commits that names the wrong source of a confirmation: the one that
+// lasts longest counts.
+func TestSourceOfAConfirmation(t *testing.T) {
+	f := newFixture()
+	f.unconfirmedStatus("a", true, 1, pos(1, 10))
+	f.unconfirmedStatus("b", false, 1, pos(1, 10))
+	f.unconfirmedStatus("c", false, 1, pos(1, 10))
+	if _, source := f.Confirmation("a"); source != SourceStatuses {
+		t.Errorf("confirmed by %v after a round of statuses", source)
+	}
+	f.confirm("a", 1, time.Second)
+	f.advance(100 * ms)
+	f.unconfirmedStatus("b", false, 1, pos(1, 10))
+	f.unconfirmedStatus("c", false, 1, pos(1, 10))
+	if until, source := f.Confirmation("a"); source != SourceHolder || until <= f.now {
+		t.Errorf("confirmed by %v for %v, want by the holder", source, until.Sub(f.now))
+	}
+	f.advance(2 * time.Second)
+	f.unconfirmedStatus("b", false, 1, pos(1, 10))
+	f.unconfirmedStatus("c", false, 1, pos(1, 10))
+	if until, source := f.Confirmation("a"); source != SourceStatuses || until > f.now {
+		t.Errorf("confirmed by %v for %v, want by statuses", source, until.Sub(f.now))
+	}
+	if _, source := f.Confirmation("b"); source != SourceNone {
+		t.Errorf("a replica is confirmed by %v", source)
+	}
+}
--- a/core/replicaset/voucher.go
+++ b/core/replicaset/voucher.go
@@ -101,5 +101,5 @@
 		return
 	}
 	slices.SortFunc(untils, func(a, b model.Time) int { return int(b.Sub(a)) })
-	g.confirm(now, confirmation{upstream: g.heard.upstream, term: g.heard.term, until: untils[needed-1]})
+	g.confirm(now, confirmation{upstream: g.heard.upstream, term: g.heard.term, until: untils[needed-1], source: SourceVouchers})
 }
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -53,6 +53,8 @@
 	refreshing map[catalog.Service]bool
 	// unreachableAt is when last no zone had answered a question, 0 if never.
 	unreachableAt model.Time
+
+	log commitLog
 }
 
 // reachRound is one question to a zone. Waiting commits share it.
@@ -64,7 +66,7 @@
 }
 
 func newCommitProofs(c *cluster, m *members) *commitProofs {
-	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}, refreshing: map[catalog.Service]bool{}}
+	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}, refreshing: map[catalog.Service]bool{}, log: newCommitLog(c.log)}
 }
 
 // ConfirmCommit reports whether a commit up to position, which the primary p.Upstream has just
@@ -72,9 +74,21 @@
 // proof until p.Deadline at most.
 func (c *cluster) ConfirmCommit(p *upstreamrun.Place, position model.Position) bool {
 	now := c.Now()
+	kind := c.proveCommit(p, position, now)
+	c.proofs.report(p, position, kind, now)
+	return kind != proofNone
+}
+
+// proveCommit returns how a commit that was acknowledged by now is proved.
+func (c *cluster) proveCommit(p *upstreamrun.Place, position model.Position, now model.Time) proofKind {
 	need := c.proofNeeded(p, position)
-	if need.proved || !need.replicas {
-		return true
+	switch {
+	case need.unneeded:
+		return proofUnneeded
+	case need.proved:
+		return proofReplica
+	case !need.replicas:
+		return proofNoReplicas
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
 	defer cancel()
@@ -82,18 +96,25 @@
 		if now.Sub(need.receivedSince) > receiptRefreshAge {
 			c.proofs.refreshReceipt(p, position)
 		}
-		if need.crossed || need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now) {
-			return true
+		switch {
+		case need.crossed:
+			return proofCrossed
+		case need.sameZone && c.proofs.reachAny(ctx, need.elsewhere, now):
+			return proofReach
 		}
 	}
-	return c.proofs.awaitReplica(ctx, p, position)
+	if c.proofs.awaitReplica(ctx, p, position) {
+		return proofReplica
+	}
+	return proofNone
 }
 
 // proofNeed is what is known of a commit when its proof is looked for.
 type proofNeed struct {
-	// proved is true if nothing more is needed: commits need no replica, or a registered one is
+	// unneeded is true if commits need no replica, and proved if so or if a registered one is
 	// known to have this one.
-	proved bool
+	unneeded bool
+	proved   bool
 	// receivedSince is the time since which a registered replica has received a commit of
 	// this term, and receiving is true if that is within replicaset.CommitProofWindow.
 	receivedSince model.Time
@@ -113,7 +134,7 @@
 func (c *cluster) proofNeeded(p *upstreamrun.Place, position model.Position) proofNeed {
 	configuration := c.Catalog()
 	if configuration == nil || configuration.Service(p.Service) == nil || configuration.Service(p.Service).SyncReplicas == 0 {
-		return proofNeed{proved: true}
+		return proofNeed{unneeded: true, proved: true}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -14,6 +14,7 @@
 	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
+	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/pause"
 	"github.com/chervilhatch/chervilhatch/store"
@@ -302,10 +303,13 @@
 	case promotion.EffectTargetSelected:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
 			Uint64("received", uint64(e.Position.Pos)).Uint64("old_received", uint64(e.OldPosition.Pos)).Bool("stepped_down", e.SteppedDown).
-			Int("upstreams", e.Members).Msg("new primary chosen")
+			Int("upstreams", e.Members).EmbedObject(groupLog{e.Group}).Msg("new primary chosen")
+	case promotion.EffectTargetLeads:
+		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).Uint64("term", e.Term).
+			Str("position", lineproto.FormatPosition(e.Position)).Dur("elapsed", e.Elapsed).EmbedObject(groupLog{e.Group}).Msg("new primary leads")
 	case promotion.EffectTransitionEnded:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
-			Dur("elapsed", e.Elapsed).Msg("change of primary ended")
+			Dur("elapsed", e.Elapsed).EmbedObject(groupLog{e.Group}).Msg("change of primary ended")
 	}
 }
 
