--- a/core/replicaset/commitproof.go
+++ b/core/replicaset/commitproof.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		p.Replicas = true
-		p.Held = p.Held || m.holds(c.Position)
+		p.Held = p.Held || m.Holds(c.Position)
 		if !found || m.Zone != primary.Zone {
 			p.Elsewhere = append(p.Elsewhere, m)
 		}
@@ -66,9 +66,9 @@
 	return p
 }
 
-// holds reports whether a replica has said that it has received a commit, in the term of it, or
+// Holds reports whether a replica has said that it has received a commit, in the term of it, or
 // that its reads see it.
-func (m *Member) holds(position model.Position) bool {
+func (m *Member) Holds(position model.Position) bool {
 	s := &m.Status
 	if !m.IsPrimary && m.Applied.Term == position.Term && m.Applied.Compare(position) >= 0 {
 		return true
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -53,6 +53,8 @@
 	refreshing map[catalog.Service]bool
 	// unreachableAt is when last no zone had answered a question, 0 if never.
 	unreachableAt model.Time
+
+	log commitLog
 }
 
 // reachRound is one question to a zone. Waiting commits share it.
@@ -64,7 +66,7 @@
 }
 
 func newCommitProofs(c *cluster, m *members) *commitProofs {
-	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}, refreshing: map[catalog.Service]bool{}}
+	return &commitProofs{cluster: c, members: m, rounds: map[model.Zone]*reachRound{}, refreshing: map[catalog.Service]bool{}, log: newCommitLog(c.log)}
 }
 
 // ConfirmCommit reports whether a commit up to position, which the primary p.Upstream has just
@@ -76,20 +78,30 @@
 		return true
 	}
 	commit := replicaset.AcknowledgedCommit{Service: p.Service, Primary: p.Upstream, AcknowledgedAt: now, Position: position}
-	proof := c.commitProof(&commit)
+	kind := c.proveCommit(&commit, p.Deadline)
+	c.proofs.report(&commit, kind)
+	return kind != proofNone
+}
+
+// proveCommit returns how a commit is proved. It waits for the proof until deadline at most.
+func (c *cluster) proveCommit(commit *replicaset.AcknowledgedCommit, deadline time.Time) proofKind {
+	proof := c.commitProof(commit)
 	if proof.Sufficient(false) {
-		c.refreshStaleReceipt(&proof, &commit)
-		return true
+		c.refreshStaleReceipt(&proof, commit)
+		return kindOf(&proof)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if proof.Sufficient(true) {
-		c.refreshStaleReceipt(&proof, &commit)
-		if c.proofs.reachAny(ctx, proof.Elsewhere, now) {
-			return true
+		c.refreshStaleReceipt(&proof, commit)
+		if c.proofs.reachAny(ctx, proof.Elsewhere, commit.AcknowledgedAt) {
+			return proofReach
 		}
 	}
-	return c.proofs.awaitReplica(ctx, &commit)
+	if c.proofs.awaitReplica(ctx, commit) {
+		return proofReplica
+	}
+	return proofNone
 }
 
 // commitsNeedReplicas reports whether a service acknowledges commits only once replicas have
