Log the end of the confirmations as of their withdrawal

The line of a choice counted vouchers that nobody may use any more, since all voters had dropped the primary, so that the primary looked confirmed for another half second.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -91,6 +91,7 @@
 	delete(svc.confirmedUntil, vm)
 	if _, found := svc.transition.withdrawn[vm]; !found {
 		svc.transition.withdrawn[vm] = now.Add(vouched + confirmationMargin)
+		svc.transition.withdrawnAt = now
 	}
 }
 
--- a/core/promotion/report.go
+++ b/core/promotion/report.go
@@ -21,7 +21,7 @@
 	Evidence    *replicaset.Evidence
 	EvidenceAge time.Duration
 	// Unconfirmed is how long ago the last confirmation or voucher known to this lease
-	// holder ended; negative if one has not ended.
+	// holder ended or was dropped; negative if one may still be used.
 	Unconfirmed time.Duration
 }
 
@@ -42,7 +42,7 @@
 
 // report returns what is known of a service in a transition.
 func (s *State) report(now model.Time, svc *serviceState, v *replicaset.View, in *Input) *GroupReport {
-	r := &GroupReport{FenceTerm: svc.transition.fenceTerm, ListAge: now.Sub(v.ListedAt), Unconfirmed: now.Sub(s.confirmationsEndAt(svc))}
+	r := &GroupReport{FenceTerm: svc.transition.fenceTerm, ListAge: now.Sub(v.ListedAt), Unconfirmed: now.Sub(s.confirmationsEndAt(svc, in))}
 	if e, ok := in.Evidence(svc.name); ok {
 		r.Evidence, r.EvidenceAge = &e, now.Sub(e.At)
 	}
@@ -60,14 +60,27 @@
 }
 
 // confirmationsEndAt returns when the last confirmation or voucher ends that this lease
-// holder knows of.
-func (s *State) confirmationsEndAt(svc *serviceState) model.Time {
-	end := s.acquiredAt.Add(ConfirmationTTL + confirmationMargin)
+// holder knows of. Vouchers end with the withdrawal once all voters have dropped the primary.
+func (s *State) confirmationsEndAt(svc *serviceState, in *Input) model.Time {
+	t := svc.transition
+	end := max(s.acquiredAt.Add(ConfirmationTTL+confirmationMargin), t.withdrawnAt)
 	for _, until := range svc.confirmedUntil {
 		end = max(end, until)
 	}
-	for _, until := range svc.transition.withdrawn {
-		end = max(end, until)
+	for _, until := range t.withdrawn {
+		if !t.allWithdrawn(in) {
+			end = max(end, until)
+		}
 	}
 	return end
 }
+
+// allWithdrawn reports whether all voters have dropped the primary.
+func (t *transition) allWithdrawn(in *Input) bool {
+	for _, vm := range in.Voters {
+		if _, found := t.withdrawn[vm]; !found {
+			return false
+		}
+	}
+	return true
+}
--- a/core/promotion/report_test.go
+++ b/core/promotion/report_test.go
@@ -16,7 +16,10 @@
 	s := New()
 	s.Acquire(now.Add(-10*time.Second), Acquisition{Revision: 1})
 	svc := s.newService(now, "db")
-	svc.transition = &transition{fenceTerm: 3, withdrawn: map[model.VMID]model.Time{"vm": now.Add(-200 * time.Millisecond)}}
+	svc.transition = &transition{
+		fenceTerm: 3, withdrawnAt: now.Add(-200 * time.Millisecond),
+		withdrawn: map[model.VMID]model.Time{"vm": now.Add(300 * time.Millisecond)},
+	}
 	svc.confirmedUntil["other"] = now.Add(-100 * time.Millisecond)
 	v := &replicaset.View{Service: "db", ListedAt: now.Add(-time.Second), Members: []replicaset.Member{
 		{Registration: replicaset.Registration{ID: "a", Leaving: true}, FailedSince: now},
@@ -33,6 +36,11 @@
 	if r.FenceTerm != 3 || r.ListAge != time.Second || r.Unconfirmed != 100*time.Millisecond || r.Evidence != nil || len(r.Members) != maxReportedMembers {
 		t.Errorf("report %+v", r)
 	}
+	in := h.input()
+	in.Voters = []model.VMID{"vm", "unheard"}
+	if r := s.report(now, svc, v, in); r.Unconfirmed != -300*time.Millisecond {
+		t.Errorf("unconfirmed for %v while a voucher may be used", r.Unconfirmed)
+	}
 	want := []MemberReport{
 		{ID: "a", Leaving: true, Failing: true},
 		{ID: "b", Heard: true, Primary: true, Term: 2, FencedTerm: 3, Received: position, StatusAge: 50 * time.Millisecond},
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -36,6 +36,8 @@
 	// withdrawn are the VMs that have dropped the primary during this transition, with
 	// the time at which the vouchers that they gave end.
 	withdrawn map[model.VMID]model.Time
+	// withdrawnAt is when a VM last reported that, 0 before.
+	withdrawnAt model.Time
 	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
 	// it is not confirmed any more.
 	withdrawingSince model.Time
