Member model: late answers, restarts, outages of the store and random scenarios

Acknowledgements and the answers of other VMs may arrive late, VMs and replicas restart, nobody reaches the store, and upstreams that are cut off from the new primary learn of it later. Each random scenario has a cause of a change of primary.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -15,8 +15,10 @@
 func (r *memberRun) runHolder() {
 	vm := r.vms[r.holder]
 	switch {
-	case vm.alive && !vm.cutStore:
-		r.holderEndsAt = r.step + memberLeaseSteps
+	case vm.alive && !vm.cutStore && !r.storeDown && (vm.holder.Holding() || r.step < r.holderEndsAt-6):
+		if vm.holder.Holding() {
+			r.holderEndsAt = r.step + memberLeaseSteps
+		}
 	case r.step >= r.holderEndsAt:
 		vm.holder.Lose()
 		r.acquire()
@@ -46,8 +48,10 @@
 
 // acquire makes the first other VM that reaches the store the lease holder.
 func (r *memberRun) acquire() {
-	for i, vm := range r.vms {
-		if i == r.holder || !vm.alive || vm.cutStore {
+	for i := range r.vms {
+		i = (r.holder + 1 + i) % len(r.vms)
+		vm := r.vms[i]
+		if !vm.alive || vm.cutStore || r.storeDown {
 			continue
 		}
 		r.holder = i
@@ -108,7 +112,7 @@
 	case EffectPromote:
 		r.promote(vm, *e, r.nextDelivery())
 	case EffectRecord:
-		if !vm.cutStore {
+		if !vm.cutStore && !r.storeDown {
 			r.records[e.Service] = e.Record
 		}
 	case EffectWithdraw:
@@ -184,7 +188,7 @@
 // promote calls the platform.
 func (r *memberRun) promote(vm *simVM, e Effect, mode delivery) {
 	r.tracef("%s: call for %s, token %d (%d)", vm.id, e.Upstream, e.Token, mode)
-	if vm.cutStore {
+	if vm.cutStore || r.storeDown {
 		vm.holder.ReportPromotion(r.now(), e.Service, e.Token, OutcomeRejected)
 		return
 	}
@@ -242,5 +246,5 @@
 		return
 	}
 	r.apply(other, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service})
-	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, other.view.Vouched(r.now(), e.Service))
+	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, max(other.view.Vouched(r.now(), e.Service), other.startedAt.Add(replicaset.VoucherTTL).Sub(r.now())))
 }
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -66,6 +66,12 @@
 	// vmCutVMs: the VMs do not reach other VMs; vmCutStore: they do not reach the store.
 	vmCutVMs
 	vmCutStore
+	// vmRestart: the VMs stop and come back knowing nothing.
+	vmRestart
+	// storeOutage: nobody reaches the store; entries lapse meanwhile.
+	storeOutage
+	// memberRestart: a replica loses its log and starts under its ID again, in one step.
+	memberRestart
 )
 
 // memberEvent is a disruption from the step at until the step until. Both count from the end of
@@ -87,7 +93,7 @@
 
 // String returns the event as it is written in a scenario.
 func (e memberEvent) String() string {
-	names := [...]string{"crash", "cut from VMs", "cut from replicas", "deaf", "cut from store", "leave", "join", "VM crash", "VM cut from VMs", "VM cut from store"}
+	names := [...]string{"crash", "cut from VMs", "cut from replicas", "deaf", "cut from store", "leave", "join", "VM crash", "VM cut from VMs", "VM cut from store", "VM restart", "store outage", "restart"}
 	text := fmt.Sprintf("%s %s at %d", names[e.kind], e.upstream, e.at)
 	if e.atCall {
 		text += " of the call"
@@ -140,6 +146,11 @@
 	lateSteps  int
 	// promoteSteps replaces memberPromoteSteps unless it is 0.
 	promoteSteps int
+	// ackSteps and pollSteps are how late acknowledgements and the answers of other VMs arrive.
+	ackSteps, pollSteps int
+	// lateTerms: upstreams that are cut off from the new primary learn of it when they are no
+	// longer; until then they keep their fences, their term and what they had received.
+	lateTerms bool
 	// lags has the steps by which replicas receive commits late, by their order.
 	lags [3]int
 	// order rotates the order of the VMs within a step.
@@ -154,8 +165,8 @@
 
 // String returns what determines the run.
 func (s memberScenario) String() string {
-	return fmt.Sprintf("{%s: %d VMs, %d steps, events %v, deliveries %v, late %d, promotion %d, lags %v, order %d, unread %t, fences unchecked %t}",
-		s.name, s.vms, s.steps, s.events, s.deliveries, s.lateSteps, cmp.Or(s.promoteSteps, memberPromoteSteps), s.lags, s.order, s.unread, s.fencesUnchecked)
+	return fmt.Sprintf("{%s: %d VMs, %d steps, events %v, deliveries %v, late %d, promotion %d, answers late by %d and %d, late terms %t, lags %v, order %d, unread %t, fences unchecked %t}",
+		s.name, s.vms, s.steps, s.events, s.deliveries, s.lateSteps, cmp.Or(s.promoteSteps, memberPromoteSteps), s.ackSteps, s.pollSteps, s.lateTerms, s.lags, s.order, s.unread, s.fencesUnchecked)
 }
 
 // simUpstream is a simulated upstream. Its log has the term of each commit.
@@ -176,6 +187,9 @@
 	reportedAt                         int
 	cutVMs                             uint8
 	cutReplicas, deaf, cutStore, fresh bool
+	// behind: it has not learned of the present primary.
+	behind      bool
+	incarnation int64
 }
 
 func (u *simUpstream) position() model.Position {
@@ -193,12 +207,14 @@
 
 // simCommit is a commit that a VM has sent and not given up.
 type simCommit struct {
-	primary      model.UpstreamID
-	position     model.Position
-	sentAt       model.Time
-	sentStep     int
-	acknowledged bool
-	ackedAt      model.Time
+	primary  model.UpstreamID
+	position model.Position
+	sentAt   model.Time
+	sentStep int
+	// ackedStep is the step of its acknowledgement by the primary, ackedAt when the VM gets it.
+	acked, acknowledged bool
+	ackedStep           int
+	ackedAt             model.Time
 }
 
 // simVM is a simulated VM.
@@ -224,6 +240,7 @@
 	failedRoundAt     int
 	unreachableAt     model.Time
 	cutVMs, cutStore  bool
+	startedAt         model.Time
 	lastStatusesAt    int
 	pendingList       []replicaset.Registration
 	pendingListSentAt model.Time
@@ -252,11 +269,12 @@
 	events    []runEvent
 	step      int
 	upstreams map[model.UpstreamID]*simUpstream
-	ids       []model.UpstreamID
-	vms       []*simVM
-	primary   model.UpstreamID
-	last      model.UpstreamID
-	term      uint64
+	// members are the upstreams that have not left.
+	members []*simUpstream
+	vms     []*simVM
+	primary model.UpstreamID
+	last    model.UpstreamID
+	term    uint64
 	// lengths has the length of the primary's log by step, since it leads.
 	lengths      []int
 	highestToken uint64
@@ -268,6 +286,7 @@
 	holderEndsAt int
 	firstCall    int
 	lastTarget   model.UpstreamID
+	storeDown    bool
 	messages     int
 	passed       []passedCommit
 	// passedAfter counts the commits that were passed on since the last change of primary,
@@ -291,27 +310,30 @@
 		u.lag = s.lags[i]
 	}
 	for i := range s.vms {
-		vm := &simVM{
-			index: i, id: model.VMID(fmt.Sprint("vm-", i)), zone: model.Zone(fmt.Sprint("zone-", i)), alive: true, view: replicaset.New(), holder: New(),
-			contacts: map[model.UpstreamID]model.Time{}, heard: map[model.VMID]model.Time{}, suspects: map[model.UpstreamID]bool{},
-			inFlight: map[model.UpstreamID]int{}, failedRoundAt: -100,
-		}
-		r.vms = append(r.vms, vm)
-	}
-	for _, vm := range r.vms {
-		var others []model.VMID
-		for _, other := range r.vms {
-			if other != vm {
-				others = append(others, other.id)
-			}
-		}
-		vm.view.SetVoters(others)
-		vm.view.Apply(r.now(), &replicaset.Event{Kind: replicaset.EventSyncReplicas, Service: memberService, SyncReplicas: 1}, nil)
+		r.vms = append(r.vms, r.newVM(i))
 	}
 	r.vms[0].holder.Acquire(r.now(), Acquisition{Revision: r.revision})
 	return r
 }
 
+// newVM returns a VM that has just started.
+func (r *memberRun) newVM(index int) *simVM {
+	vm := &simVM{
+		index: index, id: model.VMID(fmt.Sprint("vm-", index)), zone: model.Zone(fmt.Sprint("zone-", index)), alive: true, view: replicaset.New(), holder: New(),
+		contacts: map[model.UpstreamID]model.Time{}, heard: map[model.VMID]model.Time{}, suspects: map[model.UpstreamID]bool{},
+		inFlight: map[model.UpstreamID]int{}, failedRoundAt: -100, startedAt: r.now(),
+	}
+	var others []model.VMID
+	for i := range r.s.vms {
+		if i != index {
+			others = append(others, model.VMID(fmt.Sprint("vm-", i)))
+		}
+	}
+	vm.view.SetVoters(others)
+	vm.view.Apply(r.now(), &replicaset.Event{Kind: replicaset.EventSyncReplicas, Service: memberService, SyncReplicas: 1}, nil)
+	return vm
+}
+
 func (r *memberRun) now() model.Time {
 	return model.Time(time.Hour).Add(time.Duration(r.step) * memberStep)
 }
@@ -354,9 +376,9 @@
 
 // join starts an upstream, which has received the primary's log.
 func (r *memberRun) join(id model.UpstreamID, zone model.Zone, delay int) *simUpstream {
-	u := &simUpstream{id: id, zone: zone, alive: true, term: r.term, registersAt: r.step + delay, fresh: true}
+	u := &simUpstream{id: id, zone: zone, alive: true, term: r.term, registersAt: r.step + delay, fresh: true, incarnation: 1}
 	r.upstreams[id] = u
-	r.ids = append(r.ids, id)
+	r.members = append(r.members, u)
 	return u
 }
 
@@ -412,15 +434,20 @@
 			continue
 		}
 		switch e.kind {
-		case vmCrash:
+		case vmCrash, vmRestart:
 			vm.alive = false
+			vm.holder.Lose()
 		case vmCutVMs:
 			vm.cutVMs = true
 		case vmCutStore:
 			vm.cutStore = true
 		}
 	}
-	if e.kind == memberJoin {
+	switch e.kind {
+	case storeOutage:
+		r.storeDown = true
+		return
+	case memberJoin:
 		r.join(e.upstream, "zone-0", e.delay)
 		return
 	}
@@ -430,6 +457,12 @@
 			continue
 		}
 		switch e.kind {
+		case memberRestart:
+			// The log of a primary is not lost.
+			if r.last != id {
+				u.log, u.fencedTerm, u.fresh, u.term, u.behind = nil, 0, true, r.term, false
+				u.incarnation++
+			}
 		case memberCrash:
 			u.alive = false
 		case memberCutVMs:
@@ -455,12 +488,19 @@
 			continue
 		}
 		switch e.kind {
+		case vmRestart:
+			cutVMs, cutStore := vm.cutVMs, vm.cutStore
+			r.vms[vm.index] = r.newVM(vm.index)
+			r.vms[vm.index].cutVMs, r.vms[vm.index].cutStore = cutVMs, cutStore
 		case vmCutVMs:
 			vm.cutVMs = false
 		case vmCutStore:
 			vm.cutStore = false
 		}
 	}
+	if e.kind == storeOutage {
+		r.storeDown = false
+	}
 	for _, id := range e.upstreams {
 		u := r.upstreams[id]
 		if u == nil || u.gone {
@@ -468,7 +508,7 @@
 		}
 		switch e.kind {
 		case memberCrash:
-			u.alive, u.fencedTerm, u.term = true, 0, r.term
+			u.alive, u.fencedTerm, u.term, u.behind = true, 0, r.term, false
 			if r.primary != id {
 				r.rollBack(u)
 			}
@@ -487,21 +527,14 @@
 				continue
 			}
 			u.gone, u.alive = true, false
+			r.members = slices.DeleteFunc(slices.Clone(r.members), func(other *simUpstream) bool { return other == u })
 			r.tracef("%s is gone", id)
 		}
 	}
 }
 
 // present returns the upstreams that have not left.
-func (r *memberRun) present() []*simUpstream {
-	var list []*simUpstream
-	for _, id := range r.ids {
-		if u := r.upstreams[id]; !u.gone {
-			list = append(list, u)
-		}
-	}
-	return list
-}
+func (r *memberRun) present() []*simUpstream { return r.members }
 
 // rollBack discards what the leader of the term does not have.
 func (r *memberRun) rollBack(u *simUpstream) {
@@ -556,10 +589,11 @@
 	}
 	for _, other := range r.present() {
 		if other.alive {
-			r.rollBack(other)
-			other.term, other.fencedTerm = r.term, 0
+			other.behind = other != u && r.s.lateTerms
 		}
 	}
+	u.term, u.fencedTerm = r.term, 0
+	r.learnPrimary()
 	lost, first := 0, passedCommit{}
 	for _, p := range r.passed {
 		if !u.has(p.position) {
@@ -575,21 +609,34 @@
 	}
 }
 
+// learnPrimary lets the upstreams that reach the primary learn of it.
+func (r *memberRun) learnPrimary() {
+	leader := r.upstreams[r.last]
+	for _, u := range r.present() {
+		if u.behind = u.behind && (u.cutReplicas || leader.cutReplicas || !leader.alive); u.behind || u.term == r.term || !u.alive {
+			continue
+		}
+		r.rollBack(u)
+		u.term, u.fencedTerm = r.term, 0
+	}
+}
+
 // report writes the upstreams' entries to the store.
 func (r *memberRun) report() {
 	for _, u := range r.present() {
 		entry := &u.reported
-		if !u.alive || u.cutStore || r.step < u.registersAt {
+		if !u.alive || u.cutStore || r.storeDown || r.step < u.registersAt {
 			continue
 		}
 		primary := r.primary == u.id
-		if entry.Sequence > 0 && entry.Primary == primary && entry.Leaving == u.leaving && r.step-u.reportedAt < entryInterval {
+		changed := entry.Primary != primary || entry.Leaving != u.leaving || entry.Incarnation != u.incarnation
+		if entry.Sequence > 0 && !changed && r.step-u.reportedAt < entryInterval {
 			continue
 		}
 		u.reportedAt = r.step
 		*entry = replicaset.Registration{
 			ID: u.id, Service: memberService, Address: string(u.id) + ":1", Zone: u.zone, Slots: 3,
-			Leaving: u.leaving, Primary: primary, Sequence: entry.Sequence + 1, Incarnation: 1,
+			Leaving: u.leaving, Primary: primary, Sequence: entry.Sequence + 1, Incarnation: u.incarnation,
 		}
 	}
 }
@@ -608,11 +655,12 @@
 // receives reports whether a replica gets the commits of the primary.
 func (r *memberRun) receives(u, primary *simUpstream) bool {
 	fenced := u.fencedTerm > 0 && !r.s.ignoresFence
-	return u != primary && u.alive && !fenced && !u.deaf && !u.cutReplicas && !primary.cutReplicas && primary.alive && r.primary == primary.id
+	return u != primary && u.alive && !u.behind && !fenced && !u.deaf && !u.cutReplicas && !primary.cutReplicas && primary.alive && r.primary == primary.id
 }
 
 // replicate passes the primary's log on to the replicas.
 func (r *memberRun) replicate() {
+	r.learnPrimary()
 	if r.primary == "" {
 		return
 	}
@@ -681,7 +729,8 @@
 		r.poll(vm)
 	}
 	if r.step%5 == vm.index {
-		for _, id := range slices.Sorted(maps.Keys(vm.suspects)) {
+		suspects := slices.Sorted(maps.Keys(vm.suspects))
+		for _, id := range suspects {
 			if _, known := vm.view.Member(id); !known {
 				delete(vm.suspects, id)
 				continue
@@ -712,7 +761,7 @@
 	if vm.listedAt != 0 && r.now().Sub(vm.listedAt) < maxAge && vm.listedAt >= vm.listNeededAt {
 		return
 	}
-	if vm.cutStore {
+	if vm.cutStore || r.storeDown {
 		r.apply(vm, &replicaset.Event{Kind: replicaset.EventStoreUnavailable})
 		return
 	}
@@ -724,45 +773,65 @@
 		return
 	}
 	vm.list, vm.listedAt = list, sentAt
-	r.tracef("%s: list of step %d with %d", vm.id, int(sentAt.Sub(model.Time(time.Hour))/memberStep)-memberWarmupSteps, len(list))
+	if r.trace != nil {
+		r.tracef("%s: list of step %d with %d", vm.id, int(sentAt.Sub(model.Time(time.Hour))/memberStep)-memberWarmupSteps, len(list))
+	}
 	r.apply(vm, &replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: sentAt, Registrations: slices.Clone(list)})
 }
 
 // poll takes over what the other VMs know, as linenode does with the answers of its peers.
 func (r *memberRun) poll(vm *simVM) {
-	now := r.now()
 	for _, other := range r.vms {
-		if other == vm || !linked(vm, other) {
-			continue
+		if other != vm && linked(vm, other) {
+			apply := r.answer(vm, other)
+			if r.s.pollSteps == 0 {
+				apply()
+				continue
+			}
+			r.later(r.s.pollSteps, func() {
+				if r.vms[vm.index] == vm && linked(vm, other) {
+					apply()
+				}
+			})
 		}
-		vm.heard[other.id] = now
-		if other.listedAt.Sub(vm.listedAt) >= 300*time.Millisecond {
-			r.installList(vm, other.listedAt, other.list)
+	}
+}
+
+// answer returns what takes over the answer of a VM to a question that is asked now.
+func (r *memberRun) answer(vm, other *simVM) func() {
+	now := r.now()
+	listedAt, list := other.listedAt, other.list
+	var events []replicaset.Event
+	for _, c := range other.holder.Confirm(now, vm.id) {
+		events = append(events, replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, SentAt: now, Until: now.Add(ConfirmationTTL)})
+	}
+	for _, v := range other.view.Vouch(now) {
+		events = append(events, replicaset.Event{
+			Kind: replicaset.EventVouched, VM: other.id, Upstream: v.Upstream, Term: v.Term, SentAt: now, Until: now.Add(v.Valid),
+		})
+	}
+	var contacts []replicaset.Member
+	for _, v := range other.view.Views() {
+		contacts = v.Members
+		e, ok := other.view.NewestEvidence(v.Service)
+		if !ok {
+			continue
 		}
-		for _, v := range other.view.Views() {
-			for i := range v.Members {
-				if m := &v.Members[i]; m.ContactAt != 0 {
-					vm.contacts[m.ID] = max(vm.contacts[m.ID], m.ContactAt)
-				}
-			}
+		if v.PrimaryTerm == e.Term && v.Primary != "" {
+			events = append(events, replicaset.Event{Kind: replicaset.EventPrimary, Service: v.Service, Upstream: v.Primary, Term: e.Term, SentAt: e.At})
 		}
-		for _, c := range other.holder.Confirm(now, vm.id) {
-			r.apply(vm, &replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, SentAt: now, Until: now.Add(ConfirmationTTL)})
+		events = append(events, replicaset.Event{Kind: replicaset.EventEvidence, Service: v.Service, Position: e.Position, Term: e.Term, SentAt: e.At})
+	}
+	return func() {
+		vm.heard[other.id] = now
+		if listedAt.Sub(vm.listedAt) >= 300*time.Millisecond {
+			r.installList(vm, listedAt, list)
 		}
-		for _, v := range other.view.Vouch(now) {
-			r.apply(vm, &replicaset.Event{
-				Kind: replicaset.EventVouched, VM: other.id, Upstream: v.Upstream, Term: v.Term, SentAt: now, Until: now.Add(v.Valid),
-			})
+		for i := range contacts {
+			vm.contacts[contacts[i].ID] = max(vm.contacts[contacts[i].ID], contacts[i].ContactAt)
 		}
-		for _, v := range other.view.Views() {
-			e, ok := other.view.NewestEvidence(v.Service)
-			if !ok {
-				continue
-			}
-			if v.PrimaryTerm == e.Term && v.Primary != "" {
-				r.apply(vm, &replicaset.Event{Kind: replicaset.EventPrimary, Service: v.Service, Upstream: v.Primary, Term: e.Term, SentAt: e.At})
-			}
-			r.apply(vm, &replicaset.Event{Kind: replicaset.EventEvidence, Service: v.Service, Position: e.Position, Term: e.Term, SentAt: e.At})
+		for i := range events {
+			r.apply(vm, &events[i])
 		}
 	}
 }
@@ -821,7 +890,9 @@
 	}
 	u.log = append(u.log, r.term)
 	r.replicate()
-	r.tracef("%s sends %v to %s", vm.id, u.position(), u.id)
+	if r.trace != nil {
+		r.tracef("%s sends %v to %s", vm.id, u.position(), u.id)
+	}
 	vm.commits = append(vm.commits, simCommit{primary: m.ID, position: u.position(), sentAt: now, sentStep: r.step})
 }
 
@@ -865,15 +936,18 @@
 		return false
 	}
 	if !c.acknowledged {
+		if !c.acked && r.primary == c.primary && r.term == c.position.Term.Counter && r.received(c) {
+			c.acked, c.ackedStep = true, r.step
+		}
 		if !r.reaches(vm, r.upstreams[c.primary]) {
 			r.failed(vm, r.upstreams[c.primary])
 			return false
 		}
-		if r.primary != c.primary || r.term != c.position.Term.Counter {
+		if !c.acked && (r.primary != c.primary || r.term != c.position.Term.Counter) {
 			r.apply(vm, &replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: c.primary})
 			return false
 		}
-		if !r.received(c) {
+		if !c.acked || r.step < c.ackedStep+r.s.ackSteps {
 			return true
 		}
 		c.acknowledged, c.ackedAt = true, r.now()
@@ -943,7 +1017,9 @@
 	if r.step >= memberWarmupSteps+r.s.steps-memberProgressSteps {
 		r.passedLate++
 	}
-	r.tracef("%s passes on %v of %s", vm.id, c.position, c.primary)
+	if r.trace != nil {
+		r.tracef("%s passes on %v of %s", vm.id, c.position, c.primary)
+	}
 	if r.primary != "" && !r.upstreams[r.primary].has(c.position) {
 		r.fail("%s passes on %v of %s, which %s, the primary of term %d at %v, lacks", vm.id, c.position, c.primary, r.primary, r.term, r.upstreams[r.primary].position())
 	}
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -194,6 +195,8 @@
 
 // runMembers runs scenarios on two goroutines.
 func runMembers(each func(func(memberScenario))) *memberResults {
+	// The heap is small and short-lived.
+	defer debug.SetGCPercent(debug.SetGCPercent(1000))
 	results := &memberResults{violations: map[string]int{}}
 	scenarios := make(chan memberScenario)
 	var mu sync.Mutex
@@ -337,65 +340,100 @@
 	}
 }
 
-// randomMemberScenario returns the scenario of a seed.
+// randomMemberScenario returns the scenario of a seed: a cause of a change of primary, up to five
+// other events and up to three faults in the delivery of commands and calls.
 func randomMemberScenario(seed uint64) memberScenario {
 	rng := rand.New(rand.NewPCG(seed, 37))
 	pick := func(list ...int) int { return list[rng.IntN(len(list))] }
 	s := memberScenario{
-		name: fmt.Sprint("seed ", seed), vms: 2 + rng.IntN(2), steps: 520, deliveries: map[int]delivery{}, lateSteps: pick(20, 40, 80, 140, 220),
-		promoteSteps: pick(0, 0, 6, 14, 30), lags: memberLags[rng.IntN(len(memberLags))], order: rng.IntN(3), unread: rng.IntN(3) == 0,
+		name: fmt.Sprint("seed ", seed), vms: 2 + rng.IntN(2), steps: 560, deliveries: map[int]delivery{}, lateSteps: pick(20, 40, 80, 140, 220),
+		promoteSteps: pick(0, 0, 6, 14, 30), ackSteps: pick(0, 0, 0, 4, 12), pollSteps: pick(0, 0, 1, 4), lateTerms: rng.IntN(4) == 0,
+		lags: memberLags[rng.IntN(len(memberLags))], order: rng.IntN(3), unread: rng.IntN(3) == 0,
 	}
-	ids := []model.UpstreamID{"a", "b", "c", thePrimary, thePrimary, theReplicas, theTarget}
 	joiners := []model.UpstreamID{"d", "e", "f", "g", "h", "i"}
 	joiner := func() model.UpstreamID {
 		id := joiners[0]
 		joiners = joiners[1:]
 		return id
 	}
-	for range 2 + rng.IntN(4) {
-		e := memberEvent{at: rng.IntN(160), upstream: ids[rng.IntN(len(ids))], delay: rng.IntN(14)}
-		if rng.IntN(3) == 0 {
-			e.at, e.atCall = rng.IntN(60)-2, true
-		}
-		length := pick(10, 20, 36, 60, 90, 100, 140)
-		e.kind = memberEventKind(pick(0, 0, 1, 1, 2, 3, 3, 4, 5, 5, 5, 6, 7, 8, 9))
-		switch e.kind {
-		case memberCutVMs:
-			e.vms = uint8(pick(int(allVMs), int(allVMs), int(theHolder), 1, 2, 4, 6))
-		case memberLeave:
-			length = pick(64, 90, 150, 220)
-			if rng.IntN(3) > 0 {
-				e.with = joiner()
-			}
-		case memberJoin:
-			e.upstream, length = joiner(), 0
-		case vmCrash:
-			e.vms, length = uint8(pick(int(theHolder), int(theHolder), 2)), 0
-		case vmCutVMs, vmCutStore:
-			e.vms = uint8(pick(int(theHolder), 1, 2))
-		}
+	add := func(e memberEvent, length int) {
 		if length > 0 {
 			e.until, e.untilCall = e.at+length, e.atCall
 		}
 		s.events = append(s.events, e)
-		if e.kind == memberCutVMs && rng.IntN(2) == 0 {
-			for _, k := range []memberEventKind{memberCutReplicas, memberCutStore} {
-				other := e
-				other.kind = k
-				s.events = append(s.events, other)
+	}
+	cut := func(e memberEvent, length int) {
+		e.kind, e.vms = memberCutVMs, allVMs
+		add(e, length)
+		for _, k := range []memberEventKind{memberCutReplicas, memberCutStore} {
+			if rng.IntN(3) > 0 {
+				e.kind = k
+				add(e, length)
 			}
 		}
 	}
-	if crashes := slices.IndexFunc(s.events, func(e memberEvent) bool { return e.kind == vmCrash }); crashes >= 0 {
-		// One VM crashes at most, so that one is left that can be the lease holder.
-		first := true
-		s.events = slices.DeleteFunc(s.events, func(e memberEvent) bool {
-			again := e.kind == vmCrash && !first
-			first = first && e.kind != vmCrash
-			return again
-		})
+	cause := memberEvent{at: rng.IntN(20), upstream: thePrimary, delay: rng.IntN(14)}
+	switch rng.IntN(6) {
+	case 0:
+		cause.kind = memberCrash
+		add(cause, pick(20, 30, 40, 60, 80, 110, 140))
+	case 1, 2:
+		cut(cause, pick(20, 30, 34, 38, 44, 60, 100))
+	case 3:
+		cause.kind = memberCutReplicas
+		add(cause, pick(30, 50, 72, 100))
+	case 4:
+		cause.kind, cause.upstream = memberDeaf, theReplicas
+		add(cause, pick(30, 50, 72, 100))
+	case 5:
+		cause.kind, cause.with = memberLeave, joiner()
+		add(cause, pick(64, 90, 150, 220))
+	}
+	ids := []model.UpstreamID{"a", "b", "c", thePrimary, theReplicas, theTarget}
+	crashes := 0
+	for range rng.IntN(6) {
+		e := memberEvent{at: rng.IntN(200) - 20, upstream: ids[rng.IntN(len(ids))], delay: rng.IntN(14)}
+		if rng.IntN(2) == 0 {
+			e.at, e.atCall = rng.IntN(50)-2, true
+		}
+		length := pick(4, 10, 20, 36, 60, 90, 100, 140)
+		switch rng.IntN(14) {
+		case 0:
+			e.kind = memberCrash
+		case 1:
+			cut(e, length)
+			continue
+		case 2:
+			e.kind, e.vms = memberCutVMs, uint8(pick(int(theHolder), int(theHolder), 1, 2, 4, 6))
+		case 3:
+			e.kind = memberCutReplicas
+		case 4:
+			e.kind = memberDeaf
+		case 5:
+			e.kind = memberCutStore
+		case 6, 7:
+			e.kind, length = memberLeave, pick(64, 90, 150, 220)
+			if rng.IntN(3) > 0 {
+				e.with = joiner()
+			}
+		case 8, 9:
+			e.kind, e.upstream, length = memberJoin, joiner(), 0
+		case 10:
+			// One VM crashes for good at most, so that one is left that can be the lease holder.
+			e.kind, e.vms = vmRestart, uint8(pick(int(theHolder), 1, 2))
+			if crashes++; crashes == 1 {
+				e.kind, length = vmCrash, 0
+			}
+		case 11:
+			e.kind, e.vms = vmCutVMs, uint8(pick(int(theHolder), 1, 2))
+		case 12:
+			e.kind, e.vms = vmCutStore, uint8(pick(int(theHolder), 1, 2))
+		case 13:
+			e.kind = storeOutage
+		}
+		add(e, length)
 	}
-	for range rng.IntN(3) {
+	for range rng.IntN(4) {
 		s.deliveries[rng.IntN(10)] = delivery(1 + rng.IntN(int(deliveries)-1))
 	}
 	return s
@@ -414,6 +452,16 @@
 			}
 		}
 	}
+	for _, simpler := range []func(*memberScenario){
+		func(s *memberScenario) { s.ackSteps = 0 }, func(s *memberScenario) { s.pollSteps = 0 }, func(s *memberScenario) { s.lateTerms = false },
+		func(s *memberScenario) { s.promoteSteps = 0 }, func(s *memberScenario) { s.lags = [3]int{} },
+	} {
+		less := s
+		simpler(&less)
+		if less.run().violation != "" {
+			s = less
+		}
+	}
 	for i := range 10 {
 		less := s
 		less.deliveries = map[int]delivery{}
