Member model: quick promotions, VMs that are cut off, use of a former primary

Ignored fences are looked for with VMs that pass on every acknowledged commit, as stricter rules of the VMs would hide them; a lease holder that takes unanswered withdrawals for answered ones is found.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -243,6 +243,9 @@
 	i := slices.IndexFunc(r.vms, func(other *simVM) bool { return other.id == e.VM })
 	other := r.vms[i]
 	if other != vm && !linked(vm, other) {
+		if r.s.assumesWithdrawal {
+			vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, 0)
+		}
 		return
 	}
 	r.apply(other, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service})
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -56,8 +56,8 @@
 	memberDeaf
 	// memberCutStore: the upstream does not reach the store, so that its entry lapses.
 	memberCutStore
-	// memberLeave: the upstream announces that it leaves, and is gone at the end unless it is
-	// the primary then. A replacement joins if one is named.
+	// memberLeave: the upstream announces that it leaves, and is gone at the end or, if it is the
+	// last primary, once another one leads. A replacement joins if one is named.
 	memberLeave
 	// memberJoin: the upstream starts, receives at once and registers delay steps later.
 	memberJoin
@@ -160,7 +160,7 @@
 	fencesUnchecked bool
 
 	// Injected bugs.
-	passesOnAll, ignoresFence, skipsList bool
+	passesOnAll, ignoresFence, skipsList, assumesWithdrawal bool
 }
 
 // String returns what determines the run.
@@ -521,8 +521,8 @@
 		case memberCutStore:
 			u.cutStore = false
 		case memberLeave:
-			if r.primary == id {
-				// It serves on as long as it is the primary.
+			if r.last == id {
+				// It serves on until another upstream leads.
 				e.ended = false
 				continue
 			}
@@ -724,6 +724,7 @@
 }
 
 func (r *memberRun) runVM(vm *simVM) {
+	r.checkUse(vm)
 	r.readList(vm)
 	if r.step%6 == vm.index*2%6 {
 		r.poll(vm)
@@ -745,6 +746,14 @@
 	}
 }
 
+// checkUse checks that a VM may not use a former primary.
+func (r *memberRun) checkUse(vm *simVM) {
+	m, ok := vm.view.Primary(r.now(), memberService)
+	if ok && r.primary != "" && r.primary != m.ID && m.RoleTerm != 0 && r.term > m.RoleTerm && commitsConfirmed(vm.view, m.ID, r.now()) {
+		r.fail("%s may use %s, the primary of term %d, while %s leads term %d", vm.id, m.ID, m.RoleTerm, r.primary, r.term)
+	}
+}
+
 // readList reads the entries, which arrive in the next step, and takes in those that were read.
 func (r *memberRun) readList(vm *simVM) {
 	if vm.pendingListSentAt != 0 {
@@ -882,9 +891,6 @@
 		return
 	}
 	if r.primary != m.ID {
-		if r.changes > 0 && r.primary != "" && !r.s.passesOnAll && r.term > m.RoleTerm && m.RoleTerm != 0 {
-			r.fail("%s sends a commit to %s, the primary of term %d, while %s leads term %d", vm.id, m.ID, m.RoleTerm, r.primary, r.term)
-		}
 		r.apply(vm, &replicaset.Event{Kind: replicaset.EventNotPrimary, Upstream: m.ID})
 		return
 	}
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -139,6 +139,7 @@
 		one("replica c is deaf", memberEvent{kind: memberDeaf, upstream: "c"}, 80),
 		one("replica b is cut off from the lease holder", memberEvent{kind: memberCutVMs, upstream: "b", vms: theHolder}, 100),
 		one("replica b is cut off from the other VMs", memberEvent{kind: memberCutVMs, upstream: "b", vms: 0x06}, 60),
+		one("a VM is cut off from the other VMs", memberEvent{kind: vmCutVMs, vms: 0x04}, 60),
 		one("the lease holder crashes", memberEvent{kind: vmCrash, vms: theHolder}, 0),
 		one("the lease holder is cut off from the store", memberEvent{kind: vmCutStore, vms: theHolder}, 100),
 	}
@@ -147,40 +148,47 @@
 // memberLags are the replicas' delays: all receive at once, or one of them does.
 var memberLags = [][3]int{{}, {0, 0, 2}, {0, 2, 0}}
 
+// quickPromotion is a promotion that takes less time than a confirmation lasts.
+const quickPromotion = 6
+
 // eachMemberScenario calls fn with every cause of a change alone and with every companion at six
-// moments; with every companion at the call, also with a fault of one of the first five commands
-// and calls.
+// moments, with promotions that take long and that are quick; with every companion at the call,
+// also with a fault of one of the first five commands and calls.
 func eachMemberScenario(fn func(memberScenario)) {
 	for _, change := range memberChanges() {
-		base := memberScenario{vms: 3, steps: 320, lateSteps: 40}
 		n := 0
-		add := func(companion memberChange, deliveries map[int]delivery, lateSteps int) {
-			s := base
-			s.name = change.name + "; " + companion.name
+		add := func(companion memberChange, promoteSteps int, deliveries map[int]delivery, lateSteps int) {
+			s := memberScenario{name: change.name + "; " + companion.name, vms: 3, steps: 320, promoteSteps: promoteSteps, deliveries: deliveries, lateSteps: lateSteps}
 			s.events = append(slices.Clone(change.events), companion.events...)
-			s.deliveries, s.lateSteps = deliveries, lateSteps
 			s.lags, s.order = memberLags[n%len(memberLags)], n/len(memberLags)%3
-			s.unread = n%2 == 1
+			s.unread = n/2%2 == 1
 			n++
 			fn(s)
 		}
 		for range 6 {
-			add(memberChange{}, nil, 0)
+			add(memberChange{}, 0, nil, 0)
 		}
 		for _, at := range []struct {
 			step   int
 			atCall bool
-		}{{-10, false}, {4, false}, {0, true}, {8, true}, {18, true}, {26, true}} {
+		}{{-3, false}, {4, false}, {0, true}, {8, true}, {18, true}, {26, true}} {
 			for _, companion := range memberCompanions(at.step, at.atCall) {
-				add(companion, nil, 0)
+				add(companion, 0, nil, 0)
+				add(companion, quickPromotion, nil, 0)
 			}
 		}
 		for _, companion := range append(memberCompanions(2, true), memberChange{}) {
 			for i := range 5 {
-				add(companion, map[int]delivery{i: dropped}, 0)
-				add(companion, map[int]delivery{i: replyLost}, 0)
-				add(companion, map[int]delivery{i: delayed}, 40)
-				add(companion, map[int]delivery{i: delayed}, 140)
+				promoteSteps, lateSteps := 0, 40
+				if n%2 == 1 {
+					promoteSteps = quickPromotion
+				}
+				if n/2%2 == 1 {
+					lateSteps = 140
+				}
+				for d := dropped; d < deliveries; d++ {
+					add(companion, promoteSteps, map[int]delivery{i: d}, lateSteps)
+				}
 			}
 		}
 	}
@@ -287,6 +295,7 @@
 
 // foundBy reports whether a scenario without a violation has one with an injected bug.
 func foundBy(each func(func(memberScenario)), inject func(*memberScenario)) bool {
+	defer debug.SetGCPercent(debug.SetGCPercent(1000))
 	found := false
 	each(func(s memberScenario) {
 		if found {
@@ -306,13 +315,35 @@
 	}
 }
 
-// Guards against a model that cannot see replicas that receive commits while they are fenced.
+// Guards against a model that cannot see replicas that receive commits while they are fenced. VMs
+// pass on all commits with and without the bug, since their own rules may make up for it.
 func TestMemberModelDetectsIgnoredFences(t *testing.T) {
-	if !foundBy(eachMemberScenario, func(s *memberScenario) { s.ignoresFence = true }) {
+	each := func(fn func(memberScenario)) {
+		eachMemberScenario(func(s memberScenario) {
+			s.passesOnAll = true
+			fn(s)
+		})
+	}
+	if !foundBy(each, func(s *memberScenario) { s.ignoresFence = true }) {
 		t.Error("no scenario detects that replicas ignore their fences")
 	}
 }
 
+// Guards against a model that cannot see a lease holder that takes VMs which it does not reach for
+// VMs that have dropped the primary.
+func TestMemberModelDetectsAssumedWithdrawals(t *testing.T) {
+	each := func(fn func(memberScenario)) {
+		eachMemberScenario(func(s memberScenario) {
+			if s.promoteSteps == quickPromotion && strings.HasSuffix(s.name, "cut off from the other VMs") {
+				fn(s)
+			}
+		})
+	}
+	if !foundBy(each, func(s *memberScenario) { s.assumesWithdrawal = true }) {
+		t.Error("no scenario detects a lease holder that does not wait for confirmations")
+	}
+}
+
 // eachListScenario calls fn with scenarios in which the lease holder lacks a replica in its list
 // that another VM knows, and the others receive nothing.
 func eachListScenario(fn func(memberScenario)) {
