Member model: random switchovers with trouble around the call

A quarter of the random scenarios: the primary leaves, and its successor, it or the lease holder is cut off, receives nothing, lapses or crashes around the promotion call, with late or lost commands and calls.

--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -471,6 +471,36 @@
 	}
 }
 
+// switchover adds a primary that leaves, and trouble at it, its successor or VMs around the call.
+func (r *randomMembers) switchover() {
+	r.leave(memberEvent{at: r.IntN(20), upstream: thePrimary, delay: r.IntN(14)})
+	if r.IntN(2) == 0 {
+		r.add(memberEvent{kind: memberJoin, at: r.IntN(40) - 20, upstream: r.joiner(), delay: r.IntN(14)}, 0)
+	}
+	for range 1 + r.IntN(4) {
+		e := memberEvent{at: r.IntN(40) - 2, atCall: true, upstream: []model.UpstreamID{theTarget, theTarget, theTarget, "a", "b", "c", theReplicas}[r.IntN(7)]}
+		if r.IntN(4) == 0 {
+			e.at, e.atCall = r.IntN(30)-15, false
+		}
+		length := r.pick(4, 10, 20, 36, 60, 100, 140)
+		switch e.kind = memberEventKind(r.pick(int(memberCrash), int(memberCrash), int(memberCutVMs), int(memberCutReplicas), int(memberDeaf), int(memberDeaf), int(memberCutStore), int(vmCrash), int(vmCutVMs), int(vmCutVMs), int(vmCutStore))); e.kind {
+		case memberCutVMs:
+			e.vms = uint8(r.pick(int(allVMs), int(theHolder), int(theHolder), 1, 2, 4, 6))
+		case vmCutVMs, vmCutStore:
+			e.vms = uint8(r.pick(int(theHolder), 1, 2, 4))
+		case vmCrash:
+			e.kind, e.vms = vmRestart, theHolder
+			if r.vmCrashes++; r.vmCrashes == 1 {
+				e.kind, length = vmCrash, 0
+			}
+		}
+		r.add(e, length)
+	}
+	for range r.IntN(3) {
+		r.s.deliveries[r.IntN(6)] = delivery(1 + r.IntN(int(deliveries)-1))
+	}
+}
+
 // other adds any event.
 func (r *randomMembers) other() {
 	ids := []model.UpstreamID{"a", "b", "c", thePrimary, theReplicas, theTarget}
@@ -519,8 +549,8 @@
 }
 
 // randomMemberScenario returns the scenario of a seed: a cause of a change of primary, in half of
-// them beside trouble at the last replica, up to five other events and up to three faults in the
-// delivery of commands and calls.
+// them beside trouble at the last replica, in a quarter a switchover with trouble around the call, up
+// to five other events and up to three faults in the delivery of commands and calls.
 func randomMemberScenario(seed uint64) memberScenario {
 	r := &randomMembers{Rand: rand.New(rand.NewPCG(seed, 37)), joiners: []model.UpstreamID{"d", "e", "f", "g", "h", "i", "j", "k"}}
 	r.s = memberScenario{
@@ -529,11 +559,15 @@
 		lags: memberLags[r.IntN(len(memberLags))], order: r.IntN(3), unread: r.IntN(3) == 0, fencesUnchecked: r.IntN(8) == 0,
 	}
 	others := r.IntN(6)
-	if seed%2 == 0 {
+	switch {
+	case seed%4 == 3:
+		r.switchover()
+		others = r.IntN(2)
+	case seed%2 == 0:
 		r.lastReplica()
 		r.cause(memberEvent{at: r.IntN(80), delay: r.IntN(14)})
 		others = r.IntN(3)
-	} else {
+	default:
 		r.cause(memberEvent{at: r.IntN(20), delay: r.IntN(14)})
 	}
 	for range others {
