linegroup: slow promotions, late orders, joins, leaves and cut paths

The stand-in promoted at once, so that no test had the time between the call for a promotion and its effect, in which the old primary still acknowledges. It now has PromoteDelay, during which the old primary leads; the fence of a call is checked when the call is executed, and each accepted call takes effect in its order. A share of orders and promotion calls can get no answer and be carried out late. Servers can leave with their log, and a path between two servers can be cut. All of these are off by default.

Three faults of the stand-in are corrected: a server that was added while there was no primary led without a promotion; the fence of a replica outlasted its restart; and a commit counted as kept if a later promotion kept a longer log than the one that discarded it.

--- a/standin/linegroup/group.go
+++ b/standin/linegroup/group.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -32,18 +34,56 @@
 	// IgnoreTokens makes promotions with a lower fencing token than an earlier one
 	// succeed.
 	IgnoreTokens bool
+	// PromoteDelay is the time between the call for a promotion and its effect.
+	PromoteDelay time.Duration
+	// Seed makes the draws of Lateness repeatable.
+	Seed uint64
 }
 
 // Commit is one transaction in the log.
 type Commit struct {
 	Number model.LogPos
 	Term   uint64
+	// WrittenAt is when the primary appended the commit to its log.
+	WrittenAt time.Time
 	// IDs are the ids of the transaction's write statements.
 	IDs []string
 	// Acknowledged is when a replica had received the commit; zero before that.
 	Acknowledged time.Time
 }
 
+// Promotion is a change of primary that has taken effect.
+type Promotion struct {
+	ID    string
+	Token uint64
+	// Term is the term that began with it.
+	Term         uint64
+	CalledAt, At time.Time
+	// Kept is the length of the log that ID led with. Discarded are the commits beyond it.
+	Kept      int
+	Discarded []Commit
+}
+
+// call is a promotion call that passed the check of its fence and has not taken effect.
+type call struct {
+	id       string
+	token    uint64
+	calledAt time.Time
+}
+
+// Lateness makes a share of the orders PAUSE, RESUME and STEPDOWN, and of the promotion calls
+// whose server asks Late, get no answer and be carried out late.
+type Lateness struct {
+	// Share is between 0 and 1, and applies to what arrives before Until.
+	Share float64
+	Until time.Time
+	// Min and Max bound the delay.
+	Min, Max time.Duration
+}
+
+// path is a network path between two servers.
+type path struct{ from, to string }
+
 // Group is a database group: one primary and its replicas, all in this process.
 type Group struct {
 	options Options
@@ -59,19 +99,28 @@
 	// violations are the detected losses of acknowledged commits and repeated
 	// executions of a write statement.
 	violations []string
-	// keptByPromotion is the length of the log after the last promotion.
-	keptByPromotion int
+	// promotions have taken effect; calls have not yet.
+	promotions []Promotion
+	calls      []*call
+	lateness   Lateness
+	rng        *rand.Rand
+	// cuts has the paths that carry nothing, in both directions.
+	cuts map[path]bool
 	// token is the highest fencing token that a promotion had.
 	token uint64
 }
 
 // New returns a group without servers.
 func New(o Options) *Group {
-	return &Group{options: o, servers: map[string]*Server{}, written: map[string]bool{}, term: 1}
+	return &Group{
+		options: o, servers: map[string]*Server{}, written: map[string]bool{}, term: 1,
+		rng: rand.New(rand.NewPCG(o.Seed, 5)), cuts: map[path]bool{},
+	}
 }
 
-// Add starts a server on a free port of the loopback interface. The first
-// server becomes the primary.
+// Add starts a server on a free port of the loopback interface. The first server becomes the
+// primary. Each later one is a replica with an empty log that receives the log, and counts for
+// acknowledgements, from now on.
 func (g *Group) Add(id, zone string) (*Server, error) {
 	s := &Server{group: g, id: id, zone: zone, conns: map[*conn]bool{}, slots: make(chan struct{}, max(g.options.Slots, 1))}
 	if err := s.listen("127.0.0.1:0"); err != nil {
@@ -79,13 +128,86 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.servers[id] = s
-	if g.primary == "" {
+	if len(g.servers) == 0 {
 		g.primary = id
 	}
+	g.servers[id] = s
 	return s, nil
 }
 
+// Remove stops a server for good; its log is gone with it. Until then a server that leaves
+// receives, and counts for acknowledgements. The group has no primary if it was the primary.
+func (g *Group) Remove(id string) {
+	g.mu.Lock()
+	s := g.servers[id]
+	delete(g.servers, id)
+	if g.primary == id {
+		g.primary = ""
+	}
+	g.mu.Unlock()
+	if s != nil {
+		s.Stop()
+	}
+}
+
+// Servers returns the ids of all servers in ascending order.
+func (g *Group) Servers() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.servers))
+}
+
+// SetPathCut cuts or restores the network path between two servers. A replica receives the
+// primary's log only over a path that is not cut.
+func (g *Group) SetPathCut(a, b string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if cut {
+		g.cuts[path{a, b}], g.cuts[path{b, a}] = true, true
+		return
+	}
+	delete(g.cuts, path{a, b})
+	delete(g.cuts, path{b, a})
+}
+
+// SetLateness replaces the Lateness, which is zero at first.
+func (g *Group) SetLateness(l Lateness) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lateness = l
+}
+
+// Late decides whether an order or call that arrives now gets no answer and is carried out
+// late, and by how much.
+func (g *Group) Late() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := &g.lateness
+	if !time.Now().Before(l.Until) || g.rng.Float64() >= l.Share {
+		return 0, false
+	}
+	return l.Min + time.Duration(g.rng.Int64N(int64(l.Max-l.Min)+1)), true
+}
+
+// PendingPromotions returns the targets of the promotions that were called and have not taken
+// effect.
+func (g *Group) PendingPromotions() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids []string
+	for _, c := range g.calls {
+		ids = append(ids, c.id)
+	}
+	return ids
+}
+
+// Promotions returns the promotions that have taken effect, in this order.
+func (g *Group) Promotions() []Promotion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.promotions)
+}
+
 // Primary returns the id of the primary, or "" if there is none.
 func (g *Group) Primary() string {
 	g.mu.Lock()
@@ -100,10 +222,11 @@
 	return g.servers[id]
 }
 
-// Promote implements the platform's promotion call: the server becomes the
-// primary of the next term, and commits that it has not received are discarded.
-// It returns false if the token is lower than that of an earlier promotion or
-// the server is not running.
+// Promote executes the platform's promotion call. It returns false if the token is lower than
+// that of an earlier call or the server is not running. Options.PromoteDelay later the server, if
+// it is still running, becomes the primary of the next term with the log that it has received by
+// then; the other commits are discarded. Until then the old primary leads, and orders and further
+// calls are carried out. A call for the present primary changes nothing.
 func (g *Group) Promote(id string, token uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -112,22 +235,43 @@
 		return false
 	}
 	g.token = max(g.token, token)
-	if g.primary == id {
-		return true
+	c := &call{id: id, token: token, calledAt: time.Now()}
+	switch {
+	case g.primary == id:
+	case g.options.PromoteDelay == 0:
+		g.lead(s, c)
+	default:
+		g.calls = append(g.calls, c)
+		time.AfterFunc(g.options.PromoteDelay, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.calls = slices.DeleteFunc(g.calls, func(other *call) bool { return other == c })
+			if g.servers[id] == s && !s.stopped && g.primary != id {
+				g.lead(s, c)
+			}
+		})
 	}
+	return true
+}
+
+// lead makes a server the primary of the next term. The caller holds mu.
+func (g *Group) lead(s *Server, c *call) {
 	g.term++
 	for i := int(s.received); i < len(g.log); i++ {
 		if !g.log[i].Acknowledged.IsZero() {
-			g.recordViolation("commit %d of %v was acknowledged and is lost by the promotion of %s", g.log[i].Number, g.log[i].IDs, id)
+			g.recordViolation("commit %d of %v was acknowledged and is lost by the promotion of %s", g.log[i].Number, g.log[i].IDs, s.id)
 		}
 	}
-	for i := int(s.received); i < len(g.log); i++ {
-		for _, id := range g.log[i].IDs {
+	discarded := slices.Clone(g.log[s.received:])
+	for i := range discarded {
+		for _, id := range discarded[i].IDs {
 			delete(g.written, id)
 		}
 	}
 	g.log = g.log[:s.received]
-	g.keptByPromotion = len(g.log)
+	g.promotions = append(g.promotions, Promotion{
+		ID: s.id, Token: c.token, Term: g.term, CalledAt: c.calledAt, At: time.Now(), Kept: len(g.log), Discarded: discarded,
+	})
 	for _, other := range g.servers {
 		other.received = min(other.received, s.received)
 		other.fencedTerm = 0
@@ -137,8 +281,7 @@
 	}
 	s.formerTerm = 0
 	s.applyAll()
-	g.primary = id
-	return true
+	g.primary = s.id
 }
 
 // recordViolation appends a message to the violations. The caller holds mu.
@@ -220,7 +363,7 @@
 		g.written[id] = true
 	}
 	number = model.LogPos(len(g.log) + 1)
-	g.log = append(g.log, Commit{Number: number, Term: term, IDs: ids})
+	g.log = append(g.log, Commit{Number: number, Term: term, IDs: ids, WrittenAt: time.Now()})
 	s.received = number
 	s.appliedAt = append(s.appliedAt, time.Now())
 	g.mu.Unlock()
@@ -229,9 +372,10 @@
 		g.replicate()
 		switch {
 		case g.term != term:
-			keptByPromotion := int(number) <= g.keptByPromotion
+			// A commit of a later term may have taken the number of a discarded one.
+			kept := int(number) <= len(g.log) && g.log[number-1].Term == term
 			g.mu.Unlock()
-			return number, keptByPromotion
+			return number, kept
 		case g.replicasWith(s.id, number) > 0:
 			g.log[number-1].Acknowledged = time.Now()
 			g.mu.Unlock()
@@ -245,15 +389,15 @@
 	}
 }
 
-// replicate copies the primary's log to the replicas that are running, not
-// paused and not stopped from receiving. The caller holds mu.
+// replicate copies the primary's log to the replicas that are running, not paused, not stopped
+// from receiving, and not cut off from the primary. The caller holds mu.
 func (g *Group) replicate() {
 	primary := g.servers[g.primary]
 	if primary == nil || primary.stopped {
 		return
 	}
 	for _, s := range g.servers {
-		if s == primary || s.stopped || s.fencedTerm > 0 || s.receiveStopped || s.actsAsFormerPrimary() {
+		if s == primary || s.stopped || s.fencedTerm > 0 || s.receiveStopped || g.cuts[path{primary.id, s.id}] || s.actsAsFormerPrimary() {
 			continue
 		}
 		for s.received < primary.received {
--- a/standin/linegroup/server.go
+++ b/standin/linegroup/server.go
@@ -35,6 +35,8 @@
 	fencedTerm     uint64
 	stopped        bool
 	receiveStopped bool
+	// starts counts the restarts. A server forgets its late orders when it stops.
+	starts int
 	// formerTerm is the term in which a former primary continues to serve, 0 otherwise.
 	// It steps down at yieldAt, unless newPrimaryCut is true.
 	formerTerm    uint64
@@ -174,11 +176,12 @@
 	}
 }
 
-// Start starts a stopped server again on the same address, with its log. A former primary
-// comes back as a replica.
+// Start starts a stopped server again on the same address, with its log and without its fence.
+// A primary is the primary again if no other server was promoted, otherwise a replica.
 func (s *Server) Start() error {
 	s.group.mu.Lock()
-	s.stopped, s.formerTerm = false, 0
+	s.stopped, s.formerTerm, s.fencedTerm = false, 0, 0
+	s.starts++
 	s.group.mu.Unlock()
 	return s.listen(s.address)
 }
@@ -267,6 +270,13 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		id, text := lineproto.Cut(m.Rest)
+		if s.deferOrder(text) {
+			// The connection stays open and silent.
+			for err == nil {
+				_, err = r.Read()
+			}
+			return
+		}
 		lines := c.run(id, text)
 		if id != lineproto.NilValue && s.loseAnswers.Load() > 0 && s.loseAnswers.Add(-1) >= 0 {
 			return
@@ -275,6 +285,31 @@
 	}
 }
 
+// deferOrder reports whether a text is an order that is to be carried out late, and arranges
+// for that.
+func (s *Server) deferOrder(text string) bool {
+	word, rest := lineproto.Cut(text)
+	if word != "PAUSE" && word != "RESUME" && word != "STEPDOWN" {
+		return false
+	}
+	delay, late := s.group.Late()
+	if !late {
+		return false
+	}
+	s.group.mu.Lock()
+	starts := s.starts
+	s.group.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		s.group.mu.Lock()
+		gone := s.stopped || s.starts != starts
+		s.group.mu.Unlock()
+		if !gone {
+			s.control(word, rest)
+		}
+	})
+	return true
+}
+
 // admit checks the fields of a startup message and registers the connection. It
 // returns the error code and text of a refusal, or "".
 func (s *Server) admit(c *conn, f []string) string {
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -57,6 +57,9 @@
 	// LatePromotions is how many of the next promotion calls get no response and are executed
 	// LatePromotionDelay later.
 	LatePromotions atomic.Int32
+	// Late decides, if it is not nil, whether a promotion call gets no response and is executed
+	// later, and by how much.
+	Late func() (time.Duration, bool)
 
 	listener net.Listener
 	server   *http.Server
@@ -416,8 +419,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if s.LatePromotions.Load() > 0 && s.LatePromotions.Add(-1) >= 0 {
-		time.AfterFunc(LatePromotionDelay, func() { s.Promote(body.Service, body.ID, token) })
+	if delay, late := s.latePromotion(); late {
+		time.AfterFunc(delay, func() { s.Promote(body.Service, body.ID, token) })
 		<-r.Context().Done()
 		return
 	}
@@ -427,3 +430,14 @@
 	}
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
+
+// latePromotion decides whether a promotion call that arrives now is executed later.
+func (s *Store) latePromotion() (time.Duration, bool) {
+	if s.LatePromotions.Load() > 0 && s.LatePromotions.Add(-1) >= 0 {
+		return LatePromotionDelay, true
+	}
+	if s.Late == nil {
+		return 0, false
+	}
+	return s.Late()
+}
--- a/test/linetest/platform.go
+++ b/test/linetest/platform.go
@@ -50,6 +50,7 @@
 	p.Address = func(id string) string { return p.Group.Server(id).Address() }
 	t.Cleanup(p.Group.Close)
 	store.Promote = func(_, id string, token uint64) bool { return p.Group.Promote(id, token) }
+	store.Late = p.Group.Late
 	for _, id := range []string{"a", "b", "c"} {
 		if _, err := p.Group.Add(id, "zone-"+id); err != nil {
 			t.Fatal(err)
@@ -79,6 +80,10 @@
 	})
 }
 
+// Deregister removes the registration of an upstream, as it lapses after a silence of the
+// upstream.
+func (p *Platform) Deregister(id string) { p.Store.Delete("servers/" + id) }
+
 // Configure writes the next version of the configuration. The workspace has the given
 // API keys, and there is a database for each kind of route: strict, bounded and own.
 func (p *Platform) Configure(keys ...string) {
