soak: two scripts that lose acknowledged commits in a change of primary

TestNoCommitIsLostBetweenThePromotionCallAndItsEffect: a primary is cut off until its successor is called for, and is back before that takes effect; a replica joins in between, unfenced, and the old primary acknowledges through it. VMs pass these commits on once they have read the registration of the replica, about a second after the call; hence a delay of 1.2 s.

TestNoCommitIsLostWithALeavingReplicaAndACrash: only a leaving replica receives commits, it ends, the primary crashes and its entry lapses; another upstream is promoted before the primary is back with its log.

A link can cut single VMs off: it finds the VM of a connection by its socket, drops what is sent, and resets connections of the cut when it ends. The links held data back before, so that an order that was sent during a cut was carried out after it, which mostly hid the loss.

--- a/test/cluster/origin.go
+++ b/test/cluster/origin.go
@@ -1,10 +1,10 @@
 package cluster
 
 import (
-	"fmt"
 	"maps"
 	"net"
-	"os"
+
+	"github.com/chervilhatch/chervilhatch/test/procsocket"
 )
 
 // All daemons connect to the same address of a target, which is in the
@@ -16,7 +16,7 @@
 // "" for the calling process, whose upstream stand-ins replicate over relays
 // too. ok is false if the client has already closed its socket.
 func (n *Network) siteOf(conn net.Conn) (site string, ok bool) {
-	inode := peerSocketInode(conn)
+	inode := procsocket.PeerInode(conn)
 	if inode == "" {
 		return "", false
 	}
@@ -24,25 +24,10 @@
 	sites := maps.Clone(n.sites)
 	n.mu.Unlock()
 	for pid, site := range sites {
-		if hasSocket(pid, inode) {
+		if procsocket.HasSocket(pid, inode) {
 			return site, true
 		}
 	}
 	// If the socket was closed during the search, it may have been a daemon's.
-	return "", peerSocketInode(conn) == inode
-}
-
-// hasSocket reports whether a process has the socket with this inode open.
-func hasSocket(pid int, inode string) bool {
-	dir := fmt.Sprintf("/proc/%d/fd", pid)
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	for _, entry := range entries {
-		if target, err := os.Readlink(dir + "/" + entry.Name()); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
+	return "", procsocket.PeerInode(conn) == inode
 }
--- a/test/cluster/sockdiag.go
+++ b/test/procsocket/sockdiag.go
@@ -1,8 +1,11 @@
-package cluster
+// Package procsocket finds the process at the other end of a loopback connection.
+package procsocket
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"syscall"
 )
@@ -17,11 +20,11 @@
 	diagBufferBytes  = 4096
 )
 
-// peerSocketInode returns the inode of the socket at the other end of a loopback
+// PeerInode returns the inode of the socket at the other end of a loopback
 // connection, or "" if no process has that socket open. It asks the kernel by
 // netlink, because reading /proc/net/tcp takes up to 40 ms for each connection
 // on a machine with many sockets.
-func peerSocketInode(conn net.Conn) string {
+func PeerInode(conn net.Conn) string {
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, sockDiag)
 	if err != nil {
 		return ""
@@ -72,3 +75,18 @@
 	copy(out, a.IP.To4())
 	return out
 }
+
+// HasSocket reports whether a process has the socket with this inode open.
+func HasSocket(pid int, inode string) bool {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, entry := range entries {
+		if target, err := os.Readlink(dir + "/" + entry.Name()); err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -31,14 +32,31 @@
 	linkBufferBytes  = 32 << 10
 )
 
+// deadClientTimeout is how long a target keeps a connection whose far end is cut off.
+const deadClientTimeout = 3 * time.Second
+
 // link is a TCP proxy in front of a target that injects faults.
 type link struct {
 	listener net.Listener
 	target   func() string
+	// clientOf returns the index of the VM at the far end of a connection, or -1. It is nil
+	// for a link that is not cut.
+	clientOf func(net.Conn) int
+
+	mu     sync.Mutex
+	mode   mode
+	relays map[*relay]bool
+	// cuts counts the cuts of each VM that are in effect.
+	cuts map[int]int
+}
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+// relay is one connection through a link. to is nil if it was opened during a cut.
+type relay struct {
+	from, to net.Conn
+	client   int
+	// dead is true from a cut on: the relay carries nothing any more, not even the end of the
+	// connection, and is reset when the cut ends.
+	dead atomic.Bool
 }
 
 // newLink starts a link that is closed when the test ends. target returns the
@@ -48,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &link{listener: l, target: target, conns: map[net.Conn]bool{}}
+	k := &link{listener: l, target: target, relays: map[*relay]bool{}, cuts: map[int]int{}}
 	t.Cleanup(func() { _ = l.Close(); k.reset() })
 	go k.acceptLoop()
 	return k
@@ -72,8 +90,45 @@
 func (k *link) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for c := range k.conns {
-		abort(c)
+	for r := range k.relays {
+		r.abort()
+	}
+}
+
+// cut cuts VMs off from the target until restore is called: what they and the target send is
+// dropped, and new connections get no answer. Connections that were open in the cut are reset
+// when it ends, so that nothing sent during the cut arrives later.
+func (k *link) cut(clients []int) (restore func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, client := range clients {
+		k.cuts[client]++
+	}
+	for r := range k.relays {
+		if k.cuts[r.client] > 0 && r.to != nil && r.dead.CompareAndSwap(false, true) {
+			time.AfterFunc(deadClientTimeout, func() { abort(r.to) })
+		}
+	}
+	return sync.OnceFunc(func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, client := range clients {
+			k.cuts[client]--
+		}
+		for r := range k.relays {
+			if k.cuts[r.client] <= 0 && r.dead.Load() {
+				r.abort()
+				delete(k.relays, r)
+			}
+		}
+	})
+}
+
+// abort closes both connections of a relay with a TCP reset.
+func (r *relay) abort() {
+	abort(r.from)
+	if r.to != nil {
+		abort(r.to)
 	}
 }
 
@@ -100,21 +155,42 @@
 }
 
 func (k *link) forward(from net.Conn) {
+	r := &relay{from: from, client: -1}
+	if k.clientOf != nil {
+		r.client = k.clientOf(from)
+	}
+	if k.addIfCut(r) {
+		return
+	}
 	to, err := net.DialTimeout("tcp", k.target(), time.Second)
 	if err != nil {
 		abort(from)
 		return
 	}
 	k.mu.Lock()
-	k.conns[from], k.conns[to] = true, true
+	r.to = to
+	r.dead.Store(k.cuts[r.client] > 0)
+	k.relays[r] = true
 	k.mu.Unlock()
-	go k.copy(to, from, false)
-	k.copy(from, to, true)
+	go k.copy(r, to, from, false)
+	k.copy(r, from, to, true)
+}
+
+// addIfCut adds a relay without a connection to the target if its VM is cut off.
+func (k *link) addIfCut(r *relay) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.cuts[r.client] <= 0 {
+		return false
+	}
+	r.dead.Store(true)
+	k.relays[r] = true
+	return true
 }
 
 // copy forwards one direction of a connection until it ends, and closes both sides.
 // fromTarget is true for data that the target sends.
-func (k *link) copy(to, from net.Conn, fromTarget bool) {
+func (k *link) copy(r *relay, to, from net.Conn, fromTarget bool) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -124,6 +200,12 @@
 		if k.currentMode() == delay {
 			time.Sleep(linkDelay)
 		}
+		if r.dead.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, e := to.Write(buffer[:n]); e != nil {
 				err = e
@@ -136,8 +218,7 @@
 	_ = to.Close()
 	_ = from.Close()
 	k.mu.Lock()
-	delete(k.conns, to)
-	delete(k.conns, from)
+	delete(k.relays, r)
 	k.mu.Unlock()
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -15,6 +15,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,6 +29,7 @@
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
 	"github.com/chervilhatch/chervilhatch/test/linetest"
+	"github.com/chervilhatch/chervilhatch/test/procsocket"
 )
 
 const (
@@ -73,20 +75,22 @@
 // applied twice, refused writes must not be committed, sessions must see their own
 // writes, and the service has to recover after the faults.
 func TestSoak(t *testing.T) {
-	binary := os.Getenv("SOAK_BINARY")
-	if binary == "" {
-		binary = buildDaemon(t)
+	binary := daemon(t)
+	for _, seed := range seeds(t, regressions) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, binary, seed) })
 	}
-	seeds := append([]uint64{1}, regressions...)
+}
+
+// seeds returns the seeds to run: 1 and the regressions, unless environment variables change this.
+func seeds(t *testing.T, regressions []uint64) []uint64 {
+	list := append([]uint64{1}, regressions...)
 	if one := envInt(t, "SOAK_SEED", 0); one > 0 {
-		seeds = []uint64{uint64(one)}
+		list = []uint64{uint64(one)}
 	}
 	for i := range envInt(t, "SOAK_SEEDS", 0) {
-		seeds = append(seeds, uint64(i+2))
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		list = append(list, uint64(i+2))
 	}
+	return list
 }
 
 // buildDaemon builds chervilhatchd and returns its path.
@@ -101,51 +105,100 @@
 // soakRun is the run of one seed.
 type soakRun struct {
 	*linetest.Platform
-	t         *testing.T
-	rng       *rand.Rand
-	vms       []*vm
-	upstreams map[string]*link
-	store     *link
-	outcomes  *linetest.Outcomes
-	stopping  atomic.Bool
+	t        *testing.T
+	rng      *rand.Rand
+	vms      []*vm
+	store    *link
+	outcomes *linetest.Outcomes
+	stopping atomic.Bool
 	// brokenSessions counts the sessions that ended while waiting for an answer.
 	brokenSessions atomic.Int64
 	wg             sync.WaitGroup
+	start          time.Time
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	upstreams map[string]*link
 	// events lists the injected faults with their times. It is logged if the run
 	// fails.
 	events []string
-	start  time.Time
 }
 
-// runSeed starts the daemons and callers, injects faults for faultDuration and checks
-// recovery and the outcomes.
-func runSeed(t *testing.T, binary string, seed uint64) {
+// seedGroup returns the options of the database group in the run of a seed.
+func seedGroup(seed uint64) linegroup.Options {
+	return linegroup.Options{
+		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond,
+		FormerPrimaryServes: true, YieldAfter: time.Second, IgnoreTokens: seed%2 == 0,
+	}
+}
+
+// newRun starts the stand-ins and the daemons of a run, and waits until all are ready.
+func newRun(t *testing.T, binary string, seed uint64, o linegroup.Options) *soakRun {
 	w := &soakRun{
-		Platform: linetest.NewPlatform(t, linegroup.Options{
-			ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond,
-			FormerPrimaryServes: true, YieldAfter: time.Second, IgnoreTokens: seed%2 == 0,
-		}),
-		t: t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(), start: time.Now(),
+		Platform: linetest.NewPlatform(t, o),
+		t:        t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(), start: time.Now(),
 	}
+	dir := t.TempDir()
+	// The logs are read before the directory is removed.
 	t.Cleanup(func() {
 		if t.Failed() {
 			w.logEvents()
 		}
 	})
 	for _, id := range []string{"a", "b", "c"} {
-		w.upstreams[id] = newLink(t, w.Group.Server(id).Address)
+		w.addLink(id)
 	}
 	w.store = newLink(t, w.Store.Address)
-	w.Address = func(id string) string { return w.upstreams[id].address() }
+	w.Address = func(id string) string { return w.upstream(id).address() }
 	w.Setup()
-	dir := t.TempDir()
 	for i := range envInt(t, "SOAK_VMS", defaultVMs) {
-		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address(), seed%2 != 0))
+		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address(), !o.IgnoreTokens))
 	}
 	for _, v := range w.vms {
 		v.start()
 	}
 	w.WaitFor("all VMs ready", w.allReady)
+	return w
+}
+
+// addLink starts the link through which VMs connect to an upstream.
+func (w *soakRun) addLink(id string) {
+	k := newLink(w.t, w.Group.Server(id).Address)
+	k.clientOf = w.clientOf
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.upstreams[id] = k
+}
+
+// upstream returns the link to an upstream.
+func (w *soakRun) upstream(id string) *link {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.upstreams[id]
+}
+
+// clientOf returns the index of the VM that has opened a connection, or -1.
+func (w *soakRun) clientOf(conn net.Conn) int {
+	inode := procsocket.PeerInode(conn)
+	for i, v := range w.vms {
+		if inode != "" && procsocket.HasSocket(int(v.pid.Load()), inode) {
+			return i
+		}
+	}
+	return -1
+}
+
+// allVMs returns the indexes of all VMs.
+func (w *soakRun) allVMs() []int {
+	var list []int
+	for i := range w.vms {
+		list = append(list, i)
+	}
+	return list
+}
+
+// startCallers starts callersPerVM callers on each VM.
+func (w *soakRun) startCallers() {
 	for _, v := range w.vms {
 		for i := range callersPerVM {
 			database := "own"
@@ -156,6 +209,21 @@
 			go w.runCaller(v, database)
 		}
 	}
+}
+
+// finish ends the callers and checks what they saw.
+func (w *soakRun) finish() {
+	w.stopping.Store(true)
+	w.wg.Wait()
+	w.outcomes.Check(w.Platform)
+	w.t.Logf("%d faults, %d broken sessions, outcomes %v, %d commits", len(w.events), w.brokenSessions.Load(), w.outcomes.Codes(), len(w.Group.Log()))
+}
+
+// runSeed starts the daemons and callers, injects faults for faultDuration and checks
+// recovery and the outcomes.
+func runSeed(t *testing.T, binary string, seed uint64) {
+	w := newRun(t, binary, seed, seedGroup(seed))
+	w.startCallers()
 	if seed%3 == 1 {
 		w.recordEvent("the store comes back from a copy in the middle of the run")
 		w.wg.Go(w.restoreStore)
@@ -166,10 +234,7 @@
 	w.endFaults()
 	w.checkRecovery()
 	w.checkUsage()
-	w.stopping.Store(true)
-	w.wg.Wait()
-	w.outcomes.Check(w.Platform)
-	t.Logf("%d faults, %d broken sessions, outcomes %v, %d commits", len(w.events), w.brokenSessions.Load(), w.outcomes.Codes(), len(w.Group.Log()))
+	w.finish()
 }
 
 func (w *soakRun) allReady() bool {
@@ -250,6 +315,8 @@
 // recordEvent adds an event with the current time.
 func (w *soakRun) recordEvent(format string, args ...any) {
 	event := fmt.Sprintf(format, args...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.events = append(w.events, fmt.Sprintf("%6.2f s  %s", time.Since(w.start).Seconds(), event))
 }
 
@@ -264,12 +331,12 @@
 	duration := time.Duration(200+w.rng.IntN(1800)) * time.Millisecond
 	switch w.rng.IntN(16) {
 	case 0, 1:
-		w.disturbLink(w.upstreams[id], "upstream "+id, duration)
+		w.disturbLink(w.upstream(id), "upstream "+id, duration)
 	case 2:
 		w.disturbLink(w.store, "store", duration)
 	case 3:
 		w.recordEvent("connections to upstream %s reset", id)
-		w.upstreams[id].reset()
+		w.upstream(id).reset()
 	case 4:
 		w.pauseVM(v, duration)
 	case 5:
@@ -362,7 +429,7 @@
 	w.recordEvent("upstream %s down for %s", id, d)
 	s := w.Group.Server(id)
 	s.Stop()
-	w.upstreams[id].reset()
+	w.upstream(id).reset()
 	time.Sleep(d)
 	if err := s.Start(); err != nil {
 		w.t.Error(err)
@@ -400,7 +467,7 @@
 	time.Sleep(time.Second)
 	w.Store.Restore(c)
 	w.Store.Down.Store(false)
-	for id := range w.upstreams {
+	for _, id := range w.Group.Servers() {
 		w.Register(id, "ready")
 	}
 }
@@ -408,8 +475,8 @@
 // endFaults ends all faults that are still in effect.
 func (w *soakRun) endFaults() {
 	w.recordEvent("healed")
-	for id, k := range w.upstreams {
-		k.setMode(pass)
+	for _, id := range w.Group.Servers() {
+		w.upstream(id).setMode(pass)
 		w.Group.Server(id).SetReceiveStopped(false)
 		w.Group.Server(id).LoseAnswers(0)
 	}
@@ -420,6 +487,7 @@
 	w.Store.Down.Store(false)
 	w.Store.LoseAnswers.Store(0)
 	w.Store.LatePromotions.Store(0)
+	w.Group.SetLateness(linegroup.Lateness{})
 }
 
 // checkRecovery checks that all VMs become ready, that writes succeed, and that every
--- a/test/soak/vm_test.go
+++ b/test/soak/vm_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +30,10 @@
 
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// mu is held while the process is killed and restarted by an event in the background.
+	mu sync.Mutex
+	// pid is the id of the last process that was started, 0 before.
+	pid atomic.Int64
 }
 
 // gracePeriod is the setting grace: the time from SIGTERM until a VM has to have
@@ -89,6 +95,7 @@
 	}
 	exited := make(chan struct{})
 	v.cmd, v.exited = cmd, exited
+	v.pid.Store(int64(cmd.Process.Pid))
 	go func() {
 		err := cmd.Wait()
 		_, _ = fmt.Fprintf(out, "process ended: %v (%v)\n", cmd.ProcessState, err)
--- /dev/null
+++ b/test/soak/window_test.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+)
+
+// promoteDelay is the time between the call for a promotion and its effect in these tests.
+const promoteDelay = time.Second
+
+// roleReportInterval is how long a change of an upstream's role may go unreported.
+const roleReportInterval = 20 * time.Millisecond
+
+// daemon returns the path of the daemon to run.
+func daemon(t *testing.T) string {
+	if binary := os.Getenv("SOAK_BINARY"); binary != "" {
+		return binary
+	}
+	return buildDaemon(t)
+}
+
+// platformGroup returns the options of a group that changes its primary as the platform does.
+func platformGroup(seed uint64) linegroup.Options {
+	return linegroup.Options{
+		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond, PromoteDelay: promoteDelay, Seed: seed,
+	}
+}
+
+// newPlatformRun is newRun with a group whose upstreams report changes of their roles.
+func newPlatformRun(t *testing.T, binary string, seed uint64, o linegroup.Options) *soakRun {
+	w := newRun(t, binary, seed, o)
+	w.wg.Go(func() {
+		for !w.stopping.Load() {
+			w.ReportRoles()
+			time.Sleep(roleReportInterval)
+		}
+	})
+	return w
+}
+
+// cutServer cuts an upstream off from VMs and from the other servers, until restore is called.
+// A server that joins meanwhile is not cut off from it.
+func (w *soakRun) cutServer(id string, vms []int) (restore func()) {
+	var others []string
+	for _, other := range w.Group.Servers() {
+		if other != id {
+			others = append(others, other)
+			w.Group.SetPathCut(id, other, true)
+		}
+	}
+	restoreLink := w.upstream(id).cut(vms)
+	return func() {
+		for _, other := range others {
+			w.Group.SetPathCut(id, other, false)
+		}
+		restoreLink()
+	}
+}
+
+// join adds a replica, and registers it after d.
+func (w *soakRun) join(id, zone string, d time.Duration) {
+	if _, err := w.Group.Add(id, zone); err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.addLink(id)
+	w.undoAfter(d, func() { w.Register(id, "ready") })
+}
+
+// awaitWrites waits until n further writes have succeeded.
+func (w *soakRun) awaitWrites(what string, n int) {
+	w.t.Helper()
+	served := w.outcomes.Count("")
+	w.WaitFor(what, func() bool { return w.outcomes.Count("") >= served+n })
+}
+
+const (
+	// windowDelay is longer than a second, after which VMs read the list of upstreams again:
+	// they pass a commit on once they have read that of the replica that has joined.
+	windowDelay = 1200 * time.Millisecond
+	// windowRounds is how often the script of the window runs.
+	windowRounds = 3
+)
+
+// Guards against commits that are lost between the call for a promotion and its effect: a cut
+// primary is back before its successor leads, and acknowledges commits through a replica that has
+// joined after the others were fenced.
+func TestNoCommitIsLostBetweenThePromotionCallAndItsEffect(t *testing.T) {
+	o := platformGroup(1)
+	o.PromoteDelay = windowDelay
+	w := newPlatformRun(t, daemon(t), 1, o)
+	w.startCallers()
+	for round := range windowRounds {
+		w.awaitWrites("writes", 200)
+		time.Sleep(2 * time.Second)
+		w.cutPrimaryUntilCall(fmt.Sprint("d", round))
+		if w.Lost() > 0 {
+			t.Logf("lost in round %d of %d", round+1, windowRounds)
+			break
+		}
+	}
+	w.finish()
+}
+
+// cutPrimaryUntilCall cuts the primary off until its successor is called, lets the replica id
+// join then, and waits until the successor serves.
+func (w *soakRun) cutPrimaryUntilCall(id string) {
+	w.t.Helper()
+	old := w.Group.Primary()
+	w.recordEvent("upstream %s is cut off", old)
+	restore := w.cutServer(old, w.allVMs())
+	w.WaitFor("a promotion call", func() bool { return len(w.Group.PendingPromotions()) > 0 })
+	w.recordEvent("promotion of %v called; upstream %s is back, %s joins", w.Group.PendingPromotions(), old, id)
+	restore()
+	w.join(id, w.Group.Server(old).Zone(), 0)
+	w.WaitFor("another primary", func() bool { return w.Group.Primary() != old && w.Group.Primary() != "" })
+	promotions := w.Group.Promotions()
+	last := &promotions[len(promotions)-1]
+	w.recordEvent("upstream %s leads with %d commits, %d are discarded", last.ID, last.Kept, len(last.Discarded))
+	w.awaitWrites("writes after the change", 50)
+}
+
+// Guards against commits that only a leaving replica has received: the replica ends, the primary
+// crashes, its entry lapses, and another upstream is promoted before the primary is back with
+// its log.
+func TestNoCommitIsLostWithALeavingReplicaAndACrash(t *testing.T) {
+	w := newPlatformRun(t, daemon(t), 1, platformGroup(1))
+	w.startCallers()
+	w.awaitWrites("writes", 200)
+	w.recordEvent("c leaves, d joins")
+	w.Register("c", "draining")
+	w.join("d", "zone-c", 300*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	w.recordEvent("b and d receive nothing")
+	w.setReceiveStopped(true, "b", "d")
+	time.Sleep(900 * time.Millisecond)
+	w.recordEvent("a crashes")
+	a := w.Group.Server("a")
+	a.Stop()
+	time.Sleep(300 * time.Millisecond)
+	w.recordEvent("c ends")
+	w.Group.Remove("c")
+	w.Deregister("c")
+	time.Sleep(3 * time.Second)
+	w.recordEvent("the entry of a lapses")
+	w.Deregister("a")
+	time.Sleep(6 * time.Second)
+	w.recordEvent("a is back")
+	if err := a.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Register("a", "ready")
+	w.setReceiveStopped(false, "b", "d")
+	w.awaitWrites("writes after the crash", 50)
+	w.finish()
+}
+
+// setReceiveStopped keeps replicas from receiving commits, or no longer.
+func (w *soakRun) setReceiveStopped(stopped bool, ids ...string) {
+	for _, id := range ids {
+		if s := w.Group.Server(id); s != nil {
+			s.SetReceiveStopped(stopped)
+		}
+	}
+}
