--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 //   - SOAK_SEED=7 runs seed 7 in place of these.
 //   - SOAK_SEEDS=50 runs 50 further seeds, from 2 on.
 //   - SOAK_VMS sets the number of daemons.
+//   - SOAK_SERIES sets the number of series in each run of TestSoakSeries.
 //   - SOAK_BINARY is the path of a daemon that is already built.
 //   - SOAK_KEEP is a directory to which the logs of a failed run are copied.
 package soak
