--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -641,10 +641,15 @@
 	if m.violated == 0 && m.progressed*20 < m.runs*19 {
 		t.Errorf("commits were passed on at the end of only %d of %d scenarios", m.progressed, m.runs)
 	}
+	shown := 0
 	for seed := from; seed <= to; seed++ {
 		if m.violations[fmt.Sprint("seed ", seed)] == 0 {
 			continue
 		}
+		if shown++; shown > 30 {
+			t.Errorf("seed %d as well", seed)
+			continue
+		}
 		least := randomMemberScenario(seed).shrink(func(r *memberRun) bool { return r.violation != "" })
 		r := newMemberRun(least)
 		if os.Getenv("MEMBERMODEL_TRACE") != "" {
