Member model: late answers to commands; a late call for a restarted upstream is left out

An upstream for which a promotion call is under way does not lose its log, since no rule could make up for that.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -160,12 +160,28 @@
 		r.failed(vm, u)
 	case mode == replyLost:
 		r.executeCommand(u, k, term)
+	case r.s.replySteps > 0:
+		r.executeCommand(u, k, term)
+		r.replyLate(vm, u)
 	default:
 		r.executeCommand(u, k, term)
 		r.query(vm, id)
 	}
 }
 
+// replyLate passes the status of an upstream on to the lease holder replySteps later.
+func (r *memberRun) replyLate(vm *simVM, u *simUpstream) {
+	status, sentAt, incarnation := r.status(u), r.now(), u.incarnation
+	vm.inFlight[u.id] = r.step + r.s.replySteps
+	r.later(r.s.replySteps, func() {
+		if !r.reaches(vm, u) || u.incarnation != incarnation {
+			r.failed(vm, u)
+			return
+		}
+		r.apply(vm, &replicaset.Event{Kind: replicaset.EventStatus, Upstream: u.id, SentAt: sentAt, Status: status})
+	})
+}
+
 func (r *memberRun) executeCommand(u *simUpstream, k CommandKind, term uint64) {
 	if !u.alive {
 		return
@@ -207,7 +223,9 @@
 		r.later(callTimeoutSteps, unknown)
 	case delayed:
 		r.later(callTimeoutSteps, unknown)
+		r.lateCalls[e.Upstream]++
 		r.later(r.s.lateSteps, func() {
+			r.lateCalls[e.Upstream]--
 			r.tracef("late: call for %s, token %d", e.Upstream, e.Token)
 			r.executeCall(&e)
 		})
