--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -44,11 +44,19 @@
 }
 
 // Confirmation tells a VM that Upstream is the primary of Term, and that no other
-// upstream becomes the primary for ConfirmationTTL from when the VM asked.
+// upstream becomes the primary for ConfirmationTTL from when the VM asked. With a Successor, that one
+// may become the primary, and no other one is chosen for that time.
 type Confirmation struct {
-	Service  catalog.Service
-	Upstream model.UpstreamID
-	Term     uint64
+	Service   catalog.Service
+	Upstream  model.UpstreamID
+	Term      uint64
+	Successor model.UpstreamID
+}
+
+// promise is a Confirmation with a successor that a VM holds.
+type promise struct {
+	successor model.UpstreamID
+	until     model.Time
 }
 
 // Confirm returns the confirmations for a VM that asks now, and keeps the promise in
@@ -64,8 +72,13 @@
 		if svc.confirmable.Upstream == "" {
 			continue
 		}
-		svc.confirmedUntil[vm] = now.Add(ConfirmationTTL + confirmationMargin)
-		svc.lastConfirmedAt = now
+		until := now.Add(ConfirmationTTL + confirmationMargin)
+		if svc.confirmable.Successor != "" {
+			svc.promises[vm] = promise{successor: svc.confirmable.Successor, until: until}
+		} else {
+			svc.confirmedUntil[vm] = until
+			svc.lastConfirmedAt = now
+		}
 		list = append(list, svc.confirmable)
 	}
 	return list
@@ -85,10 +98,16 @@
 // tick at sentAt. Vouchers that it has given end within vouched.
 func (s *State) ReportWithdrawn(now model.Time, name catalog.Service, vm model.VMID, sentAt model.Time, vouched time.Duration) {
 	svc := s.services[name]
-	if svc == nil || svc.transition == nil || svc.transition.phase != phaseFence || sentAt < svc.transition.startedAt {
+	if svc == nil || svc.transition == nil || svc.transition.phase != phaseFence {
+		return
+	}
+	if since := svc.transition.withdrawingSince; since == 0 || sentAt < since {
 		return
 	}
 	delete(svc.confirmedUntil, vm)
+	if p, found := svc.promises[vm]; found && p.successor != svc.transition.successor() {
+		delete(svc.promises, vm)
+	}
 	if _, found := svc.transition.withdrawn[vm]; !found {
 		svc.transition.withdrawn[vm] = now.Add(vouched + confirmationMargin)
 		svc.transition.withdrawnAt = now
@@ -97,23 +116,46 @@
 
 // updateConfirmable decides whether the primary of a service can be confirmed: it is
 // neither suspected nor being changed, and no promotion call can still change it. In a
-// switchover it is confirmed until VMs are told to drop it.
+// switchover it is confirmed until VMs are told to drop it, and from then on with its successor.
 func (s *State) updateConfirmable(now model.Time, svc *serviceState, v *replicaset.View, in *Input) {
 	svc.confirmable = Confirmation{}
 	primary := findMember(v, v.Primary)
-	if primary == nil || v.PrimaryTerm == 0 || svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
+	if primary == nil || v.PrimaryTerm == 0 {
 		return
 	}
-	if t := svc.transition; t != nil && t.phase != phaseUnfence && (t.phase != phaseFence || t.withdrawingSince != 0) {
+	if primary.FailedSince != 0 && now.Sub(max(primary.ContactAt, in.PeerContact(primary.ID))) > suspectedContactAge {
 		return
 	}
-	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
+	c := Confirmation{Service: svc.name, Upstream: v.Primary, Term: v.PrimaryTerm}
+	if t := svc.transition; t != nil && t.phase != phaseUnfence && (t.phase != phaseFence || t.withdrawingSince != 0 || t.cause == causeUnfinished) {
+		c.Successor = t.successor()
+		target := findMember(v, c.Successor)
+		if target != nil && target.FailedSince == 0 && target.Status.FencedTerm == 0 && c.Upstream == t.oldPrimary && svc.onlyCallsFor(now, c.Successor) {
+			svc.confirmable = c
+		}
 		return
 	}
-	if primary.FailedSince != 0 && now.Sub(max(primary.ContactAt, in.PeerContact(primary.ID))) > suspectedContactAge {
+	if svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
+		return
+	}
+	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
 		return
 	}
-	svc.confirmable = Confirmation{Service: svc.name, Upstream: v.Primary, Term: v.PrimaryTerm}
+	svc.confirmable = c
+}
+
+// successor returns the upstream that alone may follow the old primary in this transition: the target
+// of a switchover, which receives all commits until then. It is empty in a failover.
+func (t *transition) successor() model.UpstreamID {
+	if !t.planned {
+		return ""
+	}
+	return t.target
+}
+
+// onlyCallsFor reports whether no promotion call for another upstream than id may still be executed.
+func (svc *serviceState) onlyCallsFor(now model.Time, id model.UpstreamID) bool {
+	return now >= svc.unknownUntil && len(svc.lateTargets(now, id)) == 0 && (!svc.callPending || svc.record.Upstream == id)
 }
 
 // confirmationsEnded reports whether no VM holds a confirmation of the primary any
@@ -128,6 +170,11 @@
 			return false
 		}
 	}
+	for _, p := range svc.promises {
+		if now < p.until && p.successor != svc.transition.successor() {
+			return false
+		}
+	}
 	return svc.transition.vouchersEnded(now, in) || now >= max(s.acquiredAt, svc.lastConfirmedAt).Add(abandonedVouchPeriod)
 }
 
@@ -161,10 +208,15 @@
 			vms = append(vms, vm)
 		}
 	}
+	for vm, p := range svc.promises {
+		if now < p.until && p.successor != svc.transition.successor() && !slices.Contains(vms, vm) {
+			vms = append(vms, vm)
+		}
+	}
 	slices.Sort(vms)
 	for _, vm := range vms {
 		if _, withdrawn := svc.transition.withdrawn[vm]; !withdrawn {
-			out = append(out, Effect{Kind: EffectWithdraw, Service: svc.name, VM: vm, SentAt: now})
+			out = append(out, Effect{Kind: EffectWithdraw, Service: svc.name, Upstream: svc.transition.successor(), VM: vm, SentAt: now})
 		}
 	}
 	return out
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -262,6 +262,10 @@
 func (c *modelCluster) usePrimary() {
 	if c.step%3 == 1 && !c.vmCut() {
 		for _, confirmed := range c.holder.Confirm(c.now(), modelVM) {
+			if confirmed.Successor != "" {
+				// The VM may not read from this primary.
+				continue
+			}
 			c.vm, c.vmAskedAt = confirmed, c.now()
 		}
 	}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -68,8 +68,10 @@
 	unknownUntil model.Time
 	// confirmable is the primary that VMs may use, empty if none is confirmed.
 	// confirmedUntil has the time until which each VM may use it.
+	// promises has those with a successor.
 	confirmable    Confirmation
 	confirmedUntil map[model.VMID]model.Time
+	promises       map[model.VMID]promise
 	// lastConfirmedAt is when this holder last confirmed the primary to a VM, and
 	// withdrawSentAt when it last told VMs that the primary is no longer confirmed.
 	lastConfirmedAt model.Time
@@ -79,7 +81,8 @@
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
 	svc := &serviceState{
 		name: name, knownSince: now, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
-		record: s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{}, unknownUntil: s.unknownUntil,
+		promises: map[model.VMID]promise{},
+		record:   s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{}, unknownUntil: s.unknownUntil,
 	}
 	for _, id := range svc.record.Late {
 		s.recordLateCall(now, svc, id)
@@ -227,9 +230,10 @@
 	if cause == "" {
 		return svc.releaseOrphanedFences(now, v, out)
 	}
-	t := &transition{withdrawn: map[model.VMID]model.Time{}, planned: planned, cause: cause, startedAt: now, phase: phaseFence, oldPrimary: v.Primary, fenceTerm: highestTerm(v) + 1, aliveAt: svc.primaryAliveAt}
-	for i := range v.Members {
-		t.initialMembers = append(t.initialMembers, v.Members[i].ID)
+	t := &transition{
+		planned: planned, cause: cause, startedAt: now, attemptAt: now, phase: phaseFence,
+		oldPrimary: v.Primary, oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, aliveAt: svc.primaryAliveAt,
+		withdrawn: map[model.VMID]model.Time{}, members: map[model.UpstreamID]bool{}, heard: map[model.UpstreamID]model.Position{},
 	}
 	if planned && !t.selectSwitchoverTarget(now, svc, v, in) {
 		return out
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -20,19 +20,25 @@
 // transition is a change of one service's primary.
 type transition struct {
 	// planned is true for a switchover and false for a failover.
-	planned        bool
-	cause          string
-	startedAt      model.Time
+	planned   bool
+	cause     string
+	startedAt model.Time
+	// attemptAt is when the present attempt to find a target started.
+	attemptAt      model.Time
 	phase          phase
 	phaseStartedAt model.Time
 	// oldPrimary is the primary at the start, empty if none was known.
 	oldPrimary model.UpstreamID
-	// initialMembers are the upstreams of the service at the start.
-	initialMembers []model.UpstreamID
+	// oldTerm is the term of the old primary.
+	oldTerm uint64
+	// members are the upstreams that were known at the start or since.
+	members map[model.UpstreamID]bool
 	// fenceTerm is the term for which upstreams are fenced; it is higher than
 	// all terms known before.
 	fenceTerm uint64
 	target    model.UpstreamID
+	// targetReceived is what the target had received when it was selected.
+	targetReceived model.Position
 	// withdrawn are the VMs that have dropped the primary during this transition, with
 	// the time at which the vouchers that they gave end.
 	withdrawn map[model.VMID]model.Time
@@ -46,6 +52,12 @@
 	// oldPrimaryLost is true while neither this VM nor a peer reaches it.
 	steppedDownAt  model.Time
 	oldPrimaryLost bool
+	// promisesEndedAt is when the last promise of the old primary had ended, 0 before. VMs pass no
+	// commit on from then on.
+	promisesEndedAt model.Time
+	// heard has the log position of each upstream that has answered a status query sent since
+	// VMs pass no commit on. Its log has no other commit that a VM has passed on.
+	heard map[model.UpstreamID]model.Position
 	// aliveAt is when the old primary, or the last known one if there was none at the start,
 	// last answered this VM or a peer as the primary, 0 if never.
 	aliveAt model.Time
@@ -143,6 +155,17 @@
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
 	t.observeOldPrimary(now, v, in)
+	if t.planned && t.oldPrimaryLost {
+		// Its log cannot be compared any more, and promises that name the target have to end.
+		t.planned, t.withdrawingSince, t.promisesEndedAt = false, 0, 0
+		t.withdrawn, svc.withdrawSentAt = map[model.VMID]model.Time{}, 0
+		clear(t.heard)
+		t.enterPhase(now, phaseFence)
+	}
+	if t.withdrawingSince != 0 && t.promisesEndedAt == 0 && s.confirmationsEnded(now, svc, in) {
+		t.promisesEndedAt = now
+	}
+	t.hear(now, svc, v)
 	target := t.selectTarget(now, v, in, svc)
 	// A primary that is to be switched over serves until the target has caught up.
 	if t.withdrawingSince == 0 && (!t.planned || target != nil) {
@@ -151,13 +174,10 @@
 	if t.withdrawingSince != 0 {
 		out = svc.withdraw(now, in, out)
 	}
-	// Only if no call is pending, the old primary is certain to be the one that was
-	// confirmed.
-	steppedDown := !svc.uncertain(now) && t.oldPrimarySteppedDown(v)
-	if target == nil || svc.otherCallPossible(now, target.ID, in) || !steppedDown && !s.confirmationsEnded(now, svc, in) {
+	if target == nil || svc.otherCallPossible(now, target.ID, in) || t.frozenSince(now, svc) == 0 {
 		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
-	t.target, t.token = target.ID, s.token()
+	t.target, t.targetReceived, t.token = target.ID, target.Status.Received, s.token()
 	t.accepted, t.refused = false, false
 	t.enterPhase(now, phasePromote)
 	out = append(out, Effect{
@@ -167,15 +187,47 @@
 	return s.callPromote(now, svc, v, out)
 }
 
+// frozenSince returns the time since which VMs pass no commit on: the last promise of the old
+// primary has ended, or it has stepped down; 0 before. Only if no call is pending, the old primary
+// is certain to be the one that was promised.
+func (t *transition) frozenSince(now model.Time, svc *serviceState) model.Time {
+	if t.steppedDownAt != 0 && !svc.uncertain(now) && (t.promisesEndedAt == 0 || t.steppedDownAt < t.promisesEndedAt) {
+		return t.steppedDownAt
+	}
+	return t.promisesEndedAt
+}
+
+// hear records what upstreams have answered since VMs pass no commit on.
+func (t *transition) hear(now model.Time, svc *serviceState, v *replicaset.View) {
+	since := t.frozenSince(now, svc)
+	for i := range v.Members {
+		m := &v.Members[i]
+		t.members[m.ID] = true
+		if since != 0 && m.StatusAt >= since {
+			t.heard[m.ID] = m.Status.Received
+		}
+	}
+}
+
+// outreached reports whether an upstream that does not answer, or is not known any more, has
+// answered since VMs pass no commit on, and best has all that it had received.
+func (t *transition) outreached(id model.UpstreamID, best *replicaset.Member) bool {
+	received, found := t.heard[id]
+	return found && best != nil && best.Status.Received.Compare(received) >= 0
+}
+
 // primaryIsBack reports whether the primary whose loss is the cause of the transition answers
-// again, so that no other one is needed.
+// again, so that no other one is needed. After a crash it may come back under another ID.
 func (svc *serviceState) primaryIsBack(now model.Time, v *replicaset.View) bool {
 	t := svc.transition
 	if t.planned || t.cause == causeStalled || t.cause == causeUnfinished || svc.callPending {
 		return false
 	}
-	m := findMember(v, t.oldPrimary)
-	return m != nil && v.Primary == t.oldPrimary && reachable(now, m) && m.ContactAt > t.startedAt
+	m := findMember(v, v.Primary)
+	if m == nil || !reachable(now, m) || m.ContactAt <= t.startedAt {
+		return false
+	}
+	return m.ID == t.oldPrimary || m.Status.Primary && m.StatusAt > t.startedAt
 }
 
 // callPromote calls the platform to promote the target of the transition.
@@ -207,7 +259,7 @@
 // transition that it is a replica.
 func (t *transition) oldPrimarySteppedDown(v *replicaset.View) bool {
 	m := findMember(v, t.oldPrimary)
-	return m != nil && !m.Status.Primary && m.StatusAt >= t.startedAt && m.Status.Term != 0
+	return m != nil && !m.Status.Primary && m.StatusAt >= t.attemptAt && m.Status.Term != 0
 }
 
 // observeOldPrimary records whether the old primary may still acknowledge commits.
@@ -222,7 +274,7 @@
 	case primaryLost(now, m, in):
 		t.oldPrimaryLost = true
 	}
-	switch isReplica := !m.Status.Primary && m.StatusAt >= t.startedAt; {
+	switch isReplica := !m.Status.Primary && m.StatusAt >= t.attemptAt; {
 	case !isReplica:
 		t.steppedDownAt = 0
 		t.aliveAt = max(t.aliveAt, m.ContactAt, in.PeerContact(m.ID))
@@ -255,6 +307,7 @@
 // still runs.
 func (svc *serviceState) fenceReplicas(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
+	frozenSince := t.frozenSince(now, svc)
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
@@ -266,8 +319,16 @@
 			out = svc.sendCommand(now, c.ID, CommandResume, c.Status.FencedTerm, commandRetryInterval, out)
 		case t.planned && (c.ID == t.target || c.ID == t.oldPrimary):
 			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
+		case !t.planned && c.Status.Primary && c.FailedSince == 0:
+			// The old primary has come back under another ID.
+			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
+		case !t.planned && frozenSince == 0:
+			// Commits that VMs still pass on would be acknowledged through replicas that are not
+			// listed, if the listed ones were fenced.
 		case c.Status.FencedTerm < t.fenceTerm:
 			out = svc.sendCommand(now, c.ID, CommandPause, t.fenceTerm, commandRetryInterval, out)
+		case !t.planned && (c.StatusAt < max(frozenSince, t.attemptAt) || now.Sub(c.StatusAt) > targetStatusRefreshAge):
+			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
 		}
 	}
 	return out
@@ -276,7 +337,7 @@
 // fenced reports whether a replica has confirmed during this transition that it is
 // fenced.
 func (t *transition) fenced(c *replicaset.Member) bool {
-	return c.Status.FencedTerm >= t.fenceTerm && c.StatusAt >= t.startedAt
+	return c.Status.FencedTerm >= t.fenceTerm && c.StatusAt >= t.attemptAt
 }
 
 // selectTarget returns the upstream to promote, or nil while none is safe. The list of
@@ -288,7 +349,7 @@
 	case v.ListedAt < t.phaseStartedAt:
 		return nil
 	case t.planned:
-		return t.switchoverTarget(v)
+		return t.switchoverTarget(v, t.frozenSince(now, svc))
 	}
 	return t.failoverTarget(now, v, in, svc)
 }
@@ -296,11 +357,11 @@
 // switchoverTarget returns the target once all other replicas are fenced and the
 // target has received everything that they and the old primary have, otherwise nil. A
 // replica that has not registered yet may have received commits that the known ones lack;
-// only the old primary's log shows that. In an incomplete group a replica that has gone may
-// be the only one that had received a commit.
-func (t *transition) switchoverTarget(v *replicaset.View) *replicaset.Member {
+// only the old primary's log shows that, as it is since VMs pass no commit on. In an incomplete group
+// a replica that has gone may be the only one that had received a commit.
+func (t *transition) switchoverTarget(v *replicaset.View, frozenSince model.Time) *replicaset.Member {
 	target := findMember(v, t.target)
-	if target == nil || v.Incomplete || target.StatusAt < t.startedAt {
+	if target == nil || v.Incomplete || target.StatusAt < t.attemptAt {
 		return nil
 	}
 	for i := range v.Members {
@@ -312,9 +373,7 @@
 			if !t.fenced(c) {
 				return nil
 			}
-		case t.oldPrimaryLost:
-			continue
-		case c.StatusAt < t.startedAt:
+		case c.StatusAt < max(t.attemptAt, frozenSince):
 			return nil
 		}
 		if target.Status.Received.Compare(c.Status.Received) < 0 {
@@ -329,15 +388,19 @@
 // no upstream is certain to: a replica that has not registered yet counts for
 // acknowledgements and is not fenced.
 func (t *transition) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
-	best := t.mostAdvancedFenced(v, in, svc)
+	frozenSince := t.frozenSince(now, svc)
+	if frozenSince == 0 {
+		return nil
+	}
+	best := t.mostAdvancedFenced(now, v, in, svc, frozenSince)
 	oldPrimary := findMember(v, t.oldPrimary)
-	fences := t.fencing(v, best, in, svc)
+	fences := t.fencing(v, best, in, svc, frozenSince)
 	switch {
-	case t.steppedDownAt != 0 && t.oldPrimarySteppedDown(v) && hasLog(oldPrimary, in, svc):
+	case t.steppedDownAt != 0 && t.oldPrimarySteppedDown(v) && oldPrimary.Status.Term <= t.oldTerm && hasLog(oldPrimary, in, svc):
 		return t.targetAfterStepDown(v, best, oldPrimary, fences)
 	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
 		return nil
-	case v.ListedAt < t.aliveAt.Add(registrationTimeout):
+	case v.ListedAt < max(frozenSince, t.aliveAt.Add(registrationTimeout)):
 		// A replica that had started before the old primary was lost may be missing.
 		return nil
 	case fences == fencesComplete && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
@@ -378,15 +441,16 @@
 )
 
 // fencing returns how far the fencing of the replicas is. best is the most advanced fenced one.
-func (t *transition) fencing(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState) fenceState {
+func (t *transition) fencing(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState, frozenSince model.Time) fenceState {
 	state := fencesComplete
-	if !t.allPresent(v) {
+	if !t.allAccountedFor(v, best) {
 		state = fencesImpossible
 	}
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
-		case c.ID == t.oldPrimary || t.fenced(c) || t.stoppedBeforeEvidence(c, best, in, svc):
+		case c.ID == t.oldPrimary || t.stoppedBeforeEvidence(c, best, in, svc):
+		case t.outreached(c.ID, best) && (t.fenced(c) && c.StatusAt >= frozenSince || c.FailedSince != 0):
 		case c.FailedSince == 0:
 			return fencesPending
 		default:
@@ -403,11 +467,12 @@
 	return !ok || m.Status.Received.Compare(e.Position) >= 0
 }
 
-// allPresent reports whether all initial members are still known. An upstream that
-// has been removed since may have received commits until then.
-func (t *transition) allPresent(v *replicaset.View) bool {
-	for _, id := range t.initialMembers {
-		if findMember(v, id) == nil {
+// allAccountedFor reports whether all upstreams that were known during the transition are still
+// known, or have nothing that best lacks. One that has been removed may have received commits until
+// then.
+func (t *transition) allAccountedFor(v *replicaset.View, best *replicaset.Member) bool {
+	for id := range t.members {
+		if id != t.oldPrimary && findMember(v, id) == nil && !t.outreached(id, best) {
 			return false
 		}
 	}
@@ -417,12 +482,12 @@
 // hasAllCommits reports whether best, the most advanced fenced replica, has every
 // acknowledged commit. If another replica has disappeared, commits may have been
 // acknowledged by that one only. best must then reach the position of the newest
-// evidence of the primary's log, and that has to be from after the disappearance. This is
-// not required if the old primary is gone as well, because no remaining upstream has a
-// longer log than best. If this VM saw no replica go, it waits for at most
+// evidence of the primary's log, and that has to be from after the disappearance. If the old
+// primary is gone as well, it may still come back with its log, for at most
+// formerPrimaryTimeout. If this VM saw no replica go, it waits for at most
 // unknownDepartureTimeout, and not at all without evidence.
 func (t *transition) hasAllCommits(now model.Time, best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
-	if !v.Incomplete || oldPrimary == nil {
+	if !v.Incomplete || oldPrimary == nil && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout {
 		return true
 	}
 	e, ok := in.Evidence(svc.name)
@@ -438,7 +503,7 @@
 // mostAdvancedFenced returns the fenced replica with the highest received position,
 // or nil if none is fenced. Among equals it prefers the target of a promotion call that
 // is still pending, then one that stays in service.
-func (t *transition) mostAdvancedFenced(v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+func (t *transition) mostAdvancedFenced(now model.Time, v *replicaset.View, in *Input, svc *serviceState, frozenSince model.Time) *replicaset.Member {
 	var best *replicaset.Member
 	preference := func(c *replicaset.Member) int {
 		switch {
@@ -451,7 +516,7 @@
 	}
 	for i := range v.Members {
 		c := &v.Members[i]
-		if c.ID == t.oldPrimary || !t.fenced(c) {
+		if c.ID == t.oldPrimary || !t.fenced(c) || c.StatusAt < frozenSince || c.FailedSince != 0 || now.Sub(c.StatusAt) > targetStatusMaxAge {
 			continue
 		}
 		if best == nil {
@@ -483,7 +548,7 @@
 func (s *State) promote(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
 	t := svc.transition
 	target := findMember(v, t.target)
-	if v.Primary == t.target && target.Status.Primary && target.StatusAt >= t.phaseStartedAt {
+	if svc.targetLeads(v, target) {
 		out = append(out, Effect{
 			Kind: EffectTargetLeads, Service: svc.name, Upstream: t.target, Term: v.PrimaryTerm, Cause: t.cause,
 			Position: target.Status.Received, Elapsed: now.Sub(t.phaseStartedAt), Group: s.report(now, svc, v, in),
@@ -491,7 +556,7 @@
 		t.enterPhase(now, phaseUnfence)
 		return svc.unfence(now, v, svc.recordPrimary(now, v, out))
 	}
-	if target == nil || t.refused || now.Sub(t.phaseStartedAt) > promoteTimeout {
+	if target == nil || t.refused || t.targetLostLog(target) || now.Sub(t.phaseStartedAt) > promoteTimeout {
 		// The next attempt uses a higher fencing token, so that this call can
 		// no longer be executed after it if the platform checks tokens.
 		t.fenceTerm = highestTerm(v) + 1
@@ -501,15 +566,44 @@
 		if t.planned {
 			return svc.endTransition(now, "the promotion was refused", true, out)
 		}
-		t.enterPhase(now, phaseFence)
+		svc.startOver(now, v)
 		return append(out, Effect{Kind: EffectListNeeded, Service: svc.name})
 	}
-	if !t.accepted && now.Sub(t.promoteSentAt) > promoteRetryInterval {
+	// A target that has not answered since the last call may have restarted without its log.
+	if !t.accepted && now.Sub(t.promoteSentAt) > promoteRetryInterval && target.FailedSince == 0 && target.StatusAt >= t.promoteSentAt {
 		out = s.callPromote(now, svc, v, out)
 	}
 	return svc.sendCommand(now, t.target, CommandStatus, 0, statusPollInterval, out)
 }
 
+// targetLeads reports whether the target has become the primary, by its own answer or, if it does
+// not answer this VM, by that of another one.
+func (svc *serviceState) targetLeads(v *replicaset.View, target *replicaset.Member) bool {
+	t := svc.transition
+	if target == nil || v.Primary != t.target {
+		return false
+	}
+	return target.Status.Primary && target.StatusAt >= t.phaseStartedAt || target.FailedSince != 0 && v.PrimaryTerm > svc.record.Term
+}
+
+// targetLostLog reports whether the target has restarted without its log since it was selected.
+func (t *transition) targetLostLog(target *replicaset.Member) bool {
+	return target.StatusAt >= t.phaseStartedAt && !target.Status.Primary && target.Status.Received.Compare(t.targetReceived) < 0
+}
+
+// startOver returns a failover to the fencing phase after a promotion call that has not led to a new
+// primary as far as this VM knows. The call may have been carried out all the same, so the old
+// primary and the fences are determined anew.
+func (svc *serviceState) startOver(now model.Time, v *replicaset.View) {
+	t := svc.transition
+	t.enterPhase(now, phaseFence)
+	t.attemptAt, t.steppedDownAt = now, 0
+	if v.PrimaryTerm > t.oldTerm {
+		t.oldPrimary, t.oldTerm, t.oldPrimaryLost = v.Primary, v.PrimaryTerm, false
+		t.aliveAt = svc.primaryAliveAt
+	}
+}
+
 // unfence releases the fences, tells the old primary to step down if it still serves,
 // and ends the transition.
 func (svc *serviceState) unfence(now model.Time, v *replicaset.View, out []Effect) []Effect {
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -65,6 +65,10 @@
 	// before this VM knew the group. It is longer than the entry of a lost primary lasts,
 	// which ends the wait as well.
 	unknownDepartureTimeout = 10 * time.Second
+	// formerPrimaryTimeout is how long a former primary that has lost its entry may take to come
+	// back with commits that the other upstreams are known to lack. It is longer than a crash
+	// that outlasts the entry.
+	formerPrimaryTimeout = 15 * time.Second
 	// fenceTimeout ends a failover that has found no safe target, because not
 	// all upstreams can be fenced.
 	fenceTimeout = 6 * time.Second
@@ -78,6 +82,11 @@
 	// unfenceTimeout ends a transition that cannot release all fences; later
 	// ticks release the rest.
 	unfenceTimeout = 2 * time.Second
+	// targetStatusMaxAge is how old the status of an upstream may be for it to become the target:
+	// it may have restarted without its log since. targetStatusRefreshAge is the age from which on
+	// the status is queried again.
+	targetStatusMaxAge     = 400 * time.Millisecond
+	targetStatusRefreshAge = 150 * time.Millisecond
 	// contactMaxAge is how long an upstream counts as reachable after its last answer.
 	contactMaxAge = 800 * time.Millisecond
 	// registrationTimeout is how long after its start an upstream that reaches the store
@@ -137,8 +146,9 @@
 	// EffectPromote calls the platform to promote Upstream under the fencing
 	// token Token, after Record was written to the store.
 	EffectPromote
-	// EffectWithdraw tells VM that the primary of Service is no longer confirmed; the
-	// answer comes back with State.ReportWithdrawn.
+	// EffectWithdraw tells VM that the primary of Service is no longer confirmed, but with
+	// Upstream as its successor if that is not empty; the answer comes back with
+	// State.ReportWithdrawn.
 	EffectWithdraw
 	// EffectRecord writes Record to the store.
 	EffectRecord
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -119,6 +119,15 @@
 	return rankReplica
 }
 
+// PrimaryID returns the known primary of a service, empty if there is none.
+func (s *State) PrimaryID(service catalog.Service) model.UpstreamID {
+	g := s.groups[service]
+	if g == nil {
+		return ""
+	}
+	return g.primary
+}
+
 // PrimaryGap returns how long a service has had no known primary.
 func (s *State) PrimaryGap(now model.Time, service catalog.Service) time.Duration {
 	g := s.groups[service]
--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -10,6 +10,8 @@
 	term     uint64
 	until    model.Time
 	source   ConfirmationSource
+	// successor is set in promises only; see Event.Successor.
+	successor model.UpstreamID
 }
 
 // ConfirmationSource is what a primary is confirmed by.
@@ -50,6 +52,19 @@
 	return g.confirmed.until, g.confirmed.source
 }
 
+// PromisedUntil returns the time until which the holder of the promotion lease or the vouchers of
+// other VMs have promised that no upstream is chosen to follow the given one, the primary of its
+// service, or none but the successor that the promise names; 0 if there is no promise. A round of
+// status queries confirms a primary for a moment that has passed, and promises nothing: the
+// successor may have been chosen before.
+func (s *State) PromisedUntil(id model.UpstreamID) model.Time {
+	m, g := s.member(id)
+	if m == nil || g.promised.upstream != id || g.promised.term != g.primaryTerm {
+		return 0
+	}
+	return g.promised.until
+}
+
 // applyConfirmed applies a confirmation by the holder of the promotion lease. One
 // that was asked for before the last withdrawal is void.
 func (g *group) applyConfirmed(now model.Time, m *Member, ev *Event) {
@@ -59,19 +74,38 @@
 	if ev.Term > m.steppedDownTerm {
 		g.recordPrimary(now, m, ev.Term)
 	}
-	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until, source: SourceHolder}
+	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until, source: SourceHolder, successor: ev.Successor}
+	g.promise(c)
+	if ev.Successor != "" {
+		// The successor may lead at any time, so neither reads nor vouchers can rely on this.
+		return
+	}
 	if ev.SentAt > g.heardAt {
 		g.heard, g.heardAt = c, ev.SentAt
 	}
 	g.confirm(now, c)
 }
 
-// applyWithdrawn ends the confirmation of the primary. Until the next one, this VM
-// neither vouches nor uses vouchers.
-func (g *group) applyWithdrawn(now model.Time) {
+// applyWithdrawn ends the confirmation of the primary, but for a promise that names the
+// successor. Until the next one, this VM neither vouches nor uses vouchers.
+func (g *group) applyWithdrawn(now model.Time, successor model.UpstreamID) {
 	g.withdrawnAt = now
 	clear(g.vouchers)
 	g.confirmed.until = min(g.confirmed.until, now)
+	if successor == "" || g.promised.successor != successor {
+		g.promised.until = min(g.promised.until, now)
+	}
+}
+
+// promise adds a promise of the holder of the promotion lease or of vouchers.
+func (g *group) promise(c confirmation) {
+	if c.term < g.promised.term {
+		return
+	}
+	if old := g.promised; c.upstream == old.upstream && c.term == old.term && c.successor == old.successor {
+		c.until = max(c.until, old.until)
+	}
+	g.promised = c
 }
 
 // confirm adds a confirmation, unless the primary of a later term is known.
--- a/core/replicaset/evidence.go
+++ b/core/replicaset/evidence.go
@@ -105,12 +105,12 @@
 }
 
 // listCovers returns the time up to which the list has every replica through which commits
-// were passed on that the known ones lack. VMs pass on such commits no longer than
-// CommitProofWindow after the last one that a registered replica has received. Once the list
+// were passed on that the known ones lack, if VMs passed on such commits no longer than
+// lateReceiptWindow after the last one that a registered replica has received. Once the list
 // has the upstreams that had started by then, it covers all times up to its own. While the
 // replicas receive commits, listingDelay is enough.
 func (s *State) listCovers(g *group) model.Time {
-	if s.listedAt >= g.replicaLog.at.Add(CommitProofWindow+RegistrationTimeout) {
+	if s.listedAt >= g.replicaLog.at.Add(lateReceiptWindow+RegistrationTimeout) {
 		return s.listedAt
 	}
 	return max(s.listedAt.Add(-RegistrationTimeout), min(s.listedAt.Add(-listingDelay), g.replicaLog.at))
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -73,6 +73,11 @@
 	// last withdrawal of one.
 	confirmed   confirmation
 	withdrawnAt model.Time
+	// promised is the part of confirmed that the holder of the promotion lease or vouchers stand
+	// for; see State.PromisedUntil.
+	promised confirmation
+	// inherited is the end of the log with which the last known primary began, as far as known.
+	inherited inheritedLog
 	// heard is the last confirmation by a holder of the promotion lease, which was asked
 	// for at heardAt.
 	heard   confirmation
@@ -89,10 +94,6 @@
 	// shortfall is the newest evidence that no replica had reached when all had answered
 	// after this VM had learned of it, and when that was.
 	shortfall logReport
-	// sentCommits are commits of this VM that no replica is known to have received, in the
-	// order of the log. receipt is the newest one that a replica has received.
-	sentCommits []sentCommit
-	receipt     sentCommit
 	// evidenceFromReplicas is true after evidence was derived from the replicas, until
 	// the primary's log is observed again.
 	evidenceFromReplicas bool
@@ -137,7 +138,7 @@
 		s.group(ev.Service).addEvidence(now, evidence{at: ev.SentAt, position: ev.Position, term: ev.Term})
 		return out
 	case EventWithdrawn:
-		s.group(ev.Service).applyWithdrawn(now)
+		s.group(ev.Service).applyWithdrawn(now, ev.Successor)
 		return out
 	}
 	m, g := s.member(ev.Upstream)
@@ -160,7 +161,6 @@
 		g.applyCommitted(now, m, ev)
 	case EventServed:
 		m.recordServed(now, ev.Position)
-		g.recordReceipt(m, ev.Position)
 	case EventNotPrimary:
 		g.recordNotPrimary(now, m)
 	case EventLagging:
@@ -428,7 +428,6 @@
 	switch {
 	case !ev.Status.Primary:
 		g.recordNotPrimary(now, m)
-		g.recordReceipt(m, ev.Status.Received)
 		if p := ev.Status.Received; g.replicaLog.at == 0 || p.Compare(g.replicaLog.position) > 0 {
 			g.replicaLog = logReport{position: p, at: now}
 		}
@@ -439,6 +438,7 @@
 		return
 	}
 	g.recordPrimary(now, m, ev.Status.Term)
+	g.recordInherited(&ev.Status)
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Status.Received, term: ev.Status.Term})
 }
 
@@ -481,7 +481,6 @@
 func (g *group) applyCommitted(now model.Time, m *Member, ev *Event) {
 	m.recordServed(now, ev.Position)
 	g.recordPrimary(now, m, ev.Position.Term.Counter)
-	g.recordSentCommit(m.ID, ev.Position, ev.SentAt)
 	g.observePrimaryLog(now, m, evidence{at: ev.SentAt, position: ev.Position, term: ev.Position.Term.Counter})
 }
 
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -92,13 +92,15 @@
 	EventPrimary
 	// EventConfirmed carries a confirmation by the holder of the promotion lease, in
 	// answer to a question sent at SentAt: Upstream is the primary of Term, and no
-	// other upstream becomes the primary before Until.
+	// other upstream becomes the primary before Until. With a Successor it is only a promise
+	// for commits: no upstream but that one is chosen to become the primary before Until.
 	EventConfirmed
 	// EventVouched carries a voucher of VM, which was asked for at SentAt: Upstream is the
 	// primary of Term until Until.
 	EventVouched
 	// EventWithdrawn reports that the holder of the promotion lease no longer confirms
-	// the primary of Service, because it is about to promote an upstream.
+	// the primary of Service, because it is about to promote an upstream. A promise that names
+	// Successor stays.
 	EventWithdrawn
 	// EventReplaced reports that another upstream answers at Upstream's address,
 	// so Upstream no longer exists.
@@ -114,6 +116,7 @@
 	Kind          EventKind
 	Service       catalog.Service
 	Upstream      model.UpstreamID
+	Successor     model.UpstreamID
 	Registrations []Registration
 	Zones         []model.Zone
 	Status        Status
@@ -240,10 +243,10 @@
 	// listingDelay is the age of a replica from which on lists have it as a rule: new ones
 	// have been seen in a list within 630 ms of their start.
 	listingDelay = 700 * time.Millisecond
-	// CommitProofWindow is how old a commit may be that shows that a registered replica
-	// receives the log of a primary. Commits that no registered replica is known to have
-	// are passed on only then.
-	CommitProofWindow = 500 * time.Millisecond
+	// lateReceiptWindow is how long after the replicas' logs last grew evidence from the replicas
+	// allows for a commit that was passed on and that only a replica has which is not listed yet.
+	// VMs pass none on (see CommitProof), so the evidence is on the safe side.
+	lateReceiptWindow = 500 * time.Millisecond
 	// departureTimeout is how long an upstream that has lost its registration without an
 	// announcement may still run and count for acknowledgements.
 	departureTimeout = time.Minute
--- a/core/replicaset/voucher.go
+++ b/core/replicaset/voucher.go
@@ -101,5 +101,7 @@
 		return
 	}
 	slices.SortFunc(untils, func(a, b model.Time) int { return int(b.Sub(a)) })
-	g.confirm(now, confirmation{upstream: g.heard.upstream, term: g.heard.term, until: untils[needed-1], source: SourceVouchers})
+	c := confirmation{upstream: g.heard.upstream, term: g.heard.term, until: untils[needed-1], source: SourceVouchers}
+	g.promise(c)
+	g.confirm(now, c)
 }
--- a/holderlink/server_test.go
+++ b/holderlink/server_test.go
@@ -28,6 +28,9 @@
 	k.t.Error("a statement was run")
 	return model.Position{}, 0, false
 }
+func (k noUpstreams) ConfirmCommits(p *upstreamrun.Place, since model.Time) bool {
+	return k.ConfirmPrimary(p, since)
+}
 func (k noUpstreams) ConfirmCommit(*upstreamrun.Place, model.Position) bool { return true }
 func (k noUpstreams) ConfirmPrimary(*upstreamrun.Place, model.Time) bool {
 	k.t.Error("a primary was to be confirmed for work that is refused")
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -55,7 +55,7 @@
 func (p *peers) addConfirmations(vm model.VMID, a *vmlinkv1.ObserveResponse) {
 	for _, c := range p.transitions.confirmations(vm) {
 		a.Confirmations = append(a.Confirmations, &vmlinkv1.Confirmation{
-			Service: string(c.Service), Upstream: string(c.Upstream), Term: c.Term,
+			Service: string(c.Service), Upstream: string(c.Upstream), Term: c.Term, Successor: string(c.Successor),
 			ValidUs: uint64(promotion.ConfirmationTTL.Microseconds()),
 		})
 	}
@@ -150,9 +150,9 @@
 // errNoAddress means that the address of a VM is not known.
 var errNoAddress = errors.New("address of the VM not known")
 
-// withdraw tells a VM that the primary of a service is no longer confirmed. It returns
-// for how long vouchers of that VM may still be used.
-func (p *peers) withdraw(ctx context.Context, service catalog.Service, vm model.VMID) (time.Duration, error) {
+// withdraw tells a VM that the primary of a service is no longer confirmed, but for promises that
+// name the successor. It returns for how long vouchers of that VM may still be used.
+func (p *peers) withdraw(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (time.Duration, error) {
 	e, found := p.members.all()[vm]
 	if !found {
 		return 0, errNoAddress
@@ -163,13 +163,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	r, err := vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service)})
+	r, err := vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service), Successor: string(successor)})
 	return age(r.GetVouchedUs()), err
 }
 
 // Withdraw ends the confirmation of a service's primary on this VM.
 func (p *peers) Withdraw(_ context.Context, r *vmlinkv1.WithdrawRequest) (*vmlinkv1.WithdrawResponse, error) {
-	vouched := p.cluster.withdrawConfirmation(catalog.Service(r.GetService()))
+	vouched := p.cluster.withdrawConfirmation(catalog.Service(r.GetService()), model.UpstreamID(r.GetSuccessor()))
+	if r.GetSuccessor() != "" {
+		p.askForPromises()
+	}
 	return &vmlinkv1.WithdrawResponse{VouchedUs: uint64(vouched.Microseconds())}, nil
 }
 
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -92,7 +92,9 @@
 	// isolated is members.isolated, one of the conditions of Isolated. announce is
 	// peers.announce, called when a service gets another primary.
 	isolated func() bool
-	announce func(service catalog.Service, primary model.UpstreamID, term uint64)
+	// askForPromises is peers.askForPromises.
+	askForPromises func()
+	announce       func(service catalog.Service, primary model.UpstreamID, term uint64)
 	// holdersOf returns the holders of an upstream's connections, the first holder
 	// first; forward runs statements there.
 	holdersOf func(zone model.Zone, id model.UpstreamID) []holderVM
--- a/linenode/commitlog.go
+++ b/linenode/commitlog.go
@@ -18,51 +18,17 @@
 	unconfirmedCommits = 50
 )
 
-// proofKind is how a commit is proved.
-type proofKind uint8
-
-// Kinds of proofs.
-const (
-	// proofNone: no proof was found in time.
-	proofNone proofKind = iota
-	// proofNoReplicas: no replica is registered.
-	proofNoReplicas
-	// proofReplica: a registered replica has received the commit.
-	proofReplica
-	// proofCrossed: a replica receives the log, and the acknowledgement has crossed zones.
-	proofCrossed
-	// proofReach: a replica receives the log, and another zone has answered.
-	proofReach
-)
-
-// String returns the name that log lines and metrics use.
-func (k proofKind) String() string {
-	return [...]string{"none", "no replicas", "replica", "receiving+crossed", "receiving+reach"}[k]
-}
-
-// proofMetrics has the names of the counters, by kind of proof and by what had confirmed the
-// primary.
-var proofMetrics = func() (names [proofReach + 1][replicaset.SourceStatuses + 1]string) {
-	kinds := [...]string{"none", "no_replicas", "replica", "crossed", "reach"}
-	for kind, name := range kinds {
+// proofMetrics has the names of the counters, by whether commits were proved and by what had
+// confirmed the primary.
+var proofMetrics = func() (names [2][replicaset.SourceStatuses + 1]string) {
+	for proved, name := range []string{"failed", "proved"} {
 		for source := range replicaset.SourceStatuses + 1 {
-			names[kind][source] = "commit_proofs.by." + name + "." + source.String()
+			names[proved][source] = "commit_proofs." + name + "." + source.String()
 		}
 	}
 	return names
 }()
 
-// kindOf returns the kind of a proof that needs no question to another zone.
-func kindOf(p *replicaset.CommitProof) proofKind {
-	switch {
-	case p.Held:
-		return proofReplica
-	case !p.Replicas:
-		return proofNoReplicas
-	}
-	return proofCrossed
-}
-
 // commitLog writes what proved commits, for a bounded number of them.
 type commitLog struct {
 	sampled, unconfirmed zerolog.Logger
@@ -75,17 +41,21 @@
 	}
 }
 
-// report counts and logs how a commit was proved. Times in the line are in milliseconds; "confirmed" is for how much longer the
-// primary is confirmed, negative if that has ended.
-func (p *commitProofs) report(commit *replicaset.AcknowledgedCommit, kind proofKind) {
+// report counts a commit and logs what proved it. Times in the line are in milliseconds; "confirmed"
+// is for how much longer the primary is confirmed, negative if that has ended.
+func (p *commitProofs) report(commit *replicaset.AcknowledgedCommit, proved bool) {
 	c := p.cluster
 	c.mu.Lock()
 	now := c.Now()
 	until, source := c.replicas.Confirmation(commit.Primary)
 	c.mu.Unlock()
-	c.forward.count(proofMetrics[kind][source])
+	result := 0
+	if proved {
+		result = 1
+	}
+	c.forward.count(proofMetrics[result][source])
 	log := &p.log.sampled
-	if kind == proofNone || until < now || source != replicaset.SourceHolder && source != replicaset.SourceVouchers {
+	if !proved || until < now || source != replicaset.SourceHolder && source != replicaset.SourceVouchers {
 		log = &p.log.unconfirmed
 	}
 	e := log.Info()
@@ -96,12 +66,12 @@
 	provers, fenceTerm := provers(c.replicas, commit)
 	c.mu.Unlock()
 	e = e.Str("service", string(commit.Service)).Str("upstream", string(commit.Primary)).Str("position", lineproto.FormatPosition(commit.Position)).
-		Str("proof", kind.String()).Strs("received_by", provers).Str("confirmed_by", source.String()).
+		Strs("received_by", provers).Str("confirmed_by", source.String()).
 		Uint64("fence_term", fenceTerm).Dur("waited", now.Sub(commit.AcknowledgedAt))
 	if source != replicaset.SourceNone {
 		e = e.Dur("confirmed", until.Sub(now))
 	}
-	if kind == proofNone {
+	if !proved {
 		e.Msg("commit not proved")
 		return
 	}
--- a/linenode/confirm.go
+++ b/linenode/confirm.go
@@ -58,6 +58,39 @@
 	return c.rounds.confirm(ctx, p.Service, p.Upstream, since)
 }
 
+const (
+	// promiseWait bounds the wait for a promise of the primary: the time in which the next
+	// answer of the lease holder or of vouchers usually comes. A change of primary takes longer.
+	promiseWait = 100 * time.Millisecond
+	// promisePollInterval is the pause between two looks at the promise.
+	promisePollInterval = 10 * time.Millisecond
+)
+
+// ConfirmCommits reports whether the primary p.Upstream is promised at since. Otherwise it waits for
+// the promise, for at most p.Wait and promiseWait. Commits that need no replica have no proof, and
+// their primary is confirmed as for reads.
+func (c *cluster) ConfirmCommits(p *upstreamrun.Place, since model.Time) bool {
+	if !c.commitsNeedReplicas(p.Service) {
+		return c.ConfirmPrimary(p, since)
+	}
+	wait := min(p.Wait, promiseWait, time.Until(p.Deadline))
+	for end := time.Now().Add(wait); !c.promisedSince(p.Upstream, since); {
+		if !time.Now().Before(end) {
+			return false
+		}
+		c.askForPromises()
+		time.Sleep(promisePollInterval)
+	}
+	return true
+}
+
+// promisedSince reports whether an upstream is promised as the primary at since.
+func (c *cluster) promisedSince(id model.UpstreamID, since model.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas.CommitsConfirmed(id, since)
+}
+
 // confirmedSince reports whether an upstream is confirmed as the primary at since.
 func (c *cluster) confirmedSince(id model.UpstreamID, since model.Time) bool {
 	c.mu.Lock()
@@ -152,22 +185,16 @@
 	return all
 }
 
-// applyConfirmation applies a confirmation by the holder of the promotion lease in
-// answer to a question sent at askedAt.
-func (c *cluster) applyConfirmation(id model.UpstreamID, term uint64, askedAt, until model.Time) {
-	c.Observe(&replicaset.Event{Kind: replicaset.EventConfirmed, Upstream: id, Term: term, SentAt: askedAt, Until: until})
-}
-
 // applyVoucher applies a voucher of another VM in answer to a question sent at askedAt.
 func (c *cluster) applyVoucher(vm model.VMID, id model.UpstreamID, term uint64, askedAt, until model.Time) {
 	c.Observe(&replicaset.Event{Kind: replicaset.EventVouched, VM: vm, Upstream: id, Term: term, SentAt: askedAt, Until: until})
 }
 
-// withdrawConfirmation ends the confirmation of a service's primary on this VM. It
-// returns for how long vouchers of this VM may still be used, including those that it
-// gave before a restart.
-func (c *cluster) withdrawConfirmation(service catalog.Service) time.Duration {
-	c.Observe(&replicaset.Event{Kind: replicaset.EventWithdrawn, Service: service})
+// withdrawConfirmation ends the confirmation of a service's primary on this VM, but for a promise
+// that names the successor. It returns for how long vouchers of this VM may still be used,
+// including those that it gave before a restart.
+func (c *cluster) withdrawConfirmation(service catalog.Service, successor model.UpstreamID) time.Duration {
+	c.Observe(&replicaset.Event{Kind: replicaset.EventWithdrawn, Service: service, Successor: successor})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
--- a/linenode/members.go
+++ b/linenode/members.go
@@ -315,16 +315,6 @@
 	return holdersOf(m.topo.holders, zone, id)
 }
 
-// holdersIn is holdersOf without VMs of other zones.
-func (m *members) holdersIn(zone model.Zone, id model.UpstreamID) []holderVM {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.topo.holders[zone]) == 0 {
-		return nil
-	}
-	return holdersOf(m.topo.holders, zone, id)
-}
-
 // holders returns all VMs that may hold connections.
 func (m *members) holders() []holderVM {
 	m.mu.Lock()
@@ -348,6 +338,13 @@
 	m.mu.Unlock()
 }
 
+// usesOwnConnections reports whether this VM usually runs statements over its own connections to
+// upstreams, for itself or for other VMs.
+func (m *members) usesOwnConnections() bool {
+	t := m.topology()
+	return !t.large || t.hub
+}
+
 // startingUp reports whether most other VMs have not answered yet.
 func (m *members) startingUp() bool { return !m.known() || m.isolated() }
 
--- a/linenode/node.go
+++ b/linenode/node.go
@@ -29,6 +29,7 @@
 	errNoMembers       = errors.New("the list of VMs is not known yet")
 	errNoUpstreams     = errors.New("no upstream is known yet")
 	errStopping        = errors.New("the VM stops")
+	errNoPromise       = errors.New("no primary is promised yet, so that no commit could be passed on")
 	errIsolated        = errors.New("the VM is cut off from other VMs and from the upstreams")
 )
 
@@ -93,12 +94,13 @@
 		g.OnGeneration(n.handleGeneration)
 	}
 	n.cluster.forward = n.forward
-	n.cluster.proofs = newCommitProofs(n.cluster, n.members)
+	n.cluster.proofs = newCommitProofs(n.cluster)
 	n.cluster.holdersOf = n.members.holdersOf
 	n.cluster.isolated = n.members.isolated
 	n.cluster.followsHub = n.members.followsHub
 	n.cluster.awaitsHub = n.members.awaitsHub
 	n.cluster.announce = n.peers.announce
+	n.cluster.askForPromises = n.peers.askForPromises
 	n.transitions.withdraw = n.peers.withdraw
 	n.transitions.refreshLists = n.lists.refresh
 	n.callers = lineproxy.NewServer(lineproxy.Options{
@@ -212,6 +214,8 @@
 		return errNoUpstreams
 	case n.cluster.Isolated():
 		return errIsolated
+	case n.members.usesOwnConnections() && n.cluster.awaitsFirstPromise(c):
+		return errNoPromise
 	}
 	return nil
 }
@@ -295,6 +299,27 @@
 	pause.For(ctx, forwardedPollInterval)
 }
 
+// awaitsFirstPromise reports whether this VM has started lately and lacks the promise of a primary
+// whose commits need one.
+func (c *cluster) awaitsFirstPromise(s *catalog.Snapshot) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	if now.Sub(c.startedAt) > firstPromiseTimeout {
+		return false
+	}
+	for i := range s.Routes {
+		service := s.Service(s.Routes[i].Service)
+		if service == nil || service.SyncReplicas == 0 || !c.replicas.HasUpstreams(service.Name) {
+			continue
+		}
+		if id := c.replicas.PrimaryID(service.Name); id == "" || !c.replicas.CommitsConfirmed(id, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUpstreams reports whether an upstream is known for at least one service that the
 // configuration routes to.
 func (c *cluster) hasUpstreams(s *catalog.Snapshot) bool {
--- a/linenode/options.go
+++ b/linenode/options.go
@@ -164,6 +164,12 @@
 	initialObserveInterval  = 60 * time.Millisecond
 	initialObserveRounds    = 16
 	maxInitialObserveRounds = 40
+	// promiseRefreshInterval is the minimum time between two polls for promises by statements
+	// that wait for one; a poll takes a few milliseconds.
+	promiseRefreshInterval = 25 * time.Millisecond
+	// firstPromiseTimeout is how long after its start a VM is not ready for lack of a promise.
+	// It covers the time until a VM holds the promotion lease after a start of all VMs.
+	firstPromiseTimeout = 4 * time.Second
 	// observeTimeout is the timeout of an Observe or Announce call.
 	observeTimeout = 400 * time.Millisecond
 	// peerTimeout is how long a peer counts as reachable after its last answer. It
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -44,6 +44,8 @@
 	mu sync.Mutex
 	// requestInFlight has the addresses of peers with an unanswered Observe call.
 	requestInFlight map[string]bool
+	// promisesAskedAt is when askForPromises last polled, 0 if it never has.
+	promisesAskedAt model.Time
 	// demands are the rates and counts of operations that reach this VM, by workspace,
 	// as of the last publishDemands.
 	demands []quota.Demand
@@ -78,6 +80,27 @@
 	p.links.retain(nil)
 }
 
+// askForPromises polls the holder of the promotion lease at once, or all neighbors if the holder is
+// not known, unless that was done less than promiseRefreshInterval ago.
+func (p *peers) askForPromises() {
+	now := boottime.Now()
+	p.mu.Lock()
+	due := p.promisesAskedAt == 0 || now.Sub(p.promisesAskedAt) >= promiseRefreshInterval
+	if due {
+		p.promisesAskedAt = now
+	}
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	targets, holder := p.targets(), p.transitions.knownHolder()
+	for vm, address := range targets {
+		if _, polled := targets[holder]; !polled || vm == holder {
+			panics.Go(p.log, "poll of a peer", func() { p.observe(p.cluster.probes.ctx, vm, address) })
+		}
+	}
+}
+
 // interval returns the pause after the given round of polls, counted from the start.
 func (p *peers) interval(round int) time.Duration {
 	if round < initialObserveRounds || round < maxInitialObserveRounds && p.members.startingUp() {
@@ -220,7 +243,10 @@
 		p.transitions.recordContact(model.UpstreamID(c.GetUpstream()), requestSentAt.Add(-age(c.GetAgeUs())))
 	}
 	for _, c := range a.GetConfirmations() {
-		p.cluster.applyConfirmation(model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
+		p.cluster.Observe(&replicaset.Event{
+			Kind: replicaset.EventConfirmed, Upstream: model.UpstreamID(c.GetUpstream()), Term: c.GetTerm(), Successor: model.UpstreamID(c.GetSuccessor()),
+			SentAt: requestSentAt, Until: requestSentAt.Add(age(c.GetValidUs())),
+		})
 	}
 	for _, c := range a.GetVouchers() {
 		p.cluster.applyVoucher(vm, model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -65,7 +65,8 @@
 	state *promotion.State
 	// contacts has the last time at which each upstream answered a peer.
 	contacts map[model.UpstreamID]model.Time
-	// leaseHolderHeardAt is the time when a VM last reported that it holds the lease.
+	// heardHolder is the VM that last reported that it holds the lease, at leaseHolderHeardAt.
+	heardHolder        model.VMID
 	leaseHolderHeardAt model.Time
 	// leaseUntil is the time when this VM has to stop acting as the holder, unless it
 	// renews the lease.
@@ -100,9 +101,9 @@
 	// leaseHeld is true while this VM holds the lease. It is read without mu, also
 	// under cluster.mu.
 	leaseHeld atomic.Bool
-	// withdraw tells another VM that the primary of a service is no longer confirmed. It
-	// returns for how long vouchers of that VM may still be used.
-	withdraw func(ctx context.Context, service catalog.Service, vm model.VMID) (vouched time.Duration, err error)
+	// withdraw tells another VM that the primary of a service is no longer confirmed, but for
+	// promises that name the successor. It returns for how long vouchers of that VM may still be used.
+	withdraw func(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (vouched time.Duration, err error)
 	// refreshLists is lists.refresh.
 	refreshLists func()
 }
@@ -142,8 +143,20 @@
 		return
 	}
 	t.mu.Lock()
-	t.leaseHolderHeardAt = max(t.leaseHolderHeardAt, at)
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	if at > t.leaseHolderHeardAt {
+		t.leaseHolderHeardAt, t.heardHolder = at, holder
+	}
+}
+
+// knownHolder returns the VM that last reported that it holds the lease, empty if none has lately.
+func (t *transitions) knownHolder() model.VMID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if boottime.Now().Sub(t.leaseHolderHeardAt) > leaseHolderTimeout {
+		return ""
+	}
+	return t.heardHolder
 }
 
 // recordContact records when an upstream last answered a peer.
@@ -181,7 +194,10 @@
 	}
 	t.mu.Unlock()
 	for i := range confirmations {
-		t.cluster.applyConfirmation(confirmations[i].Upstream, confirmations[i].Term, now, now.Add(promotion.ConfirmationTTL))
+		t.cluster.Observe(&replicaset.Event{
+			Kind: replicaset.EventConfirmed, Upstream: confirmations[i].Upstream, Term: confirmations[i].Term, Successor: confirmations[i].Successor,
+			SentAt: now, Until: now.Add(promotion.ConfirmationTTL),
+		})
 	}
 	if statusesDue {
 		t.requestStatuses(ctx)
@@ -329,11 +345,11 @@
 // this one.
 func (t *transitions) executeWithdraw(ctx context.Context, e *promotion.Effect) {
 	if e.VM == t.options.VM {
-		t.reportWithdrawn(e, t.cluster.withdrawConfirmation(e.Service))
+		t.reportWithdrawn(e, t.cluster.withdrawConfirmation(e.Service, e.Upstream))
 		return
 	}
 	go func(e promotion.Effect) {
-		vouched, err := t.withdraw(ctx, e.Service, e.VM)
+		vouched, err := t.withdraw(ctx, e.Service, e.Upstream, e.VM)
 		if err != nil {
 			// The confirmation ends by itself.
 			t.log.Debug().Err(err).Str("vm", string(e.VM)).Msg("withdrawal of a confirmation not answered")
--- a/lineproxy/floor_test.go
+++ b/lineproxy/floor_test.go
@@ -39,6 +39,7 @@
 func (c *advancingCluster) Refund(model.Workspace)                                {}
 func (c *advancingCluster) Observe(*replicaset.Event)                             {}
 func (c *advancingCluster) ConfirmPrimary(*upstreamrun.Place, model.Time) bool    { return true }
+func (c *advancingCluster) ConfirmCommits(*upstreamrun.Place, model.Time) bool    { return true }
 func (c *advancingCluster) ConfirmCommit(*upstreamrun.Place, model.Position) bool { return true }
 func (c *advancingCluster) Suspect(model.UpstreamID)                              {}
 func (c *advancingCluster) Isolated() bool                                        { return false }
--- a/lineproxy/tx.go
+++ b/lineproxy/tx.go
@@ -1,6 +1,7 @@
 package lineproxy
 
 import (
+	"errors"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
@@ -11,6 +12,9 @@
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
 )
 
+// primaryChanging is the text of the refusal of a transaction whose commit could be lost.
+const primaryChanging = "the primary is being changed; the transaction is rolled back"
+
 // transaction is an open transaction of a caller. It holds a connection from its
 // first statement on.
 type transaction struct {
@@ -211,6 +215,9 @@
 	if v := overloadOf(err); v != nil {
 		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
 	}
+	if errors.Is(err, upstreamrun.ErrUnconfirmed) {
+		return failure(lineproto.ReadOnly, primaryChanging)
+	}
 	return failure(lineproto.Aborted, "the connection to the upstream was lost; the transaction is rolled back")
 }
 
@@ -247,6 +254,9 @@
 	if v := overloadOf(err); v != nil {
 		return failure(lineproto.Aborted, retryText(upstreamOverloaded+"; the transaction is rolled back", v.Refusal.RetryAfter))
 	}
+	if errors.Is(err, upstreamrun.ErrUnconfirmed) {
+		return failure(lineproto.ReadOnly, primaryChanging)
+	}
 	if !sent || !x.wrote {
 		return failure(lineproto.Aborted, "the connection to the upstream was lost; nothing is kept")
 	}
--- a/test/line/cutzone_test.go
+++ b/test/line/cutzone_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// Guards against commits that wait for registered replicas although their zone is connected.
+// Guards against commits that wait for a replica that is cut off although another one has them.
 func TestCommitIsConfirmedByAnotherZone(t *testing.T) {
 	f := newFixtureWithoutVMs(t, linegroup.Options{ConnectionLimit: 40, Slots: 4, Work: time.Millisecond})
 	f.spreadZones = true
@@ -66,6 +66,7 @@
 	// A silent replica delays no commit by as long as a status query of it takes.
 	f.cutZoneA()
 	f.Group.Server("b").SetReceiveStopped(false)
+	f.Group.Server("b").SetSilent(false)
 	for vm := range f.nodes {
 		c := f.dial(vm, "own")
 		begin := time.Now()
--- a/upstreamrun/gate_test.go
+++ b/upstreamrun/gate_test.go
@@ -33,6 +33,10 @@
 	return confirmed
 }
 
+func (c *gatedCluster) ConfirmCommits(p *Place, since model.Time) bool {
+	return c.ConfirmPrimary(p, since)
+}
+
 func (c *gatedCluster) Floor(catalog.Service, time.Duration, model.Position) (model.Position, time.Duration, bool) {
 	panic("floor")
 }
--- a/upstreamrun/local.go
+++ b/upstreamrun/local.go
@@ -37,7 +37,10 @@
 // Run runs a statement outside of a transaction.
 func (l *Local) Run(r *Request) (Outcome, error) {
 	connect := l.connect
-	if r.Mode == ModePrimary || r.Write {
+	switch {
+	case r.Write:
+		connect = l.connectToCommit
+	case r.Mode == ModePrimary:
 		connect = l.connectToPrimary
 	}
 	c, err := connect(&r.Place, &r.Session)
@@ -163,18 +166,28 @@
 // primary was confirmed. It is shorter than a promotion takes.
 const maxConfirmationAge = 100 * time.Millisecond
 
-// connectToPrimary is connect for statements that need the primary. It confirms the
-// primary before, and once more after a long wait in the queue of a gate.
+// connectToPrimary is connect for statements that need the primary.
 func (l *Local) connectToPrimary(p *Place, s *upstreampool.SessionState) (*pooledConn, error) {
+	return l.connectConfirmed(p, s, l.Cluster.ConfirmPrimary)
+}
+
+// connectToCommit is connect for statements that commit.
+func (l *Local) connectToCommit(p *Place, s *upstreampool.SessionState) (*pooledConn, error) {
+	return l.connectConfirmed(p, s, l.Cluster.ConfirmCommits)
+}
+
+// connectConfirmed confirms the primary by confirm before it connects, and once more after a
+// long wait in the queue of a gate.
+func (l *Local) connectConfirmed(p *Place, s *upstreampool.SessionState, confirm func(*Place, model.Time) bool) (*pooledConn, error) {
 	confirmedAt := l.Cluster.Now()
-	if !l.Cluster.ConfirmPrimary(p, confirmedAt) {
+	if !confirm(p, confirmedAt) {
 		return nil, ErrUnconfirmed
 	}
 	c, err := l.connect(p, s)
 	if err != nil || !c.pool.Gated() {
 		return c, err
 	}
-	if now := l.Cluster.Now(); now.Sub(confirmedAt) > maxConfirmationAge && !l.Cluster.ConfirmPrimary(p, now) {
+	if now := l.Cluster.Now(); now.Sub(confirmedAt) > maxConfirmationAge && !confirm(p, now) {
 		c.release(true)
 		return nil, ErrUnconfirmed
 	}
--- a/upstreamrun/report_test.go
+++ b/upstreamrun/report_test.go
@@ -25,6 +25,7 @@
 func (r *recorder) Now() model.Time                           { return 1 }
 func (r *recorder) Observe(ev *replicaset.Event)              { r.events = append(r.events, *ev) }
 func (r *recorder) ConfirmPrimary(*Place, model.Time) bool    { return r.confirmed }
+func (r *recorder) ConfirmCommits(*Place, model.Time) bool    { return r.confirmed }
 func (r *recorder) ConfirmCommit(*Place, model.Position) bool { return true }
 func (r *recorder) Suspect(model.UpstreamID)                  { r.suspects++ }
 func (r *recorder) Pool(model.UpstreamID) *upstreampool.Pool  { return nil }
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 )
@@ -15,6 +16,8 @@
 	// busyRetryDelay is the delay before a statement that found no free slot is
 	// sent again: about as long as a slot takes to become free.
 	busyRetryDelay = 12 * time.Millisecond
+	// commitText is the text of the statement that commits a transaction.
+	commitText = "COMMIT"
 )
 
 // OpenRequest describes a transaction to open.
@@ -92,6 +95,10 @@
 // open.
 func (x *localTx) Send(r *TxRequest) (upstreampool.Answer, error) {
 	sentAt := x.local.Cluster.Now()
+	if err := x.confirm(r, sentAt); err != nil {
+		x.Discard()
+		return upstreampool.Answer{}, err
+	}
 	hop := x.local.startHop(r.TraceParent, x.Upstream)
 	a, err := x.send(r)
 	hop.End(err)
@@ -114,6 +121,20 @@
 	return a, err
 }
 
+// confirm confirms the primary before the first write of a transaction and before the COMMIT of one
+// that has written, both of which would be in vain if the commit could not be passed on.
+func (x *localTx) confirm(r *TxRequest, now model.Time) error {
+	if x.ReadOnly || r.Write == x.wrote || x.wrote && r.Text != commitText {
+		return nil
+	}
+	place := x.place
+	place.Wait, place.Deadline = r.Wait, r.Deadline
+	if !x.local.Cluster.ConfirmCommits(&place, now) {
+		return ErrUnconfirmed
+	}
+	return nil
+}
+
 func (x *localTx) send(r *TxRequest) (upstreampool.Answer, error) {
 	if err := x.conn.ApplySession(r.Deadline, &r.Session); err != nil {
 		return upstreampool.Answer{}, err
--- a/upstreamrun/upstreamrun.go
+++ b/upstreamrun/upstreamrun.go
@@ -24,7 +24,7 @@
 
 // errCommitUnconfirmed means that a commit was acknowledged and may be lost all the same, so
 // that its outcome counts as unknown.
-var errCommitUnconfirmed = errors.New("commit not known outside of the primary's zone")
+var errCommitUnconfirmed = errors.New("commit not known to outlast a change of primary")
 
 // Mode is how a statement is run.
 type Mode uint8
@@ -140,9 +140,12 @@
 	// service when the statement arrived, at since. It may wait for the proof, for at
 	// most Place.Wait.
 	ConfirmPrimary(p *Place, since model.Time) bool
-	// ConfirmCommit reports whether a commit up to position that p.Upstream has just
-	// acknowledged outlasts a change of primary in which the zone of p.Upstream is cut off.
-	// It may wait for the proof, until p.Deadline.
+	// ConfirmCommits reports whether commits of p.Upstream may be passed on to callers if they
+	// are sent now, as far as is known before: no upstream has been chosen to follow it. It may
+	// wait for that, for at most Place.Wait.
+	ConfirmCommits(p *Place, since model.Time) bool
+	// ConfirmCommit reports whether every later primary has a commit up to position that
+	// p.Upstream has just acknowledged. It may wait for the proof, until p.Deadline.
 	ConfirmCommit(p *Place, position model.Position) bool
 	// Suspect requests status queries to an upstream that does not answer.
 	Suspect(id model.UpstreamID)
