Let only replicas that stay prove commits in a switchover, and ask the right ones

A review of the rule found, by reading and by tests on the commit before: - a successor that leaves was still promised and still proved commits, which end with its log if the old primary ends too; - a VM without a configuration, or whose configuration lacks the service, passed commits on without any proof; - a write was sent although no replica could prove it, and ended at its deadline with an unknown outcome; - a commit that its primary's successor had begun with was looked for on the wrong replicas.

A leaving successor neither is promised nor proves; an unknown service counts as one whose commits need a replica; writes need a prover before they are sent; the proof names the upstreams to ask. Measured: tests of core/replicaset, core/promotion and linenode pass.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -130,7 +130,7 @@
 	if t := svc.transition; t != nil && t.phase != phaseUnfence && (t.phase != phaseFence || t.withdrawingSince != 0 || t.cause == causeUnfinished) {
 		c.Successor = t.successor()
 		target := findMember(v, c.Successor)
-		if target != nil && target.FailedSince == 0 && target.Status.FencedTerm == 0 && c.Upstream == t.oldPrimary && svc.onlyCallsFor(now, c.Successor) {
+		if target != nil && !target.Leaving && target.FailedSince == 0 && target.Status.FencedTerm == 0 && c.Upstream == t.oldPrimary && svc.onlyCallsFor(now, c.Successor) {
 			svc.confirmable = c
 		}
 		return
--- a/core/replicaset/commitproof.go
+++ b/core/replicaset/commitproof.go
@@ -32,6 +32,8 @@
 	Superseded bool
 	// Held is true if one of the replicas that may prove the commit is known to have received it.
 	Held bool
+	// Ask are the upstreams whose statuses may complete the proof.
+	Ask []model.UpstreamID
 }
 
 // Sufficient reports whether the commit may be passed on to the caller.
@@ -51,9 +53,14 @@
 		Promised:   s.PromisedUntil(primary) >= max(now, c.AcknowledgedAt) && g.promised.term == term,
 		Superseded: g.primaryTerm > term && g.leads(),
 	}
-	for _, id := range s.CommitProvers(c.Service, primary) {
+	p.Ask = s.CommitProvers(c.Service, primary)
+	for _, id := range p.Ask {
 		p.Held = p.Held || g.members[id].holdsIn(term, c.Position)
 	}
+	if g.primary != "" && g.primaryTerm > term && !p.Superseded {
+		// Whether it began with the commit is not known yet.
+		p.Ask = []model.UpstreamID{g.primary}
+	}
 	return p
 }
 
@@ -90,13 +97,8 @@
 		return nil
 	}
 	return slices.DeleteFunc(g.ids(), func(id model.UpstreamID) bool {
-		switch successor := g.promised.successor; {
-		case id == primary:
-			return true
-		case successor != "":
-			return id != successor
-		}
-		return g.members[id].Leaving
+		successor := g.promised.successor
+		return id == primary || g.members[id].Leaving || successor != "" && id != successor
 	})
 }
 
@@ -116,7 +118,7 @@
 }
 
 // CommitsConfirmed reports whether commits that a primary acknowledges from since on may be passed
-// on, as far as the choice of the primary goes.
+// on, as far as is known before they are sent: it is promised, and a replica may prove them.
 func (s *State) CommitsConfirmed(id model.UpstreamID, since model.Time) bool {
-	return s.PromisedUntil(id) >= since
+	return s.PromisedUntil(id) >= since && len(s.CommitProvers(s.services[id], id)) > 0
 }
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -47,14 +47,14 @@
 }
 
 // commitsNeedReplicas reports whether a service acknowledges commits only once replicas have
-// received them.
+// received them, as far as this VM knows.
 func (c *cluster) commitsNeedReplicas(name catalog.Service) bool {
 	configuration := c.Catalog()
 	if configuration == nil {
-		return false
+		return true
 	}
 	service := configuration.Service(name)
-	return service != nil && service.SyncReplicas > 0
+	return service == nil || service.SyncReplicas > 0
 }
 
 // await waits for the proof of a commit. It returns false when ctx ends first, or once there will be
@@ -63,7 +63,7 @@
 	for {
 		proof := p.proof(commit)
 		if !proof.Held && !proof.Superseded {
-			p.queryReplicas(ctx, commit)
+			p.queryReplicas(ctx, commit, proof.Ask)
 			proof = p.proof(commit)
 		}
 		switch {
@@ -83,11 +83,11 @@
 	return c.replicas.CommitProof(c.Now(), commit)
 }
 
-// queryReplicas queries the statuses of the replicas, first of the nearest one, until one has
+// queryReplicas queries the statuses of upstreams, first of the nearest one, until one of them has
 // received the commit.
-func (p *commitProofs) queryReplicas(ctx context.Context, commit *replicaset.AcknowledgedCommit) {
+func (p *commitProofs) queryReplicas(ctx context.Context, commit *replicaset.AcknowledgedCommit, ids []model.UpstreamID) {
 	p.cluster.forward.count("commit_proofs.asked")
-	ids := p.nearestFirst(commit)
+	p.nearestFirst(ids)
 	answered := make(chan struct{}, len(ids))
 	timer := time.NewTimer(nextReplicaDelay)
 	defer timer.Stop()
@@ -120,13 +120,12 @@
 	}()
 }
 
-// nearestFirst returns the replicas that may prove a commit: those that answer before those that do
-// not, and of these the ones in the zone of this VM first.
-func (p *commitProofs) nearestFirst(commit *replicaset.AcknowledgedCommit) []model.UpstreamID {
+// nearestFirst sorts upstreams: those that answer before those that do not, and of these the ones in
+// the zone of this VM first.
+func (p *commitProofs) nearestFirst(ids []model.UpstreamID) {
 	c := p.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := c.replicas.CommitProvers(commit.Service, commit.Primary)
 	distance := func(id model.UpstreamID) int {
 		m, _ := c.replicas.Member(id)
 		switch {
@@ -138,5 +137,4 @@
 		return 0
 	}
 	slices.SortStableFunc(ids, func(a, b model.UpstreamID) int { return distance(a) - distance(b) })
-	return ids
 }
