--- a/core/promotion/review_test.go
+++ b/core/promotion/review_test.go
@@ -59,3 +59,30 @@
 		t.Errorf("%+v promised although the successor leaves", c)
 	}
 }
+
+// Guards against a freeze that counts a VM as told although it has kept a promise: its answer to a withdrawal that spared
+// the successor arrives after the switchover has turned into a failover.
+func TestLateAnswerToAWithdrawalOfTheSwitchoverDoesNotCount(t *testing.T) {
+	h := newHarness(t)
+	h.state.Confirm(h.now, "vm")
+	h.member("a").Leaving = true
+	h.advance(20 * ms)
+	h.markFailed("a")
+	svc := h.state.services["db"]
+	for svc.transition != nil && svc.transition.planned {
+		h.advance(10 * ms)
+		h.state.Confirm(h.now, "vm")
+	}
+	if svc.transition == nil {
+		t.Fatal("the switchover has not turned into a failover")
+	}
+	t.Logf("promises %v, confirmed %v at %v", svc.promises, svc.confirmedUntil, h.now)
+	until := svc.promises["vm"].until
+	h.state.ReportWithdrawn(h.now, "db", "vm", h.now.Add(-100*ms), 0)
+	for h.now < until {
+		h.advance(10 * ms)
+		if at := svc.transition.promisesEndedAt; at != 0 && at < until {
+			t.Fatalf("frozen %v before the promise of the VM ends", until.Sub(at))
+		}
+	}
+}
