Member model: upstreams that come back from a crash under another ID

As on the platform, a crashed upstream keeps its log and its address and gets a new ID. 6,816 scenarios, no violation.

--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -159,6 +159,8 @@
 	// unread: VMs read from no replica, so that fewer receipts are known.
 	unread          bool
 	fencesUnchecked bool
+	// newIDs: an upstream that has crashed comes back under another ID, with its log and its address.
+	newIDs bool
 
 	// Injected bugs.
 	passesOnAll, ignoresFence, skipsList, assumesWithdrawal bool
@@ -193,6 +195,8 @@
 	// restarts: it is down and comes back without its log.
 	restarts    bool
 	incarnation int64
+	// replacedBy is the ID under which it is back, empty unless newIDs is set.
+	replacedBy model.UpstreamID
 }
 
 func (u *simUpstream) position() model.Position {
@@ -531,6 +535,9 @@
 			if r.primary != id {
 				r.rollBack(u)
 			}
+			if r.s.newIDs {
+				r.rename(u)
+			}
 		case memberCutVMs:
 			u.cutVMs &^= e.vms
 		case memberCutReplicas:
@@ -552,6 +559,23 @@
 	}
 }
 
+// rename lets an upstream that is back after a crash go on under another ID. Its former entry lapses.
+func (r *memberRun) rename(u *simUpstream) {
+	next := *u
+	next.id += "+"
+	next.reported, next.reportedAt, next.registersAt, next.fresh, next.cutStore = replicaset.Registration{}, 0, r.step+4, false, false
+	r.upstreams[next.id] = &next
+	r.members = append(slices.Clone(r.members), &next)
+	if r.primary == u.id {
+		r.primary = next.id
+	}
+	if r.last == u.id {
+		r.last = next.id
+	}
+	r.tracef("%s is back as %s at %v, primary %q", u.id, next.id, next.position(), r.primary)
+	u.alive, u.gone, u.replacedBy = false, true, next.id
+}
+
 // present returns the upstreams that have not left.
 func (r *memberRun) present() []*simUpstream { return r.members }
 
@@ -725,6 +749,10 @@
 }
 
 func (r *memberRun) failed(vm *simVM, u *simUpstream) {
+	if next := r.upstreams[u.replacedBy]; next != nil && r.reaches(vm, next) {
+		r.apply(vm, &replicaset.Event{Kind: replicaset.EventReplaced, Upstream: u.id})
+		return
+	}
 	vm.suspects[u.id] = true
 	r.apply(vm, &replicaset.Event{Kind: replicaset.EventFailed, Upstream: u.id, Refused: !u.alive})
 }
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -662,3 +662,19 @@
 		t.Errorf("%s in scenario %v", r.run().violation, least)
 	}
 }
+
+// Guards against commits that are lost when upstreams come back from a crash under another ID.
+func TestCommitsOutlastUpstreamsThatComeBackUnderAnotherID(t *testing.T) {
+	m := runMembers(func(fn func(memberScenario)) {
+		eachMemberScenario(func(s memberScenario) {
+			s.newIDs = true
+			fn(s)
+		})
+		for seed := range uint64(3000) {
+			s := randomMemberScenario(seed)
+			s.newIDs = true
+			fn(s)
+		}
+	})
+	m.check(t)
+}
