--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -678,3 +678,34 @@
 	})
 	m.check(t)
 }
+
+// eachConversion calls fn with switchovers in which the primary, then its target are out of reach of the lease holder before
+// they crash, so that the switchover turns into a failover, and a replica joins.
+func eachConversion(fn func(memberScenario)) {
+	for _, lostA := range []int{12, 16} {
+		for lostB := 17; lostB <= 25; lostB++ {
+			for _, crash := range []int{2, 3, 4, 6} {
+				for _, join := range []int{-8, -4, 0, 4, 8, 12} {
+					for _, delay := range []int{0, 3, 6} {
+						fn(memberScenario{
+							name: "conversion", vms: 3, steps: 560, deliveries: map[int]delivery{},
+							events: []memberEvent{
+								{kind: memberLeave, until: 400, upstream: "a"},
+								{kind: vmCutVMs, at: -2, until: 60, vms: 4},
+								{kind: memberCutVMs, at: lostA, until: 300, upstream: "a", vms: theHolder},
+								{kind: memberCutVMs, at: lostB, until: 300, upstream: "b", vms: theHolder},
+								{kind: memberCrash, at: lostB + crash, until: 300, upstream: "a"},
+								{kind: memberCrash, at: lostB + crash, until: 300, upstream: "b"},
+								{kind: memberJoin, at: join, upstream: "d", delay: delay},
+							},
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against commits that are lost when a switchover turns into a failover, since its target counts with what it had answered
+// while VMs still passed on what it received.
+func TestCommitsWhenASwitchoverTurnsIntoAFailover(t *testing.T) { runMembers(eachConversion).check(t) }
