Keep promises of former successors apart, and ask for a missing one

A review of the rule found, by reading: a promise that named another successor was forgotten when a VM got a new one; a lease holder with an older view promised an older primary while a call was pending; a commit that was held and not promised waited for the next regular poll; and the end of one commit's wait ended a status query that others share, which counted against the replica.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -53,10 +53,10 @@
 	Successor model.UpstreamID
 }
 
-// promise is a Confirmation with a successor that a VM holds.
+// promise is a Confirmation with a successor that a VM may hold.
 type promise struct {
+	vm        model.VMID
 	successor model.UpstreamID
-	until     model.Time
 }
 
 // Confirm returns the confirmations for a VM that asks now, and keeps the promise in
@@ -74,7 +74,7 @@
 		}
 		until := now.Add(ConfirmationTTL + confirmationMargin)
 		if svc.confirmable.Successor != "" {
-			svc.promises[vm] = promise{successor: svc.confirmable.Successor, until: until}
+			svc.promises[promise{vm, svc.confirmable.Successor}] = until
 		} else {
 			svc.confirmedUntil[vm] = until
 			svc.lastConfirmedAt = now
@@ -105,8 +105,10 @@
 		return
 	}
 	delete(svc.confirmedUntil, vm)
-	if p, found := svc.promises[vm]; found && p.successor != svc.transition.successor() {
-		delete(svc.promises, vm)
+	for p := range svc.promises {
+		if p.vm == vm && p.successor != svc.transition.successor() {
+			delete(svc.promises, p)
+		}
 	}
 	if _, found := svc.transition.withdrawn[vm]; !found {
 		svc.transition.withdrawn[vm] = now.Add(vouched + confirmationMargin)
@@ -126,6 +128,9 @@
 	if primary.FailedSince != 0 && now.Sub(max(primary.ContactAt, in.PeerContact(primary.ID))) > suspectedContactAge {
 		return
 	}
+	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || r.Done && v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
+		return
+	}
 	c := Confirmation{Service: svc.name, Upstream: v.Primary, Term: v.PrimaryTerm}
 	if t := svc.transition; t != nil && t.phase != phaseUnfence && (t.phase != phaseFence || t.withdrawingSince != 0 || t.cause == causeUnfinished) {
 		c.Successor = t.successor()
@@ -138,9 +143,6 @@
 	if svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
 		return
 	}
-	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
-		return
-	}
 	svc.confirmable = c
 }
 
@@ -170,8 +172,8 @@
 			return false
 		}
 	}
-	for _, p := range svc.promises {
-		if now < p.until && p.successor != svc.transition.successor() {
+	for p, until := range svc.promises {
+		if now < until && p.successor != svc.transition.successor() {
 			return false
 		}
 	}
@@ -208,9 +210,9 @@
 			vms = append(vms, vm)
 		}
 	}
-	for vm, p := range svc.promises {
-		if now < p.until && p.successor != svc.transition.successor() && !slices.Contains(vms, vm) {
-			vms = append(vms, vm)
+	for p, until := range svc.promises {
+		if now < until && p.successor != svc.transition.successor() && !slices.Contains(vms, p.vm) {
+			vms = append(vms, p.vm)
 		}
 	}
 	slices.Sort(vms)
--- a/core/promotion/review_test.go
+++ b/core/promotion/review_test.go
@@ -77,7 +77,7 @@
 		t.Fatal("the switchover has not turned into a failover")
 	}
 	t.Logf("promises %v, confirmed %v at %v", svc.promises, svc.confirmedUntil, h.now)
-	until := svc.promises["vm"].until
+	until := svc.promises[promise{"vm", "b"}]
 	h.state.ReportWithdrawn(h.now, "db", "vm", h.now.Add(-100*ms), 0)
 	for h.now < until {
 		h.advance(10 * ms)
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -71,7 +71,7 @@
 	// promises has those with a successor.
 	confirmable    Confirmation
 	confirmedUntil map[model.VMID]model.Time
-	promises       map[model.VMID]promise
+	promises       map[promise]model.Time
 	// lastConfirmedAt is when this holder last confirmed the primary to a VM, and
 	// withdrawSentAt when it last told VMs that the primary is no longer confirmed.
 	lastConfirmedAt model.Time
@@ -81,7 +81,7 @@
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
 	svc := &serviceState{
 		name: name, knownSince: now, lastCommandAt: map[model.UpstreamID]model.Time{}, confirmedUntil: map[model.VMID]model.Time{},
-		promises: map[model.VMID]promise{},
+		promises: map[promise]model.Time{},
 		record:   s.records[name], lateCallUntil: map[model.UpstreamID]model.Time{}, unknownUntil: s.unknownUntil,
 	}
 	for _, id := range svc.record.Late {
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -8,10 +8,10 @@
 // calls as effects, and their results come back with the next Input and
 // State.ReportPromotion.
 //
-// The promoted upstream must have every acknowledged commit. A commit is
-// acknowledged once one replica has received it. It is therefore safe to promote
-// the most advanced upstream once every replica that may have received a commit
-// is fenced, that is, receives no further commits.
+// The promoted upstream must have every commit that a VM has passed on to a caller. VMs
+// pass commits on only while their primary is promised, and the target is chosen from what
+// the upstreams answer after the last promise has ended; docs/design/promotion.md has the
+// rule and replicaset.CommitProof its other half.
 //
 // A former primary may continue to serve after a promotion. Statements that have to
 // see every commit, and writes, are therefore sent to a primary only while it is
--- a/core/replicaset/replicaevidence_test.go
+++ b/core/replicaset/replicaevidence_test.go
@@ -168,7 +168,7 @@
 }
 
 // Guards against evidence that lacks the commits of a replica which starts beside a primary that is
-// cut off from the others and registers late. VMs pass such commits on for lateReceiptWindow.
+// cut off from the others and registers late. The evidence allows for such commits being passed on for lateReceiptWindow.
 func TestReplicaEvidenceCoversReplicasThatRegisterLate(t *testing.T) {
 	for _, delay := range []time.Duration{50 * ms, 630 * ms, 1100 * ms, RegistrationTimeout} {
 		for begin := 50 * ms; begin <= lateReceiptWindow; begin += 50 * ms {
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -115,6 +115,7 @@
 		followsHub:      func() bool { return false },
 		awaitsHub:       func() bool { return false },
 		announce:        func(catalog.Service, model.UpstreamID, uint64) {},
+		askForPromises:  func() {},
 		lastForwardedAt: map[model.UpstreamID]model.Time{},
 		keptZones:       map[string]model.Time{},
 		holdersOf:       func(model.Zone, model.UpstreamID) []holderVM { return nil },
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -71,6 +71,8 @@
 			return true
 		case proof.Superseded, !pause.For(ctx, commitPollInterval):
 			return false
+		case !proof.Promised:
+			p.cluster.askForPromises()
 		}
 	}
 }
@@ -93,10 +95,12 @@
 	defer timer.Stop()
 	for sent, open := 0, 0; sent < len(ids) || open > 0; {
 		if sent == 0 || open == 0 {
-			p.query(ctx, ids[sent], answered)
+			p.query(ids[sent], answered)
 			sent, open = sent+1, open+1
 		}
 		select {
+		case <-ctx.Done():
+			return
 		case <-answered:
 			open--
 			if proof := p.proof(commit); proof.Held {
@@ -104,19 +108,20 @@
 			}
 		case <-timer.C:
 			for ; sent < len(ids); sent++ {
-				p.query(ctx, ids[sent], answered)
+				p.query(ids[sent], answered)
 				open++
 			}
 		}
 	}
 }
 
-// query queries the status of a replica and reports the end of the query to answered.
-func (p *commitProofs) query(ctx context.Context, id model.UpstreamID, answered chan<- struct{}) {
+// query queries the status of a replica and reports the end of the query to answered. The query is
+// shared, so the end of one commit's wait does not end it.
+func (p *commitProofs) query(id model.UpstreamID, answered chan<- struct{}) {
 	go func() {
 		defer func() { answered <- struct{}{} }()
 		// The log has the error.
-		_ = panics.Call(p.cluster.log, "status query", func() { p.cluster.probes.status(ctx, id) })
+		_ = panics.Call(p.cluster.log, "status query", func() { p.cluster.probes.status(p.cluster.probes.ctx, id) })
 	}()
 }
 
