--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -332,7 +332,7 @@
 		if o.leaseUntil > w.now {
 			for _, c := range o.promotion.Confirm(w.clock(), v.id) {
 				answers = append(answers, replicaset.Event{
-					Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, SentAt: askedAt, Until: askedAt.Add(promotion.ConfirmationTTL),
+					Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, Successor: c.Successor, SentAt: askedAt, Until: askedAt.Add(promotion.ConfirmationTTL),
 				})
 			}
 		}
@@ -438,7 +438,7 @@
 	effects := v.promotion.Tick(w.clock(), &in, nil)
 	for _, c := range v.promotion.Confirm(w.clock(), v.id) {
 		v.apply(w, &replicaset.Event{
-			Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, SentAt: w.clock(), Until: w.clock().Add(promotion.ConfirmationTTL),
+			Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, Successor: c.Successor, SentAt: w.clock(), Until: w.clock().Add(promotion.ConfirmationTTL),
 		})
 	}
 	for i := range effects {
@@ -487,7 +487,7 @@
 func (w *confirmWorld) withdraw(v *confirmVM, e promotion.Effect) {
 	o := w.vms[slices.IndexFunc(w.vms, func(o *confirmVM) bool { return o.id == e.VM })]
 	answer := func() time.Duration {
-		o.apply(w, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service})
+		o.apply(w, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service, Successor: e.Upstream})
 		return max(o.view.Vouched(w.clock(), e.Service), o.startedAt+replicaset.VoucherTTL-w.now)
 	}
 	if o == v {
