soak: a script of a target that leads while the VMs do not reach it

It leads, the lease holder gives the attempt up 4 s after the call and calls for another upstream; the first target is back before that takes effect, and acknowledges commits through the former primary, which is not fenced.

--- a/test/soak/series_test.go
+++ b/test/soak/series_test.go
@@ -59,7 +59,7 @@
 	s := &series{soakRun: w, rng: rng}
 	w.startCallers()
 	w.awaitWrites("writes", 200)
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	for range envInt(t, "SOAK_SERIES", defaultSeries) {
 		s.run()
 		s.wg.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -212,8 +212,11 @@
 	}
 }
 
-// finish ends the callers and checks what they saw.
+// finish ends the callers and checks what they saw, once all promotions that were called for
+// have taken effect.
 func (w *soakRun) finish() {
+	w.t.Helper()
+	w.WaitFor("the effect of the promotion calls", func() bool { return len(w.Group.PendingPromotions()) == 0 })
 	w.stopping.Store(true)
 	w.wg.Wait()
 	w.outcomes.Check(w.Platform)
--- a/test/soak/window_test.go
+++ b/test/soak/window_test.go
@@ -12,6 +12,14 @@
 // promoteDelay is the time between the call for a promotion and its effect in these tests.
 const promoteDelay = time.Second
 
+// targetCut is how long a target is cut off from the time at which it leads, unless another
+// promotion is called for before.
+const targetCut = 6 * time.Second
+
+// settleTime is how long VMs have at the start to learn of each other and of the group, and after
+// the last fault to call for a promotion.
+const settleTime = 2 * time.Second
+
 // roleReportInterval is how long a change of an upstream's role may go unreported.
 const roleReportInterval = 20 * time.Millisecond
 
@@ -96,7 +104,7 @@
 	w.startCallers()
 	for round := range windowRounds {
 		w.awaitWrites("writes", 200)
-		time.Sleep(2 * time.Second)
+		time.Sleep(settleTime)
 		w.cutPrimaryUntilCall(fmt.Sprint("d", round))
 		if w.Lost() > 0 {
 			t.Logf("lost in round %d of %d", round+1, windowRounds)
@@ -155,10 +163,38 @@
 	}
 	w.Register("a", "ready")
 	w.setReceiveStopped(false, "b", "d")
+	time.Sleep(settleTime)
 	w.awaitWrites("writes after the crash", 50)
 	w.finish()
 }
 
+// Guards against commits of a target that is cut off before it leads: the attempt is given up, the
+// target is back and leads, and acknowledges commits while another upstream is promoted by what
+// was known of the first attempt.
+func TestNoCommitIsLostWithATargetThatIsCutOff(t *testing.T) {
+	w := newPlatformRun(t, daemon(t), 1, platformGroup(1))
+	w.startCallers()
+	w.awaitWrites("writes", 200)
+	time.Sleep(settleTime)
+	w.recordEvent("upstream a is cut off")
+	restoreOld := w.cutServer("a", w.allVMs())
+	w.WaitFor("a promotion call", func() bool { return len(w.Group.PendingPromotions()) > 0 })
+	target := w.Group.PendingPromotions()[0]
+	w.recordEvent("promotion of %s called, which is cut off from the VMs", target)
+	restore := w.upstream(target).cut(w.allVMs())
+	w.WaitFor("the effect", func() bool { return w.Group.Primary() == target })
+	w.recordEvent("%s leads, a is back", target)
+	restoreOld()
+	for end := time.Now().Add(targetCut); time.Now().Before(end) && len(w.Group.PendingPromotions()) == 0; {
+		time.Sleep(time.Millisecond)
+	}
+	w.recordEvent("%s is back; called for %v", target, w.Group.PendingPromotions())
+	restore()
+	time.Sleep(settleTime)
+	w.awaitWrites("writes after the change", 50)
+	w.finish()
+}
+
 // setReceiveStopped keeps replicas from receiving commits, or no longer.
 func (w *soakRun) setReceiveStopped(stopped bool, ids ...string) {
 	for _, id := range ids {
