linegroup: calls take effect in their order when their timers are late

TestTwoPromotionsTakeEffectInTheirOrder failed once beside other work: both timers were late, and the second call took effect first. A call now executes those before it. 20 runs with the race detector passed.

--- a/standin/linegroup/group.go
+++ b/standin/linegroup/group.go
@@ -66,7 +66,7 @@
 
 // call is a promotion call that passed the check of its fence and has not taken effect.
 type call struct {
-	id       string
+	server   *Server
 	token    uint64
 	calledAt time.Time
 }
@@ -195,7 +195,7 @@
 	defer g.mu.Unlock()
 	var ids []string
 	for _, c := range g.calls {
-		ids = append(ids, c.id)
+		ids = append(ids, c.server.id)
 	}
 	return ids
 }
@@ -234,25 +234,31 @@
 		return false
 	}
 	g.token = max(g.token, token)
-	c := &call{id: id, token: token, calledAt: time.Now()}
+	c := &call{server: s, token: token, calledAt: time.Now()}
 	switch {
 	case g.primary == id:
 	case g.options.PromoteDelay == 0:
 		g.lead(s, c)
 	default:
 		g.calls = append(g.calls, c)
-		time.AfterFunc(g.options.PromoteDelay, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.calls = slices.DeleteFunc(g.calls, func(other *call) bool { return other == c })
-			if g.servers[id] == s && !s.stopped && g.primary != id {
-				g.lead(s, c)
-			}
-		})
+		time.AfterFunc(g.options.PromoteDelay, func() { g.takeEffect(c) })
 	}
 	return true
 }
 
+// takeEffect executes a call and those before it whose timers are late.
+func (g *Group) takeEffect(c *call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for slices.Contains(g.calls, c) {
+		next := g.calls[0]
+		g.calls = g.calls[1:]
+		if s := next.server; g.servers[s.id] == s && !s.stopped && g.primary != s.id {
+			g.lead(s, next)
+		}
+	}
+}
+
 // lead makes a server the primary of the next term. The caller holds mu.
 func (g *Group) lead(s *Server, c *call) {
 	g.term++
