Count a restarted upstream with what it had before, in a change of primary

An upstream that restarts without its log during a change overwrote what it had received before, so that a target that lacks it could be taken for complete. Found by reading; the group then counts as incomplete by other means as well, so no test shows it.

--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -197,21 +197,22 @@
 	return t.promisesEndedAt
 }
 
-// hear records what upstreams have answered since VMs pass no commit on.
+// hear records what upstreams had received when they answered since VMs pass no commit on. One that
+// has restarted without its log counts with what it had before.
 func (t *transition) hear(now model.Time, svc *serviceState, v *replicaset.View) {
 	since := t.frozenSince(now, svc)
 	for i := range v.Members {
 		m := &v.Members[i]
 		t.members[m.ID] = true
 		if since != 0 && m.StatusAt >= since {
-			t.heard[m.ID] = m.Status.Received
+			t.heard[m.ID] = t.heard[m.ID].Max(m.Status.Received)
 		}
 	}
 }
 
-// outreached reports whether an upstream that does not answer, or is not known any more, has
-// answered since VMs pass no commit on, and best has all that it had received.
-func (t *transition) outreached(id model.UpstreamID, best *replicaset.Member) bool {
+// covered reports whether an upstream has answered since VMs pass no commit on, and best has all that
+// it had received then. It need not answer any more.
+func (t *transition) covered(id model.UpstreamID, best *replicaset.Member) bool {
 	received, found := t.heard[id]
 	return found && best != nil && best.Status.Received.Compare(received) >= 0
 }
@@ -450,7 +451,7 @@
 		c := &v.Members[i]
 		switch {
 		case c.ID == t.oldPrimary || t.stoppedBeforeEvidence(c, best, in, svc):
-		case t.outreached(c.ID, best) && (t.fenced(c) && c.StatusAt >= frozenSince || c.FailedSince != 0):
+		case t.covered(c.ID, best) && (t.fenced(c) && c.StatusAt >= frozenSince || c.FailedSince != 0):
 		case c.FailedSince == 0:
 			return fencesPending
 		default:
@@ -472,7 +473,7 @@
 // then.
 func (t *transition) allAccountedFor(v *replicaset.View, best *replicaset.Member) bool {
 	for id := range t.members {
-		if id != t.oldPrimary && findMember(v, id) == nil && !t.outreached(id, best) {
+		if id != t.oldPrimary && findMember(v, id) == nil && !t.covered(id, best) {
 			return false
 		}
 	}
@@ -601,6 +602,8 @@
 	if v.PrimaryTerm > t.oldTerm {
 		t.oldPrimary, t.oldTerm, t.oldPrimaryLost = v.Primary, v.PrimaryTerm, false
 		t.aliveAt = svc.primaryAliveAt
+		// The promotion has discarded what its primary lacked.
+		clear(t.heard)
 	}
 }
 
--- a/upstreamrun/tx.go
+++ b/upstreamrun/tx.go
@@ -124,7 +124,8 @@
 // confirm confirms the primary before the first write of a transaction and before the COMMIT of one
 // that has written, both of which would be in vain if the commit could not be passed on.
 func (x *localTx) confirm(r *TxRequest, now model.Time) error {
-	if x.ReadOnly || r.Write == x.wrote || x.wrote && r.Text != commitText {
+	firstWrite, commit := r.Write && !x.wrote, x.wrote && r.Text == commitText
+	if x.ReadOnly || !firstWrite && !commit {
 		return nil
 	}
 	place := x.place
