--- a/core/promotion/review_test.go
+++ b/core/promotion/successor_test.go
@@ -15,7 +15,7 @@
 	h.state.Confirm(h.now, "vm")
 	h.member("a").Leaving = true
 	h.advance(800 * ms)
-	// The primary is too busy to answer from before the confirmation ends.
+	// The primary stops answering before the confirmation has ended.
 	h.markFailed("a")
 	h.advance(200 * ms)
 	h.wantNoPromoteCall()
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -52,11 +52,12 @@
 	// oldPrimaryLost is true while neither this VM nor a peer reaches it.
 	steppedDownAt  model.Time
 	oldPrimaryLost bool
-	// promisesEndedAt is when the last promise of the old primary had ended, 0 before. VMs pass no
-	// commit on from then on.
+	// promisesEndedAt is when the last promise of the old primary had ended, but for those that
+	// name the target of a switchover; 0 before. From then on VMs pass on only commits that
+	// this target has.
 	promisesEndedAt model.Time
-	// heard has the log position of each upstream that has answered a status query sent since
-	// VMs pass no commit on. Its log has no other commit that a VM has passed on.
+	// heard has what each upstream had received when it answered since frozenSince: all commits
+	// in its log that VMs have passed on, but for the target of a switchover.
 	heard map[model.UpstreamID]model.Position
 	// aliveAt is when the old primary, or the last known one if there was none at the start,
 	// last answered this VM or a peer as the primary, 0 if never.
@@ -187,9 +188,9 @@
 	return s.callPromote(now, svc, v, out)
 }
 
-// frozenSince returns the time since which VMs pass no commit on: the last promise of the old
-// primary has ended, or it has stepped down; 0 before. Only if no call is pending, the old primary
-// is certain to be the one that was promised.
+// frozenSince returns the time since which VMs pass no commit on, but for those that the target of a
+// switchover has: the last promise of the old primary has ended, or it has stepped down; 0 before. Only
+// if no call is pending, the old primary is certain to be the one that was promised.
 func (t *transition) frozenSince(now model.Time, svc *serviceState) model.Time {
 	if t.steppedDownAt != 0 && !svc.uncertain(now) && (t.promisesEndedAt == 0 || t.steppedDownAt < t.promisesEndedAt) {
 		return t.steppedDownAt
@@ -197,8 +198,8 @@
 	return t.promisesEndedAt
 }
 
-// hear records what upstreams had received when they answered since VMs pass no commit on. One that
-// has restarted without its log counts with what it had before.
+// hear records what upstreams had received when they answered since frozenSince. One that has
+// restarted without its log counts with what it had before.
 func (t *transition) hear(now model.Time, svc *serviceState, v *replicaset.View) {
 	since := t.frozenSince(now, svc)
 	for i := range v.Members {
@@ -210,8 +211,8 @@
 	}
 }
 
-// covered reports whether an upstream has answered since VMs pass no commit on, and best has all that
-// it had received then. It need not answer any more.
+// covered reports whether an upstream has answered since frozenSince, and best has all that it had
+// received then. It need not answer any more.
 func (t *transition) covered(id model.UpstreamID, best *replicaset.Member) bool {
 	received, found := t.heard[id]
 	return found && best != nil && best.Status.Received.Compare(received) >= 0
@@ -358,8 +359,8 @@
 // switchoverTarget returns the target once all other replicas are fenced and the
 // target has received everything that they and the old primary have, otherwise nil. A
 // replica that has not registered yet may have received commits that the known ones lack;
-// only the old primary's log shows that, as it is since VMs pass no commit on. In an incomplete group
-// a replica that has gone may be the only one that had received a commit.
+// only the old primary's log shows that, as it is since frozenSince. In an incomplete group a
+// replica that has gone may be the only one that had received a commit.
 func (t *transition) switchoverTarget(v *replicaset.View, frozenSince model.Time) *replicaset.Member {
 	target := findMember(v, t.target)
 	if target == nil || v.Incomplete || target.StatusAt < t.attemptAt {
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -73,8 +73,8 @@
 	// last withdrawal of one.
 	confirmed   confirmation
 	withdrawnAt model.Time
-	// promised is the part of confirmed that the holder of the promotion lease or vouchers stand
-	// for; see State.PromisedUntil.
+	// promised is what the holder of the promotion lease or vouchers have promised last; see
+	// State.PromisedUntil.
 	promised confirmation
 	// inherited is the end of the log with which the last known primary began, as far as known.
 	inherited inheritedLog
