promotion model: upstreams released without a primary

An upstream that starts while there is no primary to copy from is now empty and knows no term until one leads. The scenario has two replicas that leave with the longest log, of which the end was not passed on, and two that stay with all that was; the call for one that leaves gets no answer, and those that stay are released 7.5 s and more after the crash.

Fails on the code as it is: 18 of 18 scenarios promote an empty upstream about 20 s after the crash.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -110,7 +110,7 @@
 		}
 		r.command(vm, e.Upstream, e.Command, e.Term, mode)
 	case EffectPromote:
-		r.promote(vm, *e, r.nextDelivery())
+		r.promote(vm, *e, r.nextCall())
 	case EffectRecord:
 		if !vm.cutStore && !r.storeDown {
 			r.records[e.Service] = e.Record
@@ -137,6 +137,16 @@
 	return r.s.deliveries[r.messages-1]
 }
 
+// nextCall is nextDelivery for a promotion call.
+func (r *memberRun) nextCall() delivery {
+	mode := r.nextDelivery()
+	if r.step < memberWarmupSteps {
+		return mode
+	}
+	r.calls++
+	return max(mode, r.s.calls[r.calls-1])
+}
+
 // command sends a command, unless the last one to the upstream is not answered yet.
 func (r *memberRun) command(vm *simVM, id model.UpstreamID, k CommandKind, term uint64, mode delivery) {
 	if r.step < vm.inFlight[id] {
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -143,7 +143,9 @@
 	// deliveries has the faults of commands, status queries not counted, and promotion calls
 	// by their number; lateSteps is how late delayed ones are executed.
 	deliveries map[int]delivery
-	lateSteps  int
+	// calls has faults of promotion calls by their number among these alone.
+	calls     map[int]delivery
+	lateSteps int
 	// promoteSteps replaces memberPromoteSteps unless it is 0.
 	promoteSteps int
 	// ackSteps, pollSteps and replySteps are how late acknowledgements, the answers of other VMs
@@ -168,8 +170,8 @@
 
 // String returns what determines the run.
 func (s memberScenario) String() string {
-	return fmt.Sprintf("{%s: %d VMs, %d steps, events %v, deliveries %v, late %d, promotion %d, answers late by %d, %d and %d, late terms %t, lags %v, order %d, unread %t, fences unchecked %t}",
-		s.name, s.vms, s.steps, s.events, s.deliveries, s.lateSteps, cmp.Or(s.promoteSteps, memberPromoteSteps), s.ackSteps, s.pollSteps, s.replySteps, s.lateTerms, s.lags, s.order, s.unread, s.fencesUnchecked)
+	return fmt.Sprintf("{%s: %d VMs, %d steps, events %v, deliveries %v, calls %v, late %d, promotion %d, answers late by %d, %d and %d, late terms %t, lags %v, order %d, unread %t, fences unchecked %t}",
+		s.name, s.vms, s.steps, s.events, s.deliveries, s.calls, s.lateSteps, cmp.Or(s.promoteSteps, memberPromoteSteps), s.ackSteps, s.pollSteps, s.replySteps, s.lateTerms, s.lags, s.order, s.unread, s.fencesUnchecked)
 }
 
 // simUpstream is a simulated upstream. Its log has the term of each commit.
@@ -296,8 +298,9 @@
 	firstCall    int
 	lastTarget   model.UpstreamID
 	storeDown    bool
-	messages     int
-	passed       []passedCommit
+	// messages counts the commands and promotion calls, calls the latter alone.
+	messages, calls int
+	passed          []passedCommit
 	// passedAfter counts the commits that were passed on since the last change of primary,
 	// passedLate those of the last memberProgressSteps of the run.
 	passedAfter, passedLate int
@@ -384,7 +387,7 @@
 	return r
 }
 
-// join starts an upstream, which has received the primary's log.
+// join starts an upstream, which receives the primary's log if there is a primary to copy from.
 func (r *memberRun) join(id model.UpstreamID, zone model.Zone, delay int) *simUpstream {
 	if u := r.upstreams[id]; u != nil {
 		// It replaces several upstreams.
@@ -392,10 +395,19 @@
 	}
 	u := &simUpstream{id: id, zone: zone, alive: true, term: r.term, registersAt: r.step + delay, fresh: true, incarnation: 1}
 	r.upstreams[id] = u
+	if !r.copies(u) {
+		u.term, u.behind = 0, true
+	}
 	r.members = append(r.members, u)
 	return u
 }
 
+// copies reports whether there is a primary from which an upstream that has started can copy the log.
+func (r *memberRun) copies(u *simUpstream) bool {
+	leader := r.upstreams[r.primary]
+	return leader == u || leader != nil && leader.alive && !leader.cutReplicas && !u.cutReplicas
+}
+
 // applyEvents starts and ends the events that are due.
 func (r *memberRun) applyEvents() {
 	for i := range r.events {
@@ -526,6 +538,9 @@
 				u.restarts, u.alive, u.fresh, u.behind = false, true, true, false
 				u.log, u.fencedTerm, u.term = nil, 0, r.term
 				u.incarnation++
+				if !r.copies(u) {
+					u.term, u.behind = 0, true
+				}
 			}
 		case memberCrash:
 			if u.restarts {
@@ -657,7 +672,7 @@
 func (r *memberRun) learnPrimary() {
 	leader := r.upstreams[r.last]
 	for _, u := range r.present() {
-		if u.behind = u.behind && (u.cutReplicas || leader.cutReplicas || !leader.alive); u.behind || u.term == r.term || !u.alive {
+		if u.behind = u.behind && (u.cutReplicas || leader.cutReplicas || !leader.alive || u.term == 0 && r.primary == ""); u.behind || u.term == r.term || !u.alive {
 			continue
 		}
 		r.rollBack(u)
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -93,6 +93,36 @@
 	}
 }
 
+// caseReleased: two replicas that leave receive the last commits, which VMs do not pass on, and the other two do not. The primary
+// crashes for good. The call for a replica that leaves gets no answer, and it is gone until steps later, as is the other one. The
+// replicas that stay have all that was passed on; release steps after the crash they are replaced one after the other.
+func caseReleased(until, release, order int) memberScenario {
+	return memberScenario{
+		name: "upstreams released without a primary", vms: 3, steps: 640, order: order, calls: map[int]delivery{0: dropped, 1: dropped}, events: []memberEvent{
+			{kind: memberJoin, at: -76, upstream: "d", delay: 2},
+			{kind: memberJoin, at: -76, upstream: "e", delay: 2},
+			{kind: memberLeave, at: -24, until: until, untilCall: true, upstream: "b"},
+			{kind: memberLeave, at: -20, until: until + 4, untilCall: true, upstream: "c"},
+			{kind: memberDeaf, at: -10, until: 20, upstream: "d"},
+			{kind: memberDeaf, at: -10, until: 20, upstream: "e"},
+			{kind: memberCrash, upstream: "a"},
+			{kind: memberLeave, at: release, until: release + 64, upstream: "d", with: "f", delay: 10},
+			{kind: memberLeave, at: release + 30, until: release + 94, upstream: "e", with: "g", delay: 10},
+		},
+	}
+}
+
+// eachCaseReleased calls fn with caseReleased at several moments.
+func eachCaseReleased(fn func(memberScenario)) {
+	for _, until := range []int{1, 10, 30} {
+		for _, release := range []int{150, 170} {
+			for order := range 3 {
+				fn(caseReleased(until, release, order))
+			}
+		}
+	}
+}
+
 // memberChange is a cause of a change of primary.
 type memberChange struct {
 	name   string
@@ -293,6 +323,12 @@
 // and its entry has lapsed.
 func TestCommitsOnLeavingReplicas(t *testing.T) { runMembers(eachCaseEight).check(t) }
 
+// Guards against an empty upstream that is promoted since no target counts as safe, after a call without an answer, until all upstreams
+// that have what callers were told of have been released.
+func TestCommitsWhenUpstreamsAreReleasedWithoutAPrimary(t *testing.T) {
+	runMembers(eachCaseReleased).check(t)
+}
+
 // foundBy reports whether a scenario without a violation has one with an injected bug.
 func foundBy(each func(func(memberScenario)), inject func(*memberScenario)) bool {
 	defer debug.SetGCPercent(debug.SetGCPercent(1000))
