promotion model: a bound on the time without a primary, and on targets

No check of the model looked at how long a service has no primary, so a rule that waits counted as a safe one.

Each run now checks that no outage lasts longer than 6 s (fenceTimeout, derived in the comment) while one upstream was listed, stayed, was reached by the lease holder and had all that was passed on, and the holder reached the store and a majority of the VMs. Left out is what the model knows to be an allowed wait: a VM that was lost may have passed on more, and an upstream that may have received that is out of reach; a call that a platform which does not check tokens may still execute; the second and each further failed call starts the time anew. An outage does not end the run, so that the checks of commits see the rest. Each call for a target that lacks something passed on is a violation as well, whether it takes effect or not.

Tests of the same scenarios share their runs.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -223,6 +223,10 @@
 		r.firstCall = r.step
 	}
 	r.lastTarget = e.Upstream
+	r.checkTarget(r.upstreams[e.Upstream])
+	if mode != delivered {
+		r.callFailed()
+	}
 	unknown := func() {
 		if vm.alive {
 			vm.holder.ReportPromotion(r.now(), e.Service, e.Token, OutcomeUnknown)
@@ -256,6 +260,7 @@
 	u := r.upstreams[e.Upstream]
 	if e.Token < r.highestToken && !r.s.fencesUnchecked || !u.alive {
 		r.tracef("call for %s refused", e.Upstream)
+		r.callFailed()
 		return OutcomeRefused
 	}
 	r.highestToken = max(r.highestToken, e.Token)
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -248,6 +248,7 @@
 	failedRoundAt     int
 	cutVMs, cutStore  bool
 	startedAt         model.Time
+	startedStep       int
 	lastStatusesAt    int
 	pendingList       []replicaset.Registration
 	pendingListSentAt model.Time
@@ -305,15 +306,22 @@
 	// passedLate those of the last memberProgressSteps of the run.
 	passedAfter, passedLate int
 	changes                 int
-	violation               string
-	trace                   func(string)
+	// newestPassed is the newest commit that was passed on.
+	newestPassed model.Position
+	outage       outage
+	violation    string
+	// overdue tells of an outage that has lasted too long.
+	overdue string
+	// ledAt is the step at which the last primary began to lead.
+	ledAt int
+	trace func(string)
 }
 
 func newMemberRun(s memberScenario) *memberRun {
 	r := &memberRun{
 		s: s, upstreams: map[model.UpstreamID]*simUpstream{}, primary: "a", last: "a", term: 1, records: map[catalog.Service]Record{},
 		lateCalls: map[model.UpstreamID]int{},
-		firstCall: never, revision: 1,
+		firstCall: never, revision: 1, outage: newOutage(),
 	}
 	for _, e := range s.events {
 		r.events = append(r.events, runEvent{memberEvent: e})
@@ -334,7 +342,7 @@
 	vm := &simVM{
 		index: index, id: model.VMID(fmt.Sprint("vm-", index)), zone: model.Zone(fmt.Sprint("zone-", index)), alive: true, view: replicaset.New(), holder: New(),
 		contacts: map[model.UpstreamID]model.Time{}, heard: map[model.VMID]model.Time{}, suspects: map[model.UpstreamID]bool{},
-		inFlight: map[model.UpstreamID]int{}, failedRoundAt: -100, startedAt: r.now(),
+		inFlight: map[model.UpstreamID]int{}, failedRoundAt: -100, startedAt: r.now(), startedStep: r.step,
 	}
 	var others []model.VMID
 	for i := range r.s.vms {
@@ -383,6 +391,7 @@
 			}
 		}
 		r.runHolder()
+		r.checkOutage()
 	}
 	return r
 }
@@ -635,12 +644,16 @@
 // lead makes an upstream the primary of the next term and checks its log.
 func (r *memberRun) lead(u *simUpstream) {
 	if u.gone || !u.alive || u.id == r.primary {
+		if u.id != r.primary {
+			r.callFailed()
+		}
 		return
 	}
 	r.tracef("%s (log %v) leads term %d after %s (log %v)", u.id, u.position(), r.term+1, r.last, r.upstreams[r.last].position())
 	r.term++
 	r.deposed = r.primary
-	r.primary, r.last = u.id, u.id
+	r.primary, r.last, r.ledAt = u.id, u.id, r.step
+	clear(r.outage.provers)
 	r.changes++
 	r.passedAfter = 0
 	for i := range r.lengths {
@@ -1056,6 +1069,8 @@
 func (r *memberRun) pass(vm *simVM, c *simCommit) {
 	p := passedCommit{position: c.position, vm: vm.id, step: r.step, primary: c.primary}
 	r.passed = append(r.passed, p)
+	r.newestPassed = r.newestPassed.Max(p.position)
+	r.outage.commitPassed(r.step, vm, c.sentStep)
 	r.passedAfter++
 	if r.step >= memberWarmupSteps+r.s.steps-memberProgressSteps {
 		r.passedLate++
--- /dev/null
+++ b/core/promotion/memberoutage_test.go
@@ -0,0 +1,226 @@
+package promotion
+
+import (
+	"fmt"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+)
+
+// outage is the present time without a primary.
+type outage struct {
+	// since is the step since which no VM reaches a primary, never while one does.
+	since int
+	// holder is the VM that has been a usable lease holder since holderSince, never if there is none.
+	holder      int
+	holderSince int
+	// candidateSince has the step since which an upstream could have been promoted.
+	candidateSince map[model.UpstreamID]int
+	// failedCalls counts the promotion calls in this outage that did not succeed; secondFailedAt is the
+	// step of the last but for the first.
+	failedCalls, secondFailedAt int
+	// unknownUntil is the last step at which the lease holder could not know all that was passed on.
+	unknownUntil int
+	// lateUntil is the step until which a call may be executed late.
+	lateUntil int
+	// vmLostAt has the step at which each VM was last reached by the lease holder, while what it has passed on may not be known.
+	vmLostAt map[model.VMID]int
+	// knownSince is the step at which the newest commit was sent that a VM has passed on that the lease holder reaches. All that any VM
+	// had passed on before is in that log.
+	knownSince int
+	// provers are the upstreams by which commits of the present primary may have been proved, with their incarnation then.
+	provers map[model.UpstreamID]int64
+	// storeDownSince is the step since which the store is down, never if it is not, and storeUsableAt when lists are complete again.
+	storeDownSince, storeUsableAt int
+}
+
+func newOutage() outage {
+	return outage{since: never, holderSince: never, storeDownSince: never, candidateSince: map[model.UpstreamID]int{}, vmLostAt: map[model.VMID]int{}, provers: map[model.UpstreamID]int64{}}
+}
+
+// memberOutageLimit is how long a service may have no primary while an upstream could be promoted: 0.7 s until the loss is
+// detected, 0.95 s until the last promise ends, 0.25 s for a list, 1.1 s for a promotion; and, for one call that fails, 1 s until its
+// outcome is known, 0.4 s until the retry, 0.25 s for a list and 1.1 s for a promotion: 5.75 s, and so within fenceTimeout, in which
+// a failover finds a target. The 1.5 s for unlisted upstreams run while the loss is detected and the promises end.
+const memberOutageLimit = int(fenceTimeout / memberStep)
+
+const (
+	// promiseSteps is how long a VM may pass commits on after the lease holder has lost it.
+	promiseSteps       = int((ConfirmationTTL + confirmationMargin) / memberStep)
+	missingGraceSteps  = int(replicaset.MissingGracePeriod / memberStep)
+	lateCallLimitSteps = int(lateCallTimeout / memberStep)
+)
+
+// failOutage records that the primary was not replaced in time. The run goes on.
+func (r *memberRun) failOutage(format string, args ...any) {
+	if r.overdue == "" {
+		r.overdue = fmt.Sprintf("step %d: ", r.step-memberWarmupSteps) + fmt.Sprintf(format, args...)
+		r.tracef("OVERDUE %s", r.overdue)
+	}
+}
+
+// commitPassed records a commit that a VM has passed on.
+func (o *outage) commitPassed(step int, vm *simVM, sentStep int) {
+	if o.vmLostAt[vm.id] >= step-1 {
+		o.knownSince = max(o.knownSince, sentStep)
+	}
+}
+
+// callFailed records that a promotion call got no answer, was refused, or had no effect.
+func (r *memberRun) callFailed() {
+	o := &r.outage
+	if r.s.fencesUnchecked {
+		o.lateUntil = r.step + max(lateCallLimitSteps, r.s.lateSteps)
+	}
+	if o.failedCalls++; o.failedCalls > 1 {
+		o.secondFailedAt = r.step
+	}
+}
+
+// checkTarget checks the target of a promotion call: it has all that was passed on.
+func (r *memberRun) checkTarget(u *simUpstream) {
+	if r.newestPassed.Pos == 0 || u.has(r.newestPassed) {
+		return
+	}
+	var others []model.UpstreamID
+	for _, other := range r.present() {
+		if other.has(r.newestPassed) {
+			others = append(others, other.id)
+		}
+	}
+	r.fail("call for %s at %v, which lacks %v that was passed on; present upstreams that have it: %v", u.id, u.position(), r.newestPassed, others)
+}
+
+// checkOutage checks that the service is not without a primary for longer than memberOutageLimit while an
+// upstream could be promoted.
+func (r *memberRun) checkOutage() {
+	o := &r.outage
+	r.observeStore(o)
+	r.observeHolder(o)
+	r.observeCandidates(o)
+	if r.step < memberWarmupSteps || r.primaryReached() {
+		o.since, o.failedCalls, o.secondFailedAt = never, 0, 0
+		return
+	}
+	if o.since == never {
+		o.since = r.step
+	}
+	if o.holderSince == never {
+		return
+	}
+	if r.passedUnknown() {
+		// The former primary may come back and show it, see formerPrimaryTimeout.
+		o.unknownUntil = r.step
+	}
+	limit := memberOutageLimit + 2*max(0, r.s.promoteSteps-memberPromoteSteps)
+	since := max(o.since, o.holderSince, o.storeUsableAt, o.secondFailedAt, o.lateUntil, o.unknownUntil)
+	for _, u := range r.present() {
+		from, found := o.candidateSince[u.id]
+		if found && r.step-max(since, from) > limit {
+			r.failOutage("no primary since step %d, though %s at %v could have been promoted since step %d by %s", o.since-memberWarmupSteps, u.id, u.position(), max(since, from)-memberWarmupSteps, r.vms[o.holder].id)
+			return
+		}
+	}
+}
+
+// primaryReached reports whether a VM reaches the primary.
+func (r *memberRun) primaryReached() bool {
+	if r.primary == "" {
+		return false
+	}
+	for _, vm := range r.vms {
+		if r.reaches(vm, r.upstreams[r.primary]) {
+			return true
+		}
+	}
+	return false
+}
+
+// observeStore records since when the store lists all upstreams: not for MissingGracePeriod after an outage of that length.
+func (r *memberRun) observeStore(o *outage) {
+	switch {
+	case r.storeDown && o.storeDownSince == never:
+		o.storeDownSince = r.step
+	case !r.storeDown && o.storeDownSince != never:
+		o.storeUsableAt = r.step
+		if r.step-o.storeDownSince >= missingGraceSteps {
+			o.storeUsableAt += missingGraceSteps
+		}
+		o.storeDownSince = never
+	}
+}
+
+// observeHolder records since when the lease holder reaches the store and a majority of the VMs.
+func (r *memberRun) observeHolder(o *outage) {
+	vm := r.vms[r.holder]
+	reached := 0
+	for _, other := range r.vms {
+		if other.alive && (other == vm || linked(vm, other)) {
+			reached++
+			r.vmReached(o, other)
+		}
+	}
+	switch usable := vm.alive && vm.holder.Holding() && !vm.cutStore && !r.storeDown && reached*2 > len(r.vms); {
+	case !usable:
+		o.holderSince = never
+	case o.holderSince == never || o.holder != r.holder:
+		// A VM that has started knows no complete list for MissingGracePeriod.
+		o.holder, o.holderSince = r.holder, max(r.step, vm.startedStep+missingGraceSteps)
+	}
+}
+
+// vmReached records that the lease holder reaches a VM. What a VM that has restarted had passed on is not known.
+func (r *memberRun) vmReached(o *outage, vm *simVM) {
+	if lostAt, known := o.vmLostAt[vm.id]; !known || lostAt >= vm.startedStep || r.settled(lostAt) {
+		o.vmLostAt[vm.id] = r.step
+	}
+}
+
+// settled reports whether all that a VM may have passed on that was lost at a step is in a known log.
+func (r *memberRun) settled(lostAt int) bool {
+	return lostAt+promiseSteps < max(r.outage.knownSince, r.ledAt)
+}
+
+// passedUnknown reports whether the lease holder cannot know all that was passed on, nor ask all upstreams that may have received it: it
+// has lost a VM that may have passed on more, and a prover is out of its reach.
+func (r *memberRun) passedUnknown() bool {
+	o := &r.outage
+	lost := false
+	for _, lostAt := range o.vmLostAt {
+		lost = lost || lostAt < r.step && !r.settled(lostAt)
+	}
+	if !lost {
+		return false
+	}
+	vm := r.vms[r.holder]
+	for id, incarnation := range o.provers {
+		u := r.upstreams[id]
+		if u.gone || !r.reaches(vm, u) || u.incarnation != incarnation || !r.listed(u) {
+			return true
+		}
+	}
+	return false
+}
+
+// listed reports whether the store has an entry of an upstream that stays.
+func (r *memberRun) listed(u *simUpstream) bool {
+	return u.reported.Sequence > 0 && !u.reported.Leaving && r.step-u.reportedAt < entryTTL
+}
+
+// observeCandidates records since when each upstream could be promoted: it is listed, stays, is reached by the lease holder and
+// has all that was passed on.
+func (r *memberRun) observeCandidates(o *outage) {
+	vm := r.vms[r.holder]
+	for _, u := range r.present() {
+		if u.id != r.last && r.listed(u) && r.primaryReached() {
+			o.provers[u.id] = u.incarnation
+		}
+		if !r.listed(u) || u.cutStore || u.leaving || !r.reaches(vm, u) || r.newestPassed.Pos > 0 && !u.has(r.newestPassed) {
+			delete(o.candidateSince, u.id)
+			continue
+		}
+		if _, found := o.candidateSince[u.id]; !found {
+			o.candidateSince[u.id] = r.step
+		}
+	}
+}
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -226,16 +226,16 @@
 
 // memberResults are the results of many runs.
 type memberResults struct {
-	runs, changed, before, after, progressed, violated int
-	violations                                         map[string]int
-	examples                                           []string
+	runs, changed, before, after, progressed, violated, overdue int
+	violations, overdueNames                                    map[string]int
+	examples, overdueExamples                                   []string
 }
 
 // runMembers runs scenarios on two goroutines.
 func runMembers(each func(func(memberScenario))) *memberResults {
 	// The heap is small and short-lived.
 	defer debug.SetGCPercent(debug.SetGCPercent(1000))
-	results := &memberResults{violations: map[string]int{}}
+	results := &memberResults{violations: map[string]int{}, overdueNames: map[string]int{}}
 	scenarios := make(chan memberScenario)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -267,6 +267,13 @@
 	count(&m.after, r.changes > 0 && r.passedAfter > 0)
 	count(&m.progressed, r.passedLate > 0)
 	count(&m.violated, r.violation != "")
+	count(&m.overdue, r.overdue != "")
+	if r.overdue != "" {
+		m.overdueNames[r.s.name]++
+		if len(m.overdueExamples) < 5 {
+			m.overdueExamples = append(m.overdueExamples, fmt.Sprintf("%s in scenario %v", r.overdue, r.s))
+		}
+	}
 	if r.violation != "" {
 		m.violations[r.s.name]++
 		if len(m.examples) < 5 {
@@ -276,8 +283,8 @@
 }
 
 func (m *memberResults) String() string {
-	return fmt.Sprintf("%d scenarios, the primary changed in %d; commits were passed on before in %d, after the last change in %d, at the end in %d; %d violations in %d kinds",
-		m.runs, m.changed, m.before, m.after, m.progressed, m.violated, len(m.violations))
+	return fmt.Sprintf("%d scenarios, the primary changed in %d; commits were passed on before in %d, after the last change in %d, at the end in %d; %d violations in %d kinds; %d outages that were too long in %d",
+		m.runs, m.changed, m.before, m.after, m.progressed, m.violated, len(m.violations), m.overdue, len(m.overdueNames))
 }
 
 // check reports violations, and runs without a change or without commits at the end in more than a
@@ -299,10 +306,34 @@
 	}
 }
 
+// memberRuns has the results of scenarios that more than one test looks at.
+var memberRuns = struct {
+	all, newIDs, six, seven, eight, released, conversion func() *memberResults
+}{
+	all: resultsOf(eachMemberScenario), newIDs: resultsOf(eachNewID), six: resultsOf(eachCaseSix), seven: resultsOf(eachCaseSeven),
+	eight: resultsOf(eachCaseEight), released: resultsOf(eachCaseReleased), conversion: resultsOf(eachConversion),
+}
+
+func resultsOf(each func(func(memberScenario))) func() *memberResults {
+	return sync.OnceValue(func() *memberResults { return runMembers(each) })
+}
+
+// checkOutages reports outages that were too long.
+func (m *memberResults) checkOutages(t *testing.T) {
+	t.Helper()
+	t.Log(m)
+	for _, name := range slices.Sorted(maps.Keys(m.overdueNames)) {
+		t.Logf("%d outages that were too long: %s", m.overdueNames[name], name)
+	}
+	for _, e := range m.overdueExamples {
+		t.Error(e)
+	}
+}
+
 // Guards against lost commits, and writes to a former primary, while members come and go during a
 // change of primary, with faults in the delivery of commands and calls.
 func TestCommitsOutlastChangesOfMembers(t *testing.T) {
-	m := runMembers(eachMemberScenario)
+	m := memberRuns.all()
 	m.check(t)
 	if m.changed*2 < m.runs {
 		t.Errorf("the primary changed in only %d of %d scenarios", m.changed, m.runs)
@@ -312,16 +343,16 @@
 // Guards against commits through a primary that is back before its successor leads, and a replica
 // that was added since the target was selected.
 func TestCommitsWhenThePrimaryIsBackBeforeThePromotion(t *testing.T) {
-	runMembers(eachCaseSix).check(t)
+	memberRuns.six().check(t)
 }
 
 // Guards against a second target that lacks the commits of the first, which leads already but is
 // out of reach of the lease holder.
-func TestCommitsWhenTheTargetIsOutOfReach(t *testing.T) { runMembers(eachCaseSeven).check(t) }
+func TestCommitsWhenTheTargetIsOutOfReach(t *testing.T) { memberRuns.seven().check(t) }
 
 // Guards against commits that only replicas have which are leaving, while the primary has crashed
 // and its entry has lapsed.
-func TestCommitsOnLeavingReplicas(t *testing.T) { runMembers(eachCaseEight).check(t) }
+func TestCommitsOnLeavingReplicas(t *testing.T) { memberRuns.eight().check(t) }
 
 // Guards against an empty upstream that is promoted since no target counts as safe, after a call without an answer, until all upstreams
 // that have what callers were told of have been released.
@@ -657,9 +688,8 @@
 	return s
 }
 
-// Guards against lost commits in scenarios that nobody has thought of. MEMBERMODEL_SEEDS has the
-// first and the last seed, as in 1-1000; without it nothing is run. MEMBERMODEL_TRACE prints a run.
-func TestRandomChangesOfMembers(t *testing.T) {
+// randomSeeds returns the first and the last seed in MEMBERMODEL_SEEDS, as in 1-1000. Without it, the test is skipped.
+func randomSeeds(t *testing.T) (from, to uint64) {
 	first, last, found := strings.Cut(os.Getenv("MEMBERMODEL_SEEDS"), "-")
 	if first == "" {
 		t.Skip("MEMBERMODEL_SEEDS is not set")
@@ -672,47 +702,95 @@
 	if err != nil || err2 != nil {
 		t.Fatal(err, err2)
 	}
-	m := runMembers(func(fn func(memberScenario)) {
-		for seed := from; seed <= to; seed++ {
-			fn(randomMemberScenario(seed))
-		}
+	return from, to
+}
+
+// randomResults has the results of the random scenarios of MEMBERMODEL_SEEDS.
+var (
+	randomResultsOnce sync.Once
+	randomResults     *memberResults
+)
+
+func randomRuns(from, to uint64) *memberResults {
+	randomResultsOnce.Do(func() {
+		randomResults = runMembers(func(fn func(memberScenario)) {
+			for seed := from; seed <= to; seed++ {
+				fn(randomMemberScenario(seed))
+			}
+		})
 	})
-	t.Log(m)
-	if m.violated == 0 && m.progressed*20 < m.runs*19 {
-		t.Errorf("commits were passed on at the end of only %d of %d scenarios", m.progressed, m.runs)
-	}
+	return randomResults
+}
+
+// reportSeeds reports the seeds among names with the least scenario that still fails. MEMBERMODEL_TRACE prints its run.
+func reportSeeds(t *testing.T, from, to uint64, names map[string]int, failure func(*memberRun) string) {
+	t.Helper()
 	shown := 0
 	for seed := from; seed <= to; seed++ {
-		if m.violations[fmt.Sprint("seed ", seed)] == 0 {
+		if names[fmt.Sprint("seed ", seed)] == 0 {
 			continue
 		}
 		if shown++; shown > 30 {
 			t.Errorf("seed %d as well", seed)
 			continue
 		}
-		least := randomMemberScenario(seed).shrink(func(r *memberRun) bool { return r.violation != "" })
+		least := randomMemberScenario(seed).shrink(func(r *memberRun) bool { return failure(r) != "" })
 		r := newMemberRun(least)
 		if os.Getenv("MEMBERMODEL_TRACE") != "" {
 			r.trace = func(line string) { t.Log(line) }
 		}
-		t.Errorf("%s in scenario %v", r.run().violation, least)
+		t.Errorf("%s in scenario %v", failure(r.run()), least)
+	}
+}
+
+// Guards against lost commits in scenarios that nobody has thought of.
+func TestRandomChangesOfMembers(t *testing.T) {
+	from, to := randomSeeds(t)
+	m := randomRuns(from, to)
+	t.Log(m)
+	if m.violated == 0 && m.progressed*20 < m.runs*19 {
+		t.Errorf("commits were passed on at the end of only %d of %d scenarios", m.progressed, m.runs)
+	}
+	reportSeeds(t, from, to, m.violations, func(r *memberRun) string { return r.violation })
+}
+
+// Guards against services that stay without a primary in scenarios that nobody has thought of.
+func TestRandomOutages(t *testing.T) {
+	from, to := randomSeeds(t)
+	m := randomRuns(from, to)
+	t.Log(m)
+	reportSeeds(t, from, to, m.overdueNames, func(r *memberRun) string { return r.overdue })
+}
+
+// Guards against a service that stays without a primary although an upstream has all that callers were told of.
+func TestOutagesEndWhileMembersChange(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		runs func() *memberResults
+	}{
+		{"changes", memberRuns.all}, {"new IDs", memberRuns.newIDs}, {"primary back", memberRuns.six}, {"target out of reach", memberRuns.seven},
+		{"leaving replicas", memberRuns.eight}, {"released", memberRuns.released}, {"conversion", memberRuns.conversion},
+	} {
+		t.Run(c.name, func(t *testing.T) { c.runs().checkOutages(t) })
+	}
+}
+
+// eachNewID calls fn with scenarios in which upstreams come back from a crash under another ID.
+func eachNewID(fn func(memberScenario)) {
+	eachMemberScenario(func(s memberScenario) {
+		s.newIDs = true
+		fn(s)
+	})
+	for seed := range uint64(3000) {
+		s := randomMemberScenario(seed)
+		s.newIDs = true
+		fn(s)
 	}
 }
 
 // Guards against commits that are lost when upstreams come back from a crash under another ID.
 func TestCommitsOutlastUpstreamsThatComeBackUnderAnotherID(t *testing.T) {
-	m := runMembers(func(fn func(memberScenario)) {
-		eachMemberScenario(func(s memberScenario) {
-			s.newIDs = true
-			fn(s)
-		})
-		for seed := range uint64(3000) {
-			s := randomMemberScenario(seed)
-			s.newIDs = true
-			fn(s)
-		}
-	})
-	m.check(t)
+	memberRuns.newIDs().check(t)
 }
 
 // eachConversion calls fn with switchovers in which the primary, then its target are out of reach of the lease holder before
@@ -744,4 +822,4 @@
 
 // Guards against commits that are lost when a switchover turns into a failover, since its target counts with what it had answered
 // while VMs still passed on what it received.
-func TestCommitsWhenASwitchoverTurnsIntoAFailover(t *testing.T) { runMembers(eachConversion).check(t) }
+func TestCommitsWhenASwitchoverTurnsIntoAFailover(t *testing.T) { memberRuns.conversion().check(t) }
