promotion model: step-downs, lost logs, new lease holders and late calls around a failover

- A primary steps down while a VM that the lease holder does not reach holds a promise, and commits are in flight to a replica that has answered before.
In the model, a primary that steps down now leaves what it had sent to replicas that receive late.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -205,7 +205,7 @@
 		u.fencedTerm = 0
 	case CommandStepDown:
 		if term > r.term && r.primary == u.id {
-			r.primary = ""
+			r.primary, r.steppedDownStep = "", r.step
 			r.tracef("%s steps down at %v", u.id, u.position())
 		}
 	}
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -312,6 +312,8 @@
 	violation    string
 	// overdue tells of an outage that has lasted too long.
 	overdue string
+	// steppedDownStep is the step at which the last primary stepped down.
+	steppedDownStep int
 	// ledAt is the step at which the last primary began to lead.
 	ledAt int
 	trace func(string)
@@ -734,6 +736,7 @@
 func (r *memberRun) replicate() {
 	r.learnPrimary()
 	if r.primary == "" {
+		r.replicateInFlight()
 		return
 	}
 	primary := r.upstreams[r.primary]
@@ -752,6 +755,21 @@
 	}
 }
 
+// replicateInFlight passes on what a primary that has stepped down had sent before, to replicas that receive late.
+func (r *memberRun) replicateInFlight() {
+	former := r.upstreams[r.last]
+	for _, u := range r.present() {
+		fenced := u.fencedTerm > 0 && !r.s.ignoresFence
+		sentStep := r.step - u.lag
+		if u == former || u.lag == 0 || sentStep < 0 || sentStep >= r.steppedDownStep || !u.alive || fenced || u.behind || u.fresh || u.deaf || u.cutReplicas || former.cutReplicas || !former.alive {
+			continue
+		}
+		if n := min(len(former.log), r.lengths[sentStep]); n > len(u.log) {
+			u.log = former.log[:n:n]
+		}
+	}
+}
+
 // reaches reports whether a VM reaches an upstream.
 func (r *memberRun) reaches(vm *simVM, u *simUpstream) bool {
 	return vm.alive && u.alive && u.cutVMs&(1<<vm.index) == 0
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -308,10 +308,11 @@
 
 // memberRuns has the results of scenarios that more than one test looks at.
 var memberRuns = struct {
-	all, newIDs, six, seven, eight, released, conversion func() *memberResults
+	all, newIDs, six, seven, eight, released, conversion, stepDown, lostLog, newHolder, lateCall func() *memberResults
 }{
 	all: resultsOf(eachMemberScenario), newIDs: resultsOf(eachNewID), six: resultsOf(eachCaseSix), seven: resultsOf(eachCaseSeven),
 	eight: resultsOf(eachCaseEight), released: resultsOf(eachCaseReleased), conversion: resultsOf(eachConversion),
+	stepDown: resultsOf(eachStepDown), lostLog: resultsOf(eachLostLog), newHolder: resultsOf(eachNewHolder), lateCall: resultsOf(eachLateCall),
 }
 
 func resultsOf(each func(func(memberScenario))) func() *memberResults {
@@ -770,6 +771,7 @@
 	}{
 		{"changes", memberRuns.all}, {"new IDs", memberRuns.newIDs}, {"primary back", memberRuns.six}, {"target out of reach", memberRuns.seven},
 		{"leaving replicas", memberRuns.eight}, {"released", memberRuns.released}, {"conversion", memberRuns.conversion},
+		{"step-down", memberRuns.stepDown}, {"lost log", memberRuns.lostLog}, {"new lease holder", memberRuns.newHolder}, {"late call", memberRuns.lateCall},
 	} {
 		t.Run(c.name, func(t *testing.T) { c.runs().checkOutages(t) })
 	}
