--- a/core/promotion/blocked_test.go
+++ b/core/promotion/blocked_test.go
@@ -41,11 +41,11 @@
 	}{
 		{"unanswered replica", func(h *harness) { lose(h, "c") }, nil, blockedFailing + " c"},
 		{"no answer from any replica", func(h *harness) { lose(h, "b", "c") }, nil, blockedFailing + " b"},
-		{"departed before it answered", func(h *harness) { lose(h, "c") }, func(h *harness) { remove(h, "c") }, blockedDepartedNotHeard + " c"},
+		{"departed before it answered", func(h *harness) { lose(h, "c") }, func(h *harness) { remove(h, "c") }, blockedLostNotHeard + " c"},
 		{"longest log departed", func(h *harness) {
 			h.member("c").Status.Received = pos(105)
 			h.view.Incomplete, h.view.MemberLost = true, true
-		}, func(h *harness) { remove(h, "c") }, blockedDepartedAhead + " c"},
+		}, func(h *harness) { remove(h, "c") }, blockedLostAhead + " c"},
 		{"longest log not reachable", func(h *harness) {
 			h.member("c").Status.Received = pos(105)
 			h.view.Incomplete, h.view.MemberLost = true, true
--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -95,8 +95,8 @@
 
 // ReportWithdrawn records that a VM has dropped its confirmation of a service and
 // vouches for its primary no more, when it was told so by the EffectWithdraw of the
-// tick at sentAt. Vouchers that it has given end within vouched.
-func (s *State) ReportWithdrawn(now model.Time, name catalog.Service, vm model.VMID, sentAt model.Time, vouched time.Duration) {
+// tick at sentAt.
+func (s *State) ReportWithdrawn(now model.Time, name catalog.Service, vm model.VMID, sentAt model.Time, w Withdrawal) {
 	svc := s.services[name]
 	if svc == nil || svc.transition == nil || svc.transition.phase != phaseFence {
 		return
@@ -111,7 +111,7 @@
 		}
 	}
 	if _, found := svc.transition.withdrawn[vm]; !found {
-		svc.transition.withdrawn[vm] = now.Add(vouched + confirmationMargin)
+		svc.transition.withdrawn[vm] = withdrawal{vouchersEnd: now.Add(w.Vouched + confirmationMargin), passedOn: w.PassedOn, startedAt: now.Add(-w.Running)}
 		svc.transition.withdrawnAt = now
 	}
 }
@@ -143,7 +143,7 @@
 	if svc.uncertain(now) || len(svc.lateTargets(now, v.Primary)) > 0 {
 		return
 	}
-	svc.confirmable = c
+	svc.confirmable, svc.freeze = c, nil
 }
 
 // successor returns the upstream that alone may follow the old primary in this transition: the target
@@ -185,12 +185,12 @@
 func (t *transition) vouchersEnded(now model.Time, in *Input) bool {
 	withdrawn, ended := 0, 0
 	for _, vm := range in.Voters {
-		until, found := t.withdrawn[vm]
+		w, found := t.withdrawn[vm]
 		if !found {
 			continue
 		}
 		withdrawn++
-		if now >= until {
+		if now >= w.vouchersEnd {
 			ended++
 		}
 	}
--- /dev/null
+++ b/core/promotion/freeze.go
@@ -0,0 +1,283 @@
+package promotion
+
+import (
+	"math"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+)
+
+// Withdrawal is a VM's answer to EffectWithdraw.
+type Withdrawal struct {
+	// Vouched is for how long vouchers that the VM has given may still be used.
+	Vouched time.Duration
+	// PassedOn is the end of the newest commit that the VM knows to have been passed on to a caller.
+	PassedOn model.Position
+	// Running is how long the VM's process has run. PassedOn does not have what an earlier process
+	// has passed on.
+	Running time.Duration
+}
+
+// withdrawal is a Withdrawal with times of this VM.
+type withdrawal struct {
+	vouchersEnd model.Time
+	passedOn    model.Position
+	startedAt   model.Time
+}
+
+// freeze is the time in which VMs pass no commits of a primary on. It begins in a transition, and lasts
+// until a primary is promised again. Further failovers within it go on with what is known.
+type freeze struct {
+	// term is the term of the primary whose commits are not passed on, and fenceTerm the term for
+	// which upstreams are fenced; it is higher than all terms of primaries.
+	term, fenceTerm uint64
+	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
+	// it is not confirmed any more.
+	withdrawingSince model.Time
+	// withdrawn are the VMs that have dropped the primary.
+	withdrawn map[model.VMID]withdrawal
+	// withdrawnAt is when a VM last reported that, 0 before.
+	withdrawnAt model.Time
+	// promisesEndedAt is when the last promise of the old primary had ended, but for those that
+	// name the target of a switchover; 0 before. From then on VMs pass on only commits that
+	// this target has.
+	promisesEndedAt model.Time
+	// heard has what each upstream had received when it answered since promisesEndedAt: all commits
+	// in its log that VMs have passed on, but for the target of a switchover.
+	heard map[model.UpstreamID]model.Position
+	// known are the upstreams that were known at the start or since, as last seen, but for those
+	// that have gone.
+	known map[model.UpstreamID]seenUpstream
+	// wholeBefore is true if all upstreams that had left before the freeze are known.
+	wholeBefore bool
+	// lost has the replicas that were lost after they had answered since promisesEndedAt, with the time until
+	// which they may have proved commits. A replica is lost if it goes, or restarts without its log.
+	lost map[model.UpstreamID]model.Time
+	// unheardUntil is the time until which replicas may have proved commits that were lost before they had
+	// answered; 0 if none was since the group was known to be complete.
+	unheardUntil model.Time
+	// unheard is one of these, empty if none was lost in the freeze.
+	unheard model.UpstreamID
+	// sufficient is the end of a log that was found to have every commit that was passed on, the shortest such
+	// one; zero before.
+	sufficient model.Position
+	// replicaLostAt is View.ReplicaLostAt of the last tick.
+	replicaLostAt model.Time
+}
+
+// seenUpstream is what a later view is compared with to tell whether an upstream has restarted.
+type seenUpstream struct {
+	incarnation int64
+	term        uint64
+	received    model.Position
+	retiredAt   model.Time
+}
+
+// endOfTime is later than all times.
+const endOfTime = model.Time(math.MaxInt64)
+
+func newFreeze(v *replicaset.View) *freeze {
+	f := &freeze{
+		term: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, withdrawn: map[model.VMID]withdrawal{},
+		heard: map[model.UpstreamID]model.Position{}, known: map[model.UpstreamID]seenUpstream{}, lost: map[model.UpstreamID]model.Time{},
+		wholeBefore: !v.Incomplete || v.Whole, replicaLostAt: v.ReplicaLostAt,
+	}
+	if v.Incomplete {
+		f.unheardUntil = v.ReplicaLostAt
+	}
+	f.see(v)
+	return f
+}
+
+// raiseFenceTerm makes the fence term higher than all terms in which an upstream may have led.
+func (f *freeze) raiseFenceTerm(v *replicaset.View) {
+	highest := v.PrimaryTerm
+	for i := range v.Members {
+		highest = max(highest, v.Members[i].Status.Term)
+	}
+	f.fenceTerm = max(f.fenceTerm, highest+1)
+}
+
+// see updates known.
+func (f *freeze) see(v *replicaset.View) {
+	for i := range v.Members {
+		m := &v.Members[i]
+		f.known[m.ID] = seenUpstream{incarnation: m.Incarnation, term: m.Status.Term, received: m.Status.Received, retiredAt: m.RetiredAt}
+	}
+}
+
+// observe records lost replicas and what upstreams have received. oldPrimary is no replica.
+func (f *freeze) observe(now model.Time, v *replicaset.View, oldPrimary model.UpstreamID) {
+	if found := f.observeLosses(now, v, oldPrimary); !found && v.ReplicaLostAt > f.replicaLostAt {
+		f.unheardUntil = max(f.unheardUntil, v.ReplicaLostAt)
+	}
+	f.replicaLostAt = max(f.replicaLostAt, v.ReplicaLostAt)
+	f.see(v)
+	for i := range v.Members {
+		if m := &v.Members[i]; f.promisesEndedAt != 0 && m.StatusAt >= f.promisesEndedAt {
+			f.heard[m.ID] = f.heard[m.ID].Max(m.Status.Received)
+		}
+	}
+}
+
+// observeLosses records the upstreams that were lost since the last tick, and reports whether any was.
+func (f *freeze) observeLosses(now model.Time, v *replicaset.View, oldPrimary model.UpstreamID) (found bool) {
+	for id, last := range f.known {
+		m := findMember(v, id)
+		if m != nil && m.Incarnation == last.incarnation {
+			if m.Status.Received.Compare(last.received) >= 0 {
+				continue
+			}
+			if m.Status.Term > last.term {
+				// An upstream that was promoted in the freeze has discarded the rest.
+				delete(f.heard, id)
+				continue
+			}
+		}
+		found = true
+		if m == nil {
+			delete(f.known, id)
+		}
+		if id == oldPrimary {
+			continue
+		}
+		until := last.retiredAt
+		if until == 0 {
+			until = now
+		}
+		if _, heard := f.heard[id]; heard {
+			f.lost[id] = max(f.lost[id], until)
+		} else {
+			f.unheardUntil, f.unheard = max(f.unheardUntil, until), id
+		}
+	}
+	return found
+}
+
+// found records that a log up to position has every commit that was passed on.
+func (f *freeze) found(position model.Position) {
+	if f.sufficient == (model.Position{}) || position.Compare(f.sufficient) < 0 {
+		f.sufficient = position
+	}
+}
+
+// isSufficient reports whether a log up to position is known to have every commit that was passed on.
+func (f *freeze) isSufficient(position model.Position) bool {
+	return f.sufficient != (model.Position{}) && position.Compare(f.sufficient) >= 0
+}
+
+// newPrimary records that an upstream has been promoted in the freeze, which has discarded what it lacked.
+// Whether lost replicas had more is no longer known.
+func (f *freeze) newPrimary(v *replicaset.View) {
+	f.term = v.PrimaryTerm
+	for _, until := range f.lost {
+		f.unheardUntil = max(f.unheardUntil, until)
+	}
+	clear(f.lost)
+	clear(f.heard)
+}
+
+// provedUntil returns the time until which replicas may have proved commits that c lacks, 0 if none may have, and
+// the last of them.
+func (f *freeze) provedUntil(v *replicaset.View, oldPrimary model.UpstreamID, c *replicaset.Member) (latest model.Time, by blocked) {
+	add := func(until model.Time, cause string, id model.UpstreamID) {
+		if until > latest {
+			latest, by = until, blocked{cause: cause, upstream: id}
+		}
+	}
+	if f.unheard != "" {
+		add(f.unheardUntil, blockedLostNotHeard, f.unheard)
+	} else {
+		add(f.unheardUntil, blockedOldEvidence, "")
+	}
+	for id, until := range f.lost {
+		if id != oldPrimary && c.Status.Received.Compare(f.heard[id]) < 0 {
+			add(until, blockedLostAhead, id)
+		}
+	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.ID == c.ID || m.ID == oldPrimary || f.has(c, m) {
+			continue
+		}
+		cause := blockedAhead
+		if _, heard := f.heard[m.ID]; !heard {
+			cause = unfencedCause(m)
+		}
+		add(mayProveUntil(m), cause, m.ID)
+	}
+	return latest, by
+}
+
+// has reports whether c has all commits that m may have proved.
+func (f *freeze) has(c, m *replicaset.Member) bool {
+	if received, found := f.heard[m.ID]; found {
+		_, lost := f.lost[m.ID]
+		return lost || c.Status.Received.Compare(received) >= 0
+	}
+	return f.fenced(m) && m.FailedSince == 0 && c.Status.Received.Compare(m.Status.Received) >= 0
+}
+
+// mayProveUntil returns the time until which a replica may have proved commits.
+func mayProveUntil(m *replicaset.Member) model.Time {
+	switch {
+	case m.RetiredAt != 0:
+		return m.RetiredAt
+	case m.RefusedSince != 0:
+		return m.RefusedSince
+	}
+	return endOfTime
+}
+
+// fenced reports whether a replica has said that it is fenced. Its answer may be from an earlier attempt.
+func (f *freeze) fenced(m *replicaset.Member) bool { return m.Status.FencedTerm >= f.fenceTerm }
+
+// covered reports whether an upstream has answered since promisesEndedAt, and best has all that it had
+// received then. It need not answer any more.
+func (f *freeze) covered(id model.UpstreamID, best *replicaset.Member) bool {
+	received, found := f.heard[id]
+	return found && best != nil && best.Status.Received.Compare(received) >= 0
+}
+
+// passedOn returns the end of the newest commit that is known to have been passed on.
+func (f *freeze) passedOn(v *replicaset.View) model.Position {
+	newest := v.PassedOn
+	for _, w := range f.withdrawn {
+		newest = newest.Max(w.passedOn)
+	}
+	return newest
+}
+
+// hasAllPassedOn reports whether m has every commit that was passed on because all VMs that may have passed any
+// on have said which. What an earlier process of a VM has passed on was acknowledged before the start
+// of the present one, so m needs the evidence of that time.
+func (s *State) hasAllPassedOn(svc *serviceState, f *freeze, in *Input, m *replicaset.Member) bool {
+	if f.promisesEndedAt == 0 {
+		return false
+	}
+	e, ok := in.EvidenceUpTo(svc.name, m.Status.Received)
+	if !ok {
+		return false
+	}
+	known := func(vm model.VMID) bool {
+		w, found := f.withdrawn[vm]
+		return found && w.startedAt.Add(confirmationMargin) <= e.At && m.Status.Received.Compare(w.passedOn) >= 0
+	}
+	for _, vm := range in.Voters {
+		if !known(vm) {
+			return false
+		}
+	}
+	for vm := range svc.confirmedUntil {
+		if !known(vm) {
+			return false
+		}
+	}
+	for p := range svc.promises {
+		if !known(p.vm) {
+			return false
+		}
+	}
+	return len(in.Voters) > 0
+}
--- a/core/promotion/list_test.go
+++ b/core/promotion/list_test.go
@@ -67,6 +67,7 @@
 		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
 		SyncReplicas: func(catalog.Service) int { return 1 },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return h.view.NewestEvidence(s) },
+		EvidenceUpTo: h.view.EvidenceUpTo,
 	}
 }
 
@@ -88,7 +89,7 @@
 	case e.Kind == EffectPromote && h.promoted == "":
 		h.promoted = e.Upstream
 	case e.Kind == EffectWithdraw:
-		h.state.ReportWithdrawn(h.now, e.Service, e.VM, e.SentAt, 0)
+		h.state.ReportWithdrawn(h.now, e.Service, e.VM, e.SentAt, Withdrawal{})
 	case e.Kind == EffectCommand && e.Command == CommandPause && !h.down[e.Upstream]:
 		h.fenced[e.Upstream] = e.Term
 	}
--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -69,6 +69,7 @@
 		Evacuated:    func(model.Zone) bool { return false },
 		PeerContact:  func(id model.UpstreamID) model.Time { return vm.contacts[id] },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return vm.view.NewestEvidence(s) },
+		EvidenceUpTo: vm.view.EvidenceUpTo,
 		SyncReplicas: func(catalog.Service) int { return 1 },
 	}
 	heard := 0
@@ -282,10 +283,13 @@
 	other := r.vms[i]
 	if other != vm && !linked(vm, other) {
 		if r.s.assumesWithdrawal {
-			vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, 0)
+			vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, Withdrawal{Running: time.Hour})
 		}
 		return
 	}
 	r.apply(other, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service, Successor: e.Upstream})
-	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, max(other.view.Vouched(r.now(), e.Service), other.startedAt.Add(replicaset.VoucherTTL).Sub(r.now())))
+	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, Withdrawal{
+		Vouched:  max(other.view.Vouched(r.now(), e.Service), other.startedAt.Add(replicaset.VoucherTTL).Sub(r.now())),
+		PassedOn: other.view.PassedOn(e.Service), Running: r.now().Sub(other.startedAt),
+	})
 }
--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -909,13 +909,16 @@
 		if v.PrimaryTerm == e.Term && v.Primary != "" {
 			events = append(events, replicaset.Event{Kind: replicaset.EventPrimary, Service: v.Service, Upstream: v.Primary, Term: e.Term, SentAt: e.At})
 		}
-		events = append(events, replicaset.Event{Kind: replicaset.EventEvidence, Service: v.Service, Position: e.Position, Term: e.Term, SentAt: e.At})
+		events = append(events,
+			replicaset.Event{Kind: replicaset.EventEvidence, Service: v.Service, Position: e.Position, Term: e.Term, SentAt: e.At},
+			replicaset.Event{Kind: replicaset.EventPassedOn, Service: v.Service, Position: v.PassedOn})
 	}
 	return func() {
 		vm.heard[other.id] = now
 		if listedAt.Sub(vm.listedAt) >= 300*time.Millisecond {
 			r.installList(vm, listedAt, list)
 		}
+		r.apply(vm, &replicaset.Event{Kind: replicaset.EventPeerListed, VM: other.id, SentAt: listedAt})
 		for i := range contacts {
 			vm.contacts[contacts[i].ID] = max(vm.contacts[contacts[i].ID], contacts[i].ContactAt)
 		}
@@ -1067,6 +1070,7 @@
 
 // pass passes a commit on to its caller.
 func (r *memberRun) pass(vm *simVM, c *simCommit) {
+	r.apply(vm, &replicaset.Event{Kind: replicaset.EventPassedOn, Service: memberService, Position: c.position})
 	p := passedCommit{position: c.position, vm: vm.id, step: r.step, primary: c.primary}
 	r.passed = append(r.passed, p)
 	r.newestPassed = r.newestPassed.Max(p.position)
--- a/core/promotion/model_test.go
+++ b/core/promotion/model_test.go
@@ -290,7 +290,7 @@
 	if !c.scenario.ignoresConfirmations {
 		c.vm = Confirmation{}
 	}
-	c.holder.ReportWithdrawn(c.now(), e.Service, e.VM, e.SentAt, 0)
+	c.holder.ReportWithdrawn(c.now(), e.Service, e.VM, e.SentAt, Withdrawal{})
 }
 
 // refreshMembers simulates the lease holder's regular status queries.
@@ -342,6 +342,7 @@
 		Evacuated:    func(model.Zone) bool { return false },
 		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
 		Evidence:     func(catalog.Service) (replicaset.Evidence, bool) { return replicaset.Evidence{}, false },
+		EvidenceUpTo: func(catalog.Service, model.Position) (replicaset.Evidence, bool) { return replicaset.Evidence{}, false },
 		SyncReplicas: func(catalog.Service) int { return 1 }, FencesChecked: !c.scenario.fencesUnchecked,
 	}
 }
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -71,6 +71,9 @@
 		Evidence: func(catalog.Service) (replicaset.Evidence, bool) {
 			return h.evidence, h.evidence.At != 0
 		},
+		EvidenceUpTo: func(_ catalog.Service, p model.Position) (replicaset.Evidence, bool) {
+			return h.evidence, h.evidence.At != 0 && p.Compare(h.evidence.Position) >= 0
+		},
 		SyncReplicas: func(catalog.Service) int { return 1 },
 		Isolated:     h.isolated, FencesChecked: true,
 	}
--- a/core/promotion/report.go
+++ b/core/promotion/report.go
@@ -67,9 +67,9 @@
 	for _, until := range svc.confirmedUntil {
 		end = max(end, until)
 	}
-	for _, until := range t.withdrawn {
+	for _, w := range t.withdrawn {
 		if !t.allWithdrawn(in) {
-			end = max(end, until)
+			end = max(end, w.vouchersEnd)
 		}
 	}
 	return end
--- a/core/promotion/report_test.go
+++ b/core/promotion/report_test.go
@@ -16,10 +16,10 @@
 	s := New()
 	s.Acquire(now.Add(-10*time.Second), Acquisition{Revision: 1})
 	svc := s.newService(now, "db")
-	svc.transition = &transition{
+	svc.transition = &transition{freeze: &freeze{
 		fenceTerm: 3, withdrawnAt: now.Add(-200 * time.Millisecond),
-		withdrawn: map[model.VMID]model.Time{"vm": now.Add(300 * time.Millisecond)},
-	}
+		withdrawn: map[model.VMID]withdrawal{"vm": {vouchersEnd: now.Add(300 * time.Millisecond)}},
+	}}
 	svc.confirmedUntil["other"] = now.Add(-100 * time.Millisecond)
 	v := &replicaset.View{Service: "db", ListedAt: now.Add(-time.Second), Members: []replicaset.Member{
 		{Registration: replicaset.Registration{ID: "a", Leaving: true}, FailedSince: now},
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -38,6 +38,8 @@
 	// knownSince is when this lease holder first saw the service.
 	knownSince model.Time
 	transition *transition
+	// freeze is that of the last failover, nil once a primary is promised again.
+	freeze *freeze
 	// backoffUntil is when the next transition may start after a failed one.
 	backoffUntil model.Time
 	// noPrimarySince is the time since which no primary is known, 0 if one is.
@@ -218,6 +220,9 @@
 // cause.
 func (s *State) tickService(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
 	svc.observe(now, v, in)
+	if svc.freeze != nil && svc.transition == nil {
+		svc.freeze.observe(now, v, v.Primary)
+	}
 	if svc.transition != nil {
 		return s.advance(now, svc, v, in, out)
 	}
@@ -232,18 +237,36 @@
 	}
 	t := &transition{
 		planned: planned, cause: cause, startedAt: now, attemptAt: now, phase: phaseFence,
-		oldPrimary: v.Primary, oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, aliveAt: svc.primaryAliveAt,
-		withdrawn: map[model.VMID]model.Time{}, members: map[model.UpstreamID]bool{}, heard: map[model.UpstreamID]model.Position{},
+		oldPrimary: v.Primary, oldTerm: v.PrimaryTerm, aliveAt: svc.primaryAliveAt,
 	}
 	if planned && !t.selectSwitchoverTarget(now, svc, v, in) {
 		return out
 	}
+	svc.startFreeze(v, t)
 	svc.transition = t
 	svc.lastCommandAt, svc.withdrawSentAt = map[model.UpstreamID]model.Time{}, 0
 	out = append(out, Effect{Kind: EffectTransitionStarted, Service: svc.name, Upstream: v.Primary, Cause: cause, Term: t.fenceTerm, Members: len(v.Members)}, Effect{Kind: EffectListNeeded, Service: svc.name})
 	return s.advance(now, svc, v, in, out)
 }
 
+// startFreeze gives a transition its freeze: that of the last failover, if no primary was promised since.
+func (svc *serviceState) startFreeze(v *replicaset.View, t *transition) {
+	if t.planned {
+		svc.freeze = nil
+	}
+	t.freeze = svc.freeze
+	switch {
+	case t.freeze == nil:
+		t.freeze = newFreeze(v)
+	case v.PrimaryTerm > t.term:
+		t.newPrimary(v)
+	}
+	t.raiseFenceTerm(v)
+	if !t.planned {
+		svc.freeze = t.freeze
+	}
+}
+
 // observe tracks the conditions that must last for a while to start a failover:
 // a missing primary and stalled replication.
 func (svc *serviceState) observe(now model.Time, v *replicaset.View, in *Input) {
--- a/core/promotion/successor_test.go
+++ b/core/promotion/successor_test.go
@@ -78,7 +78,7 @@
 	}
 	t.Logf("promises %v, confirmed %v at %v", svc.promises, svc.confirmedUntil, h.now)
 	until := svc.promises[promise{"vm", "b"}]
-	h.state.ReportWithdrawn(h.now, "db", "vm", h.now.Add(-100*ms), 0)
+	h.state.ReportWithdrawn(h.now, "db", "vm", h.now.Add(-100*ms), Withdrawal{})
 	for h.now < until {
 		h.advance(10 * ms)
 		if at := svc.transition.promisesEndedAt; at != 0 && at < until {
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -31,34 +31,15 @@
 	oldPrimary model.UpstreamID
 	// oldTerm is the term of the old primary.
 	oldTerm uint64
-	// members are the upstreams that were known at the start or since.
-	members map[model.UpstreamID]bool
-	// fenceTerm is the term for which upstreams are fenced; it is higher than
-	// all terms known before.
-	fenceTerm uint64
-	target    model.UpstreamID
+	*freeze
+	target model.UpstreamID
 	// targetReceived is what the target had received when it was selected.
 	targetReceived model.Position
-	// withdrawn are the VMs that have dropped the primary during this transition, with
-	// the time at which the vouchers that they gave end.
-	withdrawn map[model.VMID]model.Time
-	// withdrawnAt is when a VM last reported that, 0 before.
-	withdrawnAt model.Time
-	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
-	// it is not confirmed any more.
-	withdrawingSince model.Time
 	// steppedDownAt is when this VM learned that the old primary is no longer one, so that it
 	// acknowledges no more commits, 0 before. It may have restarted without its log.
 	// oldPrimaryLost is true while neither this VM nor a peer reaches it.
 	steppedDownAt  model.Time
 	oldPrimaryLost bool
-	// promisesEndedAt is when the last promise of the old primary had ended, but for those that
-	// name the target of a switchover; 0 before. From then on VMs pass on only commits that
-	// this target has.
-	promisesEndedAt model.Time
-	// heard has what each upstream had received when it answered since frozenSince: all commits
-	// in its log that VMs have passed on, but for the target of a switchover.
-	heard map[model.UpstreamID]model.Position
 	// aliveAt is when the old primary, or the last known one if there was none at the start,
 	// last answered this VM or a peer as the primary, 0 if never.
 	aliveAt model.Time
@@ -162,16 +143,18 @@
 	t.observeOldPrimary(now, v, in)
 	if t.planned && t.oldPrimaryLost {
 		// Its log cannot be compared any more, and promises that name the target have to end.
-		t.planned, t.withdrawingSince, t.promisesEndedAt = false, 0, 0
-		t.withdrawn, svc.withdrawSentAt = map[model.VMID]model.Time{}, 0
-		clear(t.heard)
+		t.planned, svc.withdrawSentAt = false, 0
+		fenceTerm := t.fenceTerm
+		t.freeze = newFreeze(v)
+		t.fenceTerm = fenceTerm
+		svc.freeze = t.freeze
 		t.enterPhase(now, phaseFence)
 	}
 	if t.withdrawingSince != 0 && t.promisesEndedAt == 0 && s.confirmationsEnded(now, svc, in) {
 		t.promisesEndedAt = now
 	}
-	t.hear(now, svc, v)
-	target := t.selectTarget(now, v, in, svc)
+	t.observe(now, v, t.oldPrimary)
+	target, blockedBy := s.selectTarget(now, v, in, svc)
 	// A primary that is to be switched over serves until the target has caught up.
 	if t.withdrawingSince == 0 && (!t.planned || target != nil) {
 		t.withdrawingSince = now
@@ -179,8 +162,15 @@
 	if t.withdrawingSince != 0 {
 		out = svc.withdraw(now, in, out)
 	}
-	if target == nil || svc.otherCallPossible(now, target.ID, in) || t.frozenSince(now, svc) == 0 {
-		out = s.reportBlocked(now, svc, v, in, target, out)
+	switch {
+	case target == nil:
+	case svc.otherCallPossible(now, target.ID, in):
+		blockedBy = blocked{cause: blockedOtherCall, best: target.ID}
+	case t.frozenSince(now, svc) == 0:
+		blockedBy = blocked{cause: blockedPromises, best: target.ID}
+	}
+	if blockedBy.cause != "" {
+		out = s.reportBlocked(now, svc, v, in, blockedBy, out)
 		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
 	t.target, t.targetReceived, t.token = target.ID, target.Status.Received, s.token()
@@ -203,26 +193,6 @@
 	return t.promisesEndedAt
 }
 
-// hear records what upstreams had received when they answered since frozenSince. One that has
-// restarted without its log counts with what it had before.
-func (t *transition) hear(now model.Time, svc *serviceState, v *replicaset.View) {
-	since := t.frozenSince(now, svc)
-	for i := range v.Members {
-		m := &v.Members[i]
-		t.members[m.ID] = true
-		if since != 0 && m.StatusAt >= since {
-			t.heard[m.ID] = t.heard[m.ID].Max(m.Status.Received)
-		}
-	}
-}
-
-// covered reports whether an upstream has answered since frozenSince, and best has all that it had
-// received then. It need not answer any more.
-func (t *transition) covered(id model.UpstreamID, best *replicaset.Member) bool {
-	received, found := t.heard[id]
-	return found && best != nil && best.Status.Received.Compare(received) >= 0
-}
-
 // primaryIsBack reports whether the primary whose loss is the cause of the transition answers
 // again, so that no other one is needed. After a crash it may come back under another ID.
 func (svc *serviceState) primaryIsBack(now model.Time, v *replicaset.View) bool {
@@ -314,12 +284,13 @@
 // still runs.
 func (svc *serviceState) fenceReplicas(now model.Time, v *replicaset.View, out []Effect) []Effect {
 	t := svc.transition
+	t.raiseFenceTerm(v)
 	frozenSince := t.frozenSince(now, svc)
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
-		case c.ID == t.oldPrimary && t.steppedDownAt != 0:
-		case c.ID == t.oldPrimary && !t.planned:
+		case t.isOldPrimary(c) && t.steppedDownAt != 0:
+		case t.isOldPrimary(c) && !t.planned:
 			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
 		case t.planned && c.ID == t.target && c.Status.FencedTerm != 0:
 			// An earlier transition has fenced the target.
@@ -341,97 +312,139 @@
 	return out
 }
 
+// isOldPrimary reports whether an upstream is the old primary. Once it has taken part in a later term it is a replica like
+// others.
+func (t *transition) isOldPrimary(m *replicaset.Member) bool {
+	return m.ID == t.oldPrimary && m.Status.Term <= t.oldTerm
+}
+
 // fenced reports whether a replica has confirmed during this transition that it is
 // fenced.
 func (t *transition) fenced(c *replicaset.Member) bool {
-	return c.Status.FencedTerm >= t.fenceTerm && c.StatusAt >= t.attemptAt
+	return t.freeze.fenced(c) && c.StatusAt >= t.attemptAt
 }
 
-// selectTarget returns the upstream to promote, or nil while none is safe. The list of
+// selectTarget returns the upstream to promote, or why none is safe. The list of
 // upstreams has to be newer than the fencing phase, and for a failover newer still (see
 // failoverTarget): a replica that was added shortly before may have received commits, and is
 // fenced as well once it is known.
-func (t *transition) selectTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+func (s *State) selectTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) (target *replicaset.Member, b blocked) {
+	t := svc.transition
 	switch {
 	case v.ListedAt < t.phaseStartedAt:
-		return nil
+		return nil, blocked{cause: blockedList}
 	case t.planned:
-		return t.switchoverTarget(v, t.frozenSince(now, svc))
+		target, b = t.switchoverTarget(v, t.frozenSince(now, svc))
+	default:
+		target, b = s.failoverTarget(now, v, in, svc)
+	}
+	if target != nil && target.Status.Received.Compare(t.passedOn(v)) < 0 {
+		return nil, blocked{cause: blockedPassedOn, best: target.ID}
 	}
-	return t.failoverTarget(now, v, in, svc)
+	return target, b
 }
 
 // switchoverTarget returns the target once all other replicas are fenced and the
-// target has received everything that they and the old primary have, otherwise nil. A
+// target has received everything that they and the old primary have. A
 // replica that has not registered yet may have received commits that the known ones lack;
 // only the old primary's log shows that, as it is since frozenSince. In an incomplete group a
 // replica that has gone may be the only one that had received a commit.
-func (t *transition) switchoverTarget(v *replicaset.View, frozenSince model.Time) *replicaset.Member {
+func (t *transition) switchoverTarget(v *replicaset.View, frozenSince model.Time) (*replicaset.Member, blocked) {
 	target := findMember(v, t.target)
-	if target == nil || v.Incomplete || target.StatusAt < t.attemptAt {
-		return nil
+	switch {
+	case target == nil:
+		return nil, blocked{cause: blockedTargetUnknown, upstream: t.target}
+	case v.Incomplete:
+		return nil, blocked{cause: blockedIncomplete, best: t.target}
+	case target.StatusAt < t.attemptAt:
+		return nil, blocked{cause: blockedStatusAge, upstream: t.target, best: t.target}
 	}
 	for i := range v.Members {
 		c := &v.Members[i]
+		cause := ""
 		switch {
 		case c.ID == t.target:
-			continue
-		case c.ID != t.oldPrimary:
-			if !t.fenced(c) {
-				return nil
-			}
-		case c.StatusAt < max(t.attemptAt, frozenSince):
-			return nil
+		case c.ID != t.oldPrimary && !t.fenced(c):
+			cause = unfencedCause(c)
+		case c.ID == t.oldPrimary && c.StatusAt < max(t.attemptAt, frozenSince):
+			cause = blockedNotHeard
+		case target.Status.Received.Compare(c.Status.Received) < 0:
+			cause = blockedAhead
 		}
-		if target.Status.Received.Compare(c.Status.Received) < 0 {
-			return nil
+		if cause != "" {
+			return nil, blocked{cause: cause, upstream: c.ID, best: t.target}
 		}
 	}
-	return target
+	return target, blocked{}
 }
 
-// failoverTarget returns the upstream to promote once it is certain to have every
-// acknowledged commit, otherwise nil. While the old primary may still acknowledge commits,
-// no upstream is certain to: a replica that has not registered yet counts for
-// acknowledgements and is not fenced.
-func (t *transition) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) *replicaset.Member {
+// failoverTarget returns the upstream to promote once it is certain to have every commit that was
+// passed on. If that cannot be found out, the most advanced upstream is as good as another once the
+// former primary has not come back for formerPrimaryTimeout.
+func (s *State) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) (*replicaset.Member, blocked) {
+	t := svc.transition
 	frozenSince := t.frozenSince(now, svc)
 	if frozenSince == 0 {
-		return nil
+		return nil, blocked{cause: blockedPromises}
+	}
+	if again := svc.preferred(v, in, func(c *replicaset.Member) bool {
+		return t.candidate(now, c, frozenSince) && t.isSufficient(c.Status.Received)
+	}); again != nil {
+		return again, blocked{}
 	}
 	best := t.mostAdvancedFenced(now, v, in, svc, frozenSince)
 	oldPrimary := findMember(v, t.oldPrimary)
-	fences := t.fencing(v, best, in, svc, frozenSince)
+	fences, unfenced := t.fencing(v, best, in, svc, frozenSince)
 	switch {
 	case t.steppedDownAt != 0 && t.oldPrimarySteppedDown(v) && oldPrimary.Status.Term <= t.oldTerm && hasLog(oldPrimary, in, svc):
-		return t.targetAfterStepDown(v, best, oldPrimary, fences)
+		target, b := t.targetAfterStepDown(now, v, best, oldPrimary, fences, unfenced)
+		if target != nil {
+			t.found(target.Status.Received)
+		}
+		return target, b
 	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
-		return nil
+		return nil, blocked{cause: blockedPrimaryAnswers, upstream: t.oldPrimary}
 	case v.ListedAt < max(frozenSince, t.aliveAt.Add(registrationTimeout)):
 		// A replica that had started before the old primary was lost may be missing.
-		return nil
-	case fences == fencesComplete && best != nil && t.hasAllCommits(now, best, oldPrimary, v, in, svc):
-		return best
+		return nil, blocked{cause: blockedListAge}
+	case best == nil:
+		return nil, t.noCandidate(v)
+	case fences == fencesPending && now.Sub(max(t.phaseStartedAt, frozenSince)) < pendingFenceTimeout:
+		return nil, blocked{cause: unfencedCause(unfenced), upstream: unfenced.ID, best: best.ID}
+	}
+	target := svc.preferred(v, in, func(c *replicaset.Member) bool {
+		return t.candidate(now, c, frozenSince) && (t.lacks(now, c, v, in, svc).cause == "" || s.hasAllPassedOn(svc, t.freeze, in, c))
+	})
+	switch {
+	case target != nil:
+		t.found(target.Status.Received)
+		return target, blocked{}
+	case now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
+		return best, blocked{}
 	}
-	return nil
+	return nil, t.lacks(now, best, v, in, svc)
 }
 
 // targetAfterStepDown returns the target after the old primary has stepped down. Its log has
 // every acknowledged commit. What no known replica has received of it may have been
 // acknowledged through a replica that was not in the list yet, so best is certain only once
 // such a replica would be listed. Otherwise the old primary leads again.
-func (t *transition) targetAfterStepDown(v *replicaset.View, best, oldPrimary *replicaset.Member, fences fenceState) *replicaset.Member {
+func (t *transition) targetAfterStepDown(now model.Time, v *replicaset.View, best, oldPrimary *replicaset.Member, fences fenceState, unfenced *replicaset.Member) (*replicaset.Member, blocked) {
 	switch {
 	case best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
-		return best
-	case fences == fencesPending:
-		return nil
-	case fences == fencesImpossible || best == nil || v.Incomplete:
-		return oldPrimary
-	case v.ListedAt < t.steppedDownAt.Add(registrationTimeout):
-		return nil
+		return best, blocked{}
+	case fences == fencesPending && now.Sub(max(t.phaseStartedAt, t.steppedDownAt)) < pendingFenceTimeout:
+		return nil, blocked{cause: unfencedCause(unfenced), upstream: unfenced.ID}
+	case fences != fencesComplete || best == nil || v.Incomplete:
+		return oldPrimary, blocked{}
 	}
-	return best
+	if until, _ := t.provedUntil(v, t.oldPrimary, best); until != 0 {
+		return oldPrimary, blocked{}
+	}
+	if v.ListedAt < t.steppedDownAt.Add(registrationTimeout) {
+		return nil, blocked{cause: blockedListAge, best: best.ID}
+	}
+	return best, blocked{}
 }
 
 // fenceState tells which upstreams other than the old primary are fenced.
@@ -440,31 +453,29 @@
 const (
 	// fencesPending: an upstream that is not failing is not fenced yet.
 	fencesPending fenceState = iota
-	// fencesImpossible: an upstream is missing, or does not answer and is not fenced.
+	// fencesImpossible: an upstream does not answer, and may have commits that the others lack.
 	fencesImpossible
-	// fencesComplete: no upstream is missing, and each one is fenced or had stopped before
-	// the newest evidence.
+	// fencesComplete: each upstream is fenced, or need not be.
 	fencesComplete
 )
 
-// fencing returns how far the fencing of the replicas is. best is the most advanced fenced one.
-func (t *transition) fencing(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState, frozenSince model.Time) fenceState {
-	state := fencesComplete
-	if !t.allAccountedFor(v, best) {
-		state = fencesImpossible
-	}
+// fencing returns how far the fencing of the replicas is, and one that is not fenced. best is the most
+// advanced fenced one.
+func (t *transition) fencing(v *replicaset.View, best *replicaset.Member, in *Input, svc *serviceState, frozenSince model.Time) (state fenceState, unfenced *replicaset.Member) {
+	state = fencesComplete
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
-		case c.ID == t.oldPrimary || t.stoppedBeforeEvidence(c, best, in, svc):
-		case t.covered(c.ID, best) && (t.fenced(c) && c.StatusAt >= frozenSince || c.FailedSince != 0):
+		case t.isOldPrimary(c) || t.stoppedBeforeEvidence(c, best, in, svc):
+		case c.FailedSince == 0 && t.fenced(c) && c.StatusAt >= frozenSince:
+		case c.FailedSince != 0 && t.covered(c.ID, best):
 		case c.FailedSince == 0:
-			return fencesPending
+			return fencesPending, c
 		default:
-			state = fencesImpossible
+			state, unfenced = fencesImpossible, c
 		}
 	}
-	return state
+	return state, unfenced
 }
 
 // hasLog reports whether an upstream reaches the newest evidence of the primary's log. A
@@ -474,56 +485,81 @@
 	return !ok || m.Status.Received.Compare(e.Position) >= 0
 }
 
-// allAccountedFor reports whether all upstreams that were known during the transition are still
-// known, or have nothing that best lacks. One that has been removed may have received commits until
-// then.
-func (t *transition) allAccountedFor(v *replicaset.View, best *replicaset.Member) bool {
-	for id := range t.members {
-		if id != t.oldPrimary && findMember(v, id) == nil && !t.covered(id, best) {
-			return false
+// lacks returns why candidate c of a failover may lack a commit that was passed on, by what is
+// known of the replicas. A replica that was lost before it could be asked may be the only one that had
+// received a commit, and so may one that has more than c. c then needs evidence of the primary's log from
+// after the time in which that replica proved commits, or from after the freeze. If this VM cannot know
+// whether a replica was lost before its start, c has to reach the newest evidence; that is waited for
+// for at most unknownDepartureTimeout, and not at all if there is none.
+func (t *transition) lacks(now model.Time, c *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) blocked {
+	until, by := t.provedUntil(v, t.oldPrimary, c)
+	by.best = c.ID
+	if t.promisesEndedAt != 0 {
+		until = min(until, t.promisesEndedAt)
+	}
+	newest, known := in.Evidence(svc.name)
+	covered, ok := in.EvidenceUpTo(svc.name, c.Status.Received)
+	switch {
+	case t.wholeBefore && (until == 0 || ok && covered.At >= until):
+		return blocked{}
+	case !t.wholeBefore && until == 0 && !v.MemberLost && (!known || now.Sub(svc.knownSince) > unknownDepartureTimeout):
+		return blocked{}
+	case by.cause != "" && by.cause != blockedOldEvidence && (t.wholeBefore || !known || newest.At < until):
+		return by
+	case !known:
+		return blocked{cause: blockedNoEvidence, best: c.ID}
+	case newest.At < until:
+		return blocked{cause: blockedOldEvidence, best: c.ID}
+	case t.wholeBefore || c.Status.Received.Compare(newest.Position) < 0:
+		return blocked{cause: blockedEvidenceAhead, best: c.ID}
+	}
+	return blocked{}
+}
+
+// candidate reports whether an upstream may be chosen in a failover if it has all commits.
+func (t *transition) candidate(now model.Time, c *replicaset.Member, frozenSince model.Time) bool {
+	return !t.isOldPrimary(c) && t.fenced(c) && c.StatusAt >= frozenSince && c.FailedSince == 0 && now.Sub(c.StatusAt) <= targetStatusMaxAge
+}
+
+// preferred returns the upstream that is best to promote among those that ok accepts, nil if there is none: by
+// preference, then the one that has received most.
+func (svc *serviceState) preferred(v *replicaset.View, in *Input, ok func(*replicaset.Member) bool) *replicaset.Member {
+	var best *replicaset.Member
+	for i := range v.Members {
+		c := &v.Members[i]
+		if !ok(c) {
+			continue
+		}
+		if best == nil || svc.preference(c, in) > svc.preference(best, in) ||
+			svc.preference(c, in) == svc.preference(best, in) && c.Status.Received.Compare(best.Status.Received) > 0 {
+			best = c
 		}
 	}
-	return true
+	return best
 }
 
-// hasAllCommits reports whether best, the most advanced fenced replica, has every
-// acknowledged commit. If another replica has disappeared, commits may have been
-// acknowledged by that one only. best must then reach the position of the newest
-// evidence of the primary's log, and that has to be from after the disappearance. If the old
-// primary is gone as well, it may still come back with its log, for at most
-// formerPrimaryTimeout. If this VM saw no replica go, it waits for at most
-// unknownDepartureTimeout, and not at all without evidence.
-func (t *transition) hasAllCommits(now model.Time, best, oldPrimary *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) bool {
-	if !v.Incomplete || oldPrimary == nil && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout {
-		return true
-	}
-	e, ok := in.Evidence(svc.name)
-	if !v.MemberLost && (!ok || now.Sub(svc.knownSince) > unknownDepartureTimeout) {
-		return true
+// preference ranks upstreams by whether they stay in service, and whether a promotion call for them is pending. That
+// comes first where the platform may execute the call after one for another target.
+func (svc *serviceState) preference(c *replicaset.Member, in *Input) (rank int) {
+	if !c.Leaving && !in.Evacuated(c.Zone) {
+		rank += 2
 	}
-	if !ok || e.At < v.ReplicaLostAt {
-		return false
+	if svc.callPending && c.ID == svc.record.Upstream {
+		rank++
+		if !in.FencesChecked {
+			rank += 2
+		}
 	}
-	return best.Status.Received.Compare(e.Position) >= 0
+	return rank
 }
 
-// mostAdvancedFenced returns the fenced replica with the highest received position,
-// or nil if none is fenced. Among equals it prefers the target of a promotion call that
-// is still pending, then one that stays in service.
+// mostAdvancedFenced returns the fenced replica with the highest received position, or nil if none is fenced.
+// Among equals it prefers as preferred does.
 func (t *transition) mostAdvancedFenced(now model.Time, v *replicaset.View, in *Input, svc *serviceState, frozenSince model.Time) *replicaset.Member {
 	var best *replicaset.Member
-	preference := func(c *replicaset.Member) int {
-		switch {
-		case svc.callPending && c.ID == svc.record.Upstream:
-			return 2
-		case !c.Leaving && !in.Evacuated(c.Zone):
-			return 1
-		}
-		return 0
-	}
 	for i := range v.Members {
 		c := &v.Members[i]
-		if c.ID == t.oldPrimary || !t.fenced(c) || c.StatusAt < frozenSince || c.FailedSince != 0 || now.Sub(c.StatusAt) > targetStatusMaxAge {
+		if !t.candidate(now, c, frozenSince) {
 			continue
 		}
 		if best == nil {
@@ -531,7 +567,7 @@
 			continue
 		}
 		order := c.Status.Received.Compare(best.Status.Received)
-		if order > 0 || order == 0 && preference(c) > preference(best) {
+		if order > 0 || order == 0 && svc.preference(c, in) > svc.preference(best, in) {
 			best = c
 		}
 	}
@@ -563,10 +599,10 @@
 		t.enterPhase(now, phaseUnfence)
 		return svc.unfence(now, v, svc.recordPrimary(now, v, out))
 	}
-	if target == nil || t.refused || t.targetLostLog(target) || now.Sub(t.phaseStartedAt) > promoteTimeout {
+	if target == nil || t.refused || t.targetLostLog(target) || t.targetLost(now, target, in) || now.Sub(t.phaseStartedAt) > promoteTimeout {
 		// The next attempt uses a higher fencing token, so that this call can
-		// no longer be executed after it if the platform checks tokens.
-		t.fenceTerm = highestTerm(v) + 1
+		// no longer be executed after it if the platform checks tokens. Fences outlast a call without effect.
+		t.raiseFenceTerm(v)
 		if svc.unknownCalls <= 0 {
 			out = svc.recordPrimary(now, v, out)
 		}
@@ -598,6 +634,15 @@
 	return target.StatusAt >= t.phaseStartedAt && !target.Status.Primary && target.Status.Received.Compare(t.targetReceived) < 0
 }
 
+// targetLost reports whether the target does not answer, so that this VM does not repeat its call. If the platform has
+// accepted the call, the target may lead as far as peers know.
+func (t *transition) targetLost(now model.Time, target *replicaset.Member, in *Input) bool {
+	if primaryLost(now, target, in) {
+		return true
+	}
+	return !t.accepted && target.FailedSince != 0 && now.Sub(target.FailedSince) > primaryLostTimeout
+}
+
 // startOver returns a failover to the fencing phase after a promotion call that has not led to a new
 // primary as far as this VM knows. The call may have been carried out all the same, so the old
 // primary and the fences are determined anew.
@@ -608,8 +653,7 @@
 	if v.PrimaryTerm > t.oldTerm {
 		t.oldPrimary, t.oldTerm, t.oldPrimaryLost = v.Primary, v.PrimaryTerm, false
 		t.aliveAt = svc.primaryAliveAt
-		// The promotion has discarded what its primary lacked.
-		clear(t.heard)
+		t.newPrimary(v)
 	}
 }
 
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -65,10 +65,13 @@
 	// before this VM knew the group. It is longer than the entry of a lost primary lasts,
 	// which ends the wait as well.
 	unknownDepartureTimeout = 10 * time.Second
-	// formerPrimaryTimeout is how long a former primary that has lost its entry may take to come
-	// back with commits that the other upstreams are known to lack. It is longer than a crash
-	// that outlasts the entry.
+	// formerPrimaryTimeout is how long a failover waits for the former primary, if a replica that is
+	// lost may have had commits that the others lack. It is longer than a crash that outlasts the
+	// entry.
 	formerPrimaryTimeout = 15 * time.Second
+	// pendingFenceTimeout is how long a failover waits for the fences of upstreams that answer, if
+	// another one is known to have all commits that were passed on.
+	pendingFenceTimeout = time.Second
 	// fenceTimeout ends a failover that has found no safe target, because not
 	// all upstreams can be fenced.
 	fenceTimeout = 6 * time.Second
@@ -209,6 +212,8 @@
 	PeerContact func(model.UpstreamID) model.Time
 	// Evidence returns the newest evidence of how far a service's log reaches.
 	Evidence func(catalog.Service) (replicaset.Evidence, bool)
+	// EvidenceUpTo returns the newest evidence of a service that a log up to a position covers.
+	EvidenceUpTo func(catalog.Service, model.Position) (replicaset.Evidence, bool)
 	// SyncReplicas returns the number of replicas that must have received a
 	// commit before it is acknowledged.
 	SyncReplicas func(catalog.Service) int
--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -183,6 +183,11 @@
 	Incomplete    bool
 	MemberLost    bool
 	ReplicaLostAt model.Time
+	// Whole is true if the group was known to be complete at a time since the start of this VM, so that
+	// it saw all losses since.
+	Whole bool
+	// PassedOn is State.PassedOn.
+	PassedOn model.Position
 	// ListedAt is the time when the list of upstreams was read. ListComplete is false while
 	// it may lack upstreams that run, as after the start of this VM.
 	ListedAt     model.Time
@@ -199,7 +204,8 @@
 		}
 		v := View{
 			Service: g.name, Primary: g.primary, PrimaryTerm: g.primaryTerm,
-			Incomplete: g.incompleteSince != 0, MemberLost: g.memberLost, ReplicaLostAt: g.replicaLostAt, ListedAt: s.listedAt, ListComplete: s.listComplete(),
+			Incomplete: g.incompleteSince != 0, MemberLost: g.memberLost, ReplicaLostAt: g.replicaLostAt,
+			Whole: g.whole, PassedOn: s.PassedOn(g.name), ListedAt: s.listedAt, ListComplete: s.listComplete(),
 		}
 		for _, id := range g.ids() {
 			v.Members = append(v.Members, *g.members[id])
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -28,6 +28,8 @@
 	departed map[model.UpstreamID]departure
 	// voters are the other VMs whose vouchers count.
 	voters []model.VMID
+	// peerListedAt is when the newest list of a voter was read, as far as known.
+	peerListedAt map[model.VMID]model.Time
 }
 
 // departure is the last that was known of a removed upstream, at the time at.
@@ -61,6 +63,8 @@
 	// replicaLostAt is when that was last another one than the last known primary, 0 if never.
 	memberLost    bool
 	replicaLostAt model.Time
+	// whole is true once the group was known to be complete.
+	whole bool
 	// peakMembers is the largest number of members since the group was last known
 	// to be complete.
 	peakMembers int
@@ -78,6 +82,8 @@
 	promised confirmation
 	// inherited is the end of the log with which the last known primary began, as far as known.
 	inherited inheritedLog
+	// passedOn is the end of the newest commit that this VM or a peer is known to have passed on.
+	passedOn model.Position
 	// heard is the last confirmation by a holder of the promotion lease, which was asked
 	// for at heardAt.
 	heard   confirmation
@@ -113,6 +119,8 @@
 		evacuated: map[model.Zone]bool{},
 		replaced:  map[model.UpstreamID]int64{},
 		departed:  map[model.UpstreamID]departure{},
+
+		peerListedAt: map[model.VMID]model.Time{},
 	}
 }
 
@@ -140,6 +148,12 @@
 	case EventWithdrawn:
 		s.group(ev.Service).applyWithdrawn(now, ev.Successor)
 		return out
+	case EventPeerListed:
+		s.applyPeerListed(now, ev)
+		return out
+	case EventPassedOn:
+		s.group(ev.Service).recordPassedOn(ev.Position)
+		return out
 	}
 	m, g := s.member(ev.Upstream)
 	if m == nil {
@@ -223,7 +237,9 @@
 			delete(s.replaced, id)
 		}
 	}
-	return s.removeMissing(now, present, out)
+	out = s.removeMissing(now, present, out)
+	s.retire(now)
+	return out
 }
 
 // listComplete reports whether the list has all upstreams that run and reach the store.
@@ -254,7 +270,7 @@
 		return s.reportDeparted(r, out)
 	}
 	if len(g.members) == 0 {
-		g.incompleteSince = now
+		g.incompleteSince, g.whole = now, false
 	}
 	if m == nil {
 		m = &Member{Registration: *r}
@@ -265,6 +281,7 @@
 		if r.Leaving {
 			m.LeavingAt = now
 		}
+		m.recordLeaving(s.listedAt)
 		out = append(out, Effect{Kind: EffectAdded, Service: g.name, Upstream: r.ID, Member: *m})
 		out = g.warmupEffect(m, out)
 		return g.applyRegisteredRole(now, m, true, out)
@@ -278,11 +295,12 @@
 	m.Registration = *r
 	if restarted {
 		*m = Member{Registration: *r}
-		g.recordLoss(now, m.ID)
+		g.recordLoss(now, now, m.ID)
 	}
 	if r.Leaving && m.LeavingAt == 0 {
 		m.LeavingAt = now
 	}
+	m.recordLeaving(s.listedAt)
 	if restarted || old.Address != r.Address || old.Leaving != r.Leaving {
 		out = append(out, Effect{Kind: EffectChanged, Service: g.name, Upstream: r.ID, Member: *m})
 	}
@@ -365,7 +383,11 @@
 	if m.Leaving {
 		g.fullMembers--
 	}
-	g.recordLoss(now, id)
+	if m.RetiredAt != 0 {
+		g.recordLoss(now, m.RetiredAt, id)
+	} else {
+		g.recordLoss(now, now, id)
+	}
 	g.removedAt = now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
@@ -375,13 +397,13 @@
 	return g.primaryEffect(now, before, out)
 }
 
-// recordLoss records that an upstream was removed, or has restarted without its log. What the
-// last primary had acknowledged is on a replica as well.
-func (g *group) recordLoss(now model.Time, id model.UpstreamID) {
+// recordLoss records that an upstream was removed, or has restarted without its log. It has proved no
+// commits since provedUntil. What the last primary had acknowledged is on a replica as well.
+func (g *group) recordLoss(now, provedUntil model.Time, id model.UpstreamID) {
 	g.incompleteSince, g.memberLost = now, true
 	g.shortfall = logReport{}
 	if id != g.lastPrimary {
-		g.replicaLostAt = now
+		g.replicaLostAt = max(g.replicaLostAt, provedUntil)
 	}
 }
 
@@ -420,7 +442,7 @@
 	m.recordContact(now)
 	if m.lostLog(ev) {
 		// The registration will show the restart later.
-		g.recordLoss(now, m.ID)
+		g.recordLoss(now, now, m.ID)
 		m.Applied = model.Position{}
 	}
 	m.Status, m.StatusAt = ev.Status, ev.SentAt
@@ -462,7 +484,7 @@
 	for i := range g.evidence {
 		e := &g.evidence[i]
 		if g.incompleteSince != 0 && e.at > g.incompleteSince && m.RoleTerm != e.term && m.Status.Received.Compare(e.position) >= 0 {
-			g.incompleteSince, g.memberLost, g.replicaLostAt = 0, false, 0
+			g.incompleteSince, g.memberLost, g.replicaLostAt, g.whole = 0, false, 0, true
 			g.peakMembers = len(g.members)
 		}
 	}
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -102,6 +102,11 @@
 	// the primary of Service, because it is about to promote an upstream. A promise that names
 	// Successor stays.
 	EventWithdrawn
+	// EventPassedOn reports that a commit of Service that ends at Position was passed on to a
+	// caller, by this VM or a peer.
+	EventPassedOn
+	// EventPeerListed reports that VM has a list of registrations that was read at SentAt or later.
+	EventPeerListed
 	// EventReplaced reports that another upstream answers at Upstream's address,
 	// so Upstream no longer exists.
 	EventReplaced
@@ -199,7 +204,12 @@
 	LaggingBehind model.Position
 	// LeavingAt is the time when this VM learned that the upstream is leaving.
 	LeavingAt model.Time
+	// RetiredAt is when all voters were first known to have a list in which the upstream is leaving, so that
+	// it proves no more commits to any VM; 0 before.
+	RetiredAt model.Time
 
+	// leavingListedAt is when the first list was read in which the upstream is leaving, 0 if it is not.
+	leavingListedAt model.Time
 	// missingSince is the start of MissingGracePeriod while the registration is
 	// missing from the store, 0 while it is present.
 	missingSince model.Time
--- a/core/replicaset/voucher.go
+++ b/core/replicaset/voucher.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -41,7 +42,18 @@
 
 // SetVoters sets the other VMs whose vouchers count. There are no vouchers while it is
 // empty.
-func (s *State) SetVoters(others []model.VMID) { s.voters = slices.Clone(others) }
+func (s *State) SetVoters(others []model.VMID) {
+	s.voters = slices.Clone(others)
+	maps.DeleteFunc(s.peerListedAt, func(vm model.VMID, _ model.Time) bool { return !slices.Contains(others, vm) })
+}
+
+// applyPeerListed records how new the list of a voter is.
+func (s *State) applyPeerListed(now model.Time, ev *Event) {
+	if slices.Contains(s.voters, ev.VM) {
+		s.peerListedAt[ev.VM] = max(s.peerListedAt[ev.VM], ev.SentAt)
+		s.retire(now)
+	}
+}
 
 // Vouch returns the vouchers for a VM that asks now.
 func (s *State) Vouch(now model.Time) []Voucher {
--- a/linenode/answer.go
+++ b/linenode/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/chervilhatch/chervilhatch/boottime"
 	"github.com/chervilhatch/chervilhatch/core/catalog"
@@ -25,6 +24,7 @@
 	}
 	a := &vmlinkv1.ObserveResponse{
 		Vm: string(p.options.VM), DutyHolder: string(p.transitions.leaseHolder()), Incarnation: p.members.incarnation, Isolated: p.members.isolated(),
+		ListsAgeUs: uint64(p.lists.age().Microseconds()),
 	}
 	version, raw := p.cluster.storedConfig()
 	a.ConfigVersion = version
@@ -151,29 +151,31 @@
 var errNoAddress = errors.New("address of the VM not known")
 
 // withdraw tells a VM that the primary of a service is no longer confirmed, but for promises that
-// name the successor. It returns for how long vouchers of that VM may still be used.
-func (p *peers) withdraw(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (time.Duration, error) {
+// name the successor.
+func (p *peers) withdraw(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (promotion.Withdrawal, error) {
 	e, found := p.members.all()[vm]
 	if !found {
-		return 0, errNoAddress
+		return promotion.Withdrawal{}, errNoAddress
 	}
 	link, err := p.links.get(e.Address)
 	if err != nil {
-		return 0, err
+		return promotion.Withdrawal{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
 	r, err := vmlinkv1.NewVMLinkClient(link).Withdraw(ctx, &vmlinkv1.WithdrawRequest{Service: string(service), Successor: string(successor)})
-	return age(r.GetVouchedUs()), err
+	return promotion.Withdrawal{Vouched: age(r.GetVouchedUs()), PassedOn: position(r.GetPassedOnTerm(), r.GetPassedOn()), Running: age(r.GetRunningUs())}, err
 }
 
 // Withdraw ends the confirmation of a service's primary on this VM.
 func (p *peers) Withdraw(_ context.Context, r *vmlinkv1.WithdrawRequest) (*vmlinkv1.WithdrawResponse, error) {
-	vouched := p.cluster.withdrawConfirmation(catalog.Service(r.GetService()), model.UpstreamID(r.GetSuccessor()))
+	w := p.cluster.withdrawConfirmation(catalog.Service(r.GetService()), model.UpstreamID(r.GetSuccessor()))
 	if r.GetSuccessor() != "" {
 		p.askForPromises()
 	}
-	return &vmlinkv1.WithdrawResponse{VouchedUs: uint64(vouched.Microseconds())}, nil
+	return &vmlinkv1.WithdrawResponse{
+		VouchedUs: uint64(w.Vouched.Microseconds()), PassedOnTerm: w.PassedOn.Term.Counter, PassedOn: uint64(w.PassedOn.Pos), RunningUs: uint64(w.Running.Microseconds()),
+	}, nil
 }
 
 // addUpstreamState adds evidence for each service, and the times at which upstreams
@@ -188,6 +190,7 @@
 				Service: string(v.Service), Term: e.Term, PositionTerm: e.Position.Term.Counter,
 				Position: uint64(e.Position.Pos), AgeUs: uint64(now.Sub(e.At).Microseconds()),
 			}
+			evidence.PassedOnTerm, evidence.PassedOn = v.PassedOn.Term.Counter, uint64(v.PassedOn.Pos)
 			if v.PrimaryTerm == e.Term {
 				evidence.Primary = string(v.Primary)
 			}
--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -82,7 +82,12 @@
 	c := p.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replicas.CommitProof(c.Now(), commit)
+	proof := c.replicas.CommitProof(c.Now(), commit)
+	if proof.Sufficient() {
+		// A withdrawal that follows has to know of it.
+		c.applyLocked(&replicaset.Event{Kind: replicaset.EventPassedOn, Service: commit.Service, Position: commit.Position})
+	}
+	return proof
 }
 
 // queryReplicas queries the statuses of upstreams, first of the nearest one, until one of them has
--- a/linenode/confirm.go
+++ b/linenode/confirm.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/core/replicaset"
 	"github.com/chervilhatch/chervilhatch/panics"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -191,14 +192,16 @@
 }
 
 // withdrawConfirmation ends the confirmation of a service's primary on this VM, but for a promise
-// that names the successor. It returns for how long vouchers of this VM may still be used,
-// including those that it gave before a restart.
-func (c *cluster) withdrawConfirmation(service catalog.Service, successor model.UpstreamID) time.Duration {
+// that names the successor. The vouchers in the answer include those that it gave before a restart.
+func (c *cluster) withdrawConfirmation(service catalog.Service, successor model.UpstreamID) promotion.Withdrawal {
 	c.Observe(&replicaset.Event{Kind: replicaset.EventWithdrawn, Service: service, Successor: successor})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
-	return max(c.replicas.Vouched(now, service), c.startedAt.Add(replicaset.VoucherTTL).Sub(now))
+	return promotion.Withdrawal{
+		Vouched:  max(c.replicas.Vouched(now, service), c.startedAt.Add(replicaset.VoucherTTL).Sub(now)),
+		PassedOn: c.replicas.PassedOn(service), Running: now.Sub(c.startedAt),
+	}
 }
 
 // vouchers returns the vouchers of this VM for another one.
--- a/linenode/peers.go
+++ b/linenode/peers.go
@@ -251,6 +251,9 @@
 	for _, c := range a.GetVouchers() {
 		p.cluster.applyVoucher(vm, model.UpstreamID(c.GetUpstream()), c.GetTerm(), requestSentAt, requestSentAt.Add(age(c.GetValidUs())))
 	}
+	if us := a.GetListsAgeUs(); us > 0 {
+		p.cluster.Observe(&replicaset.Event{Kind: replicaset.EventPeerListed, VM: vm, SentAt: requestSentAt.Add(-age(us))})
+	}
 	p.report(requestSentAt, vm, a)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
@@ -320,18 +323,25 @@
 // age converts an age in microseconds, as sent by peers.
 func age(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
+// position converts a log position, as sent by peers.
+func position(term, number uint64) model.Position {
+	return model.Position{Term: model.Term{Counter: term}, Pos: model.LogPos(number)}
+}
+
 // applyEvidence applies a peer's evidence for a service, and which primary the peer
 // knows. The caller holds cluster.mu.
 func (p *peers) applyEvidence(requestSentAt model.Time, e *vmlinkv1.Evidence) {
 	at := requestSentAt.Add(-age(e.GetAgeUs()))
 	service := catalog.Service(e.GetService())
-	position := model.Position{Term: model.Term{Counter: e.GetPositionTerm()}, Pos: model.LogPos(e.GetPosition())}
 	if e.GetPrimary() != "" {
 		p.cluster.applyLocked(&replicaset.Event{
 			Kind: replicaset.EventPrimary, Service: service, Upstream: model.UpstreamID(e.GetPrimary()), Term: e.GetTerm(), SentAt: at,
 		})
 	}
 	p.cluster.applyLocked(&replicaset.Event{
-		Kind: replicaset.EventEvidence, Service: service, Position: position, Term: e.GetTerm(), SentAt: at,
+		Kind: replicaset.EventEvidence, Service: service, Position: position(e.GetPositionTerm(), e.GetPosition()), Term: e.GetTerm(), SentAt: at,
+	})
+	p.cluster.applyLocked(&replicaset.Event{
+		Kind: replicaset.EventPassedOn, Service: service, Position: position(e.GetPassedOnTerm(), e.GetPassedOn()),
 	})
 }
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -102,8 +102,8 @@
 	// under cluster.mu.
 	leaseHeld atomic.Bool
 	// withdraw tells another VM that the primary of a service is no longer confirmed, but for
-	// promises that name the successor. It returns for how long vouchers of that VM may still be used.
-	withdraw func(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (vouched time.Duration, err error)
+	// promises that name the successor.
+	withdraw func(ctx context.Context, service catalog.Service, successor model.UpstreamID, vm model.VMID) (promotion.Withdrawal, error)
 	// refreshLists is lists.refresh.
 	refreshLists func()
 }
@@ -247,6 +247,11 @@
 			e, ok := evidence[s]
 			return e, ok
 		},
+		EvidenceUpTo: func(s catalog.Service, p model.Position) (replicaset.Evidence, bool) {
+			t.cluster.mu.Lock()
+			defer t.cluster.mu.Unlock()
+			return replicas.EvidenceUpTo(s, p)
+		},
 		Isolated:      t.members.isolated(),
 		FencesChecked: t.options.TokensChecked,
 		Voters:        append(t.members.topology().voters, t.options.VM),
@@ -352,20 +357,20 @@
 		return
 	}
 	go func(e promotion.Effect) {
-		vouched, err := t.withdraw(ctx, e.Service, e.Upstream, e.VM)
+		w, err := t.withdraw(ctx, e.Service, e.Upstream, e.VM)
 		if err != nil {
 			// The confirmation ends by itself.
 			t.log.Debug().Err(err).Str("vm", string(e.VM)).Msg("withdrawal of a confirmation not answered")
 			return
 		}
-		t.reportWithdrawn(&e, vouched)
+		t.reportWithdrawn(&e, w)
 	}(*e)
 }
 
-func (t *transitions) reportWithdrawn(e *promotion.Effect, vouched time.Duration) {
+func (t *transitions) reportWithdrawn(e *promotion.Effect, w promotion.Withdrawal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.ReportWithdrawn(boottime.Now(), e.Service, e.VM, e.SentAt, vouched)
+	t.state.ReportWithdrawn(boottime.Now(), e.Service, e.VM, e.SentAt, w)
 }
 
 // record writes the record of an ended promotion. Without it, the next holder of the
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -429,6 +429,7 @@
 		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
 		SyncReplicas: func(catalog.Service) int { return 1 },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return v.view.NewestEvidence(s) },
+		EvidenceUpTo: v.view.EvidenceUpTo,
 	}
 	// Now and then an operator drains the primary.
 	for i := range in.Views[0].Members {
@@ -486,18 +487,21 @@
 // withdraw tells a VM that the primary is no longer confirmed.
 func (w *confirmWorld) withdraw(v *confirmVM, e promotion.Effect) {
 	o := w.vms[slices.IndexFunc(w.vms, func(o *confirmVM) bool { return o.id == e.VM })]
-	answer := func() time.Duration {
+	answer := func() promotion.Withdrawal {
 		o.apply(w, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service, Successor: e.Upstream})
-		return max(o.view.Vouched(w.clock(), e.Service), o.startedAt+replicaset.VoucherTTL-w.now)
+		return promotion.Withdrawal{
+			Vouched:  max(o.view.Vouched(w.clock(), e.Service), o.startedAt+replicaset.VoucherTTL-w.now),
+			PassedOn: o.view.PassedOn(e.Service), Running: w.now - o.startedAt,
+		}
 	}
 	if o == v {
 		v.promotion.ReportWithdrawn(w.clock(), e.Service, e.VM, e.SentAt, answer())
 		return
 	}
 	w.deliver(o, string(v.id), string(o.id), func() {
-		vouched := answer()
+		withdrawal := answer()
 		w.deliver(v, string(o.id), string(v.id), func() {
-			v.promotion.ReportWithdrawn(w.clock(), e.Service, e.VM, e.SentAt, vouched)
+			v.promotion.ReportWithdrawn(w.clock(), e.Service, e.VM, e.SentAt, withdrawal)
 		})
 	})
 }
