--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -69,6 +69,7 @@
 		Evacuated:    func(model.Zone) bool { return false },
 		PeerContact:  func(id model.UpstreamID) model.Time { return vm.contacts[id] },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return vm.view.NewestEvidence(s) },
+		EvidenceUpTo: vm.view.EvidenceUpTo,
 		SyncReplicas: func(catalog.Service) int { return 1 },
 	}
 	heard := 0
@@ -123,6 +124,11 @@
 		r.tracef("%s: change of primary %s started: %s, term %d", vm.id, e.Upstream, e.Cause, e.Term)
 	case EffectTargetSelected:
 		r.tracef("%s: target %s at %v, old position %v, stepped down %t", vm.id, e.Upstream, e.Position, e.OldPosition, e.SteppedDown)
+	case EffectTargetBlocked:
+		r.tracef("%s: no target is safe: %s %s, best %s", vm.id, e.Cause, e.Upstream, e.Target)
+		if e.Cause == "" {
+			r.fail("no target is chosen, and no cause is reported")
+		}
 	case EffectTransitionEnded:
 		r.tracef("%s: change of primary ended, %s: %s", vm.id, e.Upstream, e.Cause)
 	}
@@ -277,10 +283,13 @@
 	other := r.vms[i]
 	if other != vm && !linked(vm, other) {
 		if r.s.assumesWithdrawal {
-			vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, 0)
+			vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, Withdrawal{Running: time.Hour})
 		}
 		return
 	}
 	r.apply(other, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: e.Service, Successor: e.Upstream})
-	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, max(other.view.Vouched(r.now(), e.Service), other.startedAt.Add(replicaset.VoucherTTL).Sub(r.now())))
+	vm.holder.ReportWithdrawn(r.now(), e.Service, e.VM, e.SentAt, Withdrawal{
+		Vouched:  max(other.view.Vouched(r.now(), e.Service), other.startedAt.Add(replicaset.VoucherTTL).Sub(r.now())),
+		PassedOn: other.view.PassedOn(e.Service), Running: r.now().Sub(other.startedAt),
+	})
 }
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -65,10 +65,13 @@
 	// before this VM knew the group. It is longer than the entry of a lost primary lasts,
 	// which ends the wait as well.
 	unknownDepartureTimeout = 10 * time.Second
-	// formerPrimaryTimeout is how long a former primary that has lost its entry may take to come
-	// back with commits that the other upstreams are known to lack. It is longer than a crash
-	// that outlasts the entry.
+	// formerPrimaryTimeout is how long a failover waits for the former primary, if a replica that is
+	// lost may have had commits that the others lack. It is longer than a crash that outlasts the
+	// entry.
 	formerPrimaryTimeout = 15 * time.Second
+	// pendingFenceTimeout is how long a failover waits for the fences of upstreams that answer, if
+	// another one is known to have all commits that were passed on.
+	pendingFenceTimeout = time.Second
 	// fenceTimeout ends a failover that has found no safe target, because not
 	// all upstreams can be fenced.
 	fenceTimeout = 6 * time.Second
@@ -161,6 +164,9 @@
 	EffectTransitionEnded
 	// EffectTargetLeads reports that the promotion of Upstream has taken effect.
 	EffectTargetLeads
+	// EffectTargetBlocked reports why no target is safe yet, once per change of the cause: Upstream
+	// is the one that the cause is about, and Target the most advanced candidate; both may be empty.
+	EffectTargetBlocked
 )
 
 // Effect is one output of State.Tick.
@@ -170,6 +176,7 @@
 	// Upstream is the old primary in EffectTransitionStarted, and the target in
 	// EffectTargetSelected, EffectTargetLeads and EffectTransitionEnded, empty if there is none.
 	Upstream model.UpstreamID
+	Target   model.UpstreamID
 	Command  CommandKind
 	Term     uint64
 	Token    uint64
@@ -188,11 +195,11 @@
 	// Members is the number of upstreams that are known when a transition starts or
 	// selects its target.
 	Members int
-	// Elapsed is the duration of an ended transition, or the time since the target was
-	// selected.
+	// Elapsed is the duration of an ended transition, the time since the target was
+	// selected, or the time for which no target has been safe.
 	Elapsed time.Duration
 	// Group is what is known of the upstreams when a target is selected or leads, and when no
-	// target is found in time; nil otherwise.
+	// target is safe or found in time; nil otherwise.
 	Group *GroupReport
 }
 
@@ -205,6 +212,8 @@
 	PeerContact func(model.UpstreamID) model.Time
 	// Evidence returns the newest evidence of how far a service's log reaches.
 	Evidence func(catalog.Service) (replicaset.Evidence, bool)
+	// EvidenceUpTo returns the newest evidence of a service that a log up to a position covers.
+	EvidenceUpTo func(catalog.Service, model.Position) (replicaset.Evidence, bool)
 	// SyncReplicas returns the number of replicas that must have received a
 	// commit before it is acknowledged.
 	SyncReplicas func(catalog.Service) int
