promotion model: random scenarios with rolling releases

Seeds from 1,000,000 on have rolling releases before and after a change of primary, three to five upstreams, lost and late calls, and targets that go away around a call. Seeds below are as they were.

--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -27,6 +27,9 @@
 	memberWarmupSteps = 80
 	// memberProgressSteps is the end of a run in which commits are expected again.
 	memberProgressSteps = 60
+	// memberQuietSteps is for how long nothing has to happen for a run to end before its last step. It is longer than a lease
+	// and the time until a fence that is left over is released.
+	memberQuietSteps = 100
 	// entryTTL is how long an entry in the store outlasts its upstream's last report, which
 	// comes every entryInterval.
 	entryTTL      = 60
@@ -312,6 +315,8 @@
 	violation    string
 	// overdue tells of an outage that has lasted too long.
 	overdue string
+	// busyAt is the last step at which a command or call was pending, or commits were not passed on.
+	busyAt int
 	// steppedDownStep is the step at which the last primary stepped down.
 	steppedDownStep int
 	// ledAt is the step at which the last primary began to lead.
@@ -394,10 +399,38 @@
 		}
 		r.runHolder()
 		r.checkOutage()
+		if r.settledDown() {
+			// The rest would be more of the same.
+			break
+		}
+	}
+	for _, p := range r.passed {
+		if p.step >= r.step-memberProgressSteps {
+			r.passedLate++
+		}
 	}
 	return r
 }
 
+// settledDown reports whether no event, command or call has been pending for memberQuietSteps, in which commits were passed on.
+func (r *memberRun) settledDown() bool {
+	n := len(r.passed)
+	if n == 0 || r.step-r.passed[n-1].step > memberProgressSteps/4 || len(r.late) > 0 || len(r.promotions) > 0 || r.vms[r.holder].holder.InTransition() || r.eventsPending() {
+		r.busyAt = r.step
+	}
+	return r.step-r.busyAt >= memberQuietSteps
+}
+
+// eventsPending reports whether an event is still to begin or end, but for those that wait for a call.
+func (r *memberRun) eventsPending() bool {
+	return slices.ContainsFunc(r.events, func(e runEvent) bool {
+		if r.firstCall == never && (!e.started && e.atCall || e.started && e.untilCall) {
+			return false
+		}
+		return !e.started || !e.ended && (e.until != 0 || e.untilCall)
+	})
+}
+
 // join starts an upstream, which receives the primary's log if there is a primary to copy from.
 func (r *memberRun) join(id model.UpstreamID, zone model.Zone, delay int) *simUpstream {
 	if u := r.upstreams[id]; u != nil {
@@ -1094,9 +1127,6 @@
 	r.newestPassed = r.newestPassed.Max(p.position)
 	r.outage.commitPassed(r.step, vm, c.sentStep)
 	r.passedAfter++
-	if r.step >= memberWarmupSteps+r.s.steps-memberProgressSteps {
-		r.passedLate++
-	}
 	if r.trace != nil {
 		r.tracef("%s passes on %v of %s", vm.id, c.position, c.primary)
 	}
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -624,6 +624,9 @@
 // them beside trouble at the last replica, in a quarter a switchover with trouble around the call, up
 // to five other events and up to three faults in the delivery of commands and calls.
 func randomMemberScenario(seed uint64) memberScenario {
+	if seed >= releaseSeeds {
+		return randomReleaseScenario(seed)
+	}
 	r := &randomMembers{Rand: rand.New(rand.NewPCG(seed, 37)), joiners: []model.UpstreamID{"d", "e", "f", "g", "h", "i", "j", "k"}}
 	r.s = memberScenario{
 		name: fmt.Sprint("seed ", seed), vms: 2 + r.IntN(2), steps: 560, deliveries: map[int]delivery{}, lateSteps: r.pick(20, 40, 80, 140, 220),
@@ -651,6 +654,95 @@
 	return r.s
 }
 
+// releaseSeeds is the first seed of scenarios with rolling releases.
+const releaseSeeds = 1_000_000
+
+// randomReleaseScenario returns the scenario of a seed from releaseSeeds on: three to five upstreams, of which most are
+// replaced one after the other, often while a replica receives nothing; a cause of a change of primary; calls that get no answer or are
+// executed late; a target that goes away; a second release while there may be no primary; and up to two other events.
+func randomReleaseScenario(seed uint64) memberScenario {
+	r := &randomMembers{Rand: rand.New(rand.NewPCG(seed, 41))}
+	for i := range 40 {
+		r.joiners = append(r.joiners, model.UpstreamID(fmt.Sprint("n", i)))
+	}
+	r.s = memberScenario{
+		name: fmt.Sprint("seed ", seed), vms: 2 + r.IntN(2), steps: 640, deliveries: map[int]delivery{}, calls: map[int]delivery{}, lateSteps: r.pick(20, 40, 80, 140, 220),
+		promoteSteps: r.pick(0, 0, 6, 14, 30), ackSteps: r.pick(0, 0, 0, 4, 12), pollSteps: r.pick(0, 0, 1, 4), replySteps: r.pick(0, 0, 0, 2, 4), lateTerms: r.IntN(4) == 0,
+		lags: memberLags[r.IntN(len(memberLags))], order: r.IntN(3), unread: r.IntN(3) == 0, fencesUnchecked: r.IntN(10) == 0, newIDs: r.IntN(3) == 0,
+	}
+	ids := []model.UpstreamID{"a", "b", "c", "d", "e"}[:3+r.IntN(3)]
+	for _, id := range ids[3:] {
+		r.add(memberEvent{kind: memberJoin, at: -76, upstream: id, delay: 2}, 0)
+	}
+	for range r.IntN(3) {
+		e := memberEvent{kind: memberDeaf, at: r.IntN(60) - 30, upstream: ids[1+r.IntN(len(ids)-1)]}
+		r.add(e, r.pick(20, 60, 100, 160))
+	}
+	r.release(ids, memberEvent{at: r.IntN(60) - 40})
+	r.cause(memberEvent{at: r.IntN(60) - 10, delay: r.IntN(14)})
+	for range r.IntN(4) {
+		r.s.calls[r.IntN(4)] = delivery(1 + r.IntN(int(deliveries)-1))
+	}
+	if r.IntN(2) == 0 {
+		r.targetGoes()
+	}
+	if r.IntN(2) == 0 {
+		e := memberEvent{at: r.IntN(200)}
+		if r.IntN(2) == 0 {
+			e.at, e.atCall = r.IntN(120), true
+		}
+		r.release(slices.Concat(ids, r.joinersSoFar()), e)
+	}
+	for range r.IntN(3) {
+		r.other()
+	}
+	if r.IntN(3) == 0 {
+		r.s.deliveries[r.IntN(12)] = delivery(1 + r.IntN(int(deliveries)-1))
+	}
+	return r.s
+}
+
+// joinersSoFar returns the upstreams that replace others.
+func (r *randomMembers) joinersSoFar() []model.UpstreamID {
+	var list []model.UpstreamID
+	for _, e := range r.s.events {
+		if e.with != "" {
+			list = append(list, e.with)
+		}
+	}
+	return list
+}
+
+// release replaces most of the upstreams one after the other from the moment of e on.
+func (r *randomMembers) release(ids []model.UpstreamID, e memberEvent) {
+	ids = slices.Clone(ids)
+	r.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	gap, length := r.pick(2, 10, 20, 40), r.pick(20, 64, 90, 150)
+	for _, id := range ids[:1+r.IntN(len(ids))] {
+		e.kind, e.upstream, e.with, e.delay = memberLeave, id, r.joiner(), r.IntN(14)
+		r.add(e, length)
+		e.at += gap + r.IntN(4)
+	}
+}
+
+// targetGoes adds a target that goes away around a call.
+func (r *randomMembers) targetGoes() {
+	e := memberEvent{at: r.IntN(24), atCall: true, upstream: theTarget}
+	switch r.IntN(5) {
+	case 0, 1:
+		e.kind, e.with, e.delay = memberLeave, r.joiner(), r.IntN(14)
+		r.add(e, r.pick(1, 10, 64))
+	case 2:
+		e.kind = memberCrash
+		r.add(e, r.pick(10, 40, 100))
+	case 3:
+		r.cut(e, r.pick(20, 60, 100))
+	case 4:
+		e.kind, e.vms = memberCutVMs, theHolder
+		r.add(e, r.pick(20, 60, 100))
+	}
+}
+
 // shrink drops events and faults of a scenario as long as its run still fails.
 func (s memberScenario) shrink(fails func(*memberRun) bool) memberScenario {
 	for again := true; again; {
@@ -665,7 +757,7 @@
 		}
 	}
 	for _, simpler := range []func(*memberScenario){
-		func(s *memberScenario) { s.ackSteps = 0 }, func(s *memberScenario) { s.pollSteps = 0 }, func(s *memberScenario) { s.replySteps = 0 }, func(s *memberScenario) { s.lateTerms = false },
+		func(s *memberScenario) { s.ackSteps = 0 }, func(s *memberScenario) { s.pollSteps = 0 }, func(s *memberScenario) { s.replySteps = 0 }, func(s *memberScenario) { s.lateTerms = false }, func(s *memberScenario) { s.newIDs = false }, func(s *memberScenario) { s.fencesUnchecked = false },
 		func(s *memberScenario) { s.promoteSteps = 0 }, func(s *memberScenario) { s.lags = [3]int{} },
 	} {
 		less := s
@@ -676,20 +768,27 @@
 	}
 	for i := range 10 {
 		less := s
-		less.deliveries = map[int]delivery{}
-		for j, d := range s.deliveries {
-			if j != i {
-				less.deliveries[j] = d
-			}
-		}
+		less.deliveries = without(s.deliveries, i)
 		if len(less.deliveries) < len(s.deliveries) && fails(less.run()) {
 			s = less
 		}
+		less = s
+		less.calls = without(s.calls, i)
+		if len(less.calls) < len(s.calls) && fails(less.run()) {
+			s = less
+		}
 	}
 	return s
 }
 
-// randomSeeds returns the first and the last seed in MEMBERMODEL_SEEDS, as in 1-1000. Without it, the test is skipped.
+func without(m map[int]delivery, i int) map[int]delivery {
+	m = maps.Clone(m)
+	delete(m, i)
+	return m
+}
+
+// randomSeeds returns the first and the last seed in MEMBERMODEL_SEEDS, as in 1-1000; those from releaseSeeds on
+// have rolling releases. Without it, the test is skipped.
 func randomSeeds(t *testing.T) (from, to uint64) {
 	first, last, found := strings.Cut(os.Getenv("MEMBERMODEL_SEEDS"), "-")
 	if first == "" {
