Confirm a recorded primary that is back under another ID

Change: an upstream that itself says that it leads the recorded term is the recorded primary; a term has one. TestRecordedPrimaryUnderAnotherIDIsConfirmed failed before the fix.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -128,7 +128,7 @@
 	if primary.FailedSince != 0 && now.Sub(max(primary.ContactAt, in.PeerContact(primary.ID))) > suspectedContactAge {
 		return
 	}
-	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || r.Done && v.PrimaryTerm == r.Term && v.Primary != r.Upstream) {
+	if r := svc.record; r.Upstream != "" && (v.PrimaryTerm < r.Term || r.Done && v.PrimaryTerm == r.Term && v.Primary != r.Upstream && !leadsTerm(primary, r.Term)) {
 		return
 	}
 	c := Confirmation{Service: svc.name, Upstream: v.Primary, Term: v.PrimaryTerm}
@@ -146,6 +146,12 @@
 	svc.confirmable, svc.freeze = c, nil
 }
 
+// leadsTerm reports whether an upstream itself says that it is the primary of a term. A term has one primary, which may be back
+// from a crash under another ID.
+func leadsTerm(m *replicaset.Member, term uint64) bool {
+	return m.Status.Primary && m.Status.Term == term
+}
+
 // successor returns the upstream that alone may follow the old primary in this transition: the target
 // of a switchover, which receives all commits until then. It is empty in a failover.
 func (t *transition) successor() model.UpstreamID {
