Give up an accepted promotion call that has no effect, on platforms without checked tokens

Callers of a service on such a platform were refused for 10 s after the target of an accepted call had crashed, since the call counted as one that may be executed late. It has been executed; the target leads within promoteTimeout or not at all.

--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -256,7 +256,11 @@
 	if in.FencesChecked {
 		return false
 	}
-	pending := svc.callPending && svc.unknownCalls > 0 && svc.record.Upstream != id && now.Sub(svc.calledAt) < lateCallTimeout
+	limit := lateCallTimeout
+	if svc.acceptedCalls >= svc.unknownCalls {
+		limit = promoteTimeout
+	}
+	pending := svc.callPending && svc.unknownCalls > 0 && svc.record.Upstream != id && now.Sub(svc.calledAt) < limit
 	return pending || len(svc.lateTargets(now, id)) > 0
 }
 
@@ -277,7 +281,7 @@
 // recordPrimary records that no promotion call is pending and which upstream is the
 // primary.
 func (svc *serviceState) recordPrimary(now model.Time, v *replicaset.View, out []Effect) []Effect {
-	svc.callPending, svc.unknownCalls = false, 0
+	svc.callPending, svc.unknownCalls, svc.acceptedCalls = false, 0, 0
 	if v.Primary == "" {
 		return out
 	}
--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -57,6 +57,10 @@
 		r.holder = i
 		r.revision++
 		r.holderEndsAt = r.step + memberLeaseSteps
+		if record := r.records[memberService]; r.s.fencesUnchecked && record.Upstream != "" && !record.Done {
+			// The new lease holder does not know how the recorded call has ended.
+			r.outage.lateUntil = max(r.outage.lateUntil, r.step+lateCallLimitSteps)
+		}
 		vm.holder.Acquire(r.now(), Acquisition{Revision: r.revision, Records: maps.Clone(r.records)})
 		r.tracef("%s is the lease holder", vm.id)
 		return
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -58,11 +58,13 @@
 
 	// record is the last promotion of the service. callPending is true while its call
 	// may still be executed; calledAt is when it was sent, or when this VM learned of
-	// it, and unknownCalls the number of its calls whose outcome is not known.
-	record       Record
-	callPending  bool
-	calledAt     model.Time
-	unknownCalls int
+	// it, unknownCalls the number of its calls whose outcome is not known, and acceptedCalls how
+	// many of them were accepted, so that their target leads shortly or not at all.
+	record        Record
+	callPending   bool
+	calledAt      model.Time
+	unknownCalls  int
+	acceptedCalls int
 	// lateCallUntil has, by target, the time until which an unanswered promotion call
 	// may still be executed.
 	lateCallUntil map[model.UpstreamID]model.Time
@@ -182,6 +184,7 @@
 	}
 	switch o {
 	case OutcomeAccepted:
+		svc.acceptedCalls++
 		if s.fencesChecked {
 			// Calls with lower tokens are refused from now on.
 			svc.unknownUntil = 0
