Retire a replica by the time its announcement was known, and let only voters pass commits on

Found in review, seen by no caller yet. A replica counted as retired by the time at which the lease holder had sent its read of the list; the announcement may be younger than a voter's list, so that this voter still proved commits by the replica. It stayed retired after the store had come back from a copy without the announcement. And VMs that are no voters could hold promises, although no lease holder asks them for lists or for what they have passed on.

--- a/core/replicaset/choice.go
+++ b/core/replicaset/choice.go
@@ -188,6 +188,11 @@
 	Whole bool
 	// PassedOn is State.PassedOn.
 	PassedOn model.Position
+	// LastPrimary is the last known primary. Inherited is the end of the log with which the primary of InheritedTerm
+	// began, as far as known.
+	LastPrimary   model.UpstreamID
+	Inherited     model.Position
+	InheritedTerm uint64
 	// ListedAt is the time when the list of upstreams was read. ListComplete is false while
 	// it may lack upstreams that run, as after the start of this VM.
 	ListedAt     model.Time
@@ -205,7 +210,7 @@
 		v := View{
 			Service: g.name, Primary: g.primary, PrimaryTerm: g.primaryTerm,
 			Incomplete: g.incompleteSince != 0, MemberLost: g.memberLost, ReplicaLostAt: g.replicaLostAt,
-			Whole: g.whole, PassedOn: s.PassedOn(g.name), ListedAt: s.listedAt, ListComplete: s.listComplete(),
+			Whole: g.whole, PassedOn: s.PassedOn(g.name), LastPrimary: g.lastPrimary, Inherited: g.inherited.position, InheritedTerm: g.inherited.term, ListedAt: s.listedAt, ListComplete: s.listComplete(),
 		}
 		for _, id := range g.ids() {
 			v.Members = append(v.Members, *g.members[id])
--- a/core/replicaset/confirmation.go
+++ b/core/replicaset/confirmation.go
@@ -67,7 +67,7 @@
 
 // applyConfirmed applies a confirmation by the holder of the promotion lease. One
 // that was asked for before the last withdrawal is void.
-func (g *group) applyConfirmed(now model.Time, m *Member, ev *Event) {
+func (s *State) applyConfirmed(now model.Time, g *group, m *Member, ev *Event) {
 	if ev.SentAt <= g.withdrawnAt {
 		return
 	}
@@ -75,7 +75,7 @@
 		g.recordPrimary(now, m, ev.Term)
 	}
 	c := confirmation{upstream: m.ID, term: ev.Term, until: ev.Until, source: SourceHolder, successor: ev.Successor}
-	g.promise(c)
+	s.promise(g, c)
 	if ev.Successor != "" {
 		// The successor may lead at any time, so neither reads nor vouchers can rely on this.
 		return
@@ -98,8 +98,8 @@
 }
 
 // promise adds a promise of the holder of the promotion lease or of vouchers.
-func (g *group) promise(c confirmation) {
-	if c.term < g.promised.term {
+func (s *State) promise(g *group, c confirmation) {
+	if s.voteless || c.term < g.promised.term {
 		return
 	}
 	if old := g.promised; c.upstream == old.upstream && c.term == old.term && c.successor == old.successor {
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -28,6 +28,8 @@
 	departed map[model.UpstreamID]departure
 	// voters are the other VMs whose vouchers count.
 	voters []model.VMID
+	// voteless is true if this VM is no voter.
+	voteless bool
 	// peerListedAt is when the newest list of a voter was read, as far as known.
 	peerListedAt map[model.VMID]model.Time
 }
@@ -183,7 +185,7 @@
 	case EventFailed:
 		m.recordFailure(now, ev.Refused)
 	case EventConfirmed:
-		g.applyConfirmed(now, m, ev)
+		s.applyConfirmed(now, g, m, ev)
 	case EventVouched:
 		s.applyVouched(now, g, ev)
 	case EventPrimary:
@@ -281,7 +283,7 @@
 		if r.Leaving {
 			m.LeavingAt = now
 		}
-		m.recordLeaving(s.listedAt)
+		m.recordLeaving(now)
 		out = append(out, Effect{Kind: EffectAdded, Service: g.name, Upstream: r.ID, Member: *m})
 		out = g.warmupEffect(m, out)
 		return g.applyRegisteredRole(now, m, true, out)
@@ -290,6 +292,7 @@
 	m.missingSince = 0
 	restarted := r.Incarnation != old.Incarnation
 	if !restarted && r.Sequence < old.Sequence {
+		m.recordOlderEntry()
 		return out
 	}
 	m.Registration = *r
@@ -300,7 +303,7 @@
 	if r.Leaving && m.LeavingAt == 0 {
 		m.LeavingAt = now
 	}
-	m.recordLeaving(s.listedAt)
+	m.recordLeaving(now)
 	if restarted || old.Address != r.Address || old.Leaving != r.Leaving {
 		out = append(out, Effect{Kind: EffectChanged, Service: g.name, Upstream: r.ID, Member: *m})
 	}
--- a/core/replicaset/types.go
+++ b/core/replicaset/types.go
@@ -211,7 +211,7 @@
 	// it proves no more commits to any VM; 0 before.
 	RetiredAt model.Time
 
-	// leavingListedAt is when the first list was read in which the upstream is leaving, 0 if it is not.
+	// leavingListedAt is when this VM got the first list in which the upstream is leaving, 0 if it is not.
 	leavingListedAt model.Time
 	// missingSince is the start of MissingGracePeriod while the registration is
 	// missing from the store, 0 while it is present.
--- a/core/replicaset/voucher.go
+++ b/core/replicaset/voucher.go
@@ -40,6 +40,17 @@
 	until    model.Time
 }
 
+// SetVoting sets whether this VM is a voter. Other VMs pass no commits on, so that a lease holder need not ask
+// them before it chooses a successor.
+func (s *State) SetVoting(voting bool) {
+	s.voteless = !voting
+	for _, g := range s.groups {
+		if s.voteless {
+			g.promised = confirmation{}
+		}
+	}
+}
+
 // SetVoters sets the other VMs whose vouchers count. There are no vouchers while it is
 // empty.
 func (s *State) SetVoters(others []model.VMID) {
@@ -114,6 +125,6 @@
 	}
 	slices.SortFunc(untils, func(a, b model.Time) int { return int(b.Sub(a)) })
 	c := confirmation{upstream: g.heard.upstream, term: g.heard.term, until: untils[needed-1], source: SourceVouchers}
-	g.promise(c)
+	s.promise(g, c)
 	g.confirm(now, c)
 }
--- a/linenode/cluster.go
+++ b/linenode/cluster.go
@@ -338,6 +338,7 @@
 	c.vms = len(vms)
 	c.quota.SetMembers(c.Now(), vms, t.sources)
 	c.replicas.SetVoters(t.voters)
+	c.replicas.SetVoting(!t.large || t.hub)
 	c.updateShares()
 }
 
