Tell of commits that were passed on by the word of a holder

Found in review: the VM that tells its caller of a commit did not know that it was passed on if another VM had run the statement. That VM is in the zone of the primary and fails with it, so that what callers were told of was known to nobody.

TestVMThatTellsTheCallerKnowsWhatWasPassedOn failed before.

--- a/linenode/commitproof.go
+++ b/linenode/commitproof.go
@@ -57,6 +57,13 @@
 	return service == nil || service.SyncReplicas > 0
 }
 
+// recordPassedOn records that a commit up to position, which a holder has proved, is passed on.
+func (c *cluster) recordPassedOn(service catalog.Service, position model.Position) {
+	if c.commitsNeedReplicas(service) {
+		c.Observe(&replicaset.Event{Kind: replicaset.EventPassedOn, Service: service, Position: position})
+	}
+}
+
 // await waits for the proof of a commit. It returns false when ctx ends first, or once there will be
 // none.
 func (p *commitProofs) await(ctx context.Context, commit *replicaset.AcknowledgedCommit) bool {
--- a/linenode/forward.go
+++ b/linenode/forward.go
@@ -58,6 +58,9 @@
 	o.Holder = h.vm
 	sent := upstreamrun.SentStatement{Upstream: r.Upstream, SentAt: call.sentAt, Floor: o.Floor, Committed: r.Write}
 	upstreamrun.ReportAnswer(f.cluster, &sent, &o.Answer)
+	if sent.Committed && o.Code == "" {
+		f.cluster.recordPassedOn(r.Service, o.Ready.Position)
+	}
 	f.recordLatency(r.Upstream, time.Since(call.start), &o, &report)
 	return o, nil
 }
@@ -82,7 +85,7 @@
 	if tx == nil {
 		return nil, o, nil
 	}
-	forwarded := &forwardedTx{Tx: tx, forwarder: f, holder: h}
+	forwarded := &forwardedTx{Tx: tx, forwarder: f, service: r.Service, holder: h}
 	forwarded.Upstream, forwarded.ReadOnly = r.Upstream, r.ReadOnly
 	return forwarded, o, nil
 }
--- a/linenode/forwardtx.go
+++ b/linenode/forwardtx.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chervilhatch/chervilhatch/core/catalog"
 	"github.com/chervilhatch/chervilhatch/holderlink"
 	"github.com/chervilhatch/chervilhatch/upstreampool"
 	"github.com/chervilhatch/chervilhatch/upstreamrun"
@@ -14,6 +15,7 @@
 	*holderlink.Tx
 	upstreamrun.TxProgress
 	forwarder *forwarder
+	service   catalog.Service
 	holder    holderVM
 }
 
@@ -26,6 +28,8 @@
 	if err != nil {
 		return a, err
 	}
-	x.ReportAnswer(x.forwarder.cluster, call.sentAt, r, &a)
+	if x.ReportAnswer(x.forwarder.cluster, call.sentAt, r, &a) {
+		x.forwarder.cluster.recordPassedOn(x.service, a.Ready.Position)
+	}
 	return a, nil
 }
