Keep the old primary in the freeze, and ask what it and all VMs may have proved

Found in review and by the random model; one class: what a freeze goes by was kept for a transition, or was not asked of all.

- The old primary was not asked for commits of the earlier term, which it may have proved as a replica: a release of the primary and a crash of its successor lost 13 commits (TestCommitsThatOnlyTheLastPrimaryInheritedAreNotLost).
- A replica that lacks what was passed on hid one that has it (TestUpstreamThatLacksWhatWasPassedOnHidesNoOther).
- A VM that stopped long ago blocked the word of all VMs, and its promises were kept for good (TestVMsThatStoppedLongAgoDoNotBlockAFailover).
- The entry of the old primary lapsed between two attempts, and it counted as an unheard replica (TestLapseOfTheOldPrimaryBetweenAttemptsBlocksNoTarget).
- A new lease holder took the voters for all VMs (TestNewLeaseHolderDoesNotTakeVotersForAllVMs).
- A refused connection outweighed later contacts of peers (TestRefusedConnectionProvesNothingOnceAPeerHasReachedTheReplica).
- A switchover waited for a complete group although the old primary answers with all its log.

--- a/core/promotion/blocked.go
+++ b/core/promotion/blocked.go
@@ -30,6 +30,7 @@
 	blockedNoEvidence     = "no evidence"
 	blockedOldEvidence    = "evidence older than the loss of a replica"
 	blockedEvidenceAhead  = "evidence beyond the best target"
+	blockedInherited      = "best target may lack what the old primary began with"
 	blockedPassedOn       = "best target lacks commits that were passed on"
 	blockedOtherCall      = "call for another target may take effect"
 )
--- a/core/promotion/confirmation.go
+++ b/core/promotion/confirmation.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	lateCallTimeout = 10 * time.Second
 )
 
+// promiseRetention is how long promises are remembered after their end. It is longer than vouchers outlast them.
+const promiseRetention = time.Minute
+
 // abandonedVouchPeriod is how long a holder of the promotion lease that cannot reach half
 // of the voters waits before it promotes another upstream.
 const abandonedVouchPeriod = replicaset.VouchPeriod + confirmationMargin
@@ -72,6 +76,7 @@
 		if svc.confirmable.Upstream == "" {
 			continue
 		}
+		svc.dropStoppedVMs(now)
 		until := now.Add(ConfirmationTTL + confirmationMargin)
 		if svc.confirmable.Successor != "" {
 			svc.promises[promise{vm, svc.confirmable.Successor}] = until
@@ -84,6 +89,17 @@
 	return list
 }
 
+// dropStoppedVMs drops VMs that have not asked for so long that nothing which they have passed on can be newer than
+// the evidence.
+func (svc *serviceState) dropStoppedVMs(now model.Time) {
+	if now < svc.stoppedDroppedAt.Add(promiseRetention) {
+		return
+	}
+	svc.stoppedDroppedAt = now
+	maps.DeleteFunc(svc.confirmedUntil, func(_ model.VMID, until model.Time) bool { return until.Add(promiseRetention) < now })
+	maps.DeleteFunc(svc.promises, func(_ promise, until model.Time) bool { return until.Add(promiseRetention) < now })
+}
+
 func (s *State) serviceNames() []catalog.Service {
 	names := make([]catalog.Service, 0, len(s.services))
 	for name := range s.services {
--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -29,9 +30,14 @@
 // freeze is the time in which VMs pass no commits of a primary on. It begins in a transition, and lasts
 // until a primary is promised again. Further failovers within it go on with what is known.
 type freeze struct {
-	// term is the term of the primary whose commits are not passed on, and fenceTerm the term for
-	// which upstreams are fenced; it is higher than all terms of primaries.
-	term, fenceTerm uint64
+	// oldPrimary is the primary whose commits are not passed on, or the last known one if there was none at the
+	// start; empty if none was known. oldTerm is its term.
+	oldPrimary model.UpstreamID
+	oldTerm    uint64
+	// fenceTerm is the term for which upstreams are fenced; it is higher than all terms of primaries.
+	fenceTerm uint64
+	// voters are the voters since the start.
+	voters map[model.VMID]bool
 	// withdrawingSince is when VMs were first told to drop the primary, 0 before. From then on
 	// it is not confirmed any more.
 	withdrawingSince model.Time
@@ -79,7 +85,8 @@
 
 func newFreeze(v *replicaset.View) *freeze {
 	f := &freeze{
-		term: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, withdrawn: map[model.VMID]withdrawal{},
+		oldPrimary: cmp.Or(v.Primary, v.LastPrimary), oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1,
+		voters: map[model.VMID]bool{}, withdrawn: map[model.VMID]withdrawal{},
 		heard: map[model.UpstreamID]model.Position{}, known: map[model.UpstreamID]seenUpstream{}, lost: map[model.UpstreamID]model.Time{},
 		wholeBefore: !v.Incomplete || v.Whole, replicaLostAt: v.ReplicaLostAt,
 	}
@@ -107,9 +114,13 @@
 	}
 }
 
-// observe records lost replicas and what upstreams have received. oldPrimary is no replica.
-func (f *freeze) observe(now model.Time, v *replicaset.View, oldPrimary model.UpstreamID) {
-	if found := f.observeLosses(now, v, oldPrimary); !found && v.ReplicaLostAt > f.replicaLostAt {
+// observe records voters, lost replicas and what upstreams have received.
+func (f *freeze) observe(now model.Time, v *replicaset.View, in *Input) {
+	for _, vm := range in.Voters {
+		f.voters[vm] = true
+	}
+	f.observeRename(v)
+	if found := f.observeLosses(now, v); !found && v.ReplicaLostAt > f.replicaLostAt {
 		f.unheardUntil = max(f.unheardUntil, v.ReplicaLostAt)
 	}
 	f.replicaLostAt = max(f.replicaLostAt, v.ReplicaLostAt)
@@ -121,8 +132,17 @@
 	}
 }
 
+// observeRename records that the old primary is back under another ID, as after a crash: a term has one primary.
+func (f *freeze) observeRename(v *replicaset.View) {
+	for i := range v.Members {
+		if m := &v.Members[i]; m.ID != f.oldPrimary && f.oldTerm != 0 && m.Status.Primary && m.Status.Term == f.oldTerm {
+			f.oldPrimary = m.ID
+		}
+	}
+}
+
 // observeLosses records the upstreams that were lost since the last tick, and reports whether any was.
-func (f *freeze) observeLosses(now model.Time, v *replicaset.View, oldPrimary model.UpstreamID) (found bool) {
+func (f *freeze) observeLosses(now model.Time, v *replicaset.View) (found bool) {
 	for id, last := range f.known {
 		m := findMember(v, id)
 		if m != nil && m.Incarnation == last.incarnation {
@@ -139,7 +159,7 @@
 		if m == nil {
 			delete(f.known, id)
 		}
-		if id == oldPrimary {
+		if id == f.oldPrimary {
 			continue
 		}
 		until := last.retiredAt
@@ -170,7 +190,7 @@
 // newPrimary records that an upstream has been promoted in the freeze, which has discarded what it lacked.
 // Whether lost replicas had more is no longer known.
 func (f *freeze) newPrimary(v *replicaset.View) {
-	f.term = v.PrimaryTerm
+	f.oldPrimary, f.oldTerm = cmp.Or(v.Primary, v.LastPrimary), v.PrimaryTerm
 	for _, until := range f.lost {
 		f.unheardUntil = max(f.unheardUntil, until)
 	}
@@ -179,8 +199,8 @@
 }
 
 // provedUntil returns the time until which replicas may have proved commits that c lacks, 0 if none may have, and
-// the last of them.
-func (f *freeze) provedUntil(v *replicaset.View, oldPrimary model.UpstreamID, c *replicaset.Member) (latest model.Time, by blocked) {
+// the last of them. What they had received is known since frozenSince.
+func (f *freeze) provedUntil(v *replicaset.View, in *Input, frozenSince model.Time, c *replicaset.Member) (latest model.Time, by blocked) {
 	add := func(until model.Time, cause string, id model.UpstreamID) {
 		if until > latest {
 			latest, by = until, blocked{cause: cause, upstream: id}
@@ -192,39 +212,54 @@
 		add(f.unheardUntil, blockedOldEvidence, "")
 	}
 	for id, until := range f.lost {
-		if id != oldPrimary && c.Status.Received.Compare(f.heard[id]) < 0 {
+		if id != f.oldPrimary && c.Status.Received.Compare(f.heard[id]) < 0 {
 			add(until, blockedLostAhead, id)
 		}
 	}
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.ID == c.ID || m.ID == oldPrimary || f.has(c, m) {
+		if m.ID == c.ID || m.ID == f.oldPrimary || f.has(frozenSince, c, m) {
 			continue
 		}
 		cause := blockedAhead
 		if _, heard := f.heard[m.ID]; !heard {
 			cause = unfencedCause(m)
 		}
-		add(mayProveUntil(m), cause, m.ID)
+		add(mayProveUntil(in, m), cause, m.ID)
+	}
+	if !f.hasInherited(v, in, c) {
+		// It may have proved commits of an earlier term.
+		add(endOfTime, blockedInherited, f.oldPrimary)
 	}
 	return latest, by
 }
 
+// hasInherited reports whether c is known to have the log with which the old primary began.
+func (f *freeze) hasInherited(v *replicaset.View, in *Input, c *replicaset.Member) bool {
+	received := c.Status.Received
+	if received.Term.Counter >= f.oldTerm || v.InheritedTerm == f.oldTerm && received.Compare(v.Inherited) >= 0 {
+		return true
+	}
+	e, ok := in.EvidenceUpTo(v.Service, received)
+	return ok && e.Term >= f.oldTerm
+}
+
 // has reports whether c has all commits that m may have proved.
-func (f *freeze) has(c, m *replicaset.Member) bool {
+func (f *freeze) has(frozenSince model.Time, c, m *replicaset.Member) bool {
 	if received, found := f.heard[m.ID]; found {
 		_, lost := f.lost[m.ID]
 		return lost || c.Status.Received.Compare(received) >= 0
 	}
-	return f.fenced(m) && m.FailedSince == 0 && c.Status.Received.Compare(m.Status.Received) >= 0
+	return f.fenced(m) && m.StatusAt >= frozenSince && m.FailedSince == 0 && c.Status.Received.Compare(m.Status.Received) >= 0
 }
 
-// mayProveUntil returns the time until which a replica may have proved commits.
-func mayProveUntil(m *replicaset.Member) model.Time {
+// mayProveUntil returns the time until which a replica may have proved commits. A host that refuses connections may
+// accept them again unless no VM has reached it since.
+func mayProveUntil(in *Input, m *replicaset.Member) model.Time {
 	switch {
 	case m.RetiredAt != 0:
 		return m.RetiredAt
-	case m.RefusedSince != 0:
+	case m.RefusedSince != 0 && in.PeerContact(m.ID) < m.RefusedSince:
 		return m.RefusedSince
 	}
 	return endOfTime
@@ -251,33 +286,37 @@
 
 // hasAllPassedOn reports whether m has every commit that was passed on because all VMs that may have passed any
 // on have said which. What an earlier process of a VM has passed on was acknowledged before the start
-// of the present one, so m needs the evidence of that time.
+// of the present one, so m needs the evidence of that time. VMs that are no voters are known only since this VM
+// has the lease.
 func (s *State) hasAllPassedOn(svc *serviceState, f *freeze, in *Input, m *replicaset.Member) bool {
-	if f.promisesEndedAt == 0 {
+	if f.promisesEndedAt == 0 || len(f.voters) == 0 {
 		return false
 	}
 	e, ok := in.EvidenceUpTo(svc.name, m.Status.Received)
-	if !ok {
+	if !ok || !in.OnlyVotersPassOn && e.At < s.acquiredAt {
 		return false
 	}
-	known := func(vm model.VMID) bool {
-		w, found := f.withdrawn[vm]
-		return found && w.startedAt.Add(confirmationMargin) <= e.At && m.Status.Received.Compare(w.passedOn) >= 0
+	known := func(vm model.VMID, until model.Time) bool {
+		if w, found := f.withdrawn[vm]; found {
+			return w.startedAt.Add(confirmationMargin) <= e.At && m.Status.Received.Compare(w.passedOn) >= 0
+		}
+		// It has stopped, or vouchers have ended as well.
+		return !f.voters[vm] && until.Add(abandonedVouchPeriod) <= e.At
 	}
-	for _, vm := range in.Voters {
-		if !known(vm) {
+	for vm := range f.voters {
+		if !known(vm, 0) {
 			return false
 		}
 	}
-	for vm := range svc.confirmedUntil {
-		if !known(vm) {
+	for vm, until := range svc.confirmedUntil {
+		if !known(vm, until) {
 			return false
 		}
 	}
-	for p := range svc.promises {
-		if !known(p.vm) {
+	for p, until := range svc.promises {
+		if !known(p.vm, until) {
 			return false
 		}
 	}
-	return len(in.Voters) > 0
+	return true
 }
--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -69,7 +69,7 @@
 
 func (r *memberRun) input(vm *simVM) *Input {
 	in := &Input{
-		Views: vm.view.Views(), FencesChecked: !r.s.fencesUnchecked,
+		Views: vm.view.Views(), FencesChecked: !r.s.fencesUnchecked, OnlyVotersPassOn: true,
 		Evacuated:    func(model.Zone) bool { return false },
 		PeerContact:  func(id model.UpstreamID) model.Time { return vm.contacts[id] },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return vm.view.NewestEvidence(s) },
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -80,6 +80,8 @@
 	// withdrawSentAt when it last told VMs that the primary is no longer confirmed.
 	lastConfirmedAt model.Time
 	withdrawSentAt  model.Time
+	// stoppedDroppedAt is when ended promises were last dropped.
+	stoppedDroppedAt model.Time
 }
 
 func (s *State) newService(now model.Time, name catalog.Service) *serviceState {
@@ -224,7 +226,7 @@
 func (s *State) tickService(now model.Time, svc *serviceState, v *replicaset.View, in *Input, out []Effect) []Effect {
 	svc.observe(now, v, in)
 	if svc.freeze != nil && svc.transition == nil {
-		svc.freeze.observe(now, v, v.Primary)
+		svc.freeze.observe(now, v, in)
 	}
 	if svc.transition != nil {
 		return s.advance(now, svc, v, in, out)
@@ -240,7 +242,7 @@
 	}
 	t := &transition{
 		planned: planned, cause: cause, startedAt: now, attemptAt: now, phase: phaseFence,
-		oldPrimary: v.Primary, oldTerm: v.PrimaryTerm, aliveAt: svc.primaryAliveAt,
+		aliveAt: svc.primaryAliveAt,
 	}
 	if planned && !t.selectSwitchoverTarget(now, svc, v, in) {
 		return out
@@ -261,7 +263,7 @@
 	switch {
 	case t.freeze == nil:
 		t.freeze = newFreeze(v)
-	case v.PrimaryTerm > t.term:
+	case v.PrimaryTerm > t.oldTerm:
 		t.newPrimary(v)
 	}
 	t.raiseFenceTerm(v)
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -27,10 +27,6 @@
 	attemptAt      model.Time
 	phase          phase
 	phaseStartedAt model.Time
-	// oldPrimary is the primary at the start, empty if none was known.
-	oldPrimary model.UpstreamID
-	// oldTerm is the term of the old primary.
-	oldTerm uint64
 	*freeze
 	target model.UpstreamID
 	// targetReceived is what the target had received when it was selected.
@@ -137,6 +133,10 @@
 		out[len(out)-1].Group = group
 		return out
 	}
+	if svc.callTookEffect(v) {
+		t.target = v.Primary
+		return s.targetLed(now, svc, v, in, t.startedAt, out)
+	}
 	if svc.primaryIsBack(now, v) {
 		return svc.endTransition(now, "the primary is back", true, out)
 	}
@@ -153,7 +153,10 @@
 	if t.withdrawingSince != 0 && t.promisesEndedAt == 0 && s.confirmationsEnded(now, svc, in) {
 		t.promisesEndedAt = now
 	}
-	t.observe(now, v, t.oldPrimary)
+	former := t.oldPrimary
+	if t.observe(now, v, in); t.oldPrimary != former {
+		t.steppedDownAt, t.oldPrimaryLost = 0, false
+	}
 	target, blockedBy := s.selectTarget(now, v, in, svc)
 	// A primary that is to be switched over serves until the target has caught up.
 	if t.withdrawingSince == 0 && (!t.planned || target != nil) {
@@ -193,6 +196,14 @@
 	return t.promisesEndedAt
 }
 
+// callTookEffect reports whether the target of a promotion call that is still pending says that it leads. The call may be
+// one of an earlier lease holder or attempt.
+func (svc *serviceState) callTookEffect(v *replicaset.View) bool {
+	m := findMember(v, v.Primary)
+	return svc.callPending && m != nil && m.ID == svc.record.Upstream && m.FailedSince == 0 && m.StatusAt >= svc.transition.startedAt &&
+		v.PrimaryTerm > svc.record.Term && leadsTerm(m, v.PrimaryTerm)
+}
+
 // primaryIsBack reports whether the primary whose loss is the cause of the transition answers
 // again, so that no other one is needed. After a crash it may come back under another ID.
 func (svc *serviceState) primaryIsBack(now model.Time, v *replicaset.View) bool {
@@ -334,7 +345,7 @@
 	case v.ListedAt < t.phaseStartedAt:
 		return nil, blocked{cause: blockedList}
 	case t.planned:
-		target, b = t.switchoverTarget(v, t.frozenSince(now, svc))
+		target, b = t.switchoverTarget(now, v, in, svc)
 	default:
 		target, b = s.failoverTarget(now, v, in, svc)
 	}
@@ -348,13 +359,13 @@
 // target has received everything that they and the old primary have. A
 // replica that has not registered yet may have received commits that the known ones lack;
 // only the old primary's log shows that, as it is since frozenSince. In an incomplete group a
-// replica that has gone may be the only one that had received a commit.
-func (t *transition) switchoverTarget(v *replicaset.View, frozenSince model.Time) (*replicaset.Member, blocked) {
-	target := findMember(v, t.target)
+// replica that has gone may be the only one that had received a commit, unless the old primary still has its log.
+func (t *transition) switchoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) (*replicaset.Member, blocked) {
+	target, oldPrimary, frozenSince := findMember(v, t.target), findMember(v, t.oldPrimary), t.frozenSince(now, svc)
 	switch {
 	case target == nil:
 		return nil, blocked{cause: blockedTargetUnknown, upstream: t.target}
-	case v.Incomplete:
+	case v.Incomplete && (oldPrimary == nil || !hasLog(oldPrimary, in, svc)):
 		return nil, blocked{cause: blockedIncomplete, best: t.target}
 	case target.StatusAt < t.attemptAt:
 		return nil, blocked{cause: blockedStatusAge, upstream: t.target, best: t.target}
@@ -387,9 +398,11 @@
 	if frozenSince == 0 {
 		return nil, blocked{cause: blockedPromises}
 	}
-	if again := svc.preferred(v, in, func(c *replicaset.Member) bool {
-		return t.candidate(now, c, frozenSince) && t.isSufficient(c.Status.Received)
-	}); again != nil {
+	passedOn := t.passedOn(v)
+	candidate := func(c *replicaset.Member) bool {
+		return t.candidate(now, c, frozenSince) && c.Status.Received.Compare(passedOn) >= 0
+	}
+	if again := svc.preferred(v, in, func(c *replicaset.Member) bool { return candidate(c) && t.isSufficient(c.Status.Received) }); again != nil {
 		return again, blocked{}
 	}
 	best := t.mostAdvancedFenced(now, v, in, svc, frozenSince)
@@ -397,7 +410,7 @@
 	fences, unfenced := t.fencing(v, best, in, svc, frozenSince)
 	switch {
 	case t.steppedDownAt != 0 && t.oldPrimarySteppedDown(v) && oldPrimary.Status.Term <= t.oldTerm && hasLog(oldPrimary, in, svc):
-		target, b := t.targetAfterStepDown(now, v, best, oldPrimary, fences, unfenced)
+		target, b := t.targetAfterStepDown(now, v, in, best, oldPrimary, fences, unfenced)
 		if target != nil {
 			t.found(target.Status.Received)
 		}
@@ -413,7 +426,7 @@
 		return nil, blocked{cause: unfencedCause(unfenced), upstream: unfenced.ID, best: best.ID}
 	}
 	target := svc.preferred(v, in, func(c *replicaset.Member) bool {
-		return t.candidate(now, c, frozenSince) && (t.lacks(now, c, v, in, svc).cause == "" || s.hasAllPassedOn(svc, t.freeze, in, c))
+		return candidate(c) && (t.lacks(now, c, v, in, svc).cause == "" || s.hasAllPassedOn(svc, t.freeze, in, c))
 	})
 	switch {
 	case target != nil:
@@ -429,7 +442,7 @@
 // every acknowledged commit. What no known replica has received of it may have been
 // acknowledged through a replica that was not in the list yet, so best is certain only once
 // such a replica would be listed. Otherwise the old primary leads again.
-func (t *transition) targetAfterStepDown(now model.Time, v *replicaset.View, best, oldPrimary *replicaset.Member, fences fenceState, unfenced *replicaset.Member) (*replicaset.Member, blocked) {
+func (t *transition) targetAfterStepDown(now model.Time, v *replicaset.View, in *Input, best, oldPrimary *replicaset.Member, fences fenceState, unfenced *replicaset.Member) (*replicaset.Member, blocked) {
 	switch {
 	case best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
 		return best, blocked{}
@@ -438,7 +451,7 @@
 	case fences != fencesComplete || best == nil || v.Incomplete:
 		return oldPrimary, blocked{}
 	}
-	if until, _ := t.provedUntil(v, t.oldPrimary, best); until != 0 {
+	if until, _ := t.provedUntil(v, in, t.steppedDownAt, best); until != 0 {
 		return oldPrimary, blocked{}
 	}
 	if v.ListedAt < t.steppedDownAt.Add(registrationTimeout) {
@@ -492,7 +505,7 @@
 // whether a replica was lost before its start, c has to reach the newest evidence; that is waited for
 // for at most unknownDepartureTimeout, and not at all if there is none.
 func (t *transition) lacks(now model.Time, c *replicaset.Member, v *replicaset.View, in *Input, svc *serviceState) blocked {
-	until, by := t.provedUntil(v, t.oldPrimary, c)
+	until, by := t.provedUntil(v, in, t.frozenSince(now, svc), c)
 	by.best = c.ID
 	if t.promisesEndedAt != 0 {
 		until = min(until, t.promisesEndedAt)
@@ -592,12 +605,7 @@
 	t := svc.transition
 	target := findMember(v, t.target)
 	if svc.targetLeads(v, target) {
-		out = append(out, Effect{
-			Kind: EffectTargetLeads, Service: svc.name, Upstream: t.target, Term: v.PrimaryTerm, Cause: t.cause,
-			Position: target.Status.Received, Elapsed: now.Sub(t.phaseStartedAt), Group: s.report(now, svc, v, in),
-		})
-		t.enterPhase(now, phaseUnfence)
-		return svc.unfence(now, v, svc.recordPrimary(now, v, out))
+		return s.targetLed(now, svc, v, in, t.phaseStartedAt, out)
 	}
 	if target == nil || t.refused || t.targetLostLog(target) || t.targetLost(now, target, in) || now.Sub(t.phaseStartedAt) > promoteTimeout {
 		// The next attempt uses a higher fencing token, so that this call can
@@ -619,6 +627,17 @@
 	return svc.sendCommand(now, t.target, CommandStatus, 0, statusPollInterval, out)
 }
 
+// targetLed goes on after the target, which was called for at calledAt or before this transition, has become the primary.
+func (s *State) targetLed(now model.Time, svc *serviceState, v *replicaset.View, in *Input, calledAt model.Time, out []Effect) []Effect {
+	t := svc.transition
+	out = append(out, Effect{
+		Kind: EffectTargetLeads, Service: svc.name, Upstream: t.target, Term: v.PrimaryTerm, Cause: t.cause,
+		Position: findMember(v, t.target).Status.Received, Elapsed: now.Sub(calledAt), Group: s.report(now, svc, v, in),
+	})
+	t.enterPhase(now, phaseUnfence)
+	return svc.unfence(now, v, svc.recordPrimary(now, v, out))
+}
+
 // targetLeads reports whether the target has become the primary, by its own answer or, if it does
 // not answer this VM, by that of another one.
 func (svc *serviceState) targetLeads(v *replicaset.View, target *replicaset.Member) bool {
@@ -651,7 +670,7 @@
 	t.enterPhase(now, phaseFence)
 	t.attemptAt, t.steppedDownAt = now, 0
 	if v.PrimaryTerm > t.oldTerm {
-		t.oldPrimary, t.oldTerm, t.oldPrimaryLost = v.Primary, v.PrimaryTerm, false
+		t.oldPrimaryLost = false
 		t.aliveAt = svc.primaryAliveAt
 		t.newPrimary(v)
 	}
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -220,6 +220,8 @@
 	// Voters are the VMs that vouch for a primary while no holder of the promotion lease
 	// confirms it, including this one.
 	Voters []model.VMID
+	// OnlyVotersPassOn is true if VMs that are no voters pass no commits on.
+	OnlyVotersPassOn bool
 	// FencesChecked is true if the platform refuses promotion calls with a lower
 	// fencing token than it has seen for the service.
 	FencesChecked bool
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -255,6 +255,8 @@
 		Isolated:      t.members.isolated(),
 		FencesChecked: t.options.TokensChecked,
 		Voters:        append(t.members.topology().voters, t.options.VM),
+		// See replicaset.State.SetVoting.
+		OnlyVotersPassOn: true,
 		SyncReplicas: func(s catalog.Service) int {
 			if configuration == nil || configuration.Service(s) == nil {
 				return 0
--- a/test/property/confirmationsimulation_test.go
+++ b/test/property/confirmationsimulation_test.go
@@ -425,7 +425,7 @@
 		voters = nil
 	}
 	in := promotion.Input{
-		Views: v.view.Views(), Evacuated: func(model.Zone) bool { return false }, FencesChecked: w.fencesChecked, Voters: voters,
+		Views: v.view.Views(), Evacuated: func(model.Zone) bool { return false }, FencesChecked: w.fencesChecked, Voters: voters, OnlyVotersPassOn: true,
 		PeerContact:  func(model.UpstreamID) model.Time { return 0 },
 		SyncReplicas: func(catalog.Service) int { return 1 },
 		Evidence:     func(s catalog.Service) (replicaset.Evidence, bool) { return v.view.NewestEvidence(s) },
