linegroup, linetest: more groups than one, late calls that count as pending, unfit promotions

The soak had one group of upstreams and looked for lost writes in the final log only; a promotion call that is carried out late was not visible to it, so no event could be aimed at the time in which it is pending.

- A Platform has further groups (AddGroup), each with a service, databases and upstreams of its own at the same store.
- PendingPromotions has the calls that are to be carried out late.
Lateness can spare the orders or the calls.
- A test with a Platform fails for each promotion of an upstream without commits that callers had seen acknowledged before it led; the message says whether it is empty and where longer logs were.
Lost writes are reported as before.
- LongestPause: how long no caller saw a write of a group acknowledged.
- A server that joins begins with the log of a running primary at once; before, it received it with the next operation of the group.

One fault of the stand-in is corrected: an empty log had the position TERM.0, which is above all positions of earlier terms, so that an empty upstream looked like the one with the longest log.

--- a/standin/linegroup/group.go
+++ b/standin/linegroup/group.go
@@ -36,6 +36,9 @@
 	IgnoreTokens bool
 	// PromoteDelay is the time between the call for a promotion and its effect.
 	PromoteDelay time.Duration
+	// Address returns the address on which a server that is added listens. The default is a free
+	// port that the kernel selects; while the server is stopped, another process may take it.
+	Address func() (string, error)
 	// Seed makes the draws of Lateness repeatable.
 	Seed uint64
 }
@@ -62,6 +65,8 @@
 	// Kept is the length of the log that ID led with. Discarded are the commits beyond it.
 	Kept      int
 	Discarded []Commit
+	// Ahead are the servers whose logs were longer, in ascending order.
+	Ahead []string
 }
 
 // call is a promotion call that passed the check of its fence and has not taken effect.
@@ -71,14 +76,22 @@
 	calledAt time.Time
 }
 
+// lateCall is a promotion call that is to be carried out late.
+type lateCall struct {
+	id    string
+	until time.Time
+}
+
 // Lateness makes a share of the orders PAUSE, RESUME and STEPDOWN, and of the promotion calls
-// whose server asks Late, get no answer and be carried out late.
+// for which CallArrives is asked, get no answer and be carried out late.
 type Lateness struct {
 	// Share is between 0 and 1, and applies to what arrives before Until.
 	Share float64
 	Until time.Time
 	// Min and Max bound the delay.
 	Min, Max time.Duration
+	// SpareOrders and SpareCalls except the orders and the promotion calls.
+	SpareOrders, SpareCalls bool
 }
 
 // path is a network path between two servers.
@@ -98,9 +111,12 @@
 	written map[string]bool
 	// violations are the detected repeated executions of a write statement.
 	violations []string
-	// promotions have taken effect; calls have not yet.
+	// promotions have taken effect; calls have not yet, and lateCalls are to be carried out.
+	// arrivals counts the promotion calls.
 	promotions []Promotion
 	calls      []*call
+	lateCalls  []lateCall
+	arrivals   int
 	lateness   Lateness
 	rng        *rand.Rand
 	// cuts has the paths that carry nothing, in both directions.
@@ -117,12 +133,19 @@
 	}
 }
 
-// Add starts a server on a free port of the loopback interface. The first server becomes the
-// primary. Each later one is a replica with an empty log that receives the log, and counts for
-// acknowledgements, from now on.
+// Add starts a server on the loopback interface. The first server becomes the
+// primary. Each later one is a replica that begins with the log of the primary, or with an empty
+// one if none is running, and receives, and counts for acknowledgements, from now on.
 func (g *Group) Add(id, zone string) (*Server, error) {
 	s := &Server{group: g, id: id, zone: zone, conns: map[*conn]bool{}, slots: make(chan struct{}, max(g.options.Slots, 1))}
-	if err := s.listen("127.0.0.1:0"); err != nil {
+	address := "127.0.0.1:0"
+	if g.options.Address != nil {
+		var err error
+		if address, err = g.options.Address(); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.listen(address); err != nil {
 		return nil, err
 	}
 	g.mu.Lock()
@@ -131,6 +154,7 @@
 		g.primary = id
 	}
 	g.servers[id] = s
+	g.replicate()
 	return s, nil
 }
 
@@ -176,24 +200,57 @@
 	g.lateness = l
 }
 
-// Late decides whether an order or call that arrives now gets no answer and is carried out
-// late, and by how much.
+// Late decides whether an order that arrives now gets no answer and is carried out late, and by
+// how much.
 func (g *Group) Late() (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.late(g.lateness.SpareOrders)
+}
+
+// lateCallSlack is how long a late call counts as pending after its time, for a late timer.
+const lateCallSlack = 20 * time.Millisecond
+
+// CallArrives decides the same of a promotion call for a server. Promote is called for it now or
+// by then.
+func (g *Group) CallArrives(id string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arrivals++
+	delay, late := g.late(g.lateness.SpareCalls)
+	if late {
+		g.lateCalls = append(g.lateCalls, lateCall{id: id, until: time.Now().Add(delay + lateCallSlack)})
+	}
+	return delay, late
+}
+
+// Arrivals returns the number of promotion calls for which CallArrives was asked.
+func (g *Group) Arrivals() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.arrivals
+}
+
+// late decides whether something that is not spared is late. The caller holds mu.
+func (g *Group) late(spared bool) (time.Duration, bool) {
 	l := &g.lateness
-	if !time.Now().Before(l.Until) || g.rng.Float64() >= l.Share {
+	if spared || !time.Now().Before(l.Until) || g.rng.Float64() >= l.Share {
 		return 0, false
 	}
 	return l.Min + time.Duration(g.rng.Int64N(int64(l.Max-l.Min)+1)), true
 }
 
 // PendingPromotions returns the targets of the promotions that were called and have not taken
-// effect.
+// effect, among them those that are to be carried out late.
 func (g *Group) PendingPromotions() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.lateCalls = slices.DeleteFunc(g.lateCalls, func(c lateCall) bool { return now.After(c.until) })
 	var ids []string
+	for _, c := range g.lateCalls {
+		ids = append(ids, c.id)
+	}
 	for _, c := range g.calls {
 		ids = append(ids, c.server.id)
 	}
@@ -207,6 +264,29 @@
 	return slices.Clone(g.promotions)
 }
 
+// Holders returns the servers that have received a commit, in ascending order. Those that have
+// crashed count, since they keep their logs.
+func (g *Group) Holders(number model.LogPos) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holders(number)
+}
+
+// holders is Holders for callers that hold mu.
+func (g *Group) holders(number model.LogPos) []string {
+	var ids []string
+	for id, s := range g.servers {
+		if s.received >= number {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Service returns the name of the service.
+func (g *Group) Service() string { return g.options.Service }
+
 // Primary returns the id of the primary, or "" if there is none.
 func (g *Group) Primary() string {
 	g.mu.Lock()
@@ -271,6 +351,7 @@
 	g.log = g.log[:s.received]
 	g.promotions = append(g.promotions, Promotion{
 		ID: s.id, Token: c.token, Term: g.term, CalledAt: c.calledAt, At: time.Now(), Kept: len(g.log), Discarded: discarded,
+		Ahead: g.holders(s.received + 1),
 	})
 	for _, other := range g.servers {
 		other.received = min(other.received, s.received)
--- a/standin/linegroup/group_test.go
+++ b/standin/linegroup/group_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -255,3 +256,61 @@
 		t.Errorf("status %q", answer)
 	}
 }
+
+// Guards against a server that joins without the log of the primary, and against one that has a log
+// though no primary was there to copy it from.
+func TestServersBeginWithTheLogOfThePrimary(t *testing.T) {
+	g := newGroup(t, Options{}, "a", "b")
+	open(t, g.Server("a")).write()
+	add(t, g, "d")
+	if n := g.Server("d").Received(); n != 1 {
+		t.Errorf("d begins with %d commits", n)
+	}
+	g.Server("a").Stop()
+	add(t, g, "e")
+	if n := g.Server("e").Received(); n != 0 {
+		t.Errorf("e begins with %d commits", n)
+	}
+	g.Promote("e", 1)
+	last := g.Promotions()[0]
+	if last.Kept != 0 || len(last.Discarded) != 1 || !slices.Equal(last.Ahead, []string{"a", "b", "d"}) {
+		t.Errorf("promotion %+v", last)
+	}
+}
+
+// Guards against a late promotion call that does not count as pending until it is carried out.
+func TestLateCallsArePending(t *testing.T) {
+	g := newGroup(t, Options{}, "a", "b")
+	if _, late := g.CallArrives("b"); late || len(g.PendingPromotions()) != 0 {
+		t.Errorf("late: %v, pending %v", late, g.PendingPromotions())
+	}
+	g.SetLateness(Lateness{Share: 1, Until: time.Now().Add(time.Minute), Min: 50 * time.Millisecond, Max: 50 * time.Millisecond})
+	if _, late := g.Late(); !late {
+		t.Error("an order is not late")
+	}
+	delay, late := g.CallArrives("b")
+	if !late || delay != 50*time.Millisecond || !slices.Equal(g.PendingPromotions(), []string{"b"}) {
+		t.Errorf("late: %v by %v, pending %v", late, delay, g.PendingPromotions())
+	}
+	waitFor(t, "the end of the call", func() bool { return len(g.PendingPromotions()) == 0 })
+	g.SetLateness(Lateness{Share: 1, Until: time.Now().Add(time.Minute), SpareOrders: true, SpareCalls: true})
+	if _, late := g.Late(); late {
+		t.Error("a spared order is late")
+	}
+	if _, late := g.CallArrives("b"); late {
+		t.Error("a spared call is late")
+	}
+}
+
+// Guards against an empty log that looks newer than the logs of earlier terms, because its position
+// has a term.
+func TestAnEmptyLogHasNoPosition(t *testing.T) {
+	g := newGroup(t, Options{}, "a", "b")
+	open(t, g.Server("a")).write()
+	g.Promote("b", 1)
+	g.Server("b").Stop()
+	add(t, g, "d")
+	if _, answer := open(t, g.Server("d")).query("STATUS", time.Second); !strings.HasPrefix(answer, "ROW replica 2 - ") {
+		t.Errorf("status %q", answer)
+	}
+}
--- a/standin/linegroup/server.go
+++ b/standin/linegroup/server.go
@@ -89,6 +89,13 @@
 // Reads returns the number of reads that the server has executed.
 func (s *Server) Reads() int64 { return s.reads.Load() }
 
+// Received returns the position of the last commit that the server has received.
+func (s *Server) Received() model.LogPos {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.received
+}
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.group.mu.Lock()
@@ -220,8 +227,11 @@
 // formatPosition returns the wire form of a position with the term of its
 // commit. The caller holds the group's mutex.
 func (s *Server) formatPosition(number model.LogPos) string {
+	if number == 0 {
+		return lineproto.NilValue
+	}
 	term := s.group.term
-	if number > 0 && int(number) <= len(s.group.log) {
+	if int(number) <= len(s.group.log) {
 		term = s.group.log[number-1].Term
 	}
 	return lineproto.FormatPosition(model.Position{Term: model.Term{Counter: term}, Pos: number})
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -59,7 +59,7 @@
 	LatePromotions atomic.Int32
 	// Late decides, if it is not nil, whether a promotion call gets no response and is executed
 	// later, and by how much.
-	Late func() (time.Duration, bool)
+	Late func(service, id string) (time.Duration, bool)
 
 	listener net.Listener
 	server   *http.Server
@@ -419,7 +419,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if delay, late := s.latePromotion(); late {
+	if delay, late := s.latePromotion(body.Service, body.ID); late {
 		time.AfterFunc(delay, func() { s.Promote(body.Service, body.ID, token) })
 		<-r.Context().Done()
 		return
@@ -432,12 +432,12 @@
 }
 
 // latePromotion decides whether a promotion call that arrives now is executed later.
-func (s *Store) latePromotion() (time.Duration, bool) {
+func (s *Store) latePromotion(service, id string) (time.Duration, bool) {
 	if s.LatePromotions.Load() > 0 && s.LatePromotions.Add(-1) >= 0 {
 		return LatePromotionDelay, true
 	}
 	if s.Late == nil {
 		return 0, false
 	}
-	return s.Late()
+	return s.Late(service, id)
 }
--- a/test/linetest/acknowledged_test.go
+++ b/test/linetest/acknowledged_test.go
@@ -1,6 +1,7 @@
 package linetest
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 func (p *Platform) wantLost(n int) {
 	p.T.Helper()
 	p.Group.Promote("b", 1)
-	if lost := p.ledger.lost(p.Group); len(lost) != n {
+	if lost := p.ledger.lost(p.Groups); len(lost) != n {
 		p.T.Errorf("lost %q, want %d", lost, n)
 	}
 	p.ledger.list = nil
@@ -80,3 +81,44 @@
 	}
 	p.wantLost(1)
 }
+
+// Guards against the promotion of an upstream without commits that callers saw acknowledged before
+// it led, and that is not reported as that, or that is reported of commits that no caller knew of.
+func TestUnfitPromotionsAreReported(t *testing.T) {
+	p := newPlatformWithFence(t)
+	p.connectTo("a").query("WRITE item unseen")
+	p.Group.Promote("b", 1)
+	if messages := p.ledger.unfitPromotions(p.Groups); len(messages) != 0 {
+		t.Errorf("reported %q", messages)
+	}
+	p.connectTo("c").MustSucceed("PAUSE 3")
+	p.connectTo("b").MustSucceed("WRITE item x")
+	p.Group.Promote("c", 2)
+	messages := p.ledger.unfitPromotions(p.Groups)
+	if len(messages) != 1 || !strings.Contains(messages[0], "promotion of c to term 3: it is empty and lacks 1 commits") || !strings.Contains(messages[0], "longer logs are at [a b]") {
+		t.Errorf("reported %q", messages)
+	}
+	p.ledger.list = nil
+}
+
+// Guards against a pause that is not counted because writes of another group were acknowledged, or
+// because it is the last one.
+func TestLongestPauseIsThatOfTheGroup(t *testing.T) {
+	p := NewPlatform(t, linegroup.Options{ConnectionLimit: 10})
+	second := p.AddGroup(linegroup.Options{ConnectionLimit: 10})
+	start := time.Now()
+	c := p.connectTo("a")
+	c.MustSucceed("WRITE item x")
+	time.Sleep(20 * time.Millisecond)
+	c.MustSucceed("WRITE item x")
+	if pause, _ := p.LongestPause(second, start); pause < 20*time.Millisecond {
+		t.Errorf("pause of the second group: %v", pause)
+	}
+	if pause, from := p.LongestPause(p.Group, start); pause < 20*time.Millisecond || !from.After(start) {
+		t.Errorf("pause of the first group: %v, %v after the start", pause, from.Sub(start))
+	}
+	time.Sleep(60 * time.Millisecond)
+	if pause, _ := p.LongestPause(p.Group, start); pause < 60*time.Millisecond {
+		t.Errorf("last pause: %v", pause)
+	}
+}
--- a/test/linetest/platform.go
+++ b/test/linetest/platform.go
@@ -24,19 +24,25 @@
 	workspaceRate = 5000
 )
 
-// Platform is a metadata store and a database group with the upstreams a, b and c.
+// Platform is a metadata store and a database group with the upstreams a, b and c. AddGroup adds
+// further groups.
 type Platform struct {
 	T     *testing.T
 	Store *metastore.Store
 	Group *linegroup.Group
+	// Groups are all groups, Group first.
+	Groups []*linegroup.Group
 	// Address returns the address that is registered for an upstream. The default is
 	// the address that the upstream listens on.
 	Address func(id string) string
 	// Rate is the workspace's rate limit in operations per second; 0 means no limit.
 	Rate int
 
-	version int
-	ledger  *ledger
+	ledger *ledger
+
+	// configMu guards version and the order of configurations.
+	configMu sync.Mutex
+	version  int
 
 	// mu guards entries, the present registrations by upstream.
 	mu      sync.Mutex
@@ -56,8 +62,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
-	o.Service = Service
-	p := &Platform{T: t, Store: store, Group: linegroup.New(o), Rate: workspaceRate, entries: map[string]entry{}}
+	p := &Platform{T: t, Store: store, Rate: workspaceRate, entries: map[string]entry{}}
 	p.ledger = &ledger{}
 	ledgers.Store(t, p.ledger)
 	t.Cleanup(func() {
@@ -65,21 +70,81 @@
 		ledgers.Delete(t)
 	})
 	p.Address = func(id string) string { return p.Group.Server(id).Address() }
-	t.Cleanup(p.Group.Close)
-	store.Promote = func(_, id string, token uint64) bool { return p.Group.Promote(id, token) }
-	store.Late = p.Group.Late
-	for _, id := range []string{"a", "b", "c"} {
-		if _, err := p.Group.Add(id, "zone-"+id); err != nil {
-			t.Fatal(err)
+	store.Promote = func(service, id string, token uint64) bool {
+		g := p.groupOfService(service)
+		return g != nil && g.Promote(id, token)
+	}
+	store.Late = func(service, id string) (time.Duration, bool) {
+		if g := p.groupOfService(service); g != nil {
+			return g.CallArrives(id)
 		}
+		return 0, false
 	}
+	p.Group = p.AddGroup(o)
 	return p
 }
 
+// AddGroup adds a group before Setup. That of number n, from 2 on, has the service, databases and
+// upstreams of the first with -n at the end of each name.
+func (p *Platform) AddGroup(o linegroup.Options) *linegroup.Group {
+	p.T.Helper()
+	suffix := Suffix(len(p.Groups))
+	o.Service = Service + suffix
+	g := linegroup.New(o)
+	p.T.Cleanup(g.Close)
+	for _, zone := range []string{"a", "b", "c"} {
+		if _, err := g.Add(zone+suffix, "zone-"+zone); err != nil {
+			p.T.Fatal(err)
+		}
+	}
+	p.Groups = append(p.Groups, g)
+	return g
+}
+
+// Suffix returns the end of the names of the group with an index in Groups.
+func Suffix(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return fmt.Sprint("-", i+1)
+}
+
+// groupOfService returns the group of a service, or nil.
+func (p *Platform) groupOfService(service string) *linegroup.Group {
+	for _, g := range p.Groups {
+		if g.Service() == service {
+			return g
+		}
+	}
+	return nil
+}
+
+// GroupOf returns the group that has an upstream, or nil if the upstream has left.
+func (p *Platform) GroupOf(id string) *linegroup.Group {
+	for _, g := range p.Groups {
+		if g.Server(id) != nil {
+			return g
+		}
+	}
+	return nil
+}
+
+// Server returns an upstream of any group, or nil if it has left.
+func (p *Platform) Server(id string) *linegroup.Server {
+	for _, g := range p.Groups {
+		if s := g.Server(id); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
 // Setup registers all upstreams and writes a configuration with Key.
 func (p *Platform) Setup() {
-	for _, id := range []string{"a", "b", "c"} {
-		p.Register(id, "ready")
+	for _, g := range p.Groups {
+		for _, id := range g.Servers() {
+			p.Register(id, "ready")
+		}
 	}
 	p.Configure(Key)
 }
@@ -94,21 +159,23 @@
 
 // role returns the role that an upstream reports.
 func (p *Platform) role(id string) string {
-	if p.Group.Primary() == id {
-		return "primary"
+	for _, g := range p.Groups {
+		if g.Primary() == id {
+			return "primary"
+		}
 	}
 	return "replica"
 }
 
 // register writes a registration. The caller holds mu.
 func (p *Platform) register(id string, e entry) {
-	s := p.Group.Server(id)
-	if s == nil {
+	g, s := p.GroupOf(id), p.Server(id)
+	if g == nil || s == nil {
 		return
 	}
 	p.entries[id] = e
 	p.put("servers/"+id, map[string]any{
-		"service-name": Service, "address": p.Address(id), "zone": s.Zone(), "version": "v1", "slots": 4,
+		"service-name": g.Service(), "address": p.Address(id), "zone": s.Zone(), "version": "v1", "slots": 4,
 		"phase": e.phase, "db-role": e.role, "sequence": time.Now().UnixNano(), "born": 1, "warmup-left-ms": 0,
 	})
 }
@@ -127,26 +194,36 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, e := range p.entries {
-		if s := p.Group.Server(id); s != nil && !s.Stopped() && p.role(id) != e.role {
+		if s := p.Server(id); s != nil && !s.Stopped() && p.role(id) != e.role {
 			p.register(id, entry{phase: e.phase, role: p.role(id)})
 		}
 	}
 }
 
 // Configure writes the next version of the configuration. The workspace has the given
-// API keys, and there is a database for each kind of route: strict, bounded and own.
+// API keys, and each group has a database for each kind of route: strict, bounded and own.
 func (p *Platform) Configure(keys ...string) {
+	p.configMu.Lock()
+	defer p.configMu.Unlock()
 	p.version++
-	route := func(name, kind string) map[string]any {
-		return map[string]any{
-			"name": "r-" + name, "database": name, "kind": kind, "service-name": Service,
-			"timeout-ms": 2000, "target-latency-ms": 1500, "priority": 1, "max-staleness-ms": 2000,
+	var routes, services []any
+	for i, g := range p.Groups {
+		route := func(kind, name string) {
+			name += Suffix(i)
+			routes = append(routes, map[string]any{
+				"name": "r-" + name, "database": name, "kind": kind, "service-name": g.Service(),
+				"timeout-ms": 2000, "target-latency-ms": 1500, "priority": 1, "max-staleness-ms": 2000,
+			})
 		}
+		route("primary", "strict")
+		route("bounded_staleness", "bounded")
+		route("read_your_writes", "own")
+		services = append(services, map[string]any{"name": g.Service(), "max-conns": 40, "sync-replicas": 1})
 	}
 	p.put("op/config", map[string]any{
 		"version":  p.version,
-		"routes":   []any{route("strict", "primary"), route("bounded", "bounded_staleness"), route("own", "read_your_writes")},
-		"services": []any{map[string]any{"name": Service, "max-conns": 40, "sync-replicas": 1}},
+		"routes":   routes,
+		"services": services,
 		"limits":   map[string]any{"tx-idle-ms": 800},
 		"tenants":  []any{map[string]any{"name": "one", "api-keys": keys, "rate-per-s": p.Rate, "burst": p.Rate}},
 	})
@@ -177,7 +254,7 @@
 // lost. It runs at the end of each test with a Platform.
 func (p *Platform) checkAcknowledged() {
 	p.T.Helper()
-	lost := p.ledger.lost(p.Group)
+	lost := p.ledger.lost(p.Groups)
 	if p.reported == nil {
 		p.reported = map[string]bool{}
 	}
@@ -190,25 +267,39 @@
 	if len(lost) > 0 {
 		p.T.Errorf("%d writes that callers saw acknowledged are lost", len(lost))
 	}
+	for _, message := range p.ledger.unfitPromotions(p.Groups) {
+		if !p.reported[message] {
+			p.T.Error(message)
+		}
+		p.reported[message] = true
+	}
+}
+
+// LongestPause returns the longest time from start until now in which no caller saw a write
+// acknowledged that is, or was, in the log of a group, and when it began.
+func (p *Platform) LongestPause(g *linegroup.Group, start time.Time) (pause time.Duration, from time.Time) {
+	return p.ledger.longestPause(g, start)
 }
 
 // Lost returns how many writes that callers saw acknowledged are lost so far.
-func (p *Platform) Lost() int { return len(p.ledger.lost(p.Group)) }
+func (p *Platform) Lost() int { return len(p.ledger.lost(p.Groups)) }
 
 // CheckHistory fails the test if the group recorded a violation, lost a write that a caller saw
 // acknowledged, or committed a write that was refused as not run.
 func (p *Platform) CheckHistory(acknowledged, refused []string) {
 	p.T.Helper()
-	for _, v := range p.Group.Violations() {
-		p.T.Error(v)
-	}
-	p.checkAcknowledged()
 	committed := map[string]bool{}
-	for _, c := range p.Group.Log() {
-		for _, id := range c.IDs {
-			committed[id] = true
+	for _, g := range p.Groups {
+		for _, v := range g.Violations() {
+			p.T.Error(v)
+		}
+		for _, c := range g.Log() {
+			for _, id := range c.IDs {
+				committed[id] = true
+			}
 		}
 	}
+	p.checkAcknowledged()
 	for _, id := range acknowledged {
 		if !committed[id] {
 			p.T.Errorf("acknowledged write %s is lost", id)
