--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,7 @@
 	"github.com/chervilhatch/chervilhatch/lineproto"
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
 	"github.com/chervilhatch/chervilhatch/test/linetest"
+	"github.com/chervilhatch/chervilhatch/test/ports"
 	"github.com/chervilhatch/chervilhatch/test/procsocket"
 )
 
@@ -37,8 +38,10 @@
 	defaultVMs = 4
 	// strictDatabase is the database of a route whose reads see every commit.
 	strictDatabase = "strict"
-	// callersPerVM is the number of concurrent callers of each VM.
+	// callersPerVM is the number of concurrent callers of each VM and group.
 	callersPerVM = 4
+	// requestPause is the time between the requests of a caller.
+	requestPause = 3 * time.Millisecond
 	// faultDuration is how long faults are injected.
 	faultDuration = 8 * time.Second
 	// reconnectDelay is the pause before a caller replaces a broken session.
@@ -106,11 +109,16 @@
 // soakRun is the run of one seed.
 type soakRun struct {
 	*linetest.Platform
-	t        *testing.T
-	rng      *rand.Rand
-	vms      []*vm
-	store    *link
-	outcomes *linetest.Outcomes
+	t         *testing.T
+	rng       *rand.Rand
+	vms       []*vm
+	store     *link
+	outcomes  *linetest.Outcomes
+	databases []*database
+	// callers is the number of callers of each VM and group, and pause the time between the
+	// requests of each.
+	callers  int
+	pause    time.Duration
 	stopping atomic.Bool
 	// brokenSessions counts the sessions that ended while waiting for an answer.
 	brokenSessions atomic.Int64
@@ -125,19 +133,35 @@
 	events []string
 }
 
+// database is a group with its callers.
+type database struct {
+	group *linegroup.Group
+	// suffix is the end of the names of its databases and upstreams.
+	suffix string
+	// served counts the writes that its callers saw acknowledged.
+	served atomic.Int64
+	// withoutPrimary is the longest time in which no primary was running.
+	withoutPrimary time.Duration
+}
+
 // seedGroup returns the options of the database group in the run of a seed.
 func seedGroup(seed uint64) linegroup.Options {
 	return linegroup.Options{
-		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond,
+		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond, Address: ports.Free,
 		FormerPrimaryServes: true, YieldAfter: time.Second, IgnoreTokens: seed%2 == 0,
 	}
 }
 
-// newRun starts the stand-ins and the daemons of a run, and waits until all are ready.
-func newRun(t *testing.T, binary string, seed uint64, o linegroup.Options) *soakRun {
+// newRun starts the stand-ins and the daemons of a run, with a group for each of options, and waits
+// until all are ready.
+func newRun(t *testing.T, binary string, seed uint64, options ...linegroup.Options) *soakRun {
 	w := &soakRun{
-		Platform: linetest.NewPlatform(t, o),
-		t:        t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(), start: time.Now(),
+		Platform: linetest.NewPlatform(t, options[0]),
+		t:        t, rng: rand.New(rand.NewPCG(seed, 3)), upstreams: map[string]*link{}, outcomes: linetest.NewOutcomes(),
+		callers: callersPerVM, pause: requestPause, start: time.Now(),
+	}
+	for _, o := range options[1:] {
+		w.AddGroup(o)
 	}
 	dir := t.TempDir()
 	// The logs are read before the directory is removed.
@@ -146,14 +170,17 @@
 			w.logEvents()
 		}
 	})
-	for _, id := range []string{"a", "b", "c"} {
-		w.addLink(id)
+	for i, g := range w.Groups {
+		w.databases = append(w.databases, &database{group: g, suffix: linetest.Suffix(i)})
+		for _, id := range g.Servers() {
+			w.addLink(id)
+		}
 	}
 	w.store = newLink(t, w.Store.Address)
 	w.Address = func(id string) string { return w.upstream(id).address() }
 	w.Setup()
 	for i := range envInt(t, "SOAK_VMS", defaultVMs) {
-		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address(), !o.IgnoreTokens))
+		w.vms = append(w.vms, newVM(t, binary, dir, i, w.store.address(), !options[0].IgnoreTokens))
 	}
 	for _, v := range w.vms {
 		v.start()
@@ -164,7 +191,7 @@
 
 // addLink starts the link through which VMs connect to an upstream.
 func (w *soakRun) addLink(id string) {
-	k := newLink(w.t, w.Group.Server(id).Address)
+	k := newLink(w.t, w.Server(id).Address)
 	k.clientOf = w.clientOf
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -198,16 +225,13 @@
 	return list
 }
 
-// startCallers starts callersPerVM callers on each VM.
+// startCallers starts the callers of each group on each VM. The first of them read what is strict.
 func (w *soakRun) startCallers() {
 	for _, v := range w.vms {
-		for i := range callersPerVM {
-			database := "own"
-			if i == 0 {
-				database = strictDatabase
+		for _, d := range w.databases {
+			for i := range w.callers {
+				w.wg.Go(func() { w.runCaller(v, d, i == 0) })
 			}
-			w.wg.Add(1)
-			go w.runCaller(v, database)
 		}
 	}
 }
@@ -216,11 +240,22 @@
 // have taken effect.
 func (w *soakRun) finish() {
 	w.t.Helper()
-	w.WaitFor("the effect of the promotion calls", func() bool { return len(w.Group.PendingPromotions()) == 0 })
+	w.WaitFor("the effect of the promotion calls", func() bool {
+		for _, g := range w.Groups {
+			if len(g.PendingPromotions()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
 	w.stopping.Store(true)
 	w.wg.Wait()
 	w.outcomes.Check(w.Platform)
-	w.t.Logf("%d faults, %d broken sessions, outcomes %v, %d commits", len(w.events), w.brokenSessions.Load(), w.outcomes.Codes(), len(w.Group.Log()))
+	commits := 0
+	for _, g := range w.Groups {
+		commits += len(g.Log())
+	}
+	w.t.Logf("%d faults, %d broken sessions, outcomes %v, %d commits", len(w.events), w.brokenSessions.Load(), w.outcomes.Codes(), commits)
 }
 
 // runSeed starts the daemons and callers, injects faults for faultDuration and checks
@@ -252,10 +287,13 @@
 
 // runCaller runs sessions on a VM until the run ends. It replaces a session only when
 // it breaks.
-func (w *soakRun) runCaller(v *vm, database string) {
-	defer w.wg.Done()
+func (w *soakRun) runCaller(v *vm, d *database, strict bool) {
+	name := "own"
+	if strict {
+		name = strictDatabase
+	}
 	for !w.stopping.Load() {
-		c, m, err := linetest.TryConnect(w.t, v.callers, "STARTUP "+database+" "+linetest.Key)
+		c, m, err := linetest.TryConnect(w.t, v.callers, "STARTUP "+name+d.suffix+" "+linetest.Key)
 		if err != nil || m.Word != lineproto.Ready {
 			if c != nil {
 				_ = c.Conn.Close()
@@ -264,7 +302,7 @@
 			continue
 		}
 		c.Timeout = answerTimeout
-		if !w.runSession(c, database) {
+		if !w.runSession(c, d, strict) {
 			w.brokenSessions.Add(1)
 			time.Sleep(reconnectDelay)
 		}
@@ -274,31 +312,43 @@
 
 // runSession sends requests until the session breaks or the run ends. It returns false
 // if the session broke.
-func (w *soakRun) runSession(c *linetest.Caller, database string) bool {
+func (w *soakRun) runSession(c *linetest.Caller, d *database, strict bool) bool {
 	for i := 0; !w.stopping.Load(); i++ {
 		if i%3 == 0 {
 			last, ids := c.Transaction()
-			w.outcomes.Record(&last, ids)
+			w.recordWrites(d, &last, ids)
 			if last.Broken {
 				return false
 			}
+			// Longer pauses are those of more groups than one, whose callers share the machine.
+			if w.pause > requestPause {
+				time.Sleep(w.pause)
+			}
 			continue
 		}
 		r := c.Query("WRITE item data")
-		w.outcomes.Record(&r, []string{r.ID})
-		if r.Broken || !w.checkRead(c, &r) || database == strictDatabase && !w.checkStrictRead(c) {
+		w.recordWrites(d, &r, []string{r.ID})
+		if r.Broken || !w.checkRead(c, d, &r) || strict && !w.checkStrictRead(c, d) {
 			return false
 		}
-		time.Sleep(3 * time.Millisecond)
+		time.Sleep(w.pause)
 	}
 	return true
 }
 
+// recordWrites records the outcome of writes.
+func (w *soakRun) recordWrites(d *database, last *linetest.Result, ids []string) {
+	w.outcomes.Record(last, ids)
+	if last.OK() {
+		d.served.Add(1)
+	}
+}
+
 // checkRead checks that a read sees the session's preceding write. It returns false if
 // the session broke.
-func (w *soakRun) checkRead(c *linetest.Caller, write *linetest.Result) bool {
+func (w *soakRun) checkRead(c *linetest.Caller, d *database, write *linetest.Result) bool {
 	r := c.Query("READ item")
-	if position := w.Group.NumberOf(write.ID); r.OK() && write.OK() && r.CommitsSeen() < position {
+	if position := d.group.NumberOf(write.ID); r.OK() && write.OK() && r.CommitsSeen() < position {
 		w.t.Errorf("stale read %s: saw %d commits after commit %d of its session", r.ID, r.CommitsSeen(), position)
 	}
 	return !r.Broken
@@ -307,10 +357,10 @@
 // checkStrictRead checks that a read on the strict route sees every commit that was
 // acknowledged before it and that no promotion has discarded. It returns false if the session
 // broke.
-func (w *soakRun) checkStrictRead(c *linetest.Caller) bool {
-	mark := w.Group.Mark()
+func (w *soakRun) checkStrictRead(c *linetest.Caller, d *database) bool {
+	mark := d.group.Mark()
 	r := c.Query("READ item")
-	if acknowledged := w.Group.Kept(mark); r.OK() && r.CommitsSeen() < acknowledged {
+	if acknowledged := d.group.Kept(mark); r.OK() && r.CommitsSeen() < acknowledged {
 		w.t.Errorf("stale read %s: saw %d of %d acknowledged commits", r.ID, r.CommitsSeen(), acknowledged)
 	}
 	return !r.Broken
@@ -479,10 +529,13 @@
 // endFaults ends all faults that are still in effect.
 func (w *soakRun) endFaults() {
 	w.recordEvent("healed")
-	for _, id := range w.Group.Servers() {
-		w.upstream(id).setMode(pass)
-		w.Group.Server(id).SetReceiveStopped(false)
-		w.Group.Server(id).LoseAnswers(0)
+	for _, g := range w.Groups {
+		for _, id := range g.Servers() {
+			w.upstream(id).setMode(pass)
+			g.Server(id).SetReceiveStopped(false)
+			g.Server(id).LoseAnswers(0)
+		}
+		g.SetLateness(linegroup.Lateness{})
 	}
 	for _, v := range w.vms {
 		v.peers.setMode(pass)
@@ -491,15 +544,19 @@
 	w.Store.Down.Store(false)
 	w.Store.LoseAnswers.Store(0)
 	w.Store.LatePromotions.Store(0)
-	w.Group.SetLateness(linegroup.Lateness{})
 }
 
-// checkRecovery checks that all VMs become ready, that writes succeed, and that every
+// checkRecovery checks that all VMs become ready, that writes of each group succeed, and that every
 // VM refuses a withdrawn key after revocationTimeout.
 func (w *soakRun) checkRecovery() {
-	served := w.outcomes.Count("")
+	var served []int64
+	for _, d := range w.databases {
+		served = append(served, d.served.Load())
+	}
 	w.WaitFor("all VMs ready after the faults", w.allReady)
-	w.WaitFor("writes after the faults", func() bool { return w.outcomes.Count("") > served+50 })
+	for i, d := range w.databases {
+		w.WaitFor("writes after the faults to "+d.group.Service(), func() bool { return d.served.Load() > served[i]+50 })
+	}
 	w.Configure("another key")
 	time.Sleep(revocationTimeout)
 	for _, v := range w.vms {
--- a/test/soak/window_test.go
+++ b/test/soak/window_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/standin/linegroup"
+	"github.com/chervilhatch/chervilhatch/test/ports"
 )
 
 // promoteDelay is the time between the call for a promotion and its effect in these tests.
@@ -34,44 +35,56 @@
 // platformGroup returns the options of a group that changes its primary as the platform does.
 func platformGroup(seed uint64) linegroup.Options {
 	return linegroup.Options{
-		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond, PromoteDelay: promoteDelay, Seed: seed,
+		ConnectionLimit: 40, Slots: 4, Work: time.Millisecond, Lag: 5 * time.Millisecond, PromoteDelay: promoteDelay,
+		Address: ports.Free, Seed: seed,
 	}
 }
 
-// newPlatformRun is newRun with a group whose upstreams report changes of their roles.
-func newPlatformRun(t *testing.T, binary string, seed uint64, o linegroup.Options) *soakRun {
-	w := newRun(t, binary, seed, o)
+// newPlatformRun is newRun with groups whose upstreams report changes of their roles.
+func newPlatformRun(t *testing.T, binary string, seed uint64, options ...linegroup.Options) *soakRun {
+	w := newRun(t, binary, seed, options...)
 	w.wg.Go(func() {
+		seen := make([]time.Time, len(w.databases))
+		for i := range seen {
+			seen[i] = time.Now()
+		}
 		for !w.stopping.Load() {
 			w.ReportRoles()
+			for i, d := range w.databases {
+				now := time.Now()
+				d.withoutPrimary = max(d.withoutPrimary, now.Sub(seen[i]))
+				if s := d.group.Server(d.group.Primary()); s != nil && !s.Stopped() {
+					seen[i] = now
+				}
+			}
 			time.Sleep(roleReportInterval)
 		}
 	})
 	return w
 }
 
-// cutServer cuts an upstream off from VMs and from the other servers, until restore is called.
-// A server that joins meanwhile is not cut off from it.
-func (w *soakRun) cutServer(id string, vms []int) (restore func()) {
+// cutServer cuts an upstream of a group off from VMs and from the other servers, until restore is
+// called. A server that joins meanwhile is not cut off from it.
+func (w *soakRun) cutServer(g *linegroup.Group, id string, vms []int) (restore func()) {
 	var others []string
-	for _, other := range w.Group.Servers() {
+	for _, other := range g.Servers() {
 		if other != id {
 			others = append(others, other)
-			w.Group.SetPathCut(id, other, true)
+			g.SetPathCut(id, other, true)
 		}
 	}
 	restoreLink := w.upstream(id).cut(vms)
 	return func() {
 		for _, other := range others {
-			w.Group.SetPathCut(id, other, false)
+			g.SetPathCut(id, other, false)
 		}
 		restoreLink()
 	}
 }
 
-// join adds a replica, and registers it after d.
-func (w *soakRun) join(id, zone string, d time.Duration) {
-	if _, err := w.Group.Add(id, zone); err != nil {
+// join adds a replica to a group, and registers it after d.
+func (w *soakRun) join(g *linegroup.Group, id, zone string, d time.Duration) {
+	if _, err := g.Add(id, zone); err != nil {
 		w.t.Error(err)
 		return
 	}
@@ -120,11 +133,11 @@
 	w.t.Helper()
 	old := w.Group.Primary()
 	w.recordEvent("upstream %s is cut off", old)
-	restore := w.cutServer(old, w.allVMs())
+	restore := w.cutServer(w.Group, old, w.allVMs())
 	w.WaitFor("a promotion call", func() bool { return len(w.Group.PendingPromotions()) > 0 })
 	w.recordEvent("promotion of %v called; upstream %s is back, %s joins", w.Group.PendingPromotions(), old, id)
 	restore()
-	w.join(id, w.Group.Server(old).Zone(), 0)
+	w.join(w.Group, id, w.Group.Server(old).Zone(), 0)
 	w.WaitFor("another primary", func() bool { return w.Group.Primary() != old && w.Group.Primary() != "" })
 	promotions := w.Group.Promotions()
 	last := &promotions[len(promotions)-1]
@@ -141,7 +154,7 @@
 	w.awaitWrites("writes", 200)
 	w.recordEvent("c leaves, d joins")
 	w.Register("c", "draining")
-	w.join("d", "zone-c", 300*time.Millisecond)
+	w.join(w.Group, "d", "zone-c", 300*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	w.recordEvent("b and d receive nothing")
 	w.setReceiveStopped(true, "b", "d")
@@ -177,7 +190,7 @@
 	w.awaitWrites("writes", 200)
 	time.Sleep(settleTime)
 	w.recordEvent("upstream a is cut off")
-	restoreOld := w.cutServer("a", w.allVMs())
+	restoreOld := w.cutServer(w.Group, "a", w.allVMs())
 	w.WaitFor("a promotion call", func() bool { return len(w.Group.PendingPromotions()) > 0 })
 	target := w.Group.PendingPromotions()[0]
 	w.recordEvent("promotion of %s called, which is cut off from the VMs", target)
@@ -195,10 +208,48 @@
 	w.finish()
 }
 
+// recoveryTime is how long a service may take to recover from the last fault.
+const recoveryTime = drainTime + drainLimit
+
+// Guards against a service that has no primary for longer than recoveryTime, because a replica left
+// at the time of a crash, although others have every commit that callers were told of; releases then
+// take these away, until only empty upstreams are left.
+func TestAPrimaryIsFoundAfterACrashAndADeparture(t *testing.T) {
+	w := newPlatformRun(t, daemon(t), 1, platformGroup(1))
+	w.startCallers()
+	w.awaitWrites("writes", 200)
+	w.recordEvent("c leaves, d joins")
+	w.Register("c", "draining")
+	w.join(w.Group, "d", "zone-c", 300*time.Millisecond)
+	time.Sleep(drainTime - 500*time.Millisecond)
+	w.recordEvent("a crashes")
+	w.Group.Server("a").Stop()
+	time.Sleep(500 * time.Millisecond)
+	w.recordEvent("c ends")
+	w.Group.Remove("c")
+	w.Deregister("c")
+	time.Sleep(2 * time.Second)
+	w.recordEvent("b and d leave, e and f join; called for %v", w.Group.PendingPromotions())
+	w.Register("b", "draining")
+	w.Register("d", "draining")
+	w.join(w.Group, "e", "zone-b", 300*time.Millisecond)
+	w.join(w.Group, "f", "zone-c", 300*time.Millisecond)
+	time.Sleep(time.Second)
+	w.recordEvent("the entry of a lapses")
+	w.Deregister("a")
+	w.WaitFor("a change of primary", func() bool { return len(w.Group.Promotions()) > 0 })
+	w.awaitWrites("writes after the crash", 50)
+	w.finish()
+	w.logChanges()
+	if d := w.databases[0].withoutPrimary; d > recoveryTime {
+		t.Errorf("no primary for %v", d)
+	}
+}
+
 // setReceiveStopped keeps replicas from receiving commits, or no longer.
 func (w *soakRun) setReceiveStopped(stopped bool, ids ...string) {
 	for _, id := range ids {
-		if s := w.Group.Server(id); s != nil {
+		if s := w.Server(id); s != nil {
 			s.SetReceiveStopped(stopped)
 		}
 	}
