Log why a change of primary has no safe target

While callers were refused with "no primary", the log had the start of the change and, six seconds later, "no target is safe in time" with the members. It did not tell which condition had refused the only candidate with the newest evidence, so the hypotheses about a service without a primary could not be told apart.

Decisions are as before. The member model fails if no target is chosen without a cause.

--- a/core/promotion/memberholder_test.go
+++ b/core/promotion/memberholder_test.go
@@ -123,6 +123,11 @@
 		r.tracef("%s: change of primary %s started: %s, term %d", vm.id, e.Upstream, e.Cause, e.Term)
 	case EffectTargetSelected:
 		r.tracef("%s: target %s at %v, old position %v, stepped down %t", vm.id, e.Upstream, e.Position, e.OldPosition, e.SteppedDown)
+	case EffectTargetBlocked:
+		r.tracef("%s: no target is safe: %s %s, best %s", vm.id, e.Cause, e.Upstream, e.Target)
+		if e.Cause == "" {
+			r.fail("no target is chosen, and no cause is reported")
+		}
 	case EffectTransitionEnded:
 		r.tracef("%s: change of primary ended, %s: %s", vm.id, e.Upstream, e.Cause)
 	}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -64,6 +64,10 @@
 	aliveAt model.Time
 	// listNeededAt is when a list of upstreams was last asked for.
 	listNeededAt model.Time
+	// blocked is the last reported cause for which no target is safe, blockedReportedAt the time of
+	// that report.
+	blocked           blocked
+	blockedReportedAt model.Time
 
 	// token is the fencing token of the last promotion call.
 	token         uint64
@@ -176,6 +180,7 @@
 		out = svc.withdraw(now, in, out)
 	}
 	if target == nil || svc.otherCallPossible(now, target.ID, in) || t.frozenSince(now, svc) == 0 {
+		out = s.reportBlocked(now, svc, v, in, target, out)
 		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
 	t.target, t.targetReceived, t.token = target.ID, target.Status.Received, s.token()
--- a/core/promotion/types.go
+++ b/core/promotion/types.go
@@ -161,6 +161,9 @@
 	EffectTransitionEnded
 	// EffectTargetLeads reports that the promotion of Upstream has taken effect.
 	EffectTargetLeads
+	// EffectTargetBlocked reports why no target is safe yet, once per change of the cause: Upstream
+	// is the one that the cause is about, and Target the most advanced candidate; both may be empty.
+	EffectTargetBlocked
 )
 
 // Effect is one output of State.Tick.
@@ -170,6 +173,7 @@
 	// Upstream is the old primary in EffectTransitionStarted, and the target in
 	// EffectTargetSelected, EffectTargetLeads and EffectTransitionEnded, empty if there is none.
 	Upstream model.UpstreamID
+	Target   model.UpstreamID
 	Command  CommandKind
 	Term     uint64
 	Token    uint64
@@ -188,11 +192,11 @@
 	// Members is the number of upstreams that are known when a transition starts or
 	// selects its target.
 	Members int
-	// Elapsed is the duration of an ended transition, or the time since the target was
-	// selected.
+	// Elapsed is the duration of an ended transition, the time since the target was
+	// selected, or the time for which no target has been safe.
 	Elapsed time.Duration
 	// Group is what is known of the upstreams when a target is selected or leads, and when no
-	// target is found in time; nil otherwise.
+	// target is safe or found in time; nil otherwise.
 	Group *GroupReport
 }
 
--- a/linenode/commitlog_test.go
+++ b/linenode/commitlog_test.go
@@ -76,3 +76,18 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
+
+// Guards against a service without a primary whose log lacks why no target is safe.
+func TestBlockedTargetIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	transitions := newTransitions(Options{Log: zerolog.New(&log)}, nil, nil)
+	transitions.execute(t.Context(), &promotion.Effect{
+		Kind: promotion.EffectTargetBlocked, Service: "db", Cause: "upstream not fenced", Upstream: "b", Target: "c", Elapsed: 20 * time.Millisecond,
+		Group: &promotion.GroupReport{FenceTerm: 3, Members: []promotion.MemberReport{{ID: "b"}}},
+	})
+	want := `{"level":"info","service":"db","cause":"upstream not fenced","upstream":"b","target":"c","elapsed":20,` +
+		`"fence_term":3,"list_age":0,"unconfirmed":0,"members":[{"upstream":"b","leaving":false,"failing":false}],"message":"no target is safe yet"}`
+	if got := strings.TrimSpace(log.String()); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
--- a/linenode/transitions.go
+++ b/linenode/transitions.go
@@ -323,6 +323,9 @@
 	case promotion.EffectTargetLeads:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).Uint64("term", e.Term).
 			Str("position", lineproto.FormatPosition(e.Position)).Dur("elapsed", e.Elapsed).EmbedObject(groupLog{e.Group}).Msg("new primary leads")
+	case promotion.EffectTargetBlocked:
+		t.log.Info().Str("service", string(e.Service)).Str("cause", e.Cause).Str("upstream", string(e.Upstream)).Str("target", string(e.Target)).
+			Dur("elapsed", e.Elapsed).EmbedObject(groupLog{e.Group}).Msg("no target is safe yet")
 	case promotion.EffectTransitionEnded:
 		t.log.Info().Str("service", string(e.Service)).Str("upstream", string(e.Upstream)).Str("cause", e.Cause).
 			Dur("elapsed", e.Elapsed).EmbedObject(groupLog{e.Group}).Msg("change of primary ended")
