promotion model: calls whose effect nobody sees, on platforms that do not check tokens

A platform that does not check tokens may still execute that call, so the next one waits for promoteTimeout; the check gives that time, as to a call without effect. On platforms that check tokens the limit is as before.

--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -701,6 +701,10 @@
 	}
 	u.term, u.fencedTerm = r.term, 0
 	r.learnPrimary()
+	if r.s.fencesUnchecked && !r.primaryReached() {
+		// Nobody sees the effect, and the platform may still execute the call.
+		r.outage.noEffect = true
+	}
 	lost, first := 0, passedCommit{}
 	for _, p := range r.passed {
 		if !u.has(p.position) {
