promotion model: VMs that reach some VMs and not others

In the model a VM was cut off from all others or from none, so that nobody vouched for a primary to a VM which the lease holder does not reach. Seeds from 2,000,000 on have three or four VMs and pairs of them, often with the lease holder, that do not reach each other.

--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -75,6 +75,8 @@
 	storeOutage
 	// memberRestart: a replica stops and starts again under its ID without its log.
 	memberRestart
+	// vmCutPair: the VMs do not reach each other, but the other VMs.
+	vmCutPair
 )
 
 // memberEvent is a disruption from the step at until the step until. Both count from the end of
@@ -96,7 +98,7 @@
 
 // String returns the event as it is written in a scenario.
 func (e memberEvent) String() string {
-	names := [...]string{"crash", "cut from VMs", "cut from replicas", "deaf", "cut from store", "leave", "join", "VM crash", "VM cut from VMs", "VM cut from store", "VM restart", "store outage", "restart"}
+	names := [...]string{"crash", "cut from VMs", "cut from replicas", "deaf", "cut from store", "leave", "join", "VM crash", "VM cut from VMs", "VM cut from store", "VM restart", "store outage", "restart", "VMs cut from each other"}
 	text := fmt.Sprintf("%s %s at %d", names[e.kind], e.upstream, e.at)
 	if e.atCall {
 		text += " of the call"
@@ -248,8 +250,10 @@
 	inFlight     map[model.UpstreamID]int
 	nextRead     int
 	// failedRoundAt is the step of the last status round that failed.
-	failedRoundAt     int
-	cutVMs, cutStore  bool
+	failedRoundAt    int
+	cutVMs, cutStore bool
+	// cutFrom are the VMs that this one does not reach, by bits.
+	cutFrom           uint8
 	startedAt         model.Time
 	startedStep       int
 	lastStatusesAt    int
@@ -511,6 +515,8 @@
 			vm.cutVMs = true
 		case vmCutStore:
 			vm.cutStore = true
+		case vmCutPair:
+			vm.cutFrom |= e.vms
 		}
 	}
 	switch e.kind {
@@ -559,13 +565,15 @@
 		}
 		switch e.kind {
 		case vmRestart:
-			cutVMs, cutStore := vm.cutVMs, vm.cutStore
+			cutVMs, cutStore, cutFrom := vm.cutVMs, vm.cutStore, vm.cutFrom
 			r.vms[vm.index] = r.newVM(vm.index)
-			r.vms[vm.index].cutVMs, r.vms[vm.index].cutStore = cutVMs, cutStore
+			r.vms[vm.index].cutVMs, r.vms[vm.index].cutStore, r.vms[vm.index].cutFrom = cutVMs, cutStore, cutFrom
 		case vmCutVMs:
 			vm.cutVMs = false
 		case vmCutStore:
 			vm.cutStore = false
+		case vmCutPair:
+			vm.cutFrom &^= e.vms
 		}
 	}
 	if e.kind == storeOutage {
@@ -813,7 +821,9 @@
 }
 
 // linked reports whether two VMs reach each other.
-func linked(a, b *simVM) bool { return a.alive && b.alive && !a.cutVMs && !b.cutVMs }
+func linked(a, b *simVM) bool {
+	return a.alive && b.alive && !a.cutVMs && !b.cutVMs && (a.cutFrom&(1<<b.index) == 0 || b.cutFrom&(1<<a.index) == 0)
+}
 
 func (r *memberRun) apply(vm *simVM, ev *replicaset.Event) {
 	for _, e := range vm.view.Apply(r.now(), ev, nil) {
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -641,7 +641,10 @@
 // them beside trouble at the last replica, in a quarter a switchover with trouble around the call, up
 // to five other events and up to three faults in the delivery of commands and calls.
 func randomMemberScenario(seed uint64) memberScenario {
-	if seed >= releaseSeeds {
+	switch {
+	case seed >= partitionSeeds:
+		return randomPartitionScenario(seed)
+	case seed >= releaseSeeds:
 		return randomReleaseScenario(seed)
 	}
 	r := &randomMembers{Rand: rand.New(rand.NewPCG(seed, 37)), joiners: []model.UpstreamID{"d", "e", "f", "g", "h", "i", "j", "k"}}
@@ -674,6 +677,29 @@
 // releaseSeeds is the first seed of scenarios with rolling releases.
 const releaseSeeds = 1_000_000
 
+// partitionSeeds is the first seed of scenarios in which VMs do not reach each other, but other VMs.
+const partitionSeeds = 2_000_000
+
+// randomPartitionScenario returns the scenario of a seed from partitionSeeds on: a random or a release scenario with three or
+// four VMs of which pairs, often with the lease holder, are cut from each other around the change of primary.
+func randomPartitionScenario(seed uint64) memberScenario {
+	r := &randomMembers{Rand: rand.New(rand.NewPCG(seed, 43))}
+	base := seed - partitionSeeds
+	if seed%2 == 0 {
+		base += releaseSeeds
+	}
+	r.s = randomMemberScenario(base)
+	r.s.name, r.s.vms = fmt.Sprint("seed ", seed), 3+r.IntN(2)
+	for range 1 + r.IntN(3) {
+		e := memberEvent{kind: vmCutPair, at: r.IntN(120) - 40, vms: uint8(r.pick(3, 3, 5, 6, 9, 10, 12))}
+		if r.IntN(2) == 0 {
+			e.at, e.atCall = r.IntN(40)-2, true
+		}
+		r.add(e, r.pick(4, 10, 20, 40, 90, 140))
+	}
+	return r.s
+}
+
 // randomReleaseScenario returns the scenario of a seed from releaseSeeds on: three to five upstreams, of which most are
 // replaced one after the other, often while a replica receives nothing; a cause of a change of primary; calls that get no answer or are
 // executed late; a target that goes away; a second release while there may be no primary; and up to two other events.
@@ -805,7 +831,7 @@
 }
 
 // randomSeeds returns the first and the last seed in MEMBERMODEL_SEEDS, as in 1-1000; those from releaseSeeds on
-// have rolling releases. Without it, the test is skipped.
+// have rolling releases, those from partitionSeeds on pairs of VMs that do not reach each other. Without it, the test is skipped.
 func randomSeeds(t *testing.T) (from, to uint64) {
 	first, last, found := strings.Cut(os.Getenv("MEMBERMODEL_SEEDS"), "-")
 	if first == "" {
