--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -343,3 +343,17 @@
 	h.advance(5 * time.Second)
 	h.wantNoPromoteCall()
 }
+
+// Guards against a service that waits for replicas that may not be listed yet until the only safe target, which leaves, has gone.
+func TestLeavingTargetIsNotKeptWaiting(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		h := newHarness(t)
+		h.member("c").Status.Received = pos(101)
+		h.member("c").Leaving = leaving
+		h.markFailed("a")
+		h.advance(registrationTimeout - 50*ms)
+		if called := len(h.promoteCalls) > 0; called != leaving {
+			t.Errorf("safe target leaves %t: called for within %v: %t", leaving, registrationTimeout-50*ms, called)
+		}
+	}
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -417,8 +417,7 @@
 		return target, b
 	case oldPrimary != nil && t.steppedDownAt == 0 && !t.oldPrimaryLost:
 		return nil, blocked{cause: blockedPrimaryAnswers, upstream: t.oldPrimary}
-	case v.ListedAt < max(frozenSince, t.aliveAt.Add(registrationTimeout)):
-		// A replica that had started before the old primary was lost may be missing.
+	case v.ListedAt < frozenSince:
 		return nil, blocked{cause: blockedListAge}
 	case best == nil:
 		return nil, t.noCandidate(v)
@@ -429,6 +428,10 @@
 		return candidate(c) && (t.lacks(now, c, v, in, svc).cause == "" || s.hasAllPassedOn(svc, t.freeze, in, c))
 	})
 	switch {
+	case v.ListedAt < t.aliveAt.Add(registrationTimeout) && (target == nil || !target.Leaving):
+		// A replica that had started before the old primary was lost may be missing. It may have commits that were
+		// acknowledged, though not passed on; an upstream that leaves may not wait for it.
+		return nil, blocked{cause: blockedListAge, best: best.ID}
 	case target != nil:
 		t.found(target.Status.Received)
 		return target, blocked{}
