--- a/core/promotion/memberorder_test.go
+++ b/core/promotion/memberorder_test.go
@@ -120,3 +120,25 @@
 
 // Guards against commits that are lost when a promotion call is carried out after its target was given up.
 func TestCommitsWhenACallIsExecutedLate(t *testing.T) { memberRuns.lateCall().check(t) }
+
+// Guards against a lease holder that crashes when no replica that answers has what was passed on, and nothing else speaks against one.
+func TestFailoverWithoutAReplicaThatHasWhatWasPassedOn(t *testing.T) {
+	each := func(fn func(memberScenario)) {
+		for order := range 3 {
+			fn(memberScenario{
+				name: "no candidate", vms: 2, steps: 640, order: order, deliveries: map[int]delivery{2: replyLost}, calls: map[int]delivery{1: delayed, 2: replyLost, 3: delayed},
+				lateSteps: 40, promoteSteps: 14, ackSteps: 4, events: []memberEvent{
+					{kind: memberJoin, at: -76, upstream: "e", delay: 2},
+					{kind: memberLeave, at: -7, until: 83, upstream: "a", with: "n1", delay: 1},
+					{kind: memberLeave, at: 2, until: 92, upstream: "e", with: "n3", delay: 6},
+					{kind: memberCutVMs, at: 6, until: 26, upstream: thePrimary, vms: allVMs},
+					{kind: memberCutVMs, at: 9, atCall: true, until: 109, untilCall: true, upstream: theTarget, vms: allVMs},
+					{kind: memberCutReplicas, at: 9, atCall: true, until: 109, untilCall: true, upstream: theTarget},
+				},
+			})
+		}
+	}
+	m := runMembers(each)
+	m.check(t)
+	m.checkOutages(t)
+}
