Wait for listed replicas beyond the limit for the former primary

Found in review, a regression of the choice by what was passed on: with the primary gone and a listed replica out of reach, a replica with fewer commits was called for after 15 s. The limit is for what was lost; a listed upstream runs. A new lease holder also takes the term of the recorded promotion for that of the old primary.

TestListedReplicaThatDoesNotAnswerOutlastsTheWaitForThePrimary failed before.

--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/chervilhatch/chervilhatch/core/model"
@@ -83,7 +84,7 @@
 // endOfTime is later than all times.
 const endOfTime = model.Time(math.MaxInt64)
 
-func newFreeze(v *replicaset.View) *freeze {
+func newFreeze(v *replicaset.View, record *Record) *freeze {
 	f := &freeze{
 		oldPrimary: cmp.Or(v.Primary, v.LastPrimary), oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1,
 		voters: map[model.VMID]bool{}, withdrawn: map[model.VMID]withdrawal{},
@@ -93,6 +94,10 @@
 	if v.Incomplete {
 		f.unheardUntil = v.ReplicaLostAt
 	}
+	if record.Done {
+		// The primary of this term may not be known to this VM.
+		f.oldTerm = max(f.oldTerm, record.Term)
+	}
 	f.see(v)
 	return f
 }
@@ -218,7 +223,7 @@
 	}
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.ID == c.ID || m.ID == f.oldPrimary || f.has(frozenSince, c, m) {
+		if f.has(frozenSince, c, m) {
 			continue
 		}
 		cause := blockedAhead
@@ -244,8 +249,18 @@
 	return ok && e.Term >= f.oldTerm
 }
 
-// has reports whether c has all commits that m may have proved.
+// listedMayProve reports whether a listed replica may have proved commits until the freeze that c lacks.
+func (f *freeze) listedMayProve(v *replicaset.View, in *Input, frozenSince model.Time, c *replicaset.Member) bool {
+	return slices.ContainsFunc(v.Members, func(m replicaset.Member) bool {
+		return !f.has(frozenSince, c, &m) && mayProveUntil(in, &m) == endOfTime
+	})
+}
+
+// has reports whether c has all commits that m may have proved as a replica of the old primary.
 func (f *freeze) has(frozenSince model.Time, c, m *replicaset.Member) bool {
+	if m.ID == c.ID || m.ID == f.oldPrimary {
+		return true
+	}
 	if received, found := f.heard[m.ID]; found {
 		_, lost := f.lost[m.ID]
 		return lost || c.Status.Received.Compare(received) >= 0
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -262,7 +262,7 @@
 	t.freeze = svc.freeze
 	switch {
 	case t.freeze == nil:
-		t.freeze = newFreeze(v)
+		t.freeze = newFreeze(v, &svc.record)
 	case v.PrimaryTerm > t.oldTerm:
 		t.newPrimary(v)
 	}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -145,7 +145,7 @@
 		// Its log cannot be compared any more, and promises that name the target have to end.
 		t.planned, svc.withdrawSentAt = false, 0
 		fenceTerm := t.fenceTerm
-		t.freeze = newFreeze(v)
+		t.freeze = newFreeze(v, &svc.record)
 		t.fenceTerm = fenceTerm
 		svc.freeze = t.freeze
 		t.enterPhase(now, phaseFence)
@@ -390,8 +390,8 @@
 }
 
 // failoverTarget returns the upstream to promote once it is certain to have every commit that was
-// passed on. If that cannot be found out, the most advanced upstream is as good as another once the
-// former primary has not come back for formerPrimaryTimeout.
+// passed on. If that cannot be found out since upstreams were lost, the most advanced one is as good as another once
+// the former primary has not come back for formerPrimaryTimeout. Upstreams that are listed run, and are waited for.
 func (s *State) failoverTarget(now model.Time, v *replicaset.View, in *Input, svc *serviceState) (*replicaset.Member, blocked) {
 	t := svc.transition
 	frozenSince := t.frozenSince(now, svc)
@@ -435,7 +435,7 @@
 	case target != nil:
 		t.found(target.Status.Received)
 		return target, blocked{}
-	case now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
+	case oldPrimary == nil && !t.listedMayProve(v, in, frozenSince, best) && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
 		return best, blocked{}
 	}
 	return nil, t.lacks(now, best, v, in, svc)
