Do not wait for replicas that cannot matter while the old primary answers

In a switchover the old primary answers with its log, and VMs pass on only what the target has, so a replica that does not answer need not be fenced. A stepped-down primary that has more than the replicas leads again at once, unless its commits reach no replica or it leaves.

TestSilentReplicaDoesNotDelayASwitchover and TestFormerPrimaryThatSteppedDownLeadsAtOnce failed before.

--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -402,3 +402,27 @@
 		}
 	}
 }
+
+// Guards against a switchover that waits for a replica which does not answer, although the primary and the target do.
+func TestSilentReplicaDoesNotDelayASwitchover(t *testing.T) {
+	h := newHarness(t)
+	h.markFailed("c")
+	h.member("c").Leaving = true
+	h.member("a").Leaving = true
+	h.advance(500 * ms)
+	h.wantPromoteCall("b")
+}
+
+// Guards against a service that waits for a replica that may not be listed yet, while the former primary is back with all commits.
+func TestFormerPrimaryThatSteppedDownLeadsAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.member("a").Status.Received = pos(108)
+	h.markFailed("a")
+	h.advance(900 * ms)
+	h.wantNoPromoteCall()
+	a := h.member("a")
+	a.FailedSince, a.Status.Primary = 0, false
+	h.view.Primary = ""
+	h.advance(200 * ms)
+	h.wantPromoteCall("a")
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -355,7 +355,7 @@
 	return target, b
 }
 
-// switchoverTarget returns the target once all other replicas are fenced and the
+// switchoverTarget returns the target once all other replicas that answer are fenced and the
 // target has received everything that they and the old primary have. A
 // replica that has not registered yet may have received commits that the known ones lack;
 // only the old primary's log shows that, as it is since frozenSince. In an incomplete group a
@@ -375,6 +375,8 @@
 		cause := ""
 		switch {
 		case c.ID == t.target:
+		case c.ID != t.oldPrimary && c.FailedSince != 0 && oldPrimary != nil:
+			// What it has proved is in the old primary's log, and VMs pass on only what the target has.
 		case c.ID != t.oldPrimary && !t.fenced(c):
 			cause = unfencedCause(c)
 		case c.ID == t.oldPrimary && c.StatusAt < max(t.attemptAt, frozenSince):
@@ -444,7 +446,7 @@
 // targetAfterStepDown returns the target after the old primary has stepped down. Its log has
 // every acknowledged commit. What no known replica has received of it may have been
 // acknowledged through a replica that was not in the list yet, so best is certain only once
-// such a replica would be listed. Otherwise the old primary leads again.
+// such a replica would be listed. Otherwise the old primary leads again, unless its commits reach no replica.
 func (t *transition) targetAfterStepDown(now model.Time, v *replicaset.View, in *Input, best, oldPrimary *replicaset.Member, fences fenceState, unfenced *replicaset.Member) (*replicaset.Member, blocked) {
 	switch {
 	case best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
@@ -457,10 +459,13 @@
 	if until, _ := t.provedUntil(v, in, t.steppedDownAt, best); until != 0 {
 		return oldPrimary, blocked{}
 	}
-	if v.ListedAt < t.steppedDownAt.Add(registrationTimeout) {
-		return nil, blocked{cause: blockedListAge, best: best.ID}
+	switch {
+	case v.ListedAt >= t.steppedDownAt.Add(registrationTimeout):
+		return best, blocked{}
+	case t.cause != causeStalled && !oldPrimary.Leaving:
+		return oldPrimary, blocked{}
 	}
-	return best, blocked{}
+	return nil, blocked{cause: blockedListAge, best: best.ID}
 }
 
 // fenceState tells which upstreams other than the old primary are fenced.
