--- a/core/promotion/membermodel_test.go
+++ b/core/promotion/membermodel_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -384,7 +385,20 @@
 }
 
 // run runs the scenario.
-func (s memberScenario) run() *memberRun { return newMemberRun(s).run() }
+func (s memberScenario) run() *memberRun { return s.runTraced(nil) }
+
+// runTraced runs the scenario and passes each line of its trace on, unless trace is nil. A panic is a violation, so that other
+// scenarios are run as well.
+func (s memberScenario) runTraced(trace func(string)) (r *memberRun) {
+	r = newMemberRun(s)
+	r.trace = trace
+	defer func() {
+		if p := recover(); p != nil {
+			r.fail("panic: %v at %s", p, debug.Stack())
+		}
+	}()
+	return r.run()
+}
 
 func (r *memberRun) run() *memberRun {
 	for end := memberWarmupSteps + r.s.steps; r.step < end && r.violation == ""; r.step++ {
--- a/core/promotion/memberscenarios_test.go
+++ b/core/promotion/memberscenarios_test.go
@@ -878,11 +878,11 @@
 			continue
 		}
 		least := randomMemberScenario(seed).shrink(func(r *memberRun) bool { return failure(r) != "" })
-		r := newMemberRun(least)
+		var trace func(string)
 		if os.Getenv("MEMBERMODEL_TRACE") != "" {
-			r.trace = func(line string) { t.Log(line) }
+			trace = func(line string) { t.Log(line) }
 		}
-		t.Errorf("%s in scenario %v", failure(r.run()), least)
+		t.Errorf("%s in scenario %v", failure(least.runTraced(trace)), least)
 	}
 }
 
