--- a/core/promotion/report.go
+++ b/core/promotion/report.go
@@ -20,6 +20,8 @@
 	// Evidence is the newest evidence, nil if there is none.
 	Evidence    *replicaset.Evidence
 	EvidenceAge time.Duration
+	// PassedOn is the end of the newest commit that is known to have been passed on, zero if none is.
+	PassedOn model.Position
 	// Unconfirmed is how long ago the last confirmation or voucher known to this lease
 	// holder ended or was dropped; negative if one may still be used.
 	Unconfirmed time.Duration
@@ -42,7 +44,7 @@
 
 // report returns what is known of a service in a transition.
 func (s *State) report(now model.Time, svc *serviceState, v *replicaset.View, in *Input) *GroupReport {
-	r := &GroupReport{FenceTerm: svc.transition.fenceTerm, ListAge: now.Sub(v.ListedAt), Unconfirmed: now.Sub(s.confirmationsEndAt(svc, in))}
+	r := &GroupReport{FenceTerm: svc.transition.fenceTerm, PassedOn: svc.transition.passedOn(v), ListAge: now.Sub(v.ListedAt), Unconfirmed: now.Sub(s.confirmationsEndAt(svc, in))}
 	if e, ok := in.Evidence(svc.name); ok {
 		r.Evidence, r.EvidenceAge = &e, now.Sub(e.At)
 	}
--- a/linenode/grouplog.go
+++ b/linenode/grouplog.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"github.com/chervilhatch/chervilhatch/core/model"
 	"github.com/chervilhatch/chervilhatch/core/promotion"
 	"github.com/chervilhatch/chervilhatch/lineproto"
 )
@@ -18,6 +19,9 @@
 		return
 	}
 	e.Uint64("fence_term", r.FenceTerm).Dur("list_age", r.ListAge).Dur("unconfirmed", r.Unconfirmed)
+	if r.PassedOn != (model.Position{}) {
+		e.Str("passed_on", lineproto.FormatPosition(r.PassedOn))
+	}
 	if r.Evidence != nil {
 		e.Str("evidence", lineproto.FormatPosition(r.Evidence.Position)).Dur("evidence_age", r.EvidenceAge)
 	}
