Close four more orders of events that the review and the model found

- The former ID of a primary that is back under another one counted as a replica that was lost unheard.

--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -31,10 +31,11 @@
 // freeze is the time in which VMs pass no commits of a primary on. It begins in a transition, and lasts
 // until a primary is promised again. Further failovers within it go on with what is known.
 type freeze struct {
-	// oldPrimary is the primary whose commits are not passed on, or the last known one if there was none at the
-	// start; empty if none was known. oldTerm is its term.
+	// oldPrimary is the primary whose commits are not passed on, empty if none of oldTerm was known at the start.
 	oldPrimary model.UpstreamID
 	oldTerm    uint64
+	// formerIDs are those of upstreams that led oldTerm before the start, and earlier ones of the old primary.
+	formerIDs map[model.UpstreamID]bool
 	// fenceTerm is the term for which upstreams are fenced; it is higher than all terms of primaries.
 	fenceTerm uint64
 	// voters are the voters since the start.
@@ -75,10 +76,11 @@
 
 // seenUpstream is what a later view is compared with to tell whether an upstream has restarted.
 type seenUpstream struct {
-	incarnation int64
-	term        uint64
-	received    model.Position
-	retiredAt   model.Time
+	incarnation  int64
+	term         uint64
+	received     model.Position
+	retiredAt    model.Time
+	refusedSince model.Time
 }
 
 // endOfTime is later than all times.
@@ -86,22 +88,32 @@
 
 func newFreeze(v *replicaset.View, record *Record) *freeze {
 	f := &freeze{
-		oldPrimary: cmp.Or(v.Primary, v.LastPrimary), oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1,
-		voters: map[model.VMID]bool{}, withdrawn: map[model.VMID]withdrawal{},
+		oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, formerIDs: map[model.UpstreamID]bool{}, voters: map[model.VMID]bool{}, withdrawn: map[model.VMID]withdrawal{},
 		heard: map[model.UpstreamID]model.Position{}, known: map[model.UpstreamID]seenUpstream{}, lost: map[model.UpstreamID]model.Time{},
 		wholeBefore: !v.Incomplete || v.Whole, replicaLostAt: v.ReplicaLostAt,
 	}
 	if v.Incomplete {
 		f.unheardUntil = v.ReplicaLostAt
 	}
-	if record.Done {
-		// The primary of this term may not be known to this VM.
-		f.oldTerm = max(f.oldTerm, record.Term)
+	f.setOldPrimary(v)
+	if record.Done && record.Term > v.PrimaryTerm {
+		// The primary of this term is not known to this VM, and the one that it knows is a replica since.
+		f.oldPrimary, f.oldTerm = "", record.Term
+		clear(f.formerIDs)
 	}
 	f.see(v)
 	return f
 }
 
+// setOldPrimary takes the primary of a view for the old one. Without one, the last one has answered as a replica or
+// has gone.
+func (f *freeze) setOldPrimary(v *replicaset.View) {
+	clear(f.formerIDs)
+	if f.oldPrimary = v.Primary; v.Primary == "" {
+		f.formerIDs[v.LastPrimary] = true
+	}
+}
+
 // raiseFenceTerm makes the fence term higher than all terms in which an upstream may have led.
 func (f *freeze) raiseFenceTerm(v *replicaset.View) {
 	highest := v.PrimaryTerm
@@ -115,7 +127,7 @@
 func (f *freeze) see(v *replicaset.View) {
 	for i := range v.Members {
 		m := &v.Members[i]
-		f.known[m.ID] = seenUpstream{incarnation: m.Incarnation, term: m.Status.Term, received: m.Status.Received, retiredAt: m.RetiredAt}
+		f.known[m.ID] = seenUpstream{incarnation: m.Incarnation, term: m.Status.Term, received: m.Status.Received, retiredAt: m.RetiredAt, refusedSince: m.RefusedSince}
 	}
 }
 
@@ -141,11 +153,15 @@
 func (f *freeze) observeRename(v *replicaset.View) {
 	for i := range v.Members {
 		if m := &v.Members[i]; m.ID != f.oldPrimary && f.oldTerm != 0 && m.Status.Primary && m.Status.Term == f.oldTerm {
+			f.formerIDs[f.oldPrimary] = true
 			f.oldPrimary = m.ID
 		}
 	}
 }
 
+// wasPrimary reports whether an ID is or was that of the old primary.
+func (f *freeze) wasPrimary(id model.UpstreamID) bool { return id == f.oldPrimary || f.formerIDs[id] }
+
 // observeLosses records the upstreams that were lost since the last tick, and reports whether any was.
 func (f *freeze) observeLosses(now model.Time, v *replicaset.View) (found bool) {
 	for id, last := range f.known {
@@ -164,12 +180,12 @@
 		if m == nil {
 			delete(f.known, id)
 		}
-		if id == f.oldPrimary {
+		if f.wasPrimary(id) {
 			continue
 		}
-		until := last.retiredAt
-		if until == 0 {
-			until = now
+		until := cmp.Or(last.retiredAt, last.refusedSince, now)
+		if m != nil {
+			until = cmp.Or(last.retiredAt, now)
 		}
 		if _, heard := f.heard[id]; heard {
 			f.lost[id] = max(f.lost[id], until)
@@ -195,7 +211,8 @@
 // newPrimary records that an upstream has been promoted in the freeze, which has discarded what it lacked.
 // Whether lost replicas had more is no longer known.
 func (f *freeze) newPrimary(v *replicaset.View) {
-	f.oldPrimary, f.oldTerm = cmp.Or(v.Primary, v.LastPrimary), v.PrimaryTerm
+	f.oldTerm = v.PrimaryTerm
+	f.setOldPrimary(v)
 	for _, until := range f.lost {
 		f.unheardUntil = max(f.unheardUntil, until)
 	}
@@ -217,7 +234,7 @@
 		add(f.unheardUntil, blockedOldEvidence, "")
 	}
 	for id, until := range f.lost {
-		if id != f.oldPrimary && c.Status.Received.Compare(f.heard[id]) < 0 {
+		if !f.wasPrimary(id) && c.Status.Received.Compare(f.heard[id]) < 0 {
 			add(until, blockedLostAhead, id)
 		}
 	}
@@ -258,7 +275,7 @@
 
 // has reports whether c has all commits that m may have proved as a replica of the old primary.
 func (f *freeze) has(frozenSince model.Time, c, m *replicaset.Member) bool {
-	if m.ID == c.ID || m.ID == f.oldPrimary {
+	if m.ID == c.ID || f.wasPrimary(m.ID) {
 		return true
 	}
 	if received, found := f.heard[m.ID]; found {
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -263,6 +263,9 @@
 	switch {
 	case t.freeze == nil:
 		t.freeze = newFreeze(v, &svc.record)
+		if t.planned {
+			t.oldPrimary = v.Primary
+		}
 	case v.PrimaryTerm > t.oldTerm:
 		t.newPrimary(v)
 	}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -167,12 +167,13 @@
 	}
 	switch {
 	case target == nil:
+		// blockedBy tells why.
 	case svc.otherCallPossible(now, target.ID, in):
 		blockedBy = blocked{cause: blockedOtherCall, best: target.ID}
 	case t.frozenSince(now, svc) == 0:
 		blockedBy = blocked{cause: blockedPromises, best: target.ID}
 	}
-	if blockedBy.cause != "" {
+	if target == nil || blockedBy.cause != "" {
 		out = s.reportBlocked(now, svc, v, in, blockedBy, out)
 		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
 	}
@@ -439,6 +440,8 @@
 		return target, blocked{}
 	case oldPrimary == nil && !t.listedMayProve(v, in, frozenSince, best) && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
 		return best, blocked{}
+	case best.Status.Received.Compare(passedOn) < 0:
+		return nil, blocked{cause: blockedPassedOn, best: best.ID}
 	}
 	return nil, t.lacks(now, best, v, in, svc)
 }
--- a/core/replicaset/retired.go
+++ b/core/replicaset/retired.go
@@ -35,3 +35,15 @@
 		}
 	}
 }
+
+// mayProveUntil returns the time until which m, whose entry has ended now, may have proved commits. It has stopped by the time
+// from which on its host refuses connections.
+func (m *Member) mayProveUntil(now model.Time) model.Time {
+	switch {
+	case m.RetiredAt != 0:
+		return m.RetiredAt
+	case m.RefusedSince != 0:
+		return m.RefusedSince
+	}
+	return now
+}
--- a/core/replicaset/retired_test.go
+++ b/core/replicaset/retired_test.go
@@ -58,3 +58,26 @@
 		t.Errorf("the replica has been retired for %v, while a VM passes commits on that only this replica has", f.now.Sub(m.RetiredAt))
 	}
 }
+
+// Guards against a service without a primary: the entry of a replica ends seconds after its host had refused connections, and counts as
+// a loss that is newer than the last evidence of the primary.
+func TestLossOfAStoppedReplicaCountsFromItsEnd(t *testing.T) {
+	f := newFixture()
+	f.advance(time.Second)
+	f.status("a", true, 1, pos(1, 9))
+	f.status("b", false, 1, pos(1, 9))
+	f.status("c", false, 1, pos(1, 9))
+	stopped := f.now
+	f.apply(Event{Kind: EventFailed, Upstream: "c", Refused: true})
+	for range 4 {
+		f.advance(time.Second)
+		f.setRegistrations(registration("a", true), registration("b", false))
+	}
+	v := f.Views()[0]
+	if len(v.Members) != 2 || !v.Incomplete {
+		t.Fatalf("fixture: %d members, incomplete %t", len(v.Members), v.Incomplete)
+	}
+	if v.ReplicaLostAt != stopped {
+		t.Errorf("the replica counts as lost %v after its host refused connections", v.ReplicaLostAt.Sub(stopped))
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -386,11 +386,7 @@
 	if m.Leaving {
 		g.fullMembers--
 	}
-	if m.RetiredAt != 0 {
-		g.recordLoss(now, m.RetiredAt, id)
-	} else {
-		g.recordLoss(now, now, id)
-	}
+	g.recordLoss(now, m.mayProveUntil(now), id)
 	g.removedAt = now
 	out = append(out, Effect{Kind: EffectRemoved, Service: g.name, Upstream: id, Member: *m})
 	before := g.primary
