--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -482,3 +482,24 @@
 		}
 	}
 }
+
+// Guards against a stalled primary that is called for again and again, since the fences of the replicas take over a second.
+func TestStalledPrimaryIsNotPromotedAgainWhileFencesArePending(t *testing.T) {
+	h := newHarness(t)
+	h.member("a").Status.Received = pos(130)
+	for range 400 {
+		for _, id := range []model.UpstreamID{"b", "c"} {
+			if h.state.services["db"].transition == nil || h.now.Sub(h.state.services["db"].transition.startedAt) < 2*pendingFenceTimeout {
+				h.member(id).Status.FencedTerm = 0
+			}
+		}
+		h.advance(10 * ms)
+	}
+	for _, call := range h.promoteCalls {
+		if call.Upstream == "a" {
+			t.Fatal("the stalled primary is called for")
+		}
+	}
+	h.advance(2 * time.Second)
+	h.wantPromoteCall("b")
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -454,7 +454,7 @@
 	switch {
 	case best != nil && best.Status.Received.Compare(oldPrimary.Status.Received) >= 0:
 		return best, blocked{}
-	case fences == fencesPending && now.Sub(max(t.phaseStartedAt, t.steppedDownAt)) < pendingFenceTimeout:
+	case fences == fencesPending && (t.cause == causeStalled || now.Sub(max(t.phaseStartedAt, t.steppedDownAt)) < pendingFenceTimeout):
 		return nil, blocked{cause: unfencedCause(unfenced), upstream: unfenced.ID}
 	case fences != fencesComplete || best == nil || v.Incomplete:
 		return oldPrimary, blocked{}
