--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -62,11 +62,11 @@
 	// lost has the replicas that were lost after they had answered since promisesEndedAt, with the time until
 	// which they may have proved commits. A replica is lost if it goes, or restarts without its log.
 	lost map[model.UpstreamID]model.Time
-	// unheardUntil is the time until which replicas may have proved commits that were lost before they had
-	// answered; 0 if none was since the group was known to be complete.
+	// unheard has the replicas that were lost before they had answered since then.
+	unheard map[model.UpstreamID]lostUpstream
+	// unheardUntil is the time until which such replicas may have proved commits that are not in unheard, as those
+	// lost before the freeze; 0 if none was since the group was known to be complete.
 	unheardUntil model.Time
-	// unheard is one of these, empty if none was lost in the freeze.
-	unheard model.UpstreamID
 	// sufficient is the end of a log that was found to have every commit that was passed on, the shortest such
 	// one; zero before.
 	sufficient model.Position
@@ -83,13 +83,19 @@
 	refusedSince model.Time
 }
 
+// lostUpstream is a lost replica as it was last seen, and the time until which it may have proved commits.
+type lostUpstream struct {
+	seenUpstream
+	until model.Time
+}
+
 // endOfTime is later than all times.
 const endOfTime = model.Time(math.MaxInt64)
 
 func newFreeze(v *replicaset.View, record *Record) *freeze {
 	f := &freeze{
 		oldTerm: v.PrimaryTerm, fenceTerm: highestTerm(v) + 1, formerIDs: map[model.UpstreamID]bool{}, voters: map[model.VMID]bool{}, withdrawn: map[model.VMID]withdrawal{},
-		heard: map[model.UpstreamID]model.Position{}, known: map[model.UpstreamID]seenUpstream{}, lost: map[model.UpstreamID]model.Time{},
+		heard: map[model.UpstreamID]model.Position{}, known: map[model.UpstreamID]seenUpstream{}, lost: map[model.UpstreamID]model.Time{}, unheard: map[model.UpstreamID]lostUpstream{},
 		wholeBefore: !v.Incomplete || v.Whole, replicaLostAt: v.ReplicaLostAt,
 	}
 	if v.Incomplete {
@@ -143,8 +149,14 @@
 	f.replicaLostAt = max(f.replicaLostAt, v.ReplicaLostAt)
 	f.see(v)
 	for i := range v.Members {
-		if m := &v.Members[i]; f.promisesEndedAt != 0 && m.StatusAt >= f.promisesEndedAt {
-			f.heard[m.ID] = f.heard[m.ID].Max(m.Status.Received)
+		m := &v.Members[i]
+		if f.promisesEndedAt == 0 || m.StatusAt < f.promisesEndedAt {
+			continue
+		}
+		f.heard[m.ID] = f.heard[m.ID].Max(m.Status.Received)
+		if last, found := f.unheard[m.ID]; found && m.Incarnation == last.incarnation && m.Status.Received.Compare(last.received) >= 0 {
+			// Only its entry had ended.
+			delete(f.unheard, m.ID)
 		}
 	}
 }
@@ -190,7 +202,7 @@
 		if _, heard := f.heard[id]; heard {
 			f.lost[id] = max(f.lost[id], until)
 		} else {
-			f.unheardUntil, f.unheard = max(f.unheardUntil, until), id
+			f.unheard[id] = lostUpstream{seenUpstream: last, until: until}
 		}
 	}
 	return found
@@ -216,7 +228,11 @@
 	for _, until := range f.lost {
 		f.unheardUntil = max(f.unheardUntil, until)
 	}
+	for _, u := range f.unheard {
+		f.unheardUntil = max(f.unheardUntil, u.until)
+	}
 	clear(f.lost)
+	clear(f.unheard)
 	clear(f.heard)
 }
 
@@ -224,14 +240,13 @@
 // the last of them. What they had received is known since frozenSince.
 func (f *freeze) provedUntil(v *replicaset.View, in *Input, frozenSince model.Time, c *replicaset.Member) (latest model.Time, by blocked) {
 	add := func(until model.Time, cause string, id model.UpstreamID) {
-		if until > latest {
+		if until > latest || until == latest && id < by.upstream {
 			latest, by = until, blocked{cause: cause, upstream: id}
 		}
 	}
-	if f.unheard != "" {
-		add(f.unheardUntil, blockedLostNotHeard, f.unheard)
-	} else {
-		add(f.unheardUntil, blockedOldEvidence, "")
+	add(f.unheardUntil, blockedOldEvidence, "")
+	for id, u := range f.unheard {
+		add(u.until, blockedLostNotHeard, id)
 	}
 	for id, until := range f.lost {
 		if !f.wasPrimary(id) && c.Status.Received.Compare(f.heard[id]) < 0 {
--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -32,6 +32,8 @@
 	silent map[model.UpstreamID]bool
 	// unlisted has the upstreams whose entries have lapsed.
 	unlisted map[model.UpstreamID]bool
+	// registered counts the entries that upstreams have written after their first one.
+	registered map[model.UpstreamID]int64
 	// restarted: the VM has lost what it knew.
 	restarted bool
 }
@@ -41,6 +43,7 @@
 func newStatusHarness() *statusHarness {
 	h := &statusHarness{listHarness: newListHarness(), statuses: map[model.UpstreamID]replicaset.Status{}, deaf: map[model.UpstreamID]bool{}}
 	h.leaving, h.silent, h.unlisted, h.restarted = map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, true
+	h.registered = map[model.UpstreamID]int64{}
 	h.view.SetVoters([]model.VMID{"other"})
 	for _, id := range []model.UpstreamID{"a", "b", "c"} {
 		h.statuses[id] = replicaset.Status{Primary: id == "a", Term: 1}
@@ -84,9 +87,9 @@
 		if h.unlisted[id] {
 			continue
 		}
-		sequence := int64(1)
+		sequence := 1 + h.registered[id]
 		if h.leaving[id] {
-			sequence = 2
+			sequence++
 		}
 		ev.Registrations = append(ev.Registrations, replicaset.Registration{
 			ID: id, Service: "db", Address: string(id) + ":1", Zone: model.Zone("zone-" + id), Slots: 3,
@@ -503,3 +506,21 @@
 	h.advance(2 * time.Second)
 	h.wantPromoteCall("b")
 }
+
+// Guards against a service without a primary since a replica whose entry had ended counts as lost before it could be asked, although
+// it is back with its log.
+func TestReplicaThatIsListedAgainIsNotLost(t *testing.T) {
+	h := newStatusHarness()
+	h.silent["b"], h.silent["c"], h.down["a"] = true, true, true
+	h.play(1500 * ms)
+	h.unlisted["c"] = true
+	h.play(4 * time.Second)
+	h.unlisted["c"], h.registered["c"], h.silent["b"], h.silent["c"] = false, 1, false, false
+	begin := h.now
+	for len(h.calls) == 0 && h.now.Sub(begin) < 10*time.Second {
+		h.play(50 * ms)
+	}
+	if elapsed := h.now.Sub(begin); elapsed > 2*time.Second {
+		t.Errorf("no promotion call for %v, though b and c have all commits", elapsed)
+	}
+}
