Ignore answers to earlier questions, and ask a primary that peers know before it is stepped down

The answer of an upstream to an earlier question arrived after that to a later one: a new primary counted as a replica, and a replica as restarted without its log. A primary that peers had found again was told to step down before it had been asked, and a lease holder that started afterwards no longer took it for the old primary.

--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -34,7 +34,7 @@
 	// oldPrimary is the primary whose commits are not passed on, empty if none of oldTerm was known at the start.
 	oldPrimary model.UpstreamID
 	oldTerm    uint64
-	// formerIDs are those of upstreams that led oldTerm before the start, and earlier ones of the old primary.
+	// formerIDs are earlier IDs of the old primary.
 	formerIDs map[model.UpstreamID]bool
 	// fenceTerm is the term for which upstreams are fenced; it is higher than all terms of primaries.
 	fenceTerm uint64
@@ -105,19 +105,16 @@
 	if record.Done && record.Term > v.PrimaryTerm {
 		// The primary of this term is not known to this VM, and the one that it knows is a replica since.
 		f.oldPrimary, f.oldTerm = "", record.Term
-		clear(f.formerIDs)
 	}
 	f.see(v)
 	return f
 }
 
-// setOldPrimary takes the primary of a view for the old one. Without one, the last one has answered as a replica or
-// has gone.
+// setOldPrimary takes the primary of a view for the old one, or the last one if that has answered as a replica or has
+// gone.
 func (f *freeze) setOldPrimary(v *replicaset.View) {
+	f.oldPrimary = cmp.Or(v.Primary, v.LastPrimary)
 	clear(f.formerIDs)
-	if f.oldPrimary = v.Primary; v.Primary == "" {
-		f.formerIDs[v.LastPrimary] = true
-	}
 }
 
 // raiseFenceTerm makes the fence term higher than all terms in which an upstream may have led.
--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -524,3 +524,26 @@
 		t.Errorf("no promotion call for %v, though b and c have all commits", elapsed)
 	}
 }
+
+// Guards against a primary that is told to step down when peers have found it again, before it has been asked.
+func TestPrimaryThatPeersKnowIsAskedFirst(t *testing.T) {
+	h := newHarness(t)
+	h.member("a").Status.Primary = false
+	h.view.Primary, h.view.LastPrimary = "", "a"
+	for h.state.services["db"].transition == nil {
+		h.advance(10 * ms)
+	}
+	a := h.member("a")
+	answeredAt := a.StatusAt.Add(-time.Second)
+	h.view.Primary = "a"
+	for range 3 {
+		h.now = h.now.Add(10 * ms)
+		a.StatusAt, a.ContactAt = answeredAt, answeredAt
+		h.tick()
+		for _, e := range h.effects {
+			if e.Kind == EffectCommand && e.Command == CommandStepDown {
+				t.Fatalf("%s is told to step down", e.Upstream)
+			}
+		}
+	}
+}
--- a/core/promotion/state.go
+++ b/core/promotion/state.go
@@ -331,7 +331,7 @@
 	}
 	if v.Primary == "" {
 		if svc.noPrimarySince != 0 && now.Sub(svc.noPrimarySince) > noPrimaryTimeout {
-			return "no primary", false
+			return causeNoPrimary, false
 		}
 		return "", false
 	}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -238,6 +238,8 @@
 // Causes of transitions that are treated differently from others.
 const (
 	causeStalled = "replicas receive nothing"
+	// causeNoPrimary: no upstream says that it is the primary.
+	causeNoPrimary = "no primary"
 	// causeUnfinished: a promotion call of an earlier transition may still be
 	// executed, so the promotion is completed, or another one made if its target cannot
 	// be reached.
@@ -302,6 +304,9 @@
 		c := &v.Members[i]
 		switch {
 		case t.isOldPrimary(c) && t.steppedDownAt != 0:
+		case t.isOldPrimary(c) && t.cause == causeNoPrimary && c.ID == v.Primary && c.StatusAt < t.startedAt:
+			// A peer knows it as the primary, so that no other one may be needed.
+			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
 		case t.isOldPrimary(c) && !t.planned:
 			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
 		case t.planned && c.ID == t.target && c.Status.FencedTerm != 0:
--- a/core/replicaset/retired_test.go
+++ b/core/replicaset/retired_test.go
@@ -81,3 +81,24 @@
 		t.Errorf("the replica counts as lost %v after its host refused connections", v.ReplicaLostAt.Sub(stopped))
 	}
 }
+
+// Guards against a replica that counts as restarted without its log, and a primary that counts as a replica, since the answer to
+// an earlier question arrives after that to a later one.
+func TestAnswerToAnEarlierQuestionIsIgnored(t *testing.T) {
+	f := newFixture()
+	f.advance(time.Second)
+	f.status("a", true, 1, pos(1, 9))
+	askedAt := f.now
+	f.advance(300 * ms)
+	f.status("b", true, 2, pos(1, 9))
+	f.status("c", false, 2, pos(1, 9))
+	f.advance(100 * ms)
+	lostAt := f.Views()[0].ReplicaLostAt
+	for _, id := range []model.UpstreamID{"b", "c"} {
+		f.apply(Event{Kind: EventStatus, Upstream: id, SentAt: askedAt, Status: Status{Term: 1, Received: pos(1, 5), Applied: pos(1, 5)}})
+	}
+	v := f.Views()[0]
+	if v.Primary != "b" || v.ReplicaLostAt != lostAt {
+		t.Errorf("primary %q and the last loss %v ago after late answers, want b and no loss", v.Primary, f.now.Sub(v.ReplicaLostAt))
+	}
+}
--- a/core/replicaset/state.go
+++ b/core/replicaset/state.go
@@ -439,6 +439,10 @@
 // applyStatus updates the role, position and evidence from an upstream's status.
 func (g *group) applyStatus(now model.Time, m *Member, ev *Event) {
 	m.recordContact(now)
+	if ev.SentAt < m.StatusAt {
+		// The answer to a later question has arrived before.
+		return
+	}
 	if m.lostLog(ev) {
 		// The registration will show the restart later.
 		g.recordLoss(now, now, m.ID)
