Show that commits are lost which the last primary proved as a replica

What callers see: commits that were passed on while a switchover took effect are missing after a failover. The target had received them as the successor that the promise names; the other replica was fenced. The target leads, and is lost before the others have copied its log. The next change skips it as the old primary, whose commits are on a replica as well; that is not so for those of the term before. The former primary, which leaves and has all of them, counts as retired before they were sent, so the evidence up to which the fenced replica reaches is new enough, and that replica is preferred since it stays. Only a VM that tells what was passed on prevents it, and such VMs share the zone of the primary.

--- /dev/null
+++ b/core/promotion/review44_test.go
@@ -0,0 +1,224 @@
+package promotion
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
+	"github.com/chervilhatch/chervilhatch/core/replicaset"
+)
+
+// statusHarness is a listHarness whose upstreams have full statuses, and whose platform carries promotion calls out.
+type statusHarness struct {
+	*listHarness
+	statuses map[model.UpstreamID]replicaset.Status
+	// deaf has the upstreams that receive no commits.
+	deaf map[model.UpstreamID]bool
+	// calls are the targets of promotion calls. refuses: none is carried out.
+	calls   []model.UpstreamID
+	refuses bool
+	// takes is how long a promotion takes; the target leads at leadsAt.
+	takes   time.Duration
+	target  model.UpstreamID
+	leadsAt model.Time
+	// passedOn is the newest commit that was passed on, told is whether a VM can tell of it.
+	passedOn model.Position
+	told     bool
+}
+
+// newStatusHarness returns a harness with the primary a, the replicas b and c, and a lease holder that knows the
+// group as complete.
+func newStatusHarness() *statusHarness {
+	h := &statusHarness{listHarness: newListHarness(), statuses: map[model.UpstreamID]replicaset.Status{}, deaf: map[model.UpstreamID]bool{}}
+	h.leaving = map[model.UpstreamID]bool{}
+	h.view.SetVoters([]model.VMID{"other"})
+	for _, id := range []model.UpstreamID{"a", "b", "c"} {
+		h.statuses[id] = replicaset.Status{Primary: id == "a", Term: 1}
+	}
+	h.commit(10)
+	h.register()
+	h.state.Acquire(h.now, Acquisition{Revision: 1})
+	for range 8 {
+		h.commit(1)
+		h.play(500 * ms)
+	}
+	return h
+}
+
+// leader returns the upstream that leads, empty if none does.
+func (h *statusHarness) leader() model.UpstreamID {
+	for id, s := range h.statuses {
+		if s.Primary {
+			return id
+		}
+	}
+	return ""
+}
+
+// commit adds n commits, which all upstreams receive that are not deaf.
+func (h *statusHarness) commit(n uint64) {
+	leader := h.statuses[h.leader()]
+	end := model.Position{Term: model.Term{Counter: leader.Term}, Pos: leader.Received.Pos + model.LogPos(n)}
+	for id, s := range h.statuses {
+		if !h.deaf[id] && !h.down[id] && (s.FencedTerm == 0 || s.Primary) {
+			s.Received, s.Applied = end, end
+			h.statuses[id] = s
+		}
+	}
+}
+
+// register reads a list of all upstreams.
+func (h *statusHarness) register() {
+	ev := replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: h.now}
+	for _, id := range slices.Sorted(maps.Keys(h.statuses)) {
+		sequence := int64(1)
+		if h.leaving[id] {
+			sequence = 2
+		}
+		ev.Registrations = append(ev.Registrations, replicaset.Registration{
+			ID: id, Service: "db", Address: string(id) + ":1", Zone: model.Zone("zone-" + id), Slots: 3,
+			Primary: h.statuses[id].Primary, Leaving: h.leaving[id], Sequence: sequence, Incarnation: 1,
+		})
+	}
+	h.view.Apply(h.now, &ev, nil)
+	h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventPeerListed, VM: "other", SentAt: h.now}, nil)
+}
+
+// play advances the time by d. All upstreams that run answer, and lists are read every 500 ms.
+func (h *statusHarness) play(d time.Duration) {
+	listedAt := h.now
+	for end := h.now.Add(d); h.now < end; h.now = h.now.Add(50 * ms) {
+		if h.now.Sub(listedAt) >= 500*ms {
+			listedAt = h.now
+			h.register()
+		}
+		if h.target != "" && h.now >= h.leadsAt {
+			h.lead(h.target)
+			h.target = ""
+		}
+		for _, id := range h.view.Upstreams("db") {
+			h.report(id)
+		}
+		for _, e := range h.state.Tick(h.now, h.input(), nil) {
+			h.carryOut(&e)
+		}
+		for _, c := range h.state.Confirm(h.now, "vm") {
+			h.view.Apply(h.now, &replicaset.Event{
+				Kind: replicaset.EventConfirmed, Upstream: c.Upstream, Term: c.Term, Successor: c.Successor, SentAt: h.now, Until: h.now.Add(ConfirmationTTL),
+			}, nil)
+		}
+	}
+	h.register()
+}
+
+func (h *statusHarness) report(id model.UpstreamID) {
+	ev := replicaset.Event{Kind: replicaset.EventStatus, Upstream: id, SentAt: h.now, Status: h.statuses[id]}
+	if h.down[id] {
+		ev = replicaset.Event{Kind: replicaset.EventFailed, Upstream: id, Refused: true}
+	}
+	h.view.Apply(h.now, &ev, nil)
+}
+
+func (h *statusHarness) carryOut(e *Effect) {
+	s := h.statuses[e.Upstream]
+	switch {
+	case e.Kind == EffectWithdraw:
+		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: "db", Successor: e.Upstream}, nil)
+		h.state.ReportWithdrawn(h.now, e.Service, e.VM, e.SentAt, Withdrawal{})
+	case e.Kind == EffectPromote:
+		h.calls = append(h.calls, e.Upstream)
+		if h.refuses || h.down[e.Upstream] {
+			h.state.ReportPromotion(h.now, e.Service, e.Token, OutcomeRefused)
+			return
+		}
+		h.state.ReportPromotion(h.now, e.Service, e.Token, OutcomeAccepted)
+		if h.target == "" {
+			h.target, h.leadsAt = e.Upstream, h.now.Add(h.takes)
+		}
+	case e.Kind != EffectCommand || h.down[e.Upstream]:
+	case e.Command == CommandPause:
+		s.FencedTerm = e.Term
+		h.statuses[e.Upstream] = s
+	case e.Command == CommandResume:
+		s.FencedTerm = 0
+		h.statuses[e.Upstream] = s
+	case e.Command == CommandStepDown:
+		s.Primary = false
+		h.statuses[e.Upstream] = s
+	}
+}
+
+// lead makes an upstream the primary of the next term.
+func (h *statusHarness) lead(id model.UpstreamID) {
+	term := uint64(0)
+	for _, s := range h.statuses {
+		term = max(term, s.Term)
+	}
+	for other, s := range h.statuses {
+		if h.down[other] {
+			continue
+		}
+		s.Term, s.Primary = term+1, other == id
+		if s.Primary {
+			s.FencedTerm = 0
+		}
+		h.statuses[other] = s
+	}
+}
+
+// pass records that a VM has passed on all commits of the leader.
+func (h *statusHarness) pass() {
+	h.passedOn = h.statuses[h.leader()].Received
+	if h.told {
+		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventPassedOn, Service: "db", Position: h.passedOn}, nil)
+	}
+}
+
+// switchOver switches the primary over from a, which leaves, to b. While the promotion takes effect, commits are passed on that b has
+// received and c, which is fenced, has not. Then b crashes before c has received them.
+func (h *statusHarness) switchOver(t *testing.T) {
+	t.Helper()
+	h.takes = time.Second
+	h.leaving["a"] = true
+	for begin := h.now; len(h.calls) == 0 && h.now.Sub(begin) < 4*time.Second; h.play(50 * ms) {
+		h.commit(1)
+	}
+	for range 10 {
+		h.commit(1)
+		h.play(50 * ms)
+	}
+	h.commit(1)
+	if b := h.statuses["b"]; b.Received != h.statuses["a"].Received || b.Received.Compare(h.statuses["c"].Received) <= 0 {
+		t.Fatalf("fixture: the target b has received %v, a %v and c %v", b.Received, h.statuses["a"].Received, h.statuses["c"].Received)
+	}
+	commit := replicaset.AcknowledgedCommit{Service: "db", Primary: "a", AcknowledgedAt: h.now, Position: h.statuses["a"].Received}
+	for _, id := range []model.UpstreamID{"a", "b", "c"} {
+		h.report(id)
+	}
+	if !h.view.CommitProof(h.now, &commit).Sufficient() {
+		t.Fatal("fixture: the last commit is not passed on")
+	}
+	h.pass()
+	h.deaf["c"] = true
+	for h.leader() != "b" {
+		h.play(50 * ms)
+	}
+	h.play(100 * ms)
+	h.down["b"] = true
+	h.calls = nil
+}
+
+// Guards against the loss of commits that were passed on since the target of a switchover had received them, if it is lost right
+// after it leads: it has proved them as a replica, though it is the old primary of the next change.
+func TestCommitsThatOnlyTheLastPrimaryInheritedAreNotLost(t *testing.T) {
+	h := newStatusHarness()
+	h.switchOver(t)
+	h.play(6 * time.Second)
+	for _, id := range h.calls {
+		if received := h.statuses[id].Received; received.Compare(h.passedOn) < 0 {
+			t.Fatalf("%s was called for with %v; commits up to %v were passed on, and are on a with %v and on b", id, received, h.passedOn, h.statuses["a"].Received)
+		}
+	}
+}
