Show that a replica without what was passed on hides an upstream that has it

What callers see: no primary, though the former one runs and has all that was passed on. The target is chosen by preference among those that look safe, and refused afterwards if it lacks what VMs have passed on; the others are not looked at. found() also records it as sufficient before.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -222,3 +222,15 @@
 		}
 	}
 }
+
+// Guards against a service without a primary while the former one, which leaves but still runs, has all that was passed on: a replica
+// that stays and is known to lack some of it hides it.
+func TestUpstreamThatLacksWhatWasPassedOnHidesNoOther(t *testing.T) {
+	h := newStatusHarness()
+	h.told = true
+	h.switchOver(t)
+	h.play(6 * time.Second)
+	if !slices.Contains(h.calls, "a") {
+		t.Errorf("no promotion call for a within 6 s (calls %v), though it has %v, all that was passed on", h.calls, h.statuses["a"].Received)
+	}
+}
