Show that a VM that stopped long ago blocks failovers

What callers see: 15 s without a primary, though a replica that stays has all that was passed on. All VMs that run have told what they have passed on, but the lease holder waits for the word of one to which it promised the primary a minute before, and which has stopped since: confirmedUntil keeps it for as long as the lease is held. What such a VM may have passed on is older than the evidence that the replica covers.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -26,13 +26,17 @@
 	// passedOn is the newest commit that was passed on, told is whether a VM can tell of it.
 	passedOn model.Position
 	told     bool
+	// silent has the upstreams that do not answer the lease holder, whose connections are not refused.
+	silent map[model.UpstreamID]bool
+	// restarted: the VM has lost what it knew.
+	restarted bool
 }
 
 // newStatusHarness returns a harness with the primary a, the replicas b and c, and a lease holder that knows the
 // group as complete.
 func newStatusHarness() *statusHarness {
 	h := &statusHarness{listHarness: newListHarness(), statuses: map[model.UpstreamID]replicaset.Status{}, deaf: map[model.UpstreamID]bool{}}
-	h.leaving = map[model.UpstreamID]bool{}
+	h.leaving, h.silent, h.restarted = map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, true
 	h.view.SetVoters([]model.VMID{"other"})
 	for _, id := range []model.UpstreamID{"a", "b", "c"} {
 		h.statuses[id] = replicaset.Status{Primary: id == "a", Term: 1}
@@ -115,8 +119,8 @@
 
 func (h *statusHarness) report(id model.UpstreamID) {
 	ev := replicaset.Event{Kind: replicaset.EventStatus, Upstream: id, SentAt: h.now, Status: h.statuses[id]}
-	if h.down[id] {
-		ev = replicaset.Event{Kind: replicaset.EventFailed, Upstream: id, Refused: true}
+	if h.down[id] || h.silent[id] {
+		ev = replicaset.Event{Kind: replicaset.EventFailed, Upstream: id, Refused: h.down[id]}
 	}
 	h.view.Apply(h.now, &ev, nil)
 }
@@ -126,7 +130,13 @@
 	switch {
 	case e.Kind == EffectWithdraw:
 		h.view.Apply(h.now, &replicaset.Event{Kind: replicaset.EventWithdrawn, Service: "db", Successor: e.Upstream}, nil)
-		h.state.ReportWithdrawn(h.now, e.Service, e.VM, e.SentAt, Withdrawal{})
+		w := Withdrawal{}
+		if !h.restarted {
+			w = Withdrawal{PassedOn: h.view.PassedOn("db"), Running: time.Hour}
+		}
+		if e.VM == "vm" {
+			h.state.ReportWithdrawn(h.now, e.Service, e.VM, e.SentAt, w)
+		}
 	case e.Kind == EffectPromote:
 		h.calls = append(h.calls, e.Upstream)
 		if h.refuses || h.down[e.Upstream] {
@@ -137,7 +147,7 @@
 		if h.target == "" {
 			h.target, h.leadsAt = e.Upstream, h.now.Add(h.takes)
 		}
-	case e.Kind != EffectCommand || h.down[e.Upstream]:
+	case e.Kind != EffectCommand || h.down[e.Upstream] || h.silent[e.Upstream]:
 	case e.Command == CommandPause:
 		s.FencedTerm = e.Term
 		h.statuses[e.Upstream] = s
@@ -234,3 +244,24 @@
 		t.Errorf("no promotion call for a within 6 s (calls %v), though it has %v, all that was passed on", h.calls, h.statuses["a"].Received)
 	}
 }
+
+// Guards against a service that waits for its former primary since a VM that stopped long ago cannot tell what it has passed on.
+func TestVMsThatStoppedLongAgoDoNotBlockAFailover(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		h := newStatusHarness()
+		h.told, h.restarted = true, false
+		if stopped {
+			h.state.Confirm(h.now, "stopped")
+		}
+		for range 120 {
+			h.commit(1)
+			h.play(500 * ms)
+		}
+		h.pass()
+		h.silent["b"], h.down["a"] = true, true
+		h.play(8 * time.Second)
+		if len(h.calls) == 0 {
+			t.Errorf("with a VM that had stopped a minute before %t: no promotion call within 8 s, though c has %v, all that was passed on", stopped, h.statuses["c"].Received)
+		}
+	}
+}
