Show that the lapse of the old primary between attempts blocks all targets

What callers see: no primary until formerPrimaryTimeout, 15 s after the loss, though all replicas answer and have all commits. The old primary is part of the attempt, the freeze outlives attempts. Between two of them the freeze compares with the primary of the view, which is empty in the tick in which the entry is removed: the old primary counts as a replica that was lost before it could be asked, and no evidence is newer than the freeze. An entry lapses 5 to 7 s after a crash, the first attempt ends after 6.5 s.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -28,6 +28,8 @@
 	told     bool
 	// silent has the upstreams that do not answer the lease holder, whose connections are not refused.
 	silent map[model.UpstreamID]bool
+	// unlisted has the upstreams whose entries have lapsed.
+	unlisted map[model.UpstreamID]bool
 	// restarted: the VM has lost what it knew.
 	restarted bool
 }
@@ -36,7 +38,7 @@
 // group as complete.
 func newStatusHarness() *statusHarness {
 	h := &statusHarness{listHarness: newListHarness(), statuses: map[model.UpstreamID]replicaset.Status{}, deaf: map[model.UpstreamID]bool{}}
-	h.leaving, h.silent, h.restarted = map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, true
+	h.leaving, h.silent, h.unlisted, h.restarted = map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, map[model.UpstreamID]bool{}, true
 	h.view.SetVoters([]model.VMID{"other"})
 	for _, id := range []model.UpstreamID{"a", "b", "c"} {
 		h.statuses[id] = replicaset.Status{Primary: id == "a", Term: 1}
@@ -77,6 +79,9 @@
 func (h *statusHarness) register() {
 	ev := replicaset.Event{Kind: replicaset.EventRegistrations, SentAt: h.now}
 	for _, id := range slices.Sorted(maps.Keys(h.statuses)) {
+		if h.unlisted[id] {
+			continue
+		}
 		sequence := int64(1)
 		if h.leaving[id] {
 			sequence = 2
@@ -265,3 +270,32 @@
 		}
 	}
 }
+
+// Guards against a service without a primary since the entry of the lost one lapses between two attempts to replace it: it then counts
+// as a replica that was lost before it could be asked.
+func TestLapseOfTheOldPrimaryBetweenAttemptsBlocksNoTarget(t *testing.T) {
+	var longest time.Duration
+	for lapse := 3 * time.Second; lapse < 7*time.Second; lapse += 250 * ms {
+		h := newStatusHarness()
+		h.commit(1)
+		h.play(100 * ms)
+		h.silent["b"], h.down["a"] = true, true
+		h.play(lapse)
+		h.unlisted["a"] = true
+		h.play(10*time.Second - lapse)
+		if len(h.calls) > 0 {
+			t.Fatalf("fixture: call for %v while b does not answer", h.calls)
+		}
+		h.silent["b"] = false
+		begin := h.now
+		for len(h.calls) == 0 && h.now.Sub(begin) < 10*time.Second {
+			h.play(50 * ms)
+		}
+		if elapsed := h.now.Sub(begin); elapsed > 2*time.Second {
+			t.Errorf("the entry of the lost primary is missing from %v on: no call for %v after b answers again, though b and c have all commits", lapse, elapsed)
+		} else {
+			longest = max(longest, elapsed)
+		}
+	}
+	t.Logf("otherwise a call within %v", longest)
+}
