Show that a new lease holder takes the voters for all VMs that pass commits on

What callers may see, in a deployment with hubs: commits are missing at the new primary though a listed replica, which does not answer for a moment, has them. VMs that are no hubs are promised the primary as well if they poll the lease holder, and pass commits on while no hub of the upstream's zone is usable. The next lease holder does not know of them: hasAllPassedOn asks the voters and those to which this holder has promised the primary.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -299,3 +299,31 @@
 	}
 	t.Logf("otherwise a call within %v", longest)
 }
+
+// Guards against the loss of commits that a VM which is no voter has passed on, promised by a former lease holder: the present one
+// does not ask that VM, and takes what the voters have passed on for all.
+func TestNewLeaseHolderDoesNotTakeVotersForAllVMs(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		h := newStatusHarness()
+		h.told, h.restarted = true, false
+		h.pass()
+		// A VM of a large deployment that is no hub passes on commits that b has received.
+		h.state.Confirm(h.now, "node")
+		h.deaf["c"] = true
+		h.commit(5)
+		h.told = false
+		h.pass()
+		h.play(100 * ms)
+		h.silent["b"], h.down["a"] = true, true
+		if successor {
+			h.state = New()
+			h.state.Acquire(h.now, Acquisition{Revision: 2})
+		}
+		h.play(8 * time.Second)
+		for _, id := range h.calls {
+			if received := h.statuses[id].Received; received.Compare(h.passedOn) < 0 {
+				t.Fatalf("new lease holder %t: %s was called for with %v; commits up to %v were passed on, and are on b, which is listed", successor, id, received, h.passedOn)
+			}
+		}
+	}
+}
