--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -327,3 +327,19 @@
 		}
 	}
 }
+
+// Guards against a replica that counts as stopped since a connection to it was refused, though other VMs have reached it since: what it
+// has received since then may have been passed on.
+func TestRefusedConnectionProvesNothingOnceAPeerHasReachedTheReplica(t *testing.T) {
+	h := newHarness(t)
+	h.markFailed("c")
+	h.member("c").RefusedSince = h.now
+	h.advance(time.Second)
+	h.member("b").Status.Received = pos(120)
+	h.evidence = replicaset.Evidence{At: h.now, Position: pos(120), Term: 1}
+	h.advance(500 * ms)
+	h.peerContacts["c"] = h.now
+	h.markFailed("a")
+	h.advance(5 * time.Second)
+	h.wantNoPromoteCall()
+}
