promotion model: the target of a switchover is lost just after it leads

What callers see: no primary for 10 s, though the former primary runs, is fenced and has all that was passed on. The lease holder has not reached one replica for a second, so the switchover begins when the primary counts as retired; the replica is fenced at 1.146, the target leads at 1.177 and crashes. The replica looks safe, is preferred and is refused for what VMs have passed on, until the target is back. When the former primary leaves, its log is gone.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -343,3 +344,36 @@
 	h.advance(5 * time.Second)
 	h.wantNoPromoteCall()
 }
+
+// caseSwitchedOver: the primary is to be replaced. The lease holder does not reach one replica for cut steps, so that the switchover
+// begins when all VMs know that the primary leaves. Its target crashes just after it leads, before the other replica has received what
+// was passed on since that one was fenced. The former primary has it, and runs until step 200.
+func caseSwitchedOver(cut, order int) memberScenario {
+	return memberScenario{
+		name: "target of a switchover lost at once", vms: 3, steps: 330, order: order, events: []memberEvent{
+			{kind: memberLeave, until: 200, upstream: "a"},
+			{kind: memberCutVMs, until: cut, upstream: "c", vms: theHolder},
+			{kind: memberDeaf, at: 20, until: 250, atCall: true, untilCall: true, upstream: "c"},
+			{kind: memberCrash, at: 23, until: 250, atCall: true, untilCall: true, upstream: "b"},
+		},
+	}
+}
+
+// Guards against a service without a primary after the target of a switchover was lost, while the former primary, which leaves, has all
+// that was passed on and a replica that lacks some of it is preferred.
+func TestFormerPrimaryReplacesALostTarget(t *testing.T) {
+	for _, cut := range []int{20, 26, 32, 38} {
+		for order := range 3 {
+			called := false
+			r := newMemberRun(caseSwitchedOver(cut, order))
+			r.trace = func(line string) { called = called || strings.Contains(line, "call for a,") }
+			r.run()
+			if r.violation != "" {
+				t.Errorf("%s in scenario %v", r.violation, r.s)
+			}
+			if !called {
+				t.Errorf("no promotion call for the former primary, which has all that was passed on, in scenario %v", r.s)
+			}
+		}
+	}
+}
