--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 // caseSwitchedOver: the primary is to be replaced. The lease holder does not reach one replica for cut steps, so that the switchover
@@ -37,3 +38,14 @@
 		}
 	}
 }
+
+// Guards against the loss of commits that a listed replica has which does not answer for long: it runs and keeps its entry, so the
+// limit on the wait for the former primary does not apply to it.
+func TestListedReplicaThatDoesNotAnswerOutlastsTheWaitForThePrimary(t *testing.T) {
+	h := newHarness(t)
+	h.member("b").Status.Received = pos(95)
+	h.markFailed("a")
+	h.markFailed("c")
+	h.advance(formerPrimaryTimeout + 15*time.Second)
+	h.wantNoPromoteCall()
+}
