Show that a stopped VM keeps leaving replicas from retiring

What callers see: 15 s without a primary instead of 1.5 s, after the primary and a replica that leaves have stopped, though the other replica has all that was passed on. A VM that has stopped counts as a voter for 20 s, and its list stays old, so that the replica is not retired; nor can that VM tell what it has passed on. Without a promise it proves nothing.

--- a/core/promotion/review44_test.go
+++ b/core/promotion/review44_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/chervilhatch/chervilhatch/core/model"
 )
 
 // caseSwitchedOver: the primary is to be replaced. The lease holder does not reach one replica for cut steps, so that the switchover
@@ -49,3 +51,35 @@
 	h.advance(formerPrimaryTimeout + 15*time.Second)
 	h.wantNoPromoteCall()
 }
+
+// Guards against a service that waits for its former primary since a VM that has stopped never says that it knows of a replica that
+// leaves: without a promise it passes no commits on that this replica proves.
+func TestStoppedVMDoesNotKeepALeavingReplicaFromRetiring(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		h := newStatusHarness()
+		h.told = true
+		if stopped {
+			h.view.SetVoters([]model.VMID{"other", "stopped"})
+		}
+		// Once all VMs that run know that c leaves, commits are passed on that b has received. Then b receives nothing, and c and a stop.
+		h.leaving["c"] = true
+		for range 30 {
+			h.commit(1)
+			h.play(100 * ms)
+		}
+		h.pass()
+		h.deaf["b"] = true
+		for range 6 {
+			h.commit(1)
+			h.play(100 * ms)
+		}
+		h.down["a"], h.down["c"] = true, true
+		begin := h.now
+		for len(h.calls) == 0 && h.now.Sub(begin) < 20*time.Second {
+			h.play(50 * ms)
+		}
+		if elapsed := h.now.Sub(begin); elapsed > fenceTimeout {
+			t.Errorf("with a VM that has stopped %t: no promotion call for %v, though b has %v, all that was passed on", stopped, elapsed, h.statuses["b"].Received)
+		}
+	}
+}
