Let a former primary below the evidence lead if it has all that was passed on

It counted as restarted without its log, was neither fenced nor a candidate, and the service never had a primary again.

TestFormerPrimaryBelowTheEvidenceIsACandidate failed before.

--- a/core/promotion/freeze.go
+++ b/core/promotion/freeze.go
@@ -271,7 +271,7 @@
 // hasInherited reports whether c is known to have the log with which the old primary began.
 func (f *freeze) hasInherited(v *replicaset.View, in *Input, c *replicaset.Member) bool {
 	received := c.Status.Received
-	if received.Term.Counter >= f.oldTerm || v.InheritedTerm == f.oldTerm && received.Compare(v.Inherited) >= 0 {
+	if received.Term.Counter >= f.oldTerm || c.ID == f.oldPrimary && c.Status.Term >= f.oldTerm || v.InheritedTerm == f.oldTerm && received.Compare(v.Inherited) >= 0 {
 		return true
 	}
 	e, ok := in.EvidenceUpTo(v.Service, received)
--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -547,3 +547,15 @@
 		}
 	}
 }
+
+// Guards against a service that never has a primary again: only the last one has what was passed on, and it has stepped down with a
+// shorter log than the evidence, which has commits that were not passed on.
+func TestFormerPrimaryBelowTheEvidenceIsACandidate(t *testing.T) {
+	h := newHarness(t)
+	a := h.member("a")
+	a.Status.Primary, a.Status.Received = false, pos(108)
+	h.view.Primary, h.view.LastPrimary, h.view.PassedOn = "", "a", pos(105)
+	h.evidence = replicaset.Evidence{At: h.now, Position: pos(120), Term: 1}
+	h.advance(4 * time.Second)
+	h.wantPromoteCall("a")
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -175,7 +175,7 @@
 	}
 	if target == nil || blockedBy.cause != "" {
 		out = s.reportBlocked(now, svc, v, in, blockedBy, out)
-		return t.requestList(now, svc, svc.fenceReplicas(now, v, out))
+		return t.requestList(now, svc, svc.fenceReplicas(now, v, in, out))
 	}
 	t.target, t.targetReceived, t.token = target.ID, target.Status.Received, s.token()
 	t.accepted, t.refused = false, false
@@ -296,18 +296,19 @@
 // the target keeps receiving, so that it gets all new commits, and the old primary is asked
 // how far its log reaches. In a failover the old primary is told to step down, in case it
 // still runs.
-func (svc *serviceState) fenceReplicas(now model.Time, v *replicaset.View, out []Effect) []Effect {
+func (svc *serviceState) fenceReplicas(now model.Time, v *replicaset.View, in *Input, out []Effect) []Effect {
 	t := svc.transition
 	t.raiseFenceTerm(v)
 	frozenSince := t.frozenSince(now, svc)
 	for i := range v.Members {
 		c := &v.Members[i]
 		switch {
-		case t.isOldPrimary(c) && t.steppedDownAt != 0:
-		case t.isOldPrimary(c) && t.cause == causeNoPrimary && c.ID == v.Primary && c.StatusAt < t.startedAt:
+		case t.isOldPrimary(c) && t.steppedDownAt != 0 && hasLog(c, in, svc):
+			// It need not be fenced: its log has all that it has acknowledged.
+		case t.isOldPrimary(c) && t.steppedDownAt == 0 && t.cause == causeNoPrimary && c.ID == v.Primary && c.StatusAt < t.startedAt:
 			// A peer knows it as the primary, so that no other one may be needed.
 			out = svc.sendCommand(now, c.ID, CommandStatus, 0, statusPollInterval, out)
-		case t.isOldPrimary(c) && !t.planned:
+		case t.isOldPrimary(c) && t.steppedDownAt == 0 && !t.planned:
 			out = svc.sendCommand(now, c.ID, CommandStepDown, t.fenceTerm, commandRetryInterval, out)
 		case t.planned && c.ID == t.target && c.Status.FencedTerm != 0:
 			// An earlier transition has fenced the target.
@@ -547,7 +548,7 @@
 
 // candidate reports whether an upstream may be chosen in a failover if it has all commits.
 func (t *transition) candidate(now model.Time, c *replicaset.Member, frozenSince model.Time) bool {
-	return !t.isOldPrimary(c) && t.fenced(c) && c.StatusAt >= max(frozenSince, c.FailedAt) && c.FailedSince == 0 && now.Sub(c.StatusAt) <= targetStatusMaxAge
+	return (!t.isOldPrimary(c) || t.steppedDownAt != 0) && t.fenced(c) && c.StatusAt >= max(frozenSince, c.FailedAt) && c.FailedSince == 0 && now.Sub(c.StatusAt) <= targetStatusMaxAge
 }
 
 // preferred returns the upstream that is best to promote among those that ok accepts, nil if there is none: by
