Limit the wait for a former primary that is listed and answers as a replica

The service never had a primary again.

TestWaitForAFormerPrimaryThatAnswersIsLimited failed before.

--- a/core/promotion/freeze_test.go
+++ b/core/promotion/freeze_test.go
@@ -559,3 +559,18 @@
 	h.advance(4 * time.Second)
 	h.wantPromoteCall("a")
 }
+
+// Guards against a service that never has a primary again, since the limit on the wait for the former primary does not end while that
+// one is listed, although it answers as a replica.
+func TestWaitForAFormerPrimaryThatAnswersIsLimited(t *testing.T) {
+	h := newHarness(t)
+	a := h.member("a")
+	a.Status.Primary, a.Status.Received = false, pos(108)
+	h.view.Primary, h.view.LastPrimary = "", "a"
+	h.view.Incomplete, h.view.MemberLost, h.view.Whole, h.view.ReplicaLostAt = true, true, true, h.now
+	h.evidence = replicaset.Evidence{At: h.now.Add(-ms), Position: pos(120), Term: 1}
+	h.advance(formerPrimaryTimeout - 100*ms)
+	h.wantNoPromoteCall()
+	h.advance(3 * time.Second)
+	h.wantPromoteCall("a")
+}
--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -444,7 +444,7 @@
 	case target != nil:
 		t.found(target.Status.Received)
 		return target, blocked{}
-	case oldPrimary == nil && !t.listedMayProve(v, in, frozenSince, best) && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
+	case (oldPrimary == nil || t.steppedDownAt != 0) && !t.listedMayProve(v, in, frozenSince, best) && now.Sub(max(t.aliveAt, svc.knownSince)) > formerPrimaryTimeout:
 		return best, blocked{}
 	case best.Status.Received.Compare(passedOn) < 0:
 		return nil, blocked{cause: blockedPassedOn, best: best.ID}
