--- a/core/promotion/transition.go
+++ b/core/promotion/transition.go
@@ -439,7 +439,7 @@
 	switch {
 	case v.ListedAt < t.aliveAt.Add(registrationTimeout) && (target == nil || !target.Leaving):
 		// A replica that had started before the old primary was lost may be missing. It may have commits that were
-		// acknowledged, though not passed on; an upstream that leaves may not wait for it.
+		// acknowledged, though not passed on. An upstream that leaves would be gone by then.
 		return nil, blocked{cause: blockedListAge, best: best.ID}
 	case target != nil:
 		t.found(target.Status.Received)
