--- a/review/rig-3/backend.go
+++ b/review/rig-3/backend.go
@@ -29,6 +29,7 @@
 	service  string
 	maxConns int
 	slots    int
+	initial  int
 	work     time.Duration
 	lag      time.Duration
 	platform *platform
@@ -60,12 +61,15 @@
 	conns     map[net.Conn]bool
 	down      bool
 	warmUntil time.Time
+	// first is true before the first start; led is true once the backend has been the primary. deaf is
+	// true while it receives nothing.
+	first, led, deaf bool
 	// rowCount and rowBytes are the size of the answer to a read; 0 is one short row.
 	rowCount, rowBytes int
 }
 
 func newGroup(p *platform, service string) *group {
-	g := &group{service: service, maxConns: 50, slots: 3, work: 6 * time.Millisecond, lag: 20 * time.Millisecond, platform: p, term: 1, servers: map[string]*backend{}, runs: map[string]int{}, log: make([]commit, 10)}
+	g := &group{service: service, maxConns: 50, slots: 3, work: 6 * time.Millisecond, lag: 20 * time.Millisecond, platform: p, term: 1, servers: map[string]*backend{}, runs: map[string]int{}, log: make([]commit, 10), initial: 10}
 	for i := range g.log {
 		g.log[i].term = 1
 	}
@@ -76,14 +80,23 @@
 // add starts a backend; the first one is the primary.
 func (g *group) add(id, zone string) *backend {
 	l := listen()
-	b := &backend{g: g, id: id, zone: zone, address: l.Addr().String()}
+	b := &backend{g: g, id: id, zone: zone, address: l.Addr().String(), first: true}
 	g.mu.Lock()
 	if g.primary == "" {
-		g.primary = id
+		g.primary, b.led = id, true
 	}
 	g.servers[id] = b
 	g.mu.Unlock()
 	b.start(l)
+	go func() {
+		for range time.Tick(20 * time.Millisecond) {
+			g.mu.Lock()
+			if g.primary != b.id {
+				g.catchUp(b)
+			}
+			g.mu.Unlock()
+		}
+	}()
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
 			b.beat()
@@ -98,7 +111,18 @@
 	g.mu.Lock()
 	b.listener, b.conns, b.down, b.born, b.sequence, b.fenced = l, map[net.Conn]bool{}, false, time.Now().UnixMilli(), 0, 0
 	b.slots = make(chan struct{}, g.slots)
-	b.received, b.applyAt = len(g.log), make([]time.Time, len(g.log))
+	switch p := g.servers[g.primary]; {
+	case b.id == g.primary || b.first:
+		// A primary that crashed has its log; the log of a new group is on all of its backends.
+		b.received, b.applyAt, b.first = min(max(b.received, g.initial), len(g.log)), make([]time.Time, len(g.log)), false
+	case b.led:
+		b.received = min(b.received, len(g.log))
+	default:
+		b.received, b.applyAt = 0, nil
+		if p != nil && !p.down {
+			g.catchUp(b)
+		}
+	}
 	g.mu.Unlock()
 	b.beat()
 	go func() {
@@ -177,6 +201,7 @@
 			return
 		}
 		g.term++
+		b.led = true
 		g.primary, g.log, b.fenced = id, g.log[:b.received], 0
 		for _, other := range g.servers {
 			other.received = min(other.received, len(g.log))
@@ -194,7 +219,7 @@
 
 // catchUp gives a replica what it lacks of the log. The caller holds mu.
 func (g *group) catchUp(b *backend) {
-	if b.down || b.fenced > g.term {
+	if p := g.servers[g.primary]; p == nil || p.down || b.down || b.deaf || b.fenced > g.term {
 		return
 	}
 	b.received = len(g.log)
@@ -218,7 +243,7 @@
 
 func (g *group) position(n int) string {
 	if n == 0 {
-		return fmt.Sprintf("%d.0", 1)
+		return "-"
 	}
 	return fmt.Sprintf("%d.%d", g.log[n-1].term, n)
 }
@@ -438,16 +463,17 @@
 	time.Sleep(time.Millisecond)
 	for {
 		g.mu.Lock()
-		got := false
+		got, lost := false, false
 		for _, other := range g.servers {
 			if other != b {
 				g.catchUp(other)
 				got = got || !other.down && other.received >= n
+				lost = lost || b.down || g.primary != b.id
 			}
 		}
 		g.mu.Unlock()
-		if got {
-			return true
+		if got || lost {
+			return got && !lost
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -305,3 +305,76 @@
 	verdict("%d requests of the tenant ran in %d s, %d s after the confirmation; allowed are %d", n, windowS, configApplyMS/1000+windowS, slack)
 	return n > slack
 }
+
+// lateCall: the primary crashes for 7 s while one replica receives nothing; the call for the other one is
+// carried out 4 s late, and that one has started again meanwhile. Rule LOST.
+func lateCall(r *rig, trouble bool) bool {
+	g := deploy(r, manifest{version: 7, rate: 1000, burst: 1000})
+	var mu sync.Mutex
+	var acknowledged []string
+	wg := load(r, 9, primary, time.Now().Add(22*time.Second), func(c *caller, n int) {
+		res, err := c.query("WRITE "+strconv.Itoa(n)+" data", 3*time.Second)
+		if err == nil && res.code == "" {
+			mu.Lock()
+			acknowledged = append(acknowledged, res.id)
+			mu.Unlock()
+		}
+		time.Sleep(50 * time.Millisecond)
+	})
+	time.Sleep(2 * time.Second)
+	if trouble {
+		other, target, old := g.servers["i-b2"], g.servers["i-a1"], g.servers["i-c3"]
+		g.setDeaf(other, true)
+		called := make(chan struct{})
+		var once sync.Once
+		r.platform.mu.Lock()
+		r.platform.late = func(id string) (time.Duration, bool) {
+			late := false
+			if id == target.id {
+				once.Do(func() { late = true; close(called) })
+			}
+			return 4 * time.Second, late
+		}
+		r.platform.mu.Unlock()
+		time.Sleep(time.Second)
+		old.crash()
+		back := time.After(7 * time.Second)
+		time.AfterFunc(5500*time.Millisecond, func() { g.setDeaf(other, false) })
+		select {
+		case <-called:
+			time.Sleep(300 * time.Millisecond)
+			target.crash()
+			time.Sleep(500 * time.Millisecond)
+			target.restart(0)
+		case <-time.After(6 * time.Second):
+		}
+		<-back
+		old.restart(0)
+	}
+	wg.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	inLog := map[string]bool{}
+	for _, entry := range g.log {
+		for _, id := range entry.ids {
+			inLog[id] = true
+		}
+	}
+	lost := 0
+	for _, id := range acknowledged {
+		if !inLog[id] {
+			lost++
+			note("judge", "LOST: "+id+" was acknowledged and is not in the log")
+		}
+	}
+	verdict("%d writes acknowledged, %d of them not in the log of the promoted backend %s", len(acknowledged), lost, g.primary)
+	return lost > 0
+}
+
+// setDeaf sets whether a replica receives nothing.
+func (g *group) setDeaf(b *backend, deaf bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.deaf = deaf
+	note("backend "+b.id, fmt.Sprintf("receives nothing: %t", deaf))
+}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,6 +16,7 @@
 type scenario func(r *rig, trouble bool) (broken bool)
 
 var scenarios = map[string]scenario{
+	"late-call":    lateCall,
 	"memory":       largeAnswers,
 	"evacuation":   evacuationDuringTransactions,
 	"cold-tx":      transactionsAtColdBackend,
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -38,6 +38,8 @@
 	address  string
 	groups   map[string]*group
 	token    map[string]uint64
+	// late, if set, is asked for each failover call; a call that it delays gets no answer.
+	late func(id string) (time.Duration, bool)
 }
 
 func startPlatform() *platform {
@@ -296,15 +298,33 @@
 	json.NewDecoder(r.Body).Decode(&body)
 	token, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
 	p.mu.Lock()
-	g, fenced := p.groups[body.Service], token < p.token[body.Service]
-	if !fenced {
-		p.token[body.Service] = token
-	}
+	late := p.late
 	p.mu.Unlock()
-	status := 409
-	if g != nil && !fenced && g.promote(body.ID) {
-		status = 200
+	if late != nil {
+		if delay, is := late(body.ID); is {
+			note("platform", fmt.Sprintf("failover of %s to %s, token %d: no answer, carried out %s later", body.Service, body.ID, token, delay))
+			time.AfterFunc(delay, func() {
+				note("platform", fmt.Sprintf("late failover to %s, token %d: %d", body.ID, token, p.carryOut(body.Service, body.ID, token)))
+			})
+			<-r.Context().Done()
+			return
+		}
 	}
+	status := p.carryOut(body.Service, body.ID, token)
 	note("platform", fmt.Sprintf("failover of %s to %s by %s, token %d: %d", body.Service, body.ID, r.Header.Get("X-Lease-Holder"), token, status))
 	answer(w, status, map[string]string{})
 }
+
+// carryOut checks the fence of a failover call and carries it out.
+func (p *platform) carryOut(service, id string, token uint64) int {
+	p.mu.Lock()
+	g, fenced := p.groups[service], token < p.token[service]
+	if !fenced {
+		p.token[service] = token
+	}
+	p.mu.Unlock()
+	if g == nil || fenced || !g.promote(id) {
+		return 409
+	}
+	return 200
+}
